--- /dev/null
+++ b/src/main/java/io/micatide/cli/WarmUp.java
@@ -0,0 +1,124 @@
+package io.micatide.cli;
+
+import io.micatide.net.HttpClient;
+import io.micatide.net.HttpServer;
+import io.micatide.net.Reply;
+import io.micatide.node.Node;
+import io.micatide.wire.MalformedException;
+import io.micatide.wire.SettingsReader;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A short life of a controller on loopback against canned answers: it claims, takes a job, answers a worker and rents.
+ * Its only use is that the classes of the ordinary path get loaded.
+ */
+final class WarmUp {
+    private static final long PATIENCE_MICROS = 2_000_000;
+
+    private WarmUp() {
+    }
+
+    static int run() throws InterruptedException, MalformedException {
+        int[] ports = freePorts(4);
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        try {
+            new HttpServer(WarmUp::canned, 100).bind(group.next(), "127.0.0.1:" + ports[0]).sync();
+            String settings = resource("/warm-up-settings.toml")
+                    .replace("@bind@", "127.0.0.1:" + ports[1]).replace("@peer@", "127.0.0.1:" + ports[2])
+                    .replace("@sibling@", "127.0.0.1:" + ports[2]).replace("@services@", "127.0.0.1:" + ports[0]);
+            try (Node node = new Node(SettingsReader.parse(settings))) {
+                node.start();
+                HttpClient client = new HttpClient(group.next(), "127.0.0.1:" + ports[1], 1);
+                for (int round = 0; round < 8; round++) {
+                    ask(group, client, "/healthz", null);
+                    ask(group, client, "/v1/jobs", resource("/warm-up-job.json"));
+                    ask(group, client, "/v1/jobs", "{\"nameId\":\"wk-2\"}");
+                    ask(group, client, "/v1/jobs/wk-1", null);
+                    ask(group, client, "/v1/jobs/wk-7/abort", "");
+                    ask(group, client, "/v1/report", resource("/warm-up-report.json")
+                            .replace("@tally@", String.valueOf(round + 1)));
+                    TimeUnit.MILLISECONDS.sleep(150);
+                }
+            }
+        } finally {
+            group.shutdownGracefully(0, 1, TimeUnit.SECONDS).await(2, TimeUnit.SECONDS);
+        }
+        return 0;
+    }
+
+    private static void ask(EventLoopGroup group, HttpClient client, String path, String body)
+            throws InterruptedException {
+        CountDownLatch answered = new CountDownLatch(1);
+        group.next().execute(() -> {
+            java.util.function.Consumer<Reply> then = reply -> answered.countDown();
+            if (body == null) {
+                client.get(path, PATIENCE_MICROS, then);
+            } else {
+                client.post(path, body.getBytes(StandardCharsets.UTF_8), PATIENCE_MICROS, then);
+            }
+        });
+        answered.await(3, TimeUnit.SECONDS);
+    }
+
+    private static void canned(HttpServer.Request request) {
+        String path = request.path();
+        String body = "{\"ledger\":9}";
+        if (path.equals("/store/leader") || path.equals("/store/types")) {
+            request.answer(404, body.getBytes(StandardCharsets.UTF_8));
+            return;
+        }
+        if (path.startsWith("/store?")) {
+            body = "{\"items\":[],\"truncated\":false,\"ledger\":5}";
+        } else if (path.startsWith("/changes?starts=job")) {
+            body = resource("/warm-up-changes.json");
+        } else if (path.startsWith("/changes")) {
+            return;
+        } else if (path.startsWith("/grants")) {
+            body = "{\"hold\":3}";
+        } else if (path.equals("/machine_types")) {
+            body = resource("/warm-up-types.json");
+        } else if (path.equals("/machines")) {
+            body = "{\"berths\":[\"i-000002\"]}";
+        } else if (path.startsWith("/machines?")) {
+            body = "{\"berths\":[{\"nameId\":\"i-000002\",\"addr\":\"127.0.0.1:1\",\"build\":\"g8\",\"ground\":\"a\","
+                    + "\"loaners\":false,\"standing\":\"booting\",\"heldS\":1.5}],\"truncated\":false}";
+        }
+        request.answer(200, body.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static String resource(String name) {
+        try (InputStream in = WarmUp.class.getResourceAsStream(name)) {
+            return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static int[] freePorts(int count) {
+        int[] ports = new int[count];
+        ServerSocket[] sockets = new ServerSocket[count];
+        try {
+            for (int i = 0; i < count; i++) {
+                sockets[i] = new ServerSocket();
+                sockets[i].bind(new InetSocketAddress("127.0.0.1", 0));
+                ports[i] = sockets[i].getLocalPort();
+            }
+            for (ServerSocket socket : sockets) {
+                socket.close();
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return ports;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/micatide/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line. */
+package io.micatide.cli;
--- /dev/null
+++ b/src/main/java/io/micatide/core/Fleet.java
@@ -0,0 +1,67 @@
+package io.micatide.core;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** All machines that are known of, and the machine types. */
+final class Fleet {
+    private final Map<String, Machine> machines = new LinkedHashMap<>();
+    private Map<String, MachineType> types = new LinkedHashMap<>();
+    /** Machines whose deletion was answered: nothing can be on them, whatever a lagging list says. */
+    private final Map<String, Long> gone = new HashMap<>();
+
+    Collection<Machine> machines() {
+        return machines.values();
+    }
+
+    Machine get(String name) {
+        return machines.get(name);
+    }
+
+    Machine obtain(String name, long nowMicros) {
+        return machines.computeIfAbsent(name, k -> new Machine(k, nowMicros));
+    }
+
+    boolean isGone(String name) {
+        return gone.containsKey(name);
+    }
+
+    void markGone(String name, long nowMicros) {
+        gone.put(name, nowMicros);
+        machines.remove(name);
+        gone.values().removeIf(since -> nowMicros - since > 600 * Micros.SECOND);
+    }
+
+    void setTypes(List<MachineType> list) {
+        Map<String, MachineType> byName = new LinkedHashMap<>();
+        for (MachineType type : list) {
+            byName.put(type.name(), type);
+        }
+        types = byName;
+        for (Machine machine : machines.values()) {
+            describe(machine, machine.type, machine.zone, machine.spot);
+        }
+    }
+
+    Map<String, MachineType> types() {
+        return types;
+    }
+
+    void describe(Machine machine, String type, String zone, boolean spot) {
+        machine.type = type;
+        machine.zone = zone;
+        machine.spot = spot;
+        MachineType known = type == null ? null : types.get(type);
+        machine.size = known == null ? null : known.size();
+    }
+
+    List<Machine> sortedByRoom() {
+        List<Machine> result = new ArrayList<>(machines.values());
+        result.sort((a, b) -> Long.compare(b.room().cpus(), a.room().cpus()));
+        return result;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/micatide/core/JobProgress.java
@@ -0,0 +1,5 @@
+package io.micatide.core;
+
+/** Counts of a job's tasks for display. */
+public record JobProgress(String id, int done, int running) {
+}
--- /dev/null
+++ b/src/main/java/io/micatide/core/Machine.java
@@ -0,0 +1,87 @@
+package io.micatide.core;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** What is known of one machine. */
+final class Machine {
+    final String name;
+    String address;
+    String type;
+    String zone;
+    boolean spot;
+    /** Null until the types are known. */
+    Resources size;
+    long session;
+    long sequence;
+    /** Its report shows our token: no start of an older leader can land any more. */
+    boolean confirmed;
+    /** Receipt of the last report that was answered with our token, or -1. */
+    long lastAnsweredMicros = -1;
+    final long knownSinceMicros;
+    long noticeAtMicros = -1;
+    /** Marked once and for all: a deletion that was asked for may be carried out at any later time. */
+    boolean deleting;
+    long deleteAskedMicros = -1;
+    boolean listed;
+    long bootStartedMicros = -1;
+    boolean draining;
+    long idleSinceMicros = -1;
+    int errors;
+    final List<Placement> placements = new ArrayList<>();
+    Resources used = Resources.NONE;
+    /** Images by last use, oldest first, with their size. */
+    final Map<String, Double> images = new LinkedHashMap<>(8, 0.75f, true);
+    double runMicros;
+    double expectedMicros;
+
+    Machine(String name, long nowMicros) {
+        this.name = name;
+        this.knownSinceMicros = nowMicros;
+    }
+
+    Resources room() {
+        return size == null ? Resources.NONE : size.minus(used);
+    }
+
+    boolean responsive(long nowMicros, Settings settings) {
+        return lastAnsweredMicros >= 0
+                && nowMicros - lastAnsweredMicros < 2 * settings.reportMicros() + Micros.SECOND;
+    }
+
+    boolean usable(long nowMicros, Settings settings) {
+        return confirmed && !deleting && !draining && noticeAtMicros < 0 && size != null
+                && responsive(nowMicros, settings);
+    }
+
+    void add(Placement placement) {
+        placements.add(placement);
+        used = used.plus(placement.job.spec.each());
+        idleSinceMicros = -1;
+    }
+
+    void remove(Placement placement) {
+        if (placements.remove(placement)) {
+            used = used.minus(placement.job.spec.each());
+        }
+    }
+
+    void touchImage(String image, double gb, double cacheGb) {
+        images.put(image, gb);
+        double total = 0;
+        for (double each : images.values()) {
+            total += each;
+        }
+        var oldest = images.entrySet().iterator();
+        while (total > cacheGb && oldest.hasNext()) {
+            var entry = oldest.next();
+            if (entry.getKey().equals(image)) {
+                break;
+            }
+            total -= entry.getValue();
+            oldest.remove();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/micatide/core/MachineType.java
@@ -0,0 +1,13 @@
+package io.micatide.core;
+
+import java.util.List;
+
+/** A machine type as the cloud offers it; prices per hour. */
+public record MachineType(
+        String name, Resources size, double cacheGb, double fetchGbPerSecond, double price, double spotPrice,
+        long bootMicros, List<String> zones) {
+
+    public double priceOf(boolean spot) {
+        return spot ? spotPrice : price;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/micatide/core/Planner.java
@@ -0,0 +1,254 @@
+package io.micatide.core;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What runs where. The rule is the design's: a fitting machine that has the image, else the fitting one with most
+ * room. Around it stand priorities, guarantees, limits, preemption, and which kind of machine suits which job.
+ */
+final class Planner {
+    /** An image that takes longer than this to fetch is worth stopping other work for. */
+    private static final long LONG_FETCH_MICROS = 1_500 * Micros.MILLISECOND;
+
+    private final Scheduler scheduler;
+    private final Settings settings;
+    private final Fleet fleet;
+    private final JobBook book;
+    private final RunTimes runTimes;
+
+    Planner(Scheduler scheduler, Settings settings, Fleet fleet, JobBook book, RunTimes runTimes) {
+        this.scheduler = scheduler;
+        this.settings = settings;
+        this.fleet = fleet;
+        this.book = book;
+        this.runTimes = runTimes;
+    }
+
+    /** A job with tasks to place and where it stands in the queue; earlier is better. */
+    record Queued(Job job, int waiting, boolean guaranteed, long dueMicros) {
+    }
+
+    /** Jobs with waiting tasks in the order in which they get room. */
+    List<Queued> queue(long nowMicros) {
+        List<Queued> result = new ArrayList<>();
+        Map<String, Resources> asked = new HashMap<>();
+        for (Job job : book.jobs()) {
+            if (job.cancelled) {
+                continue;
+            }
+            Team team = settings.teams().get(job.spec.team());
+            Resources total = asked.merge(job.spec.team(), job.spec.each().times(job.unfinished()), Resources::plus);
+            boolean guaranteed = team != null && team.cpus() > 0 && team.guarantees(total);
+            int waiting = job.waiting();
+            if (waiting > 0) {
+                result.add(new Queued(job, waiting, guaranteed, due(job, nowMicros)));
+            }
+        }
+        result.sort(Comparator.comparing((Queued q) -> q.job().spec.priority())
+                .thenComparing(q -> q.job().spec.kind() == JobKind.SERVICE ? 0 : 1)
+                .thenComparing(q -> !q.guaranteed())
+                .thenComparing(Queued::dueMicros)
+                .thenComparing(q -> q.job().submittedMicros));
+        return result;
+    }
+
+    /** When the job has to start its last task at the latest; jobs that are late anyway come after the others. */
+    private long due(Job job, long nowMicros) {
+        JobSpec spec = job.spec;
+        long length = runTimes.expected(spec);
+        long due = Long.MAX_VALUE;
+        if (spec.deadlineMicros() >= 0) {
+            due = later(due, job.deadlineMicros(), nowMicros + length);
+        }
+        for (Settings.Objective objective : settings.objectives()) {
+            if (objective.withinMicros() > 0 && objective.kind().equals("finished")
+                    && objective.jobClass().equals(spec.jobClass())) {
+                due = later(due, job.submittedMicros + objective.withinMicros(), nowMicros + length);
+            }
+        }
+        if (due == Long.MAX_VALUE) {
+            return job.submittedMicros + 3600 * Micros.SECOND;
+        }
+        return due - length;
+    }
+
+    private static long later(long due, long candidate, long reachable) {
+        return candidate < reachable ? due : Math.min(due, candidate);
+    }
+
+    boolean startable(Job job, long nowMicros) {
+        return !job.cancelled && job.spec.kind() != JobKind.GANG && job.blockedUntilMicros <= nowMicros
+                && !job.unsettled();
+    }
+
+    void plan(long nowMicros) {
+        List<Machine> usable = new ArrayList<>();
+        for (Machine machine : fleet.machines()) {
+            if (machine.usable(nowMicros, settings)) {
+                usable.add(machine);
+            }
+        }
+        if (usable.isEmpty()) {
+            return;
+        }
+        Map<String, Resources> unknown = unknownUse();
+        for (Queued queued : queue(nowMicros)) {
+            Job job = queued.job();
+            if (startable(job, nowMicros)) {
+                placeJob(queued, usable, unknown.getOrDefault(job.spec.team(), Resources.NONE), nowMicros);
+            }
+        }
+    }
+
+    /** Tasks that may still sit on machines which have not reported to this leader count for their team. */
+    private Map<String, Resources> unknownUse() {
+        Map<String, Resources> result = new HashMap<>();
+        for (Job job : book.jobs()) {
+            if (job.unsettled()) {
+                int tasks = job.cancelled ? job.spec.tasks() : job.waiting();
+                result.merge(job.spec.team(), job.spec.each().times(tasks), Resources::plus);
+            }
+        }
+        return result;
+    }
+
+    private void placeJob(Queued queued, List<Machine> usable, Resources unknown, long nowMicros) {
+        Job job = queued.job();
+        JobSpec spec = job.spec;
+        Team team = settings.teams().get(spec.team());
+        int left = queued.waiting();
+        List<Machine> candidates = new ArrayList<>();
+        for (Machine machine : usable) {
+            if (spec.allowsMachine(machine.type, machine.zone, machine.spot)) {
+                candidates.add(machine);
+            }
+        }
+        boolean service = spec.kind() == JobKind.SERVICE;
+        String image = spec.image();
+        candidates.sort(Comparator.comparing((Machine m) -> !m.images.containsKey(image))
+                .thenComparing(m -> !m.spot)
+                .thenComparing(m -> -m.room().cpus()));
+        boolean preempts = service || queued.guaranteed();
+        while (left > 0) {
+            int index = job.nextWaiting();
+            if (index < 0 || team != null && !team.allows(
+                    scheduler.teamUse(spec.team()).plus(unknown).plus(spec.each()))) {
+                return;
+            }
+            Machine machine = choose(job, candidates, preempts, nowMicros);
+            if (machine == null) {
+                return;
+            }
+            scheduler.place(job, index, machine, nowMicros);
+            left--;
+        }
+    }
+
+    private Machine choose(Job job, List<Machine> candidates, boolean preempts, long nowMicros) {
+        JobSpec spec = job.spec;
+        Machine without = null;
+        for (Machine machine : candidates) {
+            if (spec.each().fitsIn(machine.room()) && zoneAllows(job, machine)) {
+                if (machine.images.containsKey(spec.image())) {
+                    return machine;
+                }
+                if (without == null || machine.room().cpus() > without.room().cpus()) {
+                    without = machine;
+                }
+            }
+        }
+        boolean longFetch = without != null && fetchMicros(without, spec) > LONG_FETCH_MICROS;
+        if (preempts && (without == null || longFetch)) {
+            for (Machine machine : candidates) {
+                if ((without == null || machine.images.containsKey(spec.image())) && zoneAllows(job, machine)
+                        && makeRoom(job, machine, nowMicros)) {
+                    return machine;
+                }
+            }
+        }
+        return without;
+    }
+
+    private long fetchMicros(Machine machine, JobSpec spec) {
+        MachineType type = fleet.types().get(machine.type);
+        return type == null || type.fetchGbPerSecond() <= 0 ? 0
+                : Micros.ofSeconds(spec.imageGb() / type.fetchGbPerSecond());
+    }
+
+    private boolean zoneAllows(Job job, Machine machine) {
+        if (!job.spec.oneZone() && !job.spec.spread()) {
+            return true;
+        }
+        int inZone = 0;
+        for (List<Placement> list : job.live.values()) {
+            for (Placement placement : list) {
+                if (placement.machine.zone == null || !placement.machine.zone.equals(machine.zone)) {
+                    if (job.spec.oneZone()) {
+                        return false;
+                    }
+                } else {
+                    inZone++;
+                }
+            }
+        }
+        return inZone < job.spec.mostInOneZone();
+    }
+
+    /** Stops lesser work that ends at once, so that a start behind it in the same answer finds room. */
+    private boolean makeRoom(Job job, Machine machine, long nowMicros) {
+        List<Placement> victims = new ArrayList<>();
+        Resources room = machine.room();
+        List<Placement> lesser = new ArrayList<>();
+        for (Placement placement : machine.placements) {
+            if (!placement.stopping() && yields(placement, job)) {
+                lesser.add(placement);
+            }
+        }
+        lesser.sort(Comparator.comparing((Placement p) -> !p.unsent()).thenComparing(p -> -p.createdMicros));
+        Map<String, Resources> taken = new HashMap<>();
+        for (Placement placement : lesser) {
+            if (job.spec.each().fitsIn(room)) {
+                break;
+            }
+            if (!placement.job.spec.priority().equals(job.spec.priority()) || overGuarantee(placement, taken)) {
+                victims.add(placement);
+                room = room.plus(placement.job.spec.each());
+                taken.merge(placement.job.spec.team(), placement.job.spec.each(), Resources::plus);
+            }
+        }
+        if (!job.spec.each().fitsIn(room)) {
+            return false;
+        }
+        for (Placement victim : victims) {
+            if (victim.unsent()) {
+                scheduler.remove(victim);
+            } else {
+                scheduler.stop(victim, 0, nowMicros);
+            }
+        }
+        return true;
+    }
+
+    private boolean yields(Placement placement, Job job) {
+        JobSpec theirs = placement.job.spec;
+        if (theirs.kind() == JobKind.GANG || theirs.checkpointMicros() > 0) {
+            return false;
+        }
+        return job.spec.priority().above(theirs.priority())
+                || !theirs.team().equals(job.spec.team()) && theirs.kind() == JobKind.ARRAY
+                        && job.spec.priority() == theirs.priority();
+    }
+
+    private boolean overGuarantee(Placement placement, Map<String, Resources> taken) {
+        Team team = settings.teams().get(placement.job.spec.team());
+        if (team == null) {
+            return true;
+        }
+        Resources use = scheduler.teamUse(team.name()).minus(taken.getOrDefault(team.name(), Resources.NONE));
+        return !team.guarantees(use);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/micatide/core/Rentals.java
@@ -0,0 +1,153 @@
+package io.micatide.core;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Rentals under way, in the four states of the design. A claim is written before the call; a call without an answer is
+ * unknown, and is settled by a list that shows the cloud as it was after the call could last have been carried out.
+ */
+final class Rentals {
+    enum State { CLAIMED, SUBMITTED, DONE, UNKNOWN }
+
+    /** One request to the cloud. */
+    static final class Booking {
+        final String name;
+        final String type;
+        final String zone;
+        final boolean spot;
+        final int count;
+        State state = State.CLAIMED;
+        boolean recorded;
+        boolean writing;
+        long sinceMicros;
+
+        Booking(String name, String type, String zone, boolean spot, int count, long nowMicros) {
+            this.name = name;
+            this.type = type;
+            this.zone = zone;
+            this.spot = spot;
+            this.count = count;
+            this.sinceMicros = nowMicros;
+        }
+    }
+
+    /** Where machines can be rented. */
+    record Offer(String type, String zone, boolean spot) {
+    }
+
+    private static final long CLAIM_PATIENCE_MICROS = 10 * Micros.SECOND;
+
+    private final Settings settings;
+    private final long token;
+    private int counter;
+    final Map<String, Booking> bookings = new LinkedHashMap<>();
+    private final Map<Offer, Long> refusedUntil = new HashMap<>();
+    private final Map<Offer, Long> refusals = new HashMap<>();
+
+    Rentals(Settings settings, long token) {
+        this.settings = settings;
+        this.token = token;
+    }
+
+    /** The name carries the token, so that no two leaders ever use the same one. */
+    Booking claim(Offer offer, int count, long nowMicros) {
+        Booking booking = new Booking("r-" + token + "-" + ++counter, offer.type(), offer.zone(), offer.spot(), count,
+                nowMicros);
+        bookings.put(booking.name, booking);
+        return booking;
+    }
+
+    /** A booking of an earlier leader: whether its call went out is unknown. */
+    void load(String name, Row.Booking row, long nowMicros) {
+        Booking booking = new Booking(name, row.type(), row.zone(), row.spot(), row.count(), nowMicros);
+        booking.state = State.UNKNOWN;
+        booking.recorded = true;
+        bookings.put(name, booking);
+    }
+
+    boolean refused(Offer offer, long nowMicros) {
+        return refusedUntil.getOrDefault(offer, Long.MIN_VALUE) > nowMicros;
+    }
+
+    /** No capacity: asks again after a pause that grows while the answer stays the same. */
+    void noCapacity(Booking booking, long nowMicros) {
+        Offer offer = new Offer(booking.type, booking.zone, booking.spot);
+        long pause = Math.min(30 * Micros.SECOND, refusals.getOrDefault(offer, 4 * Micros.SECOND) * 2);
+        refusals.put(offer, pause);
+        refusedUntil.put(offer, nowMicros + pause);
+        booking.state = State.DONE;
+    }
+
+    void answered(Booking booking, int rented, long nowMicros) {
+        booking.state = State.DONE;
+        Offer offer = new Offer(booking.type, booking.zone, booking.spot);
+        if (rented < booking.count) {
+            refusedUntil.put(offer, nowMicros + 8 * Micros.SECOND);
+        } else {
+            refusals.remove(offer);
+        }
+    }
+
+    void unknown(Booking booking, long nowMicros) {
+        booking.state = State.UNKNOWN;
+        booking.sinceMicros = nowMicros;
+    }
+
+    /** The list was asked for at {@code askedMicros}: it is at most twice the lag older than that. */
+    void listed(long askedMicros) {
+        for (Booking booking : bookings.values()) {
+            if (booking.state == State.UNKNOWN
+                    && askedMicros - booking.sinceMicros > 2 * settings.listLagMicros() + 5 * Micros.SECOND) {
+                booking.state = State.DONE;
+            }
+        }
+    }
+
+    /** Rows to put or to delete with the next round. */
+    List<Booking> toWrite(int most, long nowMicros) {
+        List<Booking> result = new ArrayList<>();
+        for (Iterator<Booking> each = bookings.values().iterator(); each.hasNext() && result.size() < most;) {
+            Booking booking = each.next();
+            if (booking.state == State.CLAIMED && !booking.recorded
+                    && nowMicros - booking.sinceMicros > CLAIM_PATIENCE_MICROS && !booking.writing) {
+                booking.state = State.DONE;
+            }
+            if (booking.state == State.DONE && !booking.recorded && !booking.writing) {
+                each.remove();
+            } else if (!booking.writing && (booking.state == State.CLAIMED && !booking.recorded
+                    || booking.state == State.DONE)) {
+                result.add(booking);
+            }
+        }
+        return result;
+    }
+
+    /** Claims whose row is confirmed and whose call may go out. */
+    List<Booking> toSubmit() {
+        List<Booking> result = new ArrayList<>();
+        for (Booking booking : bookings.values()) {
+            if (booking.state == State.CLAIMED && booking.recorded) {
+                booking.state = State.SUBMITTED;
+                result.add(booking);
+            }
+        }
+        return result;
+    }
+
+    /** Machines that are asked for and not known by name yet. */
+    int expected(Offer offer) {
+        int count = 0;
+        for (Booking booking : bookings.values()) {
+            if (booking.state != State.DONE && booking.type.equals(offer.type()) && booking.spot == offer.spot()
+                    && booking.zone.equals(offer.zone())) {
+                count += booking.count;
+            }
+        }
+        return count;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/micatide/core/Renter.java
@@ -0,0 +1,328 @@
+package io.micatide.core;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Which machines to rent and to return, and the calls for it, paced under the cloud's rate. */
+final class Renter {
+    private static final long PLAN_EVERY_MICROS = 500 * Micros.MILLISECOND;
+    private static final long IDLE_MICROS = 20 * Micros.SECOND;
+    private static final int MOST_PER_CALL = 10;
+    private static final long PRICES_EVERY_MICROS = 60 * Micros.SECOND;
+
+    private final Settings settings;
+    private final Fleet fleet;
+    private final JobBook book;
+    private final Rentals rentals;
+    private final Planner planner;
+    private final RunTimes runTimes;
+    private long plannedMicros = Long.MIN_VALUE / 2;
+    private long listAskedMicros = Long.MIN_VALUE / 2;
+    private boolean listing;
+    private long typesAskedMicros = Long.MIN_VALUE / 2;
+
+    Renter(Settings settings, Fleet fleet, JobBook book, Rentals rentals, Planner planner, RunTimes runTimes) {
+        this.settings = settings;
+        this.fleet = fleet;
+        this.book = book;
+        this.rentals = rentals;
+        this.planner = planner;
+        this.runTimes = runTimes;
+    }
+
+    void plan(long nowMicros, long termStartMicros) {
+        if (nowMicros - plannedMicros < PLAN_EVERY_MICROS || fleet.types().isEmpty()) {
+            return;
+        }
+        plannedMicros = nowMicros;
+        markDead(nowMicros, termStartMicros);
+        // A new leader first hears from the workers: what waits may be running.
+        if (nowMicros - termStartMicros > 2 * settings.reportMicros() + Micros.SECOND) {
+            boolean need = rent(nowMicros);
+            returnIdle(nowMicros, need);
+        }
+    }
+
+    /** Machines that fell silent, failed or never came up are given back. */
+    private void markDead(long nowMicros, long termStartMicros) {
+        int silent = 0;
+        int up = 0;
+        List<Machine> dead = new ArrayList<>();
+        for (Machine machine : fleet.machines()) {
+            MachineType type = machine.type == null ? null : fleet.types().get(machine.type);
+            if (machine.lastAnsweredMicros >= 0) {
+                up++;
+                if (nowMicros - machine.lastAnsweredMicros > settings.goneAfterMicros()) {
+                    silent++;
+                    if (nowMicros - machine.lastAnsweredMicros > 4 * settings.goneAfterMicros()
+                            || !machine.confirmed) {
+                        dead.add(machine);
+                    }
+                }
+            } else if (machine.bootStartedMicros >= 0) {
+                long boot = type == null ? 60 * Micros.SECOND : type.bootMicros();
+                if (nowMicros - machine.bootStartedMicros > 4 * boot + 20 * Micros.SECOND) {
+                    dead.add(machine);
+                }
+            } else if (nowMicros - Math.max(termStartMicros, machine.knownSinceMicros)
+                    > settings.goneAfterMicros() + 2 * settings.reportMicros()) {
+                dead.add(machine);
+            }
+        }
+        // Nearly all silent at once: it is we who are cut off, and the machines may be fine.
+        if (silent * 2 > up && silent > 2) {
+            return;
+        }
+        for (Machine machine : dead) {
+            machine.deleting = true;
+        }
+    }
+
+    private boolean coming(Machine machine, long nowMicros) {
+        if (machine.deleting || machine.lastAnsweredMicros >= 0 || machine.size == null) {
+            return false;
+        }
+        MachineType type = fleet.types().get(machine.type);
+        return machine.bootStartedMicros >= 0 && nowMicros - machine.bootStartedMicros < 2 * type.bootMicros();
+    }
+
+    private boolean rent(long nowMicros) {
+        Resources comingOrdinary = Resources.NONE;
+        Resources comingSpot = Resources.NONE;
+        for (Machine machine : fleet.machines()) {
+            boolean unconfirmed = !machine.confirmed && machine.lastAnsweredMicros >= 0 && machine.size != null
+                    && !machine.deleting && machine.responsive(nowMicros, settings);
+            if (coming(machine, nowMicros) || unconfirmed) {
+                if (machine.spot) {
+                    comingSpot = comingSpot.plus(machine.room());
+                } else {
+                    comingOrdinary = comingOrdinary.plus(machine.room());
+                }
+            }
+        }
+        for (Rentals.Booking booking : rentals.bookings.values()) {
+            MachineType type = fleet.types().get(booking.type);
+            if (booking.state != Rentals.State.DONE && type != null) {
+                Resources size = type.size().times(booking.count);
+                if (booking.spot) {
+                    comingSpot = comingSpot.plus(size);
+                } else {
+                    comingOrdinary = comingOrdinary.plus(size);
+                }
+            }
+        }
+        Map<String, Resources> teamNeed = new HashMap<>();
+        boolean need = false;
+        for (Planner.Queued queued : planner.queue(nowMicros)) {
+            Job job = queued.job();
+            JobSpec spec = job.spec;
+            if (spec.kind() == JobKind.GANG || job.unsettled()) {
+                continue;
+            }
+            int count = wanted(queued, nowMicros);
+            Team team = settings.teams().get(spec.team());
+            Resources asked = teamNeed.getOrDefault(spec.team(), Resources.NONE);
+            while (count > 0 && team != null && !team.allows(asked.plus(spec.each().times(count)))) {
+                count--;
+            }
+            teamNeed.put(spec.team(), asked.plus(spec.each().times(count)));
+            Resources each = spec.each();
+            if (spec.spot()) {
+                long fits = Math.min(count, each.countIn(comingSpot));
+                comingSpot = comingSpot.minus(each.times(fits));
+                count -= (int) fits;
+            }
+            long fits = Math.min(count, each.countIn(comingOrdinary));
+            comingOrdinary = comingOrdinary.minus(each.times(fits));
+            count -= (int) fits;
+            if (count > 0) {
+                need = true;
+                Resources[] got = rentFor(spec, count, nowMicros);
+                if (got != null) {
+                    Resources used = each.times(Math.min(count, each.countIn(got[0].plus(got[1]))));
+                    if (got[1].cpus() > 0) {
+                        comingSpot = comingSpot.plus(got[1]).minus(used);
+                    } else {
+                        comingOrdinary = comingOrdinary.plus(got[0]).minus(used);
+                    }
+                }
+            }
+        }
+        return need;
+    }
+
+    /** How many more tasks of the job should run at the same time for it to be ready when it should. */
+    private int wanted(Planner.Queued queued, long nowMicros) {
+        JobSpec spec = queued.job().spec;
+        if (spec.kind() == JobKind.SERVICE) {
+            return queued.waiting();
+        }
+        long length = runTimes.expected(spec);
+        long left = queued.dueMicros() + length - nowMicros;
+        long boot = Long.MAX_VALUE;
+        for (MachineType type : fleet.types().values()) {
+            boot = Math.min(boot, type.bootMicros());
+        }
+        long rounds = Math.max(1, (left - boot - 5 * Micros.SECOND) / length);
+        return (int) Math.max(1, Math.min(queued.waiting(), (queued.waiting() + rounds - 1) / rounds));
+    }
+
+    /** Rents the cheapest that suits; returns ordinary and spot room asked for, or null. */
+    private Resources[] rentFor(JobSpec spec, int count, long nowMicros) {
+        Rentals.Offer best = null;
+        double bestPrice = Double.MAX_VALUE;
+        long bestPer = 0;
+        Map<String, Integer> perZone = new HashMap<>();
+        for (Machine machine : fleet.machines()) {
+            perZone.merge(String.valueOf(machine.zone), 1, Integer::sum);
+        }
+        for (MachineType type : fleet.types().values()) {
+            long per = spec.each().countIn(type.size());
+            if (per == 0) {
+                continue;
+            }
+            for (String zone : type.zones()) {
+                for (boolean spot : new boolean[] {true, false}) {
+                    Rentals.Offer offer = new Rentals.Offer(type.name(), zone, spot);
+                    if (!spec.allowsMachine(type.name(), zone, spot) || rentals.refused(offer, nowMicros)) {
+                        continue;
+                    }
+                    double price = type.priceOf(spot) / Math.min(per, count)
+                            * (1 + 0.001 * (perZone.getOrDefault(zone, 0) + 3 * rentals.expected(offer)));
+                    if (price < bestPrice) {
+                        bestPrice = price;
+                        best = offer;
+                        bestPer = per;
+                    }
+                }
+            }
+        }
+        if (best == null) {
+            return null;
+        }
+        int machines = (int) Math.max(1, Math.min(MOST_PER_CALL, (count + bestPer - 1) / bestPer));
+        rentals.claim(best, machines, nowMicros);
+        Resources room = fleet.types().get(best.type()).size().times(machines);
+        return best.spot() ? new Resources[] {Resources.NONE, room} : new Resources[] {room, Resources.NONE};
+    }
+
+    private void returnIdle(long nowMicros, boolean need) {
+        if (need) {
+            return;
+        }
+        for (Machine machine : fleet.machines()) {
+            if (machine.confirmed && !machine.deleting && machine.placements.isEmpty()
+                    && machine.idleSinceMicros >= 0
+                    && (nowMicros - machine.idleSinceMicros > IDLE_MICROS || machine.draining)) {
+                machine.deleting = true;
+            }
+        }
+    }
+
+    /** The calls that are due. */
+    List<CloudCall> calls(long nowMicros) {
+        List<CloudCall> result = new ArrayList<>();
+        for (Rentals.Booking booking : rentals.toSubmit()) {
+            booking.sinceMicros = nowMicros;
+            result.add(new CloudCall.Rent(booking.name, booking.type, booking.zone, booking.spot, booking.count));
+        }
+        List<String> names = new ArrayList<>();
+        for (Machine machine : fleet.machines()) {
+            if (machine.deleting && names.size() < 100
+                    && (machine.deleteAskedMicros < 0 || nowMicros - machine.deleteAskedMicros > 3 * Micros.SECOND)) {
+                machine.deleteAskedMicros = nowMicros;
+                names.add(machine.name);
+            }
+        }
+        if (!names.isEmpty()) {
+            result.add(new CloudCall.Delete(names));
+        }
+        if (!listing && nowMicros - listAskedMicros > settings.listLagMicros() / 2) {
+            listAskedMicros = nowMicros;
+            listing = true;
+            result.add(new CloudCall.ListMachines());
+        }
+        if (nowMicros - typesAskedMicros > (fleet.types().isEmpty() ? 2 * Micros.SECOND : PRICES_EVERY_MICROS)) {
+            typesAskedMicros = nowMicros;
+            result.add(new CloudCall.ListTypes());
+        }
+        return result;
+    }
+
+    void rented(String name, List<String> machines, long nowMicros) {
+        Rentals.Booking booking = rentals.bookings.get(name);
+        if (booking == null) {
+            return;
+        }
+        rentals.answered(booking, machines.size(), nowMicros);
+        for (String each : machines) {
+            if (!fleet.isGone(each)) {
+                Machine machine = fleet.obtain(each, nowMicros);
+                if (machine.type == null) {
+                    fleet.describe(machine, booking.type, booking.zone, booking.spot);
+                }
+                machine.bootStartedMicros = nowMicros;
+            }
+        }
+    }
+
+    void noCapacity(String name, long nowMicros) {
+        Rentals.Booking booking = rentals.bookings.get(name);
+        if (booking != null) {
+            rentals.noCapacity(booking, nowMicros);
+        }
+    }
+
+    void unanswered(String name, long nowMicros) {
+        Rentals.Booking booking = rentals.bookings.get(name);
+        if (booking != null) {
+            rentals.unknown(booking, nowMicros);
+        }
+    }
+
+    void notExecuted(String name) {
+        Rentals.Booking booking = rentals.bookings.get(name);
+        if (booking != null) {
+            booking.state = Rentals.State.CLAIMED;
+        }
+    }
+
+    /** A whole list, or null after a failed call. Machines that nobody expected are used, or returned when idle. */
+    void listed(List<ListedMachine> machines, long askedMicros, long nowMicros) {
+        listing = false;
+        if (machines == null) {
+            return;
+        }
+        Set<String> names = new HashSet<>();
+        for (ListedMachine listed : machines) {
+            names.add(listed.name());
+            if (fleet.isGone(listed.name())) {
+                continue;
+            }
+            Machine machine = fleet.obtain(listed.name(), nowMicros);
+            machine.listed = true;
+            if (machine.type == null) {
+                fleet.describe(machine, listed.type(), listed.zone(), listed.spot());
+            }
+            if (machine.bootStartedMicros < 0 && machine.lastAnsweredMicros < 0
+                    && listed.state() == ListedMachine.State.BOOTING) {
+                machine.bootStartedMicros = nowMicros - listed.ageMicros();
+            }
+            if (listed.state() == ListedMachine.State.FAILED) {
+                machine.deleting = true;
+            }
+        }
+        for (Machine machine : fleet.machines()) {
+            boolean silent = machine.lastAnsweredMicros >= 0
+                    && nowMicros - machine.lastAnsweredMicros > settings.goneAfterMicros();
+            if (machine.listed && silent && !names.contains(machine.name)) {
+                machine.deleting = true;
+            }
+        }
+        rentals.listed(askedMicros);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -0,0 +1,580 @@
+package io.micatide.core;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * One term of leadership: what a leader knows and decides from its claim until it is fenced. Everything here is gone
+ * with the term; the next leader reads the ledgers and the workers' reports again.
+ */
+public final class Scheduler {
+    /** Starts are sent only while the state service was read this recently: cancellations are found there. */
+    private static final long FRESH_MICROS = 4 * Micros.SECOND;
+    private static final int MOST_COMMANDS = 500;
+
+    private final Settings settings;
+    private final long token;
+    private final long termStartMicros;
+    private final JobBook book;
+    private final Fleet fleet = new Fleet();
+    private final Rentals rentals;
+    private final Planner planner;
+    private final Renter renter;
+    private final RunTimes runTimes = new RunTimes();
+    private final Map<String, Resources> teamUse = new HashMap<>();
+    private final List<Transaction.Write> extraWrites = new ArrayList<>();
+    private long freshMicros;
+    private long attemptCounter;
+    private JobBook.Round inFlight;
+    private double writeTokens;
+    private long writeTokensMicros;
+    private boolean planNeeded = true;
+
+    public Scheduler(Settings settings, long token, long nowMicros) {
+        this.settings = settings;
+        this.token = token;
+        this.termStartMicros = nowMicros;
+        this.book = new JobBook(settings, token);
+        this.rentals = new Rentals(settings, token);
+        this.planner = new Planner(this, settings, fleet, book, runTimes);
+        this.renter = new Renter(settings, fleet, book, rentals, planner, runTimes);
+        this.writeTokens = leaderWriteRate();
+        this.writeTokensMicros = nowMicros;
+        this.freshMicros = nowMicros;
+    }
+
+    public long token() {
+        return token;
+    }
+
+    /** Users' submissions and cancellations need the rest of the write rate. */
+    private double leaderWriteRate() {
+        return settings.writeRate() * 0.6;
+    }
+
+    // ---- what is read from the state service
+
+    /** @param ageMicros age of the job by the time of day, used only for deadlines over a take-over */
+    public void jobSeen(String id, Row.JobRow row, long version, long ageMicros, long nowMicros) {
+        Job job = book.get(id);
+        if (row.state() == JobState.OPEN) {
+            if (job == null) {
+                book.add(row.spec(), version, row.submittedWall(), nowMicros - Math.max(0, ageMicros));
+                planNeeded = true;
+            } else {
+                job.version = version;
+            }
+        } else if (job != null && !job.cancelled) {
+            if (row.state() == JobState.CANCELLED) {
+                cancel(job, nowMicros);
+            } else if (!job.writing) {
+                // Only a leader writes this, so it was our own write whose answer is still to come or was lost.
+                book.drop(job);
+            }
+        }
+    }
+
+    private void cancel(Job job, long nowMicros) {
+        job.cancelled = true;
+        for (Placement placement : allOf(job)) {
+            if (placement.unsent()) {
+                remove(placement);
+            } else {
+                stop(placement, 0, nowMicros);
+            }
+        }
+        settleCancelled(job, nowMicros);
+        planNeeded = true;
+    }
+
+    /** The ledger of a cancelled job stays until nothing of it can be on a machine. */
+    private void settleCancelled(Job job, long nowMicros) {
+        if (job.cancelled && job.live.isEmpty() && !job.unsettled()) {
+            book.touch(job, nowMicros);
+        }
+    }
+
+    public void ledgerLoaded(String key, Row.Ledger ledger, long version) {
+        book.load(key, ledger, version);
+    }
+
+    public void bookingLoaded(String name, Row.Booking row, long nowMicros) {
+        rentals.load(name, row, nowMicros);
+    }
+
+    /** All rows are read: machines that the ledgers name are known of from here on. */
+    public void loaded(long nowMicros) {
+        for (Job job : book.jobs()) {
+            for (String name : job.unsettledMachines) {
+                fleet.obtain(name, nowMicros);
+            }
+        }
+    }
+
+    /** The state service was asked at {@code askedMicros} and the answer is applied. */
+    public void stateFresh(long askedMicros) {
+        freshMicros = Math.max(freshMicros, askedMicros);
+    }
+
+    // ---- reports
+
+    /** Takes a report in and answers it; a report with a higher token must not get here. */
+    public List<Command> report(MachineReport report, long nowMicros) {
+        if (fleet.isGone(report.machine())) {
+            return List.of();
+        }
+        Machine machine = fleet.obtain(report.machine(), nowMicros);
+        if (!report.newerThan(machine.session, machine.sequence)) {
+            return List.of();
+        }
+        machine.session = report.session();
+        machine.sequence = report.sequence();
+        machine.address = report.address();
+        if (machine.type == null || !machine.type.equals(report.type()) || machine.size == null) {
+            fleet.describe(machine, report.type(), report.zone(), report.spot());
+        }
+        boolean first = machine.lastAnsweredMicros < 0;
+        machine.lastAnsweredMicros = nowMicros;
+        if (report.noticeMicros() >= 0 && machine.noticeAtMicros < 0) {
+            machine.noticeAtMicros = nowMicros + report.noticeMicros();
+            noticed(machine, nowMicros);
+        }
+        List<Command> commands = readBack(machine, report, nowMicros);
+        if (report.token() == token && !machine.confirmed) {
+            confirm(machine, nowMicros);
+        }
+        if (first) {
+            planNeeded = true;
+        }
+        if (machine.placements.isEmpty() && machine.idleSinceMicros < 0) {
+            machine.idleSinceMicros = nowMicros;
+        }
+        if (planNeeded && machine.confirmed) {
+            plan(nowMicros);
+        }
+        addStopsAndStarts(machine, report, nowMicros, commands);
+        return commands;
+    }
+
+    private void confirm(Machine machine, long nowMicros) {
+        machine.confirmed = true;
+        planNeeded = true;
+        settle(machine.name, nowMicros);
+    }
+
+    /** Nothing that an earlier leader sent can appear on this machine any more. */
+    private void settle(String machineName, long nowMicros) {
+        for (Job job : book.jobs()) {
+            if (job.unsettledMachines.remove(machineName)) {
+                settleCancelled(job, nowMicros);
+                book.touch(job, nowMicros);
+                planNeeded = true;
+            }
+        }
+    }
+
+    /** The newest list is the truth about everything that was sent before it. */
+    private List<Command> readBack(Machine machine, MachineReport report, long nowMicros) {
+        List<Command> commands = new ArrayList<>();
+        Set<Placement> listed = new HashSet<>();
+        for (TaskReport line : report.tasks()) {
+            Job job = book.get(line.job());
+            if (line.state() == TaskState.EXITED) {
+                exited(machine, job, line, nowMicros, commands);
+                continue;
+            }
+            if (job == null) {
+                // The job is over: what is left of it is stopped now and forgotten once it exited.
+                commands.add(new Command.Stop(line.job(), line.index(), line.attempt(), 0));
+                continue;
+            }
+            Placement placement = find(machine, line);
+            if (placement == null) {
+                placement = new Placement(job, line.index(), line.attempt(), machine, Placement.Phase.REPORTED,
+                        nowMicros);
+                add(placement);
+                if (job.cancelled || job.spec.kind() != JobKind.SERVICE && job.finished.get(line.index())) {
+                    stop(placement, 0, nowMicros);
+                }
+            }
+            placement.phase = Placement.Phase.REPORTED;
+            placement.state = line.state();
+            if (line.state() == TaskState.RUNNING && placement.runningSinceMicros < 0) {
+                placement.runningSinceMicros = nowMicros;
+            }
+            if (line.state() != TaskState.FETCHING) {
+                hasImage(machine, job);
+            }
+            listed.add(placement);
+        }
+        for (Placement placement : List.copyOf(machine.placements)) {
+            if (!listed.contains(placement) && !placement.unsent()) {
+                remove(placement);
+            }
+        }
+        return commands;
+    }
+
+    private void exited(Machine machine, Job job, TaskReport line, long nowMicros, List<Command> commands) {
+        Placement placement = find(machine, line);
+        boolean done = line.cause() == ExitCause.DONE && job != null && job.spec.kind() != JobKind.SERVICE;
+        if (done && !job.cancelled) {
+            if (!job.finished.get(line.index())) {
+                learn(machine, placement, nowMicros);
+                hasImage(machine, job);
+                book.finished(job, line.index(), nowMicros);
+                for (Placement other : List.copyOf(job.live.getOrDefault(line.index(), List.of()))) {
+                    if (other != placement) {
+                        if (other.unsent()) {
+                            remove(other);
+                        } else {
+                            stop(other, 0, nowMicros);
+                        }
+                    }
+                }
+            }
+            if (job.recorded.get(line.index())) {
+                commands.add(new Command.Forget(line.job(), line.index(), line.attempt()));
+            }
+        } else {
+            if (placement != null && job != null) {
+                failed(machine, job, placement, line.cause(), nowMicros);
+            }
+            commands.add(new Command.Forget(line.job(), line.index(), line.attempt()));
+        }
+        if (placement != null) {
+            remove(placement);
+        }
+    }
+
+    private void failed(Machine machine, Job job, Placement placement, ExitCause cause, long nowMicros) {
+        switch (cause) {
+            case ERROR -> {
+                job.errors++;
+                machine.errors++;
+                job.blockedUntilMicros = nowMicros + backoff(job.errors);
+                if (machine.errors >= 3) {
+                    machine.draining = true;
+                }
+            }
+            case UNKNOWN, NO_ROOM, BUSY -> job.blockedUntilMicros = nowMicros + Micros.SECOND;
+            default -> {
+            }
+        }
+    }
+
+    private static long backoff(int errors) {
+        return Micros.SECOND << Math.min(6, Math.max(0, errors - 1));
+    }
+
+    private void learn(Machine machine, Placement placement, long nowMicros) {
+        if (placement != null && placement.runningSinceMicros >= 0) {
+            runTimes.finished(placement.job.spec, nowMicros - placement.runningSinceMicros);
+        }
+    }
+
+    private void hasImage(Machine machine, Job job) {
+        MachineType type = machine.type == null ? null : fleet.types().get(machine.type);
+        machine.touchImage(job.spec.image(), job.spec.imageGb(), type == null ? 0 : type.cacheGb());
+    }
+
+    private void addStopsAndStarts(Machine machine, MachineReport report, long nowMicros, List<Command> commands) {
+        for (Placement placement : machine.placements) {
+            if (placement.stopping() && !placement.unsent()) {
+                commands.add(new Command.Stop(placement.job.id(), placement.index, placement.attempt,
+                        placement.stopGraceMicros));
+            }
+        }
+        if (!machine.confirmed || machine.deleting || nowMicros - freshMicros > FRESH_MICROS) {
+            return;
+        }
+        for (Placement placement : machine.placements) {
+            if (placement.phase == Placement.Phase.READY && commands.size() < MOST_COMMANDS) {
+                placement.phase = Placement.Phase.SENT;
+                placement.sentSession = report.session();
+                placement.sentSequence = report.sequence();
+                commands.add(new Command.Start(placement.job.id(), placement.index, placement.attempt));
+            }
+        }
+    }
+
+    /** The cloud takes the machine away: what can save is told to, the rest may still finish in time. */
+    private void noticed(Machine machine, long nowMicros) {
+        for (Placement placement : List.copyOf(machine.placements)) {
+            if (placement.unsent()) {
+                remove(placement);
+            } else if (placement.job.spec.checkpointMicros() > 0) {
+                stop(placement, Micros.withDrift(placement.job.spec.saveMicros()) + Micros.SECOND, nowMicros);
+            }
+        }
+        planNeeded = true;
+    }
+
+    // ---- placements
+
+    private static Placement find(Machine machine, TaskReport line) {
+        for (Placement placement : machine.placements) {
+            if (placement.is(line)) {
+                return placement;
+            }
+        }
+        return null;
+    }
+
+    private static List<Placement> allOf(Job job) {
+        List<Placement> result = new ArrayList<>();
+        job.live.values().forEach(result::addAll);
+        return result;
+    }
+
+    private void add(Placement placement) {
+        placement.machine.add(placement);
+        placement.job.add(placement);
+        teamUse.merge(placement.job.spec.team(), placement.job.spec.each(), Resources::plus);
+    }
+
+    void remove(Placement placement) {
+        placement.machine.remove(placement);
+        placement.job.remove(placement);
+        teamUse.merge(placement.job.spec.team(), Resources.NONE.minus(placement.job.spec.each()), Resources::plus);
+        planNeeded = true;
+        if (placement.job.cancelled) {
+            settleCancelled(placement.job, placement.createdMicros);
+        }
+    }
+
+    void stop(Placement placement, long graceMicros, long nowMicros) {
+        if (!placement.stopping()) {
+            placement.stopSinceMicros = nowMicros;
+            placement.stopGraceMicros = graceMicros;
+        } else if (graceMicros < placement.stopGraceMicros) {
+            placement.stopGraceMicros = graceMicros;
+        }
+    }
+
+    /** Decides a start. Its attempt carries the token, so that it is unique without being written. */
+    void place(Job job, int index, Machine machine, long nowMicros) {
+        long attempt = (token << 20) + ++attemptCounter;
+        boolean recorded = job.recordedMachines.contains(machine.name);
+        add(new Placement(job, index, attempt, machine,
+                recorded ? Placement.Phase.READY : Placement.Phase.HELD, nowMicros));
+        book.needMachine(job, machine, nowMicros);
+        if (job.firstStartMicros < 0) {
+            job.firstStartMicros = nowMicros;
+        }
+    }
+
+    Resources teamUse(String team) {
+        return teamUse.getOrDefault(team, Resources.NONE);
+    }
+
+    // ---- time
+
+    /** Called every so often: leases that ran out, placing, renting. */
+    public void tick(long nowMicros) {
+        for (Machine machine : List.copyOf(fleet.machines())) {
+            expire(machine, nowMicros);
+        }
+        planNeeded = true;
+        plan(nowMicros);
+        renter.plan(nowMicros, termStartMicros);
+    }
+
+    private void expire(Machine machine, long nowMicros) {
+        if (machine.placements.isEmpty()) {
+            return;
+        }
+        if (machine.lastAnsweredMicros >= 0 && !machine.responsive(nowMicros, settings)) {
+            for (Placement placement : List.copyOf(machine.placements)) {
+                if (placement.unsent()) {
+                    remove(placement);
+                }
+            }
+        }
+        if (machine.confirmed && nowMicros - machine.lastAnsweredMicros > settings.goneAfterMicros()) {
+            for (Placement placement : List.copyOf(machine.placements)) {
+                remove(placement);
+            }
+        }
+    }
+
+    private void plan(long nowMicros) {
+        planNeeded = false;
+        if (nowMicros - freshMicros <= FRESH_MICROS && !fleet.types().isEmpty()) {
+            planner.plan(nowMicros);
+        }
+    }
+
+    // ---- rounds
+
+    /** The next transaction to send, or null. There is one at a time; its outcome must be told. */
+    public Transaction round(long nowMicros) {
+        if (inFlight != null) {
+            return null;
+        }
+        double rate = leaderWriteRate();
+        writeTokens = Math.min(rate, writeTokens + rate * Micros.toSeconds(nowMicros - writeTokensMicros));
+        writeTokensMicros = nowMicros;
+        int most = (int) Math.min(writeTokens, settings.transactionOps());
+        if (most < 1) {
+            return null;
+        }
+        List<Transaction.Write> writes = new ArrayList<>(extraWrites);
+        List<Rentals.Booking> bookings = rentals.toWrite(Math.max(1, most / 2), nowMicros);
+        for (Rentals.Booking booking : bookings) {
+            writes.add(new Transaction.Write(StoreKeys.booking(booking.name),
+                    booking.state == Rentals.State.DONE ? null
+                            : new Row.Booking("claimed", booking.type, booking.zone, booking.spot, booking.count), 0));
+        }
+        JobBook.Round round = book.nextRound(nowMicros, most, bookings, writes);
+        if (round == null) {
+            return null;
+        }
+        bookings.forEach(booking -> booking.writing = true);
+        writeTokens -= round.transaction().writes().size();
+        inFlight = round;
+        return round.transaction();
+    }
+
+    public void roundConfirmed(long revision, long nowMicros) {
+        JobBook.Round round = inFlight;
+        inFlight = null;
+        book.confirmed(round, revision, nowMicros);
+        for (Rentals.Booking booking : round.bookings()) {
+            booking.writing = false;
+            booking.recorded = booking.state != Rentals.State.DONE;
+            if (booking.state == Rentals.State.DONE) {
+                rentals.bookings.remove(booking.name);
+            }
+        }
+        planNeeded = true;
+    }
+
+    /** Not applied or of unknown outcome: the keys returned must be read back before {@link #roundResolved}. */
+    public List<String> roundUnresolved() {
+        return book.unresolved(inFlight);
+    }
+
+    /** The round was certainly not executed; nothing needs to be read. */
+    public void roundNotExecuted(long nowMicros) {
+        roundResolved(nowMicros);
+    }
+
+    public void ledgerReadBack(String key, Row.Ledger ledger, long version) {
+        book.readBack(key, ledger, version);
+    }
+
+    /** A job row as read back: our own completion of it, a cancellation, or still open. */
+    public void jobReadBack(String id, Row.JobRow row, long version, long nowMicros) {
+        Job job = book.get(id);
+        if (job != null && row.state() == JobState.DONE) {
+            book.drop(job);
+        } else if (job != null) {
+            jobSeen(id, row, version, 0, nowMicros);
+        }
+    }
+
+    public void roundResolved(long nowMicros) {
+        JobBook.Round round = inFlight;
+        inFlight = null;
+        for (Rentals.Booking booking : round.bookings()) {
+            booking.writing = false;
+        }
+        book.resolved(round, nowMicros);
+    }
+
+    // ---- the cloud
+
+    public void typesKnown(List<MachineType> types, long nowMicros) {
+        fleet.setTypes(types);
+        planNeeded = true;
+    }
+
+    public List<CloudCall> cloudCalls(long nowMicros) {
+        return renter.calls(nowMicros);
+    }
+
+    public void rented(String booking, List<String> names, long nowMicros) {
+        renter.rented(booking, names, nowMicros);
+    }
+
+    public void noCapacity(String booking, long nowMicros) {
+        renter.noCapacity(booking, nowMicros);
+    }
+
+    public void rentUnanswered(String booking, long nowMicros) {
+        renter.unanswered(booking, nowMicros);
+    }
+
+    /** A request that the cloud refused without executing it may be sent again under the same name. */
+    public void rentNotExecuted(String booking) {
+        renter.notExecuted(booking);
+    }
+
+    public void deleted(List<String> names, long nowMicros) {
+        for (String name : names) {
+            Machine machine = fleet.get(name);
+            if (machine != null) {
+                for (Placement placement : List.copyOf(machine.placements)) {
+                    remove(placement);
+                }
+            }
+            fleet.markGone(name, nowMicros);
+            settle(name, nowMicros);
+        }
+    }
+
+    public void listed(List<ListedMachine> machines, long askedMicros, long nowMicros) {
+        renter.listed(machines, askedMicros, nowMicros);
+        planNeeded = true;
+    }
+
+    // ---- what others show
+
+    /** Tasks done and running of every open job, for display. */
+    public List<JobProgress> progress() {
+        List<JobProgress> result = new ArrayList<>();
+        for (Job job : book.jobs()) {
+            int running = 0;
+            for (List<Placement> list : job.live.values()) {
+                for (Placement placement : list) {
+                    if (placement.phase == Placement.Phase.REPORTED && placement.state != TaskState.FETCHING) {
+                        running++;
+                        break;
+                    }
+                }
+            }
+            result.add(new JobProgress(job.id(), job.finished.cardinality(), running));
+        }
+        return result;
+    }
+
+    /** One line for the log. */
+    public String summary(long nowMicros) {
+        int confirmed = 0;
+        int usable = 0;
+        Resources size = Resources.NONE;
+        Resources used = Resources.NONE;
+        for (Machine machine : fleet.machines()) {
+            confirmed += machine.confirmed ? 1 : 0;
+            if (machine.usable(nowMicros, settings)) {
+                usable++;
+                size = size.plus(machine.size);
+                used = used.plus(machine.used);
+            }
+        }
+        int waiting = 0;
+        int unsettled = 0;
+        for (Job job : book.jobs()) {
+            waiting += job.waiting();
+            unsettled += job.unsettled() ? 1 : 0;
+        }
+        return "jobs=" + book.jobs().size() + " waiting=" + waiting + " unsettled=" + unsettled + " machines="
+                + fleet.machines().size() + " confirmed=" + confirmed + " usable=" + usable + " cpus="
+                + used.cpus() / 1000 + "/" + size.cpus() / 1000 + " bookings=" + rentals.bookings.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/micatide/core/StoreKeys.java
@@ -0,0 +1,31 @@
+package io.micatide.core;
+
+/** The layout of the state service: one prefix per owner of the writes. */
+public final class StoreKeys {
+    /** Who leads; its revision is the token. */
+    public static final String LEADER = "leader";
+    /** Machine types as last seen, so that a restart during a cloud outage can validate jobs. */
+    public static final String TYPES = "types";
+    /** A job's description and final state: put by any controller on submission, cancellation and completion. */
+    public static final String JOBS = "job/";
+    /** Progress of open jobs; written by the leader alone. */
+    public static final String LEDGERS = "ledger/";
+    /** Rentals under way; written by the leader alone. */
+    public static final String BOOKINGS = "booking/";
+
+    private StoreKeys() {
+    }
+
+    public static String job(String id) {
+        return JOBS + id;
+    }
+
+    /** Page 0 is the ledger itself; further pages hold only finished ranges. */
+    public static String ledger(String id, int page) {
+        return page == 0 ? LEDGERS + id : LEDGERS + id + "/" + page;
+    }
+
+    public static String booking(String name) {
+        return BOOKINGS + name;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/micatide/core/TaskReport.java
@@ -0,0 +1,5 @@
+package io.micatide.core;
+
+/** A line of a worker's report; {@code cause} is null unless the task exited. */
+public record TaskReport(String job, int index, long attempt, TaskState state, ExitCause cause, boolean saved) {
+}
--- /dev/null
+++ b/src/main/java/io/micatide/net/CloudClient.java
@@ -0,0 +1,58 @@
+package io.micatide.net;
+
+import io.micatide.core.CloudCall;
+import io.micatide.core.Micros;
+import io.micatide.core.Settings;
+import io.micatide.wire.CloudCodec;
+import io.netty.channel.EventLoop;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+/** The cloud's calls, paced under its rate. */
+public final class CloudClient {
+    public static final int PAGE = 500;
+    private static final long PATIENCE_MICROS = 5 * Micros.SECOND;
+
+    private final HttpClient http;
+    private final Pacer pacer;
+    private final LongSupplier clock;
+
+    public CloudClient(EventLoop loop, Settings settings, LongSupplier clock) {
+        this.http = new HttpClient(loop, settings.cloud(), 6);
+        this.pacer = new Pacer(settings.cloudRate() * 0.8, Math.max(1, settings.cloudRate()), clock.getAsLong());
+        this.clock = clock;
+    }
+
+    private boolean over(Consumer<Reply> then) {
+        if (pacer.take(clock.getAsLong())) {
+            return false;
+        }
+        then.accept(new Reply(429, new byte[0], false));
+        return true;
+    }
+
+    public void types(Consumer<Reply> then) {
+        if (!over(then)) {
+            http.get("/machine_types", PATIENCE_MICROS, then);
+        }
+    }
+
+    public void rent(CloudCall.Rent rent, Consumer<Reply> then) {
+        if (!over(then)) {
+            http.post("/machines", CloudCodec.rent(rent), PATIENCE_MICROS, then);
+        }
+    }
+
+    public void delete(List<String> machines, Consumer<Reply> then) {
+        if (!over(then)) {
+            http.post("/machines/delete", CloudCodec.delete(machines), PATIENCE_MICROS, then);
+        }
+    }
+
+    public void list(String after, Consumer<Reply> then) {
+        if (!over(then)) {
+            http.get("/machines?most=" + PAGE + (after == null ? "" : "&from=" + after), PATIENCE_MICROS, then);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/micatide/net/HttpClient.java
@@ -0,0 +1,221 @@
+package io.micatide.net;
+
+import io.micatide.core.Micros;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/** A client of one service with kept connections. Used from its event loop only. */
+public final class HttpClient {
+    private static final int MOST_RESPONSE = 8 << 20;
+    private static final int MOST_QUEUED = 200;
+    private static final byte[] NO_BODY = new byte[0];
+
+    private final EventLoop loop;
+    private final String host;
+    private final InetSocketAddress address;
+    private final int mostConnections;
+    private final Deque<Connection> idle = new ArrayDeque<>();
+    private final Deque<Call> queue = new ArrayDeque<>();
+    private int connections;
+
+    public HttpClient(EventLoop loop, String endpoint, int mostConnections) {
+        int colon = endpoint.lastIndexOf(':');
+        this.loop = loop;
+        this.host = endpoint;
+        this.address = new InetSocketAddress(endpoint.substring(0, colon),
+                Integer.parseInt(endpoint.substring(colon + 1)));
+        this.mostConnections = mostConnections;
+    }
+
+    private static final class Call {
+        final HttpMethod method;
+        final String path;
+        final byte[] body;
+        final Consumer<Reply> then;
+        ScheduledFuture<?> timeout;
+        Connection connection;
+        boolean sent;
+        boolean over;
+
+        Call(HttpMethod method, String path, byte[] body, Consumer<Reply> then) {
+            this.method = method;
+            this.path = path;
+            this.body = body;
+            this.then = then;
+        }
+    }
+
+    public void get(String path, long timeoutMicros, Consumer<Reply> then) {
+        send(HttpMethod.GET, path, NO_BODY, timeoutMicros, then);
+    }
+
+    public void post(String path, byte[] body, long timeoutMicros, Consumer<Reply> then) {
+        send(HttpMethod.POST, path, body, timeoutMicros, then);
+    }
+
+    private void send(HttpMethod method, String path, byte[] body, long timeoutMicros, Consumer<Reply> then) {
+        Call call = new Call(method, path, body, then);
+        if (queue.size() >= MOST_QUEUED) {
+            then.accept(Reply.NOT_SENT);
+            return;
+        }
+        call.timeout = loop.schedule(() -> expire(call), timeoutMicros, TimeUnit.MICROSECONDS);
+        Connection connection = idle.pollLast();
+        while (connection != null && !connection.channel.isActive()) {
+            connection = idle.pollLast();
+        }
+        if (connection != null) {
+            connection.start(call);
+        } else {
+            queue.addLast(call);
+            if (connections < mostConnections) {
+                connect();
+            }
+        }
+    }
+
+    private void expire(Call call) {
+        if (call.connection != null) {
+            Channel channel = call.connection.channel;
+            finish(call, Reply.UNANSWERED);
+            channel.close();
+        } else {
+            queue.remove(call);
+            finish(call, Reply.NOT_SENT);
+        }
+    }
+
+    private void finish(Call call, Reply reply) {
+        if (!call.over) {
+            call.over = true;
+            call.timeout.cancel(false);
+            call.then.accept(reply);
+        }
+    }
+
+    private void connect() {
+        connections++;
+        Connection connection = new Connection();
+        ChannelFuture future = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 2_000)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST_RESPONSE),
+                                connection);
+                    }
+                }).connect(address);
+        connection.channel = future.channel();
+        future.addListener(done -> {
+            if (!done.isSuccess()) {
+                connections--;
+                Call call = queue.pollFirst();
+                if (call != null) {
+                    finish(call, Reply.NOT_SENT);
+                }
+                if (!queue.isEmpty() && connections == 0) {
+                    connect();
+                }
+            }
+        });
+    }
+
+    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private Channel channel;
+        private Call call;
+
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            ready();
+        }
+
+        private void ready() {
+            Call next = queue.pollFirst();
+            if (next != null) {
+                start(next);
+            } else {
+                idle.addLast(this);
+            }
+        }
+
+        private void start(Call next) {
+            call = next;
+            next.connection = this;
+            ByteBuf body = Unpooled.wrappedBuffer(next.body);
+            DefaultFullHttpRequest request =
+                    new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, next.method, next.path, body);
+            request.headers().set(HttpHeaderNames.HOST, host);
+            if (next.method == HttpMethod.POST) {
+                request.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+                request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, next.body.length);
+            }
+            next.sent = true;
+            channel.writeAndFlush(request, channel.voidPromise());
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+            Call answered = call;
+            call = null;
+            boolean keep = HttpUtil.isKeepAlive(response);
+            Reply reply = new Reply(response.status().code(), ByteBufUtil.getBytes(response.content()), true);
+            if (!keep) {
+                context.close();
+            }
+            if (answered != null) {
+                finish(answered, reply);
+            }
+            if (keep && channel.isActive() && call == null) {
+                ready();
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            connections--;
+            idle.remove(this);
+            if (call != null) {
+                Call lost = call;
+                call = null;
+                finish(lost, Reply.UNANSWERED);
+            }
+            if (!queue.isEmpty() && connections < mostConnections) {
+                connect();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+
+    /** How long a request waits by default. */
+    public static final long PATIENCE_MICROS = Micros.SECOND;
+}
--- /dev/null
+++ b/src/main/java/io/micatide/net/HttpServer.java
@@ -0,0 +1,153 @@
+package io.micatide.net;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+
+/** A server whose answers may come later, from another actor. */
+public final class HttpServer {
+    /** Largest request body of the protocols. */
+    public static final int MOST_BODY = 64 * 1024;
+
+    /** Takes requests; must answer each one exactly once. */
+    @FunctionalInterface
+    public interface Handler {
+        void handle(Request request);
+    }
+
+    private final Handler handler;
+    private final int mostConnections;
+    private int connections;
+
+    public HttpServer(Handler handler, int mostConnections) {
+        this.handler = handler;
+        this.mostConnections = mostConnections;
+    }
+
+    public ChannelFuture bind(EventLoop loop, String endpoint) {
+        int colon = endpoint.lastIndexOf(':');
+        return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_BACKLOG, 256)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new HttpServerCodec(), new Aggregator(), new Connection());
+                    }
+                }).bind(new InetSocketAddress(endpoint.substring(0, colon),
+                        Integer.parseInt(endpoint.substring(colon + 1))));
+    }
+
+    /** A request that waits for its answer. */
+    public static final class Request {
+        private final Channel channel;
+        private final boolean keepAlive;
+        private final String method;
+        private final String path;
+        private final byte[] body;
+
+        Request(Channel channel, boolean keepAlive, String method, String path, byte[] body) {
+            this.channel = channel;
+            this.keepAlive = keepAlive;
+            this.method = method;
+            this.path = path;
+            this.body = body;
+        }
+
+        public String method() {
+            return method;
+        }
+
+        public String path() {
+            return path;
+        }
+
+        public byte[] body() {
+            return body;
+        }
+
+        public void answer(int status, byte[] json) {
+            answer(status, json, 0);
+        }
+
+        /** @param retryAfterSeconds when to come back, or 0 */
+        public void answer(int status, byte[] json, int retryAfterSeconds) {
+            DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(json));
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+            response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, json.length);
+            if (retryAfterSeconds > 0) {
+                response.headers().setInt(HttpHeaderNames.RETRY_AFTER, retryAfterSeconds);
+            }
+            if (!keepAlive) {
+                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            }
+            ChannelFuture written = channel.writeAndFlush(response);
+            if (!keepAlive) {
+                written.addListener(done -> channel.close());
+            }
+        }
+    }
+
+    /** The protocols say 400 where HTTP has 413, since users would retry that. */
+    private static final class Aggregator extends HttpObjectAggregator {
+        Aggregator() {
+            super(MOST_BODY);
+        }
+
+        @Override
+        protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
+            byte[] json = "{\"error\":\"is larger than 64 KiB\",\"field\":\"body\"}"
+                    .getBytes(java.nio.charset.StandardCharsets.UTF_8);
+            DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.BAD_REQUEST, Unpooled.wrappedBuffer(json));
+            response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, json.length);
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            context.writeAndFlush(response).addListener(done -> context.close());
+        }
+    }
+
+    private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            connections++;
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            connections--;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            boolean keep = HttpUtil.isKeepAlive(request) && connections < mostConnections;
+            handler.handle(new Request(context.channel(), keep, request.method().name(), request.uri(),
+                    ByteBufUtil.getBytes(request.content())));
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/micatide/net/Pacer.java
@@ -0,0 +1,30 @@
+package io.micatide.net;
+
+import io.micatide.core.Micros;
+
+/**
+ * Keeps a client under a service's rate. Guava's limiter blocks its caller, which an event loop cannot afford.
+ */
+public final class Pacer {
+    private final double rate;
+    private final double burst;
+    private double tokens;
+    private long atMicros;
+
+    public Pacer(double rate, double burst, long nowMicros) {
+        this.rate = rate;
+        this.burst = burst;
+        this.tokens = burst;
+        this.atMicros = nowMicros;
+    }
+
+    public boolean take(long nowMicros) {
+        tokens = Math.min(burst, tokens + rate * Micros.toSeconds(nowMicros - atMicros));
+        atMicros = nowMicros;
+        if (tokens < 1) {
+            return false;
+        }
+        tokens--;
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/micatide/net/Reply.java
@@ -0,0 +1,20 @@
+package io.micatide.net;
+
+/**
+ * What became of a request. Without an answer {@code status} is 0, and {@code sent} tells whether the request may have
+ * been carried out, now or later.
+ */
+public record Reply(int status, byte[] body, boolean sent) {
+    private static final byte[] EMPTY = new byte[0];
+    static final Reply NOT_SENT = new Reply(0, EMPTY, false);
+    static final Reply UNANSWERED = new Reply(0, EMPTY, true);
+
+    public boolean ok() {
+        return status == 200;
+    }
+
+    /** True when the request was certainly not executed. */
+    public boolean notExecuted() {
+        return status == 503 || status == 429 || status == 0 && !sent;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/micatide/net/StateClient.java
@@ -0,0 +1,75 @@
+package io.micatide.net;
+
+import io.micatide.core.Micros;
+import io.micatide.core.Settings;
+import io.micatide.core.Transaction;
+import io.micatide.wire.StateCodec;
+import io.netty.channel.EventLoop;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+/** The state service's calls, paced so that the controllers together stay under its rate. */
+public final class StateClient {
+    private final HttpClient http;
+    private final HttpClient watches;
+    private final Pacer pacer;
+    private final LongSupplier clock;
+
+    public StateClient(EventLoop loop, Settings settings, LongSupplier clock) {
+        this.http = new HttpClient(loop, settings.state(), 12);
+        this.watches = new HttpClient(loop, settings.state(), 2);
+        // One controller alone may need most of the rate; 429 and a second try settle the rare sum above it.
+        this.pacer = new Pacer(settings.stateRate() * 0.6, settings.stateRate() * 0.3, clock.getAsLong());
+        this.clock = clock;
+    }
+
+    private boolean over(Consumer<Reply> then) {
+        if (pacer.take(clock.getAsLong())) {
+            return false;
+        }
+        then.accept(new Reply(429, new byte[0], false));
+        return true;
+    }
+
+    public void transaction(Transaction transaction, Consumer<Reply> then) {
+        if (!over(then)) {
+            http.post("/txn", StateCodec.transaction(transaction), HttpClient.PATIENCE_MICROS, then);
+        }
+    }
+
+    public void read(String key, Consumer<Reply> then) {
+        if (!over(then)) {
+            http.get("/store/" + key, HttpClient.PATIENCE_MICROS, then);
+        }
+    }
+
+    public void list(String prefix, String after, Consumer<Reply> then) {
+        if (!over(then)) {
+            http.get("/store?starts=" + prefix + (after == null ? "" : "&from=" + after) + "&most=500",
+                    3 * HttpClient.PATIENCE_MICROS, then);
+        }
+    }
+
+    /** What changed since a revision, as of now: older than no answer that any node has given. */
+    public void changes(String prefix, long since, Consumer<Reply> then) {
+        if (!over(then)) {
+            http.get("/changes?starts=" + prefix + "&from=" + since, HttpClient.PATIENCE_MICROS, then);
+        }
+    }
+
+    public void watch(String prefix, long since, long waitMicros, Consumer<Reply> then) {
+        if (!over(then)) {
+            watches.get("/changes?starts=" + prefix + "&from=" + since + "&waitMs=" + waitMicros / Micros.MILLISECOND,
+                    waitMicros + 2 * Micros.SECOND, then);
+        }
+    }
+
+    /** Leases are not paced: losing the lead costs more than the requests. */
+    public void grant(long ttlMicros, Consumer<Reply> then) {
+        http.post("/grants", StateCodec.grant(ttlMicros), HttpClient.PATIENCE_MICROS, then);
+    }
+
+    public void touch(long lease, Consumer<Reply> then) {
+        http.post("/grants/" + lease + "/touch", new byte[0], HttpClient.PATIENCE_MICROS, then);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/micatide/node/LeaderActor.java
@@ -0,0 +1,640 @@
+package io.micatide.node;
+
+import io.micatide.core.CloudCall;
+import io.micatide.core.JobDirectory;
+import io.micatide.core.JobProgress;
+import io.micatide.core.Leadership;
+import io.micatide.core.ListedMachine;
+import io.micatide.core.MachineReport;
+import io.micatide.core.MachineType;
+import io.micatide.core.Micros;
+import io.micatide.core.Row;
+import io.micatide.core.Scheduler;
+import io.micatide.core.Settings;
+import io.micatide.core.StoreKeys;
+import io.micatide.core.Transaction;
+import io.micatide.net.CloudClient;
+import io.micatide.net.HttpClient;
+import io.micatide.net.HttpServer.Request;
+import io.micatide.net.Reply;
+import io.micatide.net.StateClient;
+import io.micatide.wire.CloudCodec;
+import io.micatide.wire.Json;
+import io.micatide.wire.MalformedException;
+import io.micatide.wire.PeerCodec;
+import io.micatide.wire.StateCodec;
+import io.micatide.wire.WorkerCodec;
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Claims the lead, and while it has it runs a {@link Scheduler} and answers the workers. */
+final class LeaderActor extends Actor<LeaderActor.Message> {
+    sealed interface Message {
+    }
+
+    record Tick() implements Message {
+    }
+
+    record LeaseTick() implements Message {
+    }
+
+    record Report(Request request) implements Message {
+    }
+
+    record PeerNews(Request request) implements Message {
+    }
+
+    record JobSeen(String id, Row.JobRow row, long version) implements Message {
+    }
+
+    record JobsSeen(List<JobDirectory.Entry> open) implements Message {
+    }
+
+    record StateFresh(long askedMicros) implements Message {
+    }
+
+    record RowRead(Reply reply) implements Message {
+    }
+
+    record Granted(Reply reply, long askedMicros) implements Message {
+    }
+
+    record Claimed(Reply reply) implements Message {
+    }
+
+    record Touched(Reply reply, long askedMicros) implements Message {
+    }
+
+    record Watched(Reply reply) implements Message {
+    }
+
+    record Loaded(Reply reply, long token, String prefix) implements Message {
+    }
+
+    record RoundAnswered(Reply reply, long token) implements Message {
+    }
+
+    record KeyRead(Reply reply, long token, String key) implements Message {
+    }
+
+    record TypesStored(Reply reply, long token) implements Message {
+    }
+
+    record CloudAnswered(Reply reply, long token, CloudCall call) implements Message {
+    }
+
+    record ListRead(Reply reply, long token, long askedMicros, List<ListedMachine> before) implements Message {
+    }
+
+    record PeerAnswered(Reply reply) implements Message {
+    }
+
+    private static final long TICK_MICROS = 100 * Micros.MILLISECOND;
+    private static final long LEASE_TICK_MICROS = 50 * Micros.MILLISECOND;
+    private static final long WATCH_MICROS = 20 * Micros.SECOND;
+    private static final long NEWS_MICROS = Micros.SECOND;
+    private static final long SUMMARY_MICROS = 5 * Micros.SECOND;
+    /** What fits a peer's request body. */
+    private static final int NEWS_JOBS = 1_000;
+
+    private final Settings settings;
+    private final StateClient state;
+    private final CloudClient cloud;
+    private final UsersActor users;
+    private final List<HttpClient> siblings = new ArrayList<>();
+    private final Leadership leadership;
+    private boolean watching;
+    private Scheduler scheduler;
+    /** What still has to be read before the scheduler may act: jobs, ledgers, bookings. */
+    private int loading;
+    private List<String> unread = List.of();
+    private int reading;
+    private List<MachineType> storedTypes = List.of();
+    private long newsMicros;
+    private long summaryMicros;
+    private boolean listing;
+
+    LeaderActor(EventLoop loop, Settings settings, StateClient state, CloudClient cloud, UsersActor users) {
+        super(loop);
+        this.settings = settings;
+        this.state = state;
+        this.cloud = cloud;
+        this.users = users;
+        for (Settings.Sibling sibling : settings.siblings()) {
+            siblings.add(new HttpClient(loop, sibling.endpoint(), 2));
+        }
+        // A worker loses its tasks when its lease ends, so a take-over has to be over long before that.
+        this.leadership = new Leadership(settings.label(), settings.leaseMicros() * 3 / 10);
+    }
+
+    @Override
+    protected void receive(Message message) {
+        if (message instanceof Report m) {
+            report(m.request());
+        } else if (message instanceof Tick) {
+            tick();
+            tellLater(new Tick(), TICK_MICROS);
+        } else if (message instanceof LeaseTick) {
+            advance();
+            tellLater(new LeaseTick(), LEASE_TICK_MICROS);
+        } else if (message instanceof JobSeen m) {
+            if (leadsAndLoaded() || scheduler != null) {
+                jobSeen(m.id(), m.row(), m.version());
+            }
+        } else if (message instanceof StateFresh m) {
+            if (scheduler != null) {
+                scheduler.stateFresh(m.askedMicros());
+            }
+        } else if (message instanceof RoundAnswered m) {
+            roundAnswered(m);
+        } else if (message instanceof KeyRead m) {
+            keyRead(m);
+        } else if (message instanceof CloudAnswered m) {
+            cloudAnswered(m);
+        } else if (message instanceof ListRead m) {
+            listRead(m);
+        } else if (message instanceof Loaded m) {
+            loaded(m);
+        } else if (message instanceof JobsSeen m) {
+            jobsSeen(m);
+        } else if (message instanceof PeerNews m) {
+            peerNews(m.request());
+        } else if (message instanceof PeerAnswered m) {
+            peerAnswered(m.reply());
+        } else if (message instanceof TypesStored) {
+            return;
+        } else {
+            leadershipAnswer(message);
+            advance();
+        }
+    }
+
+    // ---- leadership
+
+    private void advance() {
+        long now = Clock.now();
+        if (!watching && leadership.leader() != null) {
+            watching = true;
+            state.watch(StoreKeys.LEADER, Math.max(leadership.rowVersion(), watchFrom), WATCH_MICROS,
+                    answer(Watched::new));
+        }
+        switch (leadership.next(now)) {
+            case READ_ROW -> state.read(StoreKeys.LEADER, answer(RowRead::new));
+            case GRANT_LEASE -> state.grant(leadership.ttlMicros(), answer(r -> new Granted(r, now)));
+            case TOUCH -> state.touch(leadership.lease(), answer(r -> new Touched(r, now)));
+            case CLAIM -> {
+                Row row = new Row.Leader(settings.label());
+                state.transaction(new Transaction(
+                        List.of(new Transaction.Compare(StoreKeys.LEADER, leadership.rowVersion())),
+                        List.of(new Transaction.Write(StoreKeys.LEADER, row, leadership.lease()))),
+                        answer(Claimed::new));
+            }
+            case NOTHING -> {
+            }
+        }
+    }
+
+    private long watchFrom;
+
+    private void leadershipAnswer(Message message) {
+        long now = Clock.now();
+        long pause = 200 * Micros.MILLISECOND;
+        try {
+            if (message instanceof RowRead m) {
+                if (m.reply().ok()) {
+                    StateCodec.Item item = StateCodec.item(m.reply().body());
+                    watchFrom = Math.max(watchFrom, item.version());
+                    leadership.rowRead(((Row.Leader) item.row()).owner(), item.version());
+                } else if (m.reply().status() == 404) {
+                    leadership.rowRead(null, 0);
+                } else {
+                    leadership.failed(now, pause);
+                }
+            } else if (message instanceof Granted m) {
+                if (m.reply().ok()) {
+                    leadership.granted(StateCodec.granted(m.reply().body()), m.askedMicros());
+                } else {
+                    leadership.failed(now, pause);
+                }
+            } else if (message instanceof Touched m) {
+                if (m.reply().ok()) {
+                    leadership.touched(m.askedMicros());
+                } else if (m.reply().status() == 404) {
+                    leadership.leaseGone();
+                } else {
+                    leadership.failed(now, pause);
+                }
+            } else if (message instanceof Claimed m) {
+                claimed(m.reply(), now);
+            } else if (message instanceof Watched m) {
+                watched(m.reply());
+            }
+        } catch (MalformedException e) {
+            log.error("leader row: {}", e.getMessage());
+            leadership.failed(now, Micros.SECOND);
+        }
+        checkDeposed();
+    }
+
+    private void claimed(Reply reply, long now) throws MalformedException {
+        if (reply.ok()) {
+            long token = StateCodec.revision(reply.body());
+            watchFrom = Math.max(watchFrom, token);
+            leadership.claimed(token);
+            begin(token, now);
+        } else if (reply.status() == 409) {
+            leadership.claimRefused();
+        } else if (reply.status() == 400) {
+            leadership.leaseGone();
+        } else if (reply.notExecuted()) {
+            leadership.failed(now, 100 * Micros.MILLISECOND);
+        } else {
+            leadership.claimUnknown(now);
+        }
+    }
+
+    private void watched(Reply reply) throws MalformedException {
+        watching = false;
+        if (reply.ok()) {
+            StateCodec.Items changes = StateCodec.changes(reply.body());
+            for (StateCodec.Item item : changes.items()) {
+                if (item.version() >= leadership.rowVersion()) {
+                    leadership.row(item.row() instanceof Row.Leader row ? row.owner() : null,
+                            item.row() == null ? 0 : item.version());
+                }
+            }
+            watchFrom = Math.max(watchFrom, changes.revision());
+        } else {
+            watching = true;
+            if (reply.status() == 410) {
+                watchFrom = 0;
+            }
+            leadership.forgetRow();
+            tellLater(new Watched(new Reply(200, ("{\"ledger\":" + watchFrom + ",\"events\":[]}")
+                    .getBytes(java.nio.charset.StandardCharsets.US_ASCII), false)), Micros.SECOND / 2);
+        }
+    }
+
+    private void checkDeposed() {
+        if (scheduler != null && leadership.token() != scheduler.token()) {
+            log.warn("fenced: term {} is over", scheduler.token());
+            scheduler = null;
+            loading = 0;
+            users.tell(new UsersActor.Unfollow());
+        }
+    }
+
+    private void begin(long token, long now) {
+        log.info("leads with token {}", token);
+        scheduler = new Scheduler(settings, token, now);
+        loading = 4;
+        reading = 0;
+        unread = List.of();
+        listing = false;
+        newsMicros = 0;
+        storedTypes = List.of();
+        users.tell(new UsersActor.Follow(this));
+        load(token, StoreKeys.BOOKINGS, null);
+        state.read(StoreKeys.TYPES, answer(r -> new Loaded(r, token, StoreKeys.TYPES)));
+    }
+
+    private void load(long token, String prefix, String after) {
+        state.list(prefix, after, answer(r -> new Loaded(r, token, prefix)));
+    }
+
+    private boolean leadsAndLoaded() {
+        return scheduler != null && loading == 0;
+    }
+
+    private void jobSeen(String id, Row.JobRow row, long version) {
+        scheduler.jobSeen(id, row, version, Clock.wall() - row.submittedWall(), Clock.now());
+    }
+
+    /** The open jobs by a read that began after our claim: every start of an earlier leader belongs to one of them. */
+    private void jobsSeen(JobsSeen message) {
+        if (scheduler != null && loading > 0) {
+            message.open().forEach(entry -> jobSeen(entry.id(), entry.row(), entry.version()));
+            load(scheduler.token(), StoreKeys.LEDGERS, null);
+            loadedOne();
+        }
+    }
+
+    private void loaded(Loaded message) {
+        if (scheduler == null || scheduler.token() != message.token()) {
+            return;
+        }
+        long now = Clock.now();
+        boolean types = message.prefix().equals(StoreKeys.TYPES);
+        try {
+            Reply reply = message.reply();
+            if (types && (reply.ok() || reply.status() == 404)) {
+                if (reply.ok()) {
+                    storedTypes = ((Row.Types) StateCodec.item(reply.body()).row()).types();
+                    scheduler.typesKnown(storedTypes, now);
+                }
+                loadedOne();
+                return;
+            }
+            if (!reply.ok()) {
+                retryLoad(message);
+                return;
+            }
+            StateCodec.Items page = StateCodec.page(reply.body());
+            String last = null;
+            for (StateCodec.Item item : page.items()) {
+                last = item.key();
+                if (item.row() instanceof Row.Ledger ledger) {
+                    scheduler.ledgerLoaded(item.key(), ledger, item.version());
+                } else if (item.row() instanceof Row.Booking booking) {
+                    scheduler.bookingLoaded(item.key().substring(StoreKeys.BOOKINGS.length()), booking, now);
+                }
+            }
+            if (page.more()) {
+                load(message.token(), message.prefix(), last);
+            } else {
+                loadedOne();
+            }
+        } catch (MalformedException e) {
+            log.error("stored rows: {}", e.getMessage());
+            retryLoad(message);
+        }
+    }
+
+    private void retryLoad(Loaded message) {
+        Runnable again = () -> {
+            if (message.prefix().equals(StoreKeys.TYPES)) {
+                state.read(StoreKeys.TYPES, answer(r -> new Loaded(r, message.token(), StoreKeys.TYPES)));
+            } else {
+                load(message.token(), message.prefix(), null);
+            }
+        };
+        again.run();
+    }
+
+    private void loadedOne() {
+        if (--loading == 0) {
+            scheduler.loaded(Clock.now());
+            log.info("term {} rebuilt: {}", scheduler.token(), scheduler.summary(Clock.now()));
+        }
+    }
+
+    // ---- workers
+
+    private void report(Request request) {
+        MachineReport report;
+        try {
+            report = WorkerCodec.report(request.body());
+        } catch (MalformedException e) {
+            request.answer(400, Json.error(e.field(), e.getMessage()));
+            return;
+        }
+        if (report.token() > 0 && leadership.higherToken(report.token(), null)) {
+            checkDeposed();
+        }
+        if (scheduler == null) {
+            String leader = leadership.leader();
+            request.answer(421, WorkerCodec.elsewhere(settings.label().equals(leader) ? null : leader));
+        } else if (loading > 0) {
+            // Renews the worker's lease; what the report says is taken from the next one.
+            request.answer(200, WorkerCodec.answer(scheduler.token(), List.of()));
+        } else {
+            request.answer(200, WorkerCodec.answer(scheduler.token(), scheduler.report(report, Clock.now())));
+        }
+    }
+
+    // ---- the scheduler's work
+
+    private void tick() {
+        long now = Clock.now();
+        if (!leadsAndLoaded()) {
+            if (scheduler != null) {
+                news(now);
+            }
+            return;
+        }
+        scheduler.tick(now);
+        nextRound(now);
+        for (CloudCall call : scheduler.cloudCalls(now)) {
+            call(call, now);
+        }
+        news(now);
+        if (now - summaryMicros >= SUMMARY_MICROS) {
+            summaryMicros = now;
+            log.info("{}", scheduler.summary(now));
+        }
+    }
+
+    private void nextRound(long now) {
+        Transaction round = scheduler.round(now);
+        if (round != null) {
+            long token = scheduler.token();
+            state.transaction(round, answer(r -> new RoundAnswered(r, token)));
+        }
+    }
+
+    private void roundAnswered(RoundAnswered message) {
+        if (scheduler == null || scheduler.token() != message.token()) {
+            return;
+        }
+        long now = Clock.now();
+        Reply reply = message.reply();
+        try {
+            if (reply.ok()) {
+                scheduler.roundConfirmed(StateCodec.revision(reply.body()), now);
+                nextRound(now);
+                return;
+            }
+            if (reply.notExecuted()) {
+                scheduler.roundNotExecuted(now);
+                return;
+            }
+            if (reply.status() == 409 && StateCodec.failed(reply.body()).contains(StoreKeys.LEADER)) {
+                log.info("a write was refused: fenced");
+                leadership.depose();
+                leadership.forgetRow();
+                checkDeposed();
+                return;
+            }
+        } catch (MalformedException e) {
+            log.error("transaction answer: {}", e.getMessage());
+        }
+        log.warn("round of unknown outcome or refused ({}): reading back", reply.status());
+        unread = new ArrayList<>(scheduler.roundUnresolved());
+        reading = 0;
+        readBack();
+    }
+
+    private void readBack() {
+        if (unread.isEmpty()) {
+            scheduler.roundResolved(Clock.now());
+            return;
+        }
+        long token = scheduler.token();
+        String key = unread.get(0);
+        state.read(key, answer(r -> new KeyRead(r, token, key)));
+    }
+
+    private void keyRead(KeyRead message) {
+        if (scheduler == null || scheduler.token() != message.token()) {
+            return;
+        }
+        Reply reply = message.reply();
+        try {
+            if (reply.ok()) {
+                StateCodec.Item item = StateCodec.item(reply.body());
+                if (item.row() instanceof Row.Ledger ledger) {
+                    scheduler.ledgerReadBack(item.key(), ledger, item.version());
+                } else if (item.row() instanceof Row.JobRow row) {
+                    scheduler.jobReadBack(item.key().substring(StoreKeys.JOBS.length()), row, item.version(),
+                            Clock.now());
+                }
+            } else if (reply.status() == 404) {
+                if (message.key().startsWith(StoreKeys.LEDGERS)) {
+                    scheduler.ledgerReadBack(message.key(), null, 0);
+                }
+            } else {
+                tellLater(new KeyRead(new Reply(-1, new byte[0], false), message.token(), message.key()),
+                        reply.status() == -1 ? 0 : 300 * Micros.MILLISECOND);
+                if (reply.status() == -1) {
+                    readBack();
+                }
+                return;
+            }
+        } catch (MalformedException e) {
+            log.error("{}: {}", message.key(), e.getMessage());
+        }
+        unread.remove(message.key());
+        readBack();
+    }
+
+    // ---- the cloud
+
+    private void call(CloudCall call, long now) {
+        long token = scheduler.token();
+        if (call instanceof CloudCall.Rent rent) {
+            log.info("rents {} {} {} {}", rent.count(), rent.type(), rent.zone(), rent.spot() ? "spot" : "ordinary");
+            cloud.rent(rent, answer(r -> new CloudAnswered(r, token, call)));
+        } else if (call instanceof CloudCall.Delete delete) {
+            log.info("returns {}", delete.machines());
+            cloud.delete(delete.machines(), answer(r -> new CloudAnswered(r, token, call)));
+        } else if (call instanceof CloudCall.ListTypes) {
+            cloud.types(answer(r -> new CloudAnswered(r, token, call)));
+        } else {
+            cloud.list(null, answer(r -> new ListRead(r, token, now, List.of())));
+        }
+    }
+
+    private void cloudAnswered(CloudAnswered message) {
+        if (scheduler == null || scheduler.token() != message.token()) {
+            return;
+        }
+        long now = Clock.now();
+        Reply reply = message.reply();
+        try {
+            if (message.call() instanceof CloudCall.Rent rent) {
+                if (reply.ok()) {
+                    scheduler.rented(rent.booking(), CloudCodec.rented(reply.body()), now);
+                } else if (reply.status() == 503 && CloudCodec.isNoCapacity(reply.body())) {
+                    scheduler.noCapacity(rent.booking(), now);
+                } else if (reply.notExecuted()) {
+                    scheduler.rentNotExecuted(rent.booking());
+                } else {
+                    scheduler.rentUnanswered(rent.booking(), now);
+                }
+            } else if (message.call() instanceof CloudCall.Delete delete) {
+                if (reply.ok()) {
+                    scheduler.deleted(delete.machines(), now);
+                }
+            } else if (message.call() instanceof CloudCall.ListTypes && reply.ok()) {
+                typesKnown(CloudCodec.types(reply.body()), now);
+            }
+        } catch (MalformedException e) {
+            log.error("cloud: {}", e.getMessage());
+        }
+    }
+
+    private void typesKnown(List<MachineType> types, long now) {
+        scheduler.typesKnown(types, now);
+        users.tell(new UsersActor.TypesKnown(types));
+        if (!types.equals(storedTypes)) {
+            storedTypes = types;
+            long token = scheduler.token();
+            state.transaction(new Transaction(List.of(new Transaction.Compare(StoreKeys.LEADER, token)),
+                    List.of(new Transaction.Write(StoreKeys.TYPES, new Row.Types(types), 0))),
+                    answer(r -> new TypesStored(r, token)));
+        }
+    }
+
+    private void listRead(ListRead message) {
+        if (scheduler == null || scheduler.token() != message.token()) {
+            return;
+        }
+        long now = Clock.now();
+        List<ListedMachine> machines = new ArrayList<>(message.before());
+        if (message.reply().ok()) {
+            try {
+                CloudCodec.Page page = CloudCodec.page(message.reply().body());
+                machines.addAll(page.machines());
+                if (page.more() && !page.machines().isEmpty()) {
+                    cloud.list(machines.get(machines.size() - 1).name(),
+                            answer(r -> new ListRead(r, message.token(), message.askedMicros(), machines)));
+                } else {
+                    scheduler.listed(machines, message.askedMicros(), now);
+                }
+                return;
+            } catch (MalformedException e) {
+                log.error("cloud: {}", e.getMessage());
+            }
+        }
+        scheduler.listed(null, message.askedMicros(), now);
+    }
+
+    // ---- siblings
+
+    private void news(long now) {
+        if (newsMicros != 0 && now - newsMicros < NEWS_MICROS) {
+            return;
+        }
+        newsMicros = now;
+        List<JobProgress> jobs = leadsAndLoaded() ? scheduler.progress() : List.of();
+        if (leadsAndLoaded()) {
+            users.tell(new UsersActor.Progress(true, jobs));
+        }
+        for (HttpClient sibling : siblings) {
+            for (int from = 0; from == 0 || from < jobs.size(); from += NEWS_JOBS) {
+                List<JobProgress> part = jobs.subList(from, Math.min(jobs.size(), from + NEWS_JOBS));
+                sibling.post("/news", PeerCodec.news(
+                        new PeerCodec.News(scheduler.token(), settings.label(), from == 0, part)),
+                        HttpClient.PATIENCE_MICROS, answer(PeerAnswered::new));
+            }
+        }
+    }
+
+    private void peerNews(Request request) {
+        try {
+            PeerCodec.News news = PeerCodec.news(request.body());
+            if (leadership.higherToken(news.token(), news.leader())) {
+                checkDeposed();
+            }
+            if (scheduler == null && news.token() == leadership.highestToken()) {
+                users.tell(new UsersActor.Progress(news.first(), news.jobs()));
+            }
+            request.answer(200, PeerCodec.highest(leadership.highestToken()));
+        } catch (MalformedException e) {
+            request.answer(400, Json.error(e.field(), e.getMessage()));
+        }
+    }
+
+    private void peerAnswered(Reply reply) {
+        if (reply.ok()) {
+            try {
+                if (leadership.higherToken(PeerCodec.highest(reply.body()), null)) {
+                    checkDeposed();
+                }
+            } catch (MalformedException e) {
+                log.error("sibling: {}", e.getMessage());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/micatide/node/UsersActor.java
@@ -0,0 +1,528 @@
+package io.micatide.node;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.micatide.core.Admission;
+import io.micatide.core.JobDirectory;
+import io.micatide.core.JobProgress;
+import io.micatide.core.JobSpec;
+import io.micatide.core.JobState;
+import io.micatide.core.MachineType;
+import io.micatide.core.Micros;
+import io.micatide.core.Row;
+import io.micatide.core.Settings;
+import io.micatide.core.StoreKeys;
+import io.micatide.core.Transaction;
+import io.micatide.net.CloudClient;
+import io.micatide.net.HttpServer.Request;
+import io.micatide.net.Reply;
+import io.micatide.net.StateClient;
+import io.micatide.wire.CloudCodec;
+import io.micatide.wire.JobCodec;
+import io.micatide.wire.JobCodec.Standing;
+import io.micatide.wire.Json;
+import io.micatide.wire.MalformedException;
+import io.micatide.wire.StateCodec;
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Answers users, whether this controller leads or not. Owns the copy of the job rows. An answer about an open or
+ * unknown job waits for a read of the state service that began after the question, so that no user hears something
+ * older than what another node has said; the questions that came in meanwhile share the next read.
+ */
+final class UsersActor extends Actor<UsersActor.Message> {
+    sealed interface Message {
+    }
+
+    record Load() implements Message {
+    }
+
+    record Ask(Request request) implements Message {
+    }
+
+    record RefreshDue() implements Message {
+    }
+
+    record PageRead(Reply reply, boolean first) implements Message {
+    }
+
+    record ChangesRead(Reply reply, long askedMicros) implements Message {
+    }
+
+    record Submitted(Reply reply, Request request, JobSpec spec, Row.JobRow row) implements Message {
+    }
+
+    record Cancelled(Reply reply, Request request, String id, int tries) implements Message {
+    }
+
+    /** The leader on this controller wants every change from now on, beginning with all open jobs. */
+    record Follow(LeaderActor leader) implements Message {
+    }
+
+    record Unfollow() implements Message {
+    }
+
+    record Progress(boolean first, List<JobProgress> jobs) implements Message {
+    }
+
+    record TypesKnown(List<MachineType> types) implements Message {
+    }
+
+    record TypesRead(Reply reply) implements Message {
+    }
+
+    record TypesAnswered(Reply reply) implements Message {
+    }
+
+    /** What to do with a question once the copy is fresh. */
+    private interface Question {
+        Request request();
+
+        void fresh();
+    }
+
+    private static final int MOST_WAITING = 400;
+    private static final byte[] UNAVAILABLE = Json.error(null, "the state service does not answer");
+    private static final byte[] BUSY = Json.error(null, "too many requests");
+    private static final byte[] STARTING = Json.error(null, "starting");
+    private static final byte[] NO_SUCH_JOB = Json.error(null, "no such job");
+    private static final byte[] NO_SUCH_PATH = Json.error(null, "no such path");
+    private static final byte[] WRONG_METHOD = Json.error(null, "method not allowed");
+
+    private final Settings settings;
+    private final StateClient state;
+    private final CloudClient cloud;
+    private final JobDirectory directory = new JobDirectory();
+    private final long refreshEveryMicros;
+    private final List<Question> arriving = new ArrayList<>();
+    private List<Question> asking = List.of();
+    private Map<String, JobProgress> progress = new HashMap<>();
+    private List<MachineType> types = List.of();
+    private LeaderActor leader;
+    private boolean followPending;
+    private boolean loaded;
+    private boolean refreshing;
+    private boolean refreshTimer;
+    private long refreshedMicros;
+
+    UsersActor(EventLoop loop, Settings settings, StateClient state, CloudClient cloud) {
+        super(loop);
+        this.settings = settings;
+        this.state = state;
+        this.cloud = cloud;
+        // All controllers together take about a third of the requests for this.
+        this.refreshEveryMicros = Math.max(50 * Micros.MILLISECOND,
+                Math.round(settings.siblings().size() + 1) * Micros.ofSeconds(3 / settings.stateRate()));
+    }
+
+    @Override
+    protected void receive(Message message) {
+        if (message instanceof Ask m) {
+            ask(m.request());
+        } else if (message instanceof ChangesRead m) {
+            changesRead(m);
+        } else if (message instanceof RefreshDue) {
+            refreshTimer = false;
+            refresh();
+        } else if (message instanceof Submitted m) {
+            submitted(m);
+        } else if (message instanceof Cancelled m) {
+            cancelled(m);
+        } else if (message instanceof Load) {
+            state.list(StoreKeys.JOBS, null, answer(r -> new PageRead(r, true)));
+            state.read(StoreKeys.TYPES, answer(TypesRead::new));
+        } else if (message instanceof PageRead m) {
+            pageRead(m);
+        } else if (message instanceof Progress m) {
+            if (m.first()) {
+                progress = new HashMap<>();
+            }
+            m.jobs().forEach(job -> progress.put(job.id(), job));
+        } else if (message instanceof Follow m) {
+            leader = m.leader();
+            followPending = true;
+            refresh();
+        } else if (message instanceof Unfollow) {
+            leader = null;
+        } else if (message instanceof TypesKnown m) {
+            types = m.types();
+        } else if (message instanceof TypesRead m) {
+            typesRead(m.reply());
+        } else if (message instanceof TypesAnswered m) {
+            typesAnswered(m.reply());
+        }
+    }
+
+    // ---- machine types
+
+    private void typesRead(Reply reply) {
+        if (!types.isEmpty()) {
+            return;
+        }
+        if (reply.ok()) {
+            try {
+                types = ((Row.Types) StateCodec.item(reply.body()).row()).types();
+                return;
+            } catch (MalformedException e) {
+                log.error("stored machine types: {}", e.getMessage());
+            }
+        }
+        cloud.types(answer(TypesAnswered::new));
+    }
+
+    private void typesAnswered(Reply reply) {
+        if (!types.isEmpty()) {
+            return;
+        }
+        if (reply.ok()) {
+            try {
+                types = CloudCodec.types(reply.body());
+                return;
+            } catch (MalformedException e) {
+                log.error("machine types: {}", e.getMessage());
+            }
+        }
+        // Another controller may have stored them meanwhile.
+        tellLater(new TypesRead(new Reply(0, new byte[0], false)), 2 * Micros.SECOND);
+    }
+
+    // ---- the copy
+
+    private void pageRead(PageRead message) {
+        Reply reply = message.reply();
+        if (!reply.ok()) {
+            tellLater(new Load(), 300 * Micros.MILLISECOND);
+            return;
+        }
+        try {
+            StateCodec.Items page = StateCodec.page(reply.body());
+            if (message.first()) {
+                directory.restartAt(page.revision());
+            }
+            String last = null;
+            for (StateCodec.Item item : page.items()) {
+                apply(item);
+                last = item.key();
+            }
+            if (page.more()) {
+                state.list(StoreKeys.JOBS, last, answer(r -> new PageRead(r, false)));
+            } else {
+                loaded = true;
+                log.info("job rows loaded, {} open", directory.open().size());
+                refresh();
+            }
+        } catch (MalformedException e) {
+            log.error("job rows: {}", e.getMessage());
+            tellLater(new Load(), Micros.SECOND);
+        }
+    }
+
+    private void apply(StateCodec.Item item) {
+        if (item.row() instanceof Row.JobRow row) {
+            apply(item.key().substring(StoreKeys.JOBS.length()), row, item.version());
+        }
+    }
+
+    private void apply(String id, Row.JobRow row, long version) {
+        if (directory.apply(id, row, version)) {
+            if (row.state().isFinal()) {
+                progress.remove(id);
+            }
+            if (leader != null && !followPending) {
+                leader.tell(new LeaderActor.JobSeen(id, row, version));
+            }
+        }
+    }
+
+    private void refresh() {
+        if (!loaded || refreshing || arriving.isEmpty() && leader == null) {
+            return;
+        }
+        long now = Clock.now();
+        long wait = refreshedMicros + refreshEveryMicros - now;
+        if (wait > 0 && !followPending) {
+            if (!refreshTimer) {
+                refreshTimer = true;
+                tellLater(new RefreshDue(), wait);
+            }
+            return;
+        }
+        refreshedMicros = now;
+        refreshing = true;
+        asking = new ArrayList<>(arriving);
+        arriving.clear();
+        state.changes(StoreKeys.JOBS, directory.revision(), answer(r -> new ChangesRead(r, now)));
+    }
+
+    private void changesRead(ChangesRead message) {
+        refreshing = false;
+        List<Question> asked = asking;
+        asking = List.of();
+        Reply reply = message.reply();
+        boolean fresh = false;
+        if (reply.ok()) {
+            try {
+                StateCodec.Items changes = StateCodec.changes(reply.body());
+                changes.items().forEach(this::apply);
+                directory.upTo(changes.revision());
+                fresh = true;
+            } catch (MalformedException e) {
+                log.error("changes of jobs: {}", e.getMessage());
+            }
+        } else if (reply.status() == 410) {
+            loaded = false;
+            tell(new Load());
+        }
+        if (fresh) {
+            if (leader != null) {
+                if (followPending) {
+                    followPending = false;
+                    leader.tell(new LeaderActor.JobsSeen(List.copyOf(directory.open())));
+                }
+                leader.tell(new LeaderActor.StateFresh(message.askedMicros()));
+            }
+            asked.forEach(Question::fresh);
+        } else {
+            asked.forEach(question -> question.request().answer(503, UNAVAILABLE, 1));
+        }
+        refresh();
+    }
+
+    private void whenFresh(Request request, Runnable then) {
+        if (arriving.size() >= MOST_WAITING) {
+            request.answer(429, BUSY, 2);
+            return;
+        }
+        arriving.add(new Question() {
+            @Override
+            public Request request() {
+                return request;
+            }
+
+            @Override
+            public void fresh() {
+                then.run();
+            }
+        });
+        refresh();
+    }
+
+    // ---- users
+
+    private void ask(Request request) {
+        String path = request.path();
+        int query = path.indexOf('?');
+        if (query >= 0) {
+            path = path.substring(0, query);
+        }
+        if (path.equals("/healthz")) {
+            if (!request.method().equals("GET")) {
+                request.answer(405, WRONG_METHOD);
+            } else if (loaded && !types.isEmpty()) {
+                request.answer(200, "{\"status\":\"ok\"}".getBytes(java.nio.charset.StandardCharsets.US_ASCII));
+            } else {
+                request.answer(503, STARTING, 1);
+            }
+            return;
+        }
+        if (path.equals("/v1/jobs")) {
+            route(request, "POST", () -> submit(request));
+        } else if (path.startsWith("/v1/jobs/")) {
+            String rest = path.substring("/v1/jobs/".length());
+            if (rest.endsWith("/abort") && rest.indexOf('/') == rest.length() - 6) {
+                String id = rest.substring(0, rest.length() - 6);
+                route(request, "POST", () -> cancel(request, id, 0));
+            } else if (rest.indexOf('/') < 0 && !rest.isEmpty()) {
+                route(request, "GET", () -> poll(request, rest));
+            } else {
+                request.answer(404, NO_SUCH_PATH);
+            }
+        } else {
+            request.answer(404, NO_SUCH_PATH);
+        }
+    }
+
+    private void route(Request request, String method, Runnable then) {
+        if (!request.method().equals(method)) {
+            request.answer(405, WRONG_METHOD);
+        } else if (!loaded) {
+            request.answer(503, STARTING, 1);
+        } else {
+            then.run();
+        }
+    }
+
+    private void poll(Request request, String id) {
+        JobDirectory.Entry entry = directory.get(id);
+        if (entry != null && entry.row().state().isFinal()) {
+            tellStatus(request, entry);
+        } else if (!JobCodec.isId(id)) {
+            request.answer(404, NO_SUCH_JOB);
+        } else {
+            whenFresh(request, () -> {
+                JobDirectory.Entry now = directory.get(id);
+                if (now == null) {
+                    request.answer(404, NO_SUCH_JOB);
+                } else {
+                    tellStatus(request, now);
+                }
+            });
+        }
+    }
+
+    private void tellStatus(Request request, JobDirectory.Entry entry) {
+        JobProgress counts = progress.get(entry.id());
+        boolean done = entry.row().state() == JobState.DONE;
+        request.answer(200, JobCodec.status(entry.id(), standing(entry),
+                done ? entry.row().tasks() : counts == null ? 0 : counts.done(),
+                done || counts == null || entry.row().state() == JobState.CANCELLED ? 0 : counts.running()));
+    }
+
+    private Standing standing(JobDirectory.Entry entry) {
+        JobProgress counts = progress.get(entry.id());
+        return switch (entry.row().state()) {
+            case DONE -> Standing.DONE;
+            case CANCELLED -> Standing.CANCELLED;
+            case OPEN -> counts != null && counts.running() > 0 ? Standing.RUNNING : Standing.QUEUED;
+        };
+    }
+
+    private void submit(Request request) {
+        JsonNode body;
+        String id;
+        try {
+            body = Json.tree(request.body());
+            id = JobCodec.id(body);
+        } catch (MalformedException e) {
+            request.answer(400, Json.error(e.field(), e.getMessage()));
+            return;
+        }
+        JobDirectory.Entry known = directory.get(id);
+        if (known != null) {
+            answerKnown(request, id);
+            return;
+        }
+        JobSpec spec;
+        try {
+            spec = JobCodec.spec(body);
+        } catch (MalformedException e) {
+            refuse(request, id, 400, Json.error(e.field(), e.getMessage()));
+            return;
+        }
+        if (types.isEmpty()) {
+            refuse(request, id, 503, Json.error(null, "the machine types are not known yet"));
+            return;
+        }
+        String refusal = Admission.refusal(spec, settings.teams(), settings.zones(), types);
+        if (refusal != null) {
+            refuse(request, id, 422, Json.error(null, refusal));
+            return;
+        }
+        Row.JobRow row = new Row.JobRow(JobState.OPEN, spec, Clock.wall(), spec.tasks());
+        Transaction put = new Transaction(List.of(new Transaction.Compare(StoreKeys.job(id), 0)),
+                List.of(new Transaction.Write(StoreKeys.job(id), row, 0)));
+        state.transaction(put, answer(r -> new Submitted(r, request, spec, row)));
+    }
+
+    /** A job that was accepted before gets 200 whatever this copy of it says. */
+    private void refuse(Request request, String id, int status, byte[] json) {
+        whenFresh(request, () -> {
+            JobDirectory.Entry known = directory.get(id);
+            if (known != null) {
+                request.answer(200, JobCodec.accepted(id, standing(known)));
+            } else {
+                request.answer(status, json, status == 503 ? 1 : 0);
+            }
+        });
+    }
+
+    private void answerKnown(Request request, String id) {
+        JobDirectory.Entry known = directory.get(id);
+        if (known != null && known.row().state().isFinal()) {
+            request.answer(200, JobCodec.accepted(id, standing(known)));
+            return;
+        }
+        whenFresh(request, () -> {
+            JobDirectory.Entry now = directory.get(id);
+            if (now == null) {
+                request.answer(503, UNAVAILABLE, 1);
+            } else {
+                request.answer(200, JobCodec.accepted(id, standing(now)));
+            }
+        });
+    }
+
+    private void submitted(Submitted message) {
+        String id = message.spec().id();
+        Reply reply = message.reply();
+        if (reply.ok()) {
+            try {
+                apply(id, message.row(), StateCodec.revision(reply.body()));
+                message.request().answer(201, JobCodec.accepted(id, Standing.QUEUED));
+                return;
+            } catch (MalformedException e) {
+                log.error("transaction answer: {}", e.getMessage());
+            }
+        }
+        if (reply.status() == 409) {
+            answerKnown(message.request(), id);
+        } else {
+            message.request().answer(reply.status() == 429 ? 429 : 503, reply.status() == 429 ? BUSY : UNAVAILABLE, 1);
+        }
+    }
+
+    private void cancel(Request request, String id, int tries) {
+        if (!JobCodec.isId(id)) {
+            request.answer(404, NO_SUCH_JOB);
+            return;
+        }
+        JobDirectory.Entry entry = directory.get(id);
+        if (entry == null || tries > 0 && !entry.row().state().isFinal()) {
+            whenFresh(request, () -> {
+                if (directory.get(id) == null) {
+                    request.answer(404, NO_SUCH_JOB);
+                } else {
+                    tryCancel(request, id, tries);
+                }
+            });
+        } else {
+            tryCancel(request, id, tries);
+        }
+    }
+
+    private void tryCancel(Request request, String id, int tries) {
+        JobDirectory.Entry entry = directory.get(id);
+        if (entry.row().state().isFinal()) {
+            request.answer(200, JobCodec.accepted(id, standing(entry)));
+            return;
+        }
+        Row.JobRow row = new Row.JobRow(JobState.CANCELLED, null, entry.row().submittedWall(), entry.row().tasks());
+        Transaction put = new Transaction(List.of(new Transaction.Compare(StoreKeys.job(id), entry.version())),
+                List.of(new Transaction.Write(StoreKeys.job(id), row, 0)));
+        state.transaction(put, answer(r -> new Cancelled(r, request, id, tries)));
+    }
+
+    private void cancelled(Cancelled message) {
+        Reply reply = message.reply();
+        String id = message.id();
+        if (reply.ok()) {
+            try {
+                JobDirectory.Entry entry = directory.get(id);
+                apply(id, new Row.JobRow(JobState.CANCELLED, null, entry.row().submittedWall(), entry.row().tasks()),
+                        StateCodec.revision(reply.body()));
+                message.request().answer(200, JobCodec.accepted(id, Standing.CANCELLED));
+                return;
+            } catch (MalformedException e) {
+                log.error("transaction answer: {}", e.getMessage());
+            }
+        }
+        if (reply.status() == 409 && message.tries() < 3) {
+            cancel(message.request(), id, message.tries() + 1);
+        } else {
+            message.request().answer(reply.status() == 429 ? 429 : 503, reply.status() == 429 ? BUSY : UNAVAILABLE, 1);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/micatide/wire/JobCodec.java
@@ -0,0 +1,149 @@
+package io.micatide.wire;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.databind.JsonNode;
+import io.micatide.core.JobKind;
+import io.micatide.core.JobSpec;
+import io.micatide.core.Micros;
+import io.micatide.core.Priority;
+import io.micatide.core.Resources;
+import java.io.IOException;
+import java.util.List;
+import java.util.regex.Pattern;
+
+/** Jobs as users describe them, and what users are told. */
+public final class JobCodec {
+    public static final int MOST_TASKS = 100_000;
+    private static final Pattern ID = Pattern.compile("wk-[A-Za-z0-9_-]{1,60}");
+
+    /** What a user is told of a job. */
+    public enum Standing {
+        QUEUED("queued"), RUNNING("running"), DONE("done"), CANCELLED("withdrawn");
+
+        private final String word;
+
+        Standing(String word) {
+            this.word = word;
+        }
+    }
+
+    private JobCodec() {
+    }
+
+    public static boolean isId(String id) {
+        return ID.matcher(id).matches();
+    }
+
+    /** The id alone: a retry of a known job is answered whatever else it says. */
+    public static String id(JsonNode body) throws MalformedException {
+        String id = new Fields(body, "").text("nameId");
+        if (!isId(id)) {
+            throw new MalformedException("nameId", "is not a job id");
+        }
+        return id;
+    }
+
+    public static JobSpec spec(JsonNode body) throws MalformedException {
+        Fields in = new Fields(body, "");
+        return new JobSpec(id(body), in.text("roster"), in.text("crew"), kind(in.text("form")),
+                priority(in.text("rank")), (int) in.count("legs", 1, MOST_TASKS),
+                Resources.of(in.amount("cpus"), in.amount("cards"), in.amount("memGb")),
+                in.text("kit"), in.amount("sizeGb"),
+                in.has("builds") ? in.texts("builds") : List.of(), in.textOrNull("ground"),
+                in.flag("samePlace"), in.flag("scatter"), in.flag("loaners"),
+                in.seconds("runtimeS"), in.seconds("halftimeS"), in.seconds("stowS"),
+                in.has("whistleS") ? in.seconds("whistleS") : -1);
+    }
+
+    /** Stored as it came in, so that the next version reads what this one wrote. */
+    static void writeSpec(JsonGenerator out, JobSpec spec) throws IOException {
+        out.writeStartObject();
+        out.writeStringField("nameId", spec.id());
+        out.writeStringField("roster", spec.jobClass());
+        out.writeStringField("crew", spec.team());
+        out.writeStringField("form", word(spec.kind()));
+        out.writeStringField("rank", word(spec.priority()));
+        out.writeNumberField("legs", spec.tasks());
+        out.writeNumberField("cpus", spec.each().cpus() / 1000.0);
+        out.writeNumberField("cards", spec.each().cards() / 1000.0);
+        out.writeNumberField("memGb", spec.each().memory() / 1000.0);
+        out.writeStringField("kit", spec.image());
+        out.writeNumberField("sizeGb", spec.imageGb());
+        if (!spec.types().isEmpty()) {
+            out.writeArrayFieldStart("builds");
+            for (String type : spec.types()) {
+                out.writeString(type);
+            }
+            out.writeEndArray();
+        }
+        if (spec.zone() != null) {
+            out.writeStringField("ground", spec.zone());
+        }
+        out.writeBooleanField("samePlace", spec.oneZone());
+        out.writeBooleanField("scatter", spec.spread());
+        out.writeBooleanField("loaners", spec.spot());
+        out.writeNumberField("runtimeS", Micros.toSeconds(spec.estimateMicros()));
+        out.writeNumberField("halftimeS", Micros.toSeconds(spec.checkpointMicros()));
+        out.writeNumberField("stowS", Micros.toSeconds(spec.saveMicros()));
+        if (spec.deadlineMicros() >= 0) {
+            out.writeNumberField("whistleS", Micros.toSeconds(spec.deadlineMicros()));
+        }
+        out.writeEndObject();
+    }
+
+    public static byte[] accepted(String id, Standing standing) {
+        return Json.bytes(out -> {
+            out.writeStartObject();
+            out.writeStringField("nameId", id);
+            out.writeStringField("standing", standing.word);
+            out.writeEndObject();
+        });
+    }
+
+    public static byte[] status(String id, Standing standing, int done, int running) {
+        return Json.bytes(out -> {
+            out.writeStartObject();
+            out.writeStringField("nameId", id);
+            out.writeStringField("standing", standing.word);
+            out.writeNumberField("done", done);
+            out.writeNumberField("running", running);
+            out.writeEndObject();
+        });
+    }
+
+    private static JobKind kind(String word) throws MalformedException {
+        return switch (word) {
+            case "batch" -> JobKind.ARRAY;
+            case "group" -> JobKind.GANG;
+            case "daemon" -> JobKind.SERVICE;
+            default -> throw new MalformedException("form", "must be batch, group or daemon");
+        };
+    }
+
+    private static String word(JobKind kind) {
+        return switch (kind) {
+            case ARRAY -> "batch";
+            case GANG -> "group";
+            case SERVICE -> "daemon";
+        };
+    }
+
+    private static Priority priority(String word) throws MalformedException {
+        return switch (word) {
+            case "production" -> Priority.PRODUCTION;
+            case "high" -> Priority.HIGH;
+            case "normal" -> Priority.NORMAL;
+            case "best_effort" -> Priority.LOW;
+            default -> throw new MalformedException("rank", "must be production, high, normal or best_effort");
+        };
+    }
+
+    private static String word(Priority priority) {
+        return switch (priority) {
+            case PRODUCTION -> "production";
+            case HIGH -> "high";
+            case NORMAL -> "normal";
+            case LOW -> "best_effort";
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/io/micatide/wire/Json.java
@@ -0,0 +1,58 @@
+package io.micatide.wire;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+/** The one Jackson mapper; trees and streams only, since binding by reflection costs start time. */
+public final class Json {
+    static final ObjectMapper MAPPER = new ObjectMapper();
+    static final JsonFactory FACTORY = MAPPER.getFactory();
+
+    private Json() {
+    }
+
+    /** Something that writes one JSON value. */
+    @FunctionalInterface
+    public interface Body {
+        void write(JsonGenerator out) throws IOException;
+    }
+
+    public static byte[] bytes(Body body) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream(256);
+        try (JsonGenerator generator = FACTORY.createGenerator(out)) {
+            body.write(generator);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        return out.toByteArray();
+    }
+
+    /** The value as a tree. */
+    public static JsonNode tree(byte[] body) throws MalformedException {
+        try {
+            JsonNode node = MAPPER.readTree(body);
+            if (node == null || node.isMissingNode()) {
+                throw new MalformedException("body", "is empty");
+            }
+            return node;
+        } catch (IOException e) {
+            throw new MalformedException("body", "is not JSON");
+        }
+    }
+
+    public static byte[] error(String field, String message) {
+        return bytes(out -> {
+            out.writeStartObject();
+            out.writeStringField("error", message);
+            if (field != null) {
+                out.writeStringField("field", field);
+            }
+            out.writeEndObject();
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/io/micatide/wire/StateCodec.java
@@ -0,0 +1,178 @@
+package io.micatide.wire;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.databind.JsonNode;
+import io.micatide.core.JobState;
+import io.micatide.core.MachineType;
+import io.micatide.core.Micros;
+import io.micatide.core.Resources;
+import io.micatide.core.Row;
+import io.micatide.core.StoreKeys;
+import io.micatide.core.Transaction;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The state service's messages, and the rows that micatide keeps there. */
+public final class StateCodec {
+    private StateCodec() {
+    }
+
+    /** A key with its row; {@code row} is null if the key does not exist or was deleted. */
+    public record Item(String key, Row row, long version) {
+    }
+
+    /** A page of keys, or the changes since a revision. */
+    public record Items(List<Item> items, boolean more, long revision) {
+    }
+
+    public static byte[] transaction(Transaction transaction) {
+        return Json.bytes(out -> {
+            out.writeStartObject();
+            out.writeArrayFieldStart("if");
+            for (Transaction.Compare compare : transaction.conditions()) {
+                out.writeStartObject();
+                out.writeStringField("k", compare.key());
+                out.writeNumberField("stamp", compare.version());
+                out.writeEndObject();
+            }
+            out.writeEndArray();
+            out.writeArrayFieldStart("writes");
+            for (Transaction.Write write : transaction.writes()) {
+                out.writeStartObject();
+                if (write.row() == null) {
+                    out.writeStringField("delete", write.key());
+                } else {
+                    out.writeStringField("put", write.key());
+                    out.writeFieldName("data");
+                    write(out, write.row());
+                    if (write.lease() != 0) {
+                        out.writeNumberField("hold", write.lease());
+                    }
+                }
+                out.writeEndObject();
+            }
+            out.writeEndArray();
+            out.writeEndObject();
+        });
+    }
+
+    private static void write(JsonGenerator out, Row row) throws IOException {
+        out.writeStartObject();
+        if (row instanceof Row.Leader leader) {
+            out.writeStringField("owner", leader.owner());
+        } else if (row instanceof Row.JobRow job) {
+            out.writeStringField("state", job.state().name());
+            out.writeNumberField("tasks", job.tasks());
+            out.writeNumberField("submitted", job.submittedWall());
+            if (job.spec() != null) {
+                out.writeFieldName("spec");
+                JobCodec.writeSpec(out, job.spec());
+            }
+        } else if (row instanceof Row.Ledger ledger) {
+            out.writeArrayFieldStart("machines");
+            for (String machine : ledger.machines()) {
+                out.writeString(machine);
+            }
+            out.writeEndArray();
+            out.writeNumberField("gang", ledger.gangAttempt());
+            out.writeStringField("done", ledger.done());
+        } else if (row instanceof Row.Booking booking) {
+            out.writeStringField("state", booking.state());
+            out.writeStringField("type", booking.type());
+            out.writeStringField("zone", booking.zone());
+            out.writeBooleanField("spot", booking.spot());
+            out.writeNumberField("count", booking.count());
+        } else if (row instanceof Row.Types types) {
+            out.writeArrayFieldStart("types");
+            for (MachineType type : types.types()) {
+                CloudCodec.writeType(out, type);
+            }
+            out.writeEndArray();
+        }
+        out.writeEndObject();
+    }
+
+    private static Row row(String key, JsonNode data) throws MalformedException {
+        Fields in = new Fields(data, key);
+        if (key.equals(StoreKeys.LEADER)) {
+            return new Row.Leader(in.text("owner"));
+        }
+        if (key.startsWith(StoreKeys.JOBS)) {
+            JobState state = JobState.valueOf(in.text("state"));
+            return new Row.JobRow(state, state.isFinal() ? null : JobCodec.spec(data.get("spec")),
+                    in.count("submitted", 0, Long.MAX_VALUE), (int) in.count("tasks", 0, Integer.MAX_VALUE));
+        }
+        if (key.startsWith(StoreKeys.LEDGERS)) {
+            return new Row.Ledger(in.texts("machines"), in.count("gang", 0, Long.MAX_VALUE),
+                    data.path("done").asText(""));
+        }
+        if (key.startsWith(StoreKeys.BOOKINGS)) {
+            return new Row.Booking(in.text("state"), in.text("type"), in.text("zone"), in.flag("spot"),
+                    (int) in.count("count", 0, 1000));
+        }
+        if (key.equals(StoreKeys.TYPES)) {
+            List<MachineType> types = new ArrayList<>();
+            for (Fields type : in.objects("types")) {
+                types.add(CloudCodec.type(type));
+            }
+            return new Row.Types(types);
+        }
+        throw new MalformedException(key, "is not a key of micatide");
+    }
+
+    public static long revision(byte[] body) throws MalformedException {
+        return new Fields(Json.tree(body), "").count("ledger", 0, Long.MAX_VALUE);
+    }
+
+    public static List<String> failed(byte[] body) throws MalformedException {
+        JsonNode tree = Json.tree(body);
+        return new Fields(tree, "").has("failed") ? new Fields(tree, "").texts("failed") : List.of();
+    }
+
+    public static Item item(byte[] body) throws MalformedException {
+        JsonNode tree = Json.tree(body);
+        Fields in = new Fields(tree, "");
+        String key = in.text("k");
+        return new Item(key, row(key, tree.get("data")), in.count("stamp", 1, Long.MAX_VALUE));
+    }
+
+    public static Items page(byte[] body) throws MalformedException {
+        JsonNode tree = Json.tree(body);
+        Fields in = new Fields(tree, "");
+        List<Item> items = new ArrayList<>();
+        for (JsonNode each : tree.path("items")) {
+            String key = each.path("k").asText();
+            items.add(new Item(key, row(key, each.get("data")), each.path("stamp").asLong()));
+        }
+        return new Items(items, tree.path("truncated").asBoolean(), in.count("ledger", 0, Long.MAX_VALUE));
+    }
+
+    public static Items changes(byte[] body) throws MalformedException {
+        JsonNode tree = Json.tree(body);
+        Fields in = new Fields(tree, "");
+        List<Item> items = new ArrayList<>();
+        for (JsonNode each : tree.path("events")) {
+            boolean put = each.hasNonNull("put");
+            String key = each.path(put ? "put" : "delete").asText();
+            items.add(new Item(key, put ? row(key, each.get("data")) : null, each.path("stamp").asLong()));
+        }
+        return new Items(items, false, in.count("ledger", 0, Long.MAX_VALUE));
+    }
+
+    public static byte[] grant(long ttlMicros) {
+        return Json.bytes(out -> {
+            out.writeStartObject();
+            out.writeNumberField("ttlMs", ttlMicros / Micros.MILLISECOND);
+            out.writeEndObject();
+        });
+    }
+
+    public static long granted(byte[] body) throws MalformedException {
+        return new Fields(Json.tree(body), "").count("hold", 1, Long.MAX_VALUE);
+    }
+
+    static Resources size(Fields in) throws MalformedException {
+        return Resources.of(in.amount("cpus"), in.has("cards") ? in.amount("cards") : 0, in.amount("memGb"));
+    }
+}
--- /dev/null
+++ b/src/main/java/io/micatide/wire/WorkerCodec.java
@@ -0,0 +1,180 @@
+package io.micatide.wire;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import io.micatide.core.Command;
+import io.micatide.core.ExitCause;
+import io.micatide.core.MachineReport;
+import io.micatide.core.Micros;
+import io.micatide.core.TaskReport;
+import io.micatide.core.TaskState;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Reports of the workers and the answers to them. Reports are most of the traffic, so they are read as a stream. */
+public final class WorkerCodec {
+    private WorkerCodec() {
+    }
+
+    public static MachineReport report(byte[] body) throws MalformedException {
+        try (JsonParser in = Json.FACTORY.createParser(body)) {
+            return read(in);
+        } catch (IOException | NumberFormatException e) {
+            throw new MalformedException("body", "is not a report");
+        }
+    }
+
+    private static MachineReport read(JsonParser in) throws IOException, MalformedException {
+        if (in.nextToken() != JsonToken.START_OBJECT) {
+            throw new MalformedException("body", "is not an object");
+        }
+        String machine = null;
+        String address = null;
+        String type = null;
+        String zone = null;
+        boolean spot = false;
+        long session = -1;
+        long sequence = -1;
+        long token = -1;
+        long notice = -1;
+        List<TaskReport> tasks = null;
+        while (in.nextToken() == JsonToken.FIELD_NAME) {
+            String name = in.currentName();
+            JsonToken value = in.nextToken();
+            if (value == JsonToken.VALUE_NULL) {
+                continue;
+            }
+            switch (name) {
+                case "berth" -> machine = in.getValueAsString();
+                case "addr" -> address = in.getValueAsString();
+                case "build" -> type = in.getValueAsString();
+                case "ground" -> zone = in.getValueAsString();
+                case "loaners" -> spot = in.getValueAsBoolean();
+                case "stint" -> session = in.getLongValue();
+                case "tally" -> sequence = in.getLongValue();
+                case "armband" -> token = in.getLongValue();
+                case "recallS" -> notice = Micros.ofSeconds(in.getDoubleValue());
+                case "legs" -> tasks = tasks(in);
+                default -> in.skipChildren();
+            }
+        }
+        require(machine, "berth");
+        require(type, "build");
+        require(zone, "ground");
+        require(tasks, "legs");
+        require(session < 0 ? null : session, "stint");
+        require(sequence < 0 ? null : sequence, "tally");
+        require(token < 0 ? null : token, "armband");
+        return new MachineReport(machine, address, type, zone, spot, session, sequence, token, notice, tasks);
+    }
+
+    private static void require(Object value, String field) throws MalformedException {
+        if (value == null) {
+            throw new MalformedException(field, "is missing");
+        }
+    }
+
+    private static List<TaskReport> tasks(JsonParser in) throws IOException, MalformedException {
+        if (in.currentToken() != JsonToken.START_ARRAY) {
+            throw new MalformedException("legs", "must be a list");
+        }
+        List<TaskReport> result = new ArrayList<>();
+        while (in.nextToken() == JsonToken.START_OBJECT) {
+            result.add(task(in));
+        }
+        return result;
+    }
+
+    private static TaskReport task(JsonParser in) throws IOException, MalformedException {
+        String task = null;
+        long attempt = -1;
+        TaskState state = null;
+        ExitCause cause = null;
+        boolean saved = false;
+        while (in.nextToken() == JsonToken.FIELD_NAME) {
+            String name = in.currentName();
+            in.nextToken();
+            switch (name) {
+                case "leg" -> task = in.getValueAsString();
+                case "throwIn" -> attempt = in.getLongValue();
+                case "standing" -> state = state(in.getValueAsString());
+                case "cause" -> cause = in.currentToken() == JsonToken.VALUE_NULL ? null : cause(in.getValueAsString());
+                case "stored" -> saved = in.getValueAsBoolean();
+                default -> in.skipChildren();
+            }
+        }
+        int slash = task == null ? -1 : task.lastIndexOf('/');
+        if (slash < 0 || attempt < 0 || state == null) {
+            throw new MalformedException("legs", "has an incomplete entry");
+        }
+        if (state == TaskState.EXITED && cause == null) {
+            cause = ExitCause.ERROR;
+        }
+        return new TaskReport(task.substring(0, slash), Integer.parseInt(task.substring(slash + 1)), attempt, state,
+                cause, saved);
+    }
+
+    private static TaskState state(String word) throws MalformedException {
+        return switch (word) {
+            case "pulling" -> TaskState.FETCHING;
+            case "waiting" -> TaskState.WAITING;
+            case "running" -> TaskState.RUNNING;
+            case "flushing" -> TaskState.SAVING;
+            case "exited" -> TaskState.EXITED;
+            default -> throw new MalformedException("standing", "is not a task's state");
+        };
+    }
+
+    private static ExitCause cause(String word) throws MalformedException {
+        return switch (word) {
+            case "done" -> ExitCause.DONE;
+            case "halted" -> ExitCause.STOPPED;
+            case "peers" -> ExitCause.PEERS;
+            case "alone" -> ExitCause.ALONE;
+            case "error" -> ExitCause.ERROR;
+            case "no_room" -> ExitCause.NO_ROOM;
+            case "in_use" -> ExitCause.BUSY;
+            case "unknown" -> ExitCause.UNKNOWN;
+            default -> throw new MalformedException("cause", "is not a cause");
+        };
+    }
+
+    public static byte[] answer(long token, List<Command> commands) {
+        return Json.bytes(out -> {
+            out.writeStartObject();
+            out.writeNumberField("armband", token);
+            out.writeArrayFieldStart("calls");
+            for (Command command : commands) {
+                out.writeStartObject();
+                out.writeStringField("call", word(command));
+                out.writeStringField("leg", command.job() + "/" + command.index());
+                out.writeNumberField("throwIn", command.attempt());
+                if (command instanceof Command.Stop stop) {
+                    out.writeNumberField("stoppageS", Micros.toSeconds(stop.graceMicros()));
+                }
+                out.writeEndObject();
+            }
+            out.writeEndArray();
+            out.writeEndObject();
+        });
+    }
+
+    private static String word(Command command) {
+        if (command instanceof Command.Start) {
+            return "start";
+        }
+        return command instanceof Command.Stop ? "halt" : "reap";
+    }
+
+    /** Sends a worker to the leader; without a label it tries the next node. */
+    public static byte[] elsewhere(String leader) {
+        return Json.bytes(out -> {
+            out.writeStartObject();
+            if (leader != null) {
+                out.writeStringField("steward", leader);
+            }
+            out.writeEndObject();
+        });
+    }
+}
