--- a/src/main/java/io/micatide/core/Job.java
+++ b/src/main/java/io/micatide/core/Job.java
@@ -39,6 +39,12 @@
     /** Scan position for the next task to place. */
     int cursor;
     long firstStartMicros = -1;
+    /** Until when room that was asked for by stopping saving work is waited for. */
+    long roomComingMicros = -1;
+    /** A task of the gang's present attempt has run: what is missing cannot be replaced any more. */
+    boolean gangStarted;
+    /** The present attempt is over; the next one begins when nothing of it can be on a machine. */
+    boolean gangBroken;
 
     Job(JobSpec spec, long version, long submittedWall, long submittedMicros) {
         this.spec = spec;
@@ -103,6 +109,14 @@
         }
     }
 
+    /** The attempt that all tasks of a gang share, or 0 when none is live. */
+    long liveAttempt() {
+        for (List<Placement> list : live.values()) {
+            return list.get(0).attempt;
+        }
+        return 0;
+    }
+
     /** A task of which nothing was reported may still sit on a machine of an earlier leader. */
     boolean unsettled() {
         return !unsettledMachines.isEmpty();
--- a/src/main/java/io/micatide/core/Planner.java
+++ b/src/main/java/io/micatide/core/Planner.java
@@ -81,8 +81,7 @@
     }
 
     boolean startable(Job job, long nowMicros) {
-        return !job.cancelled && job.spec.kind() != JobKind.GANG && job.blockedUntilMicros <= nowMicros
-                && !job.unsettled();
+        return !job.cancelled && job.blockedUntilMicros <= nowMicros && !job.unsettled();
     }
 
     void plan(long nowMicros) {
@@ -132,7 +131,11 @@
         candidates.sort(Comparator.comparing((Machine m) -> !m.images.containsKey(image))
                 .thenComparing(m -> !m.spot)
                 .thenComparing(m -> -m.room().cpus()));
-        boolean preempts = service || queued.guaranteed();
+        boolean preempts = service || queued.guaranteed() || spec.priority() != Priority.NORMAL;
+        if (spec.kind() == JobKind.GANG) {
+            placeGang(job, left, candidates, preempts, unknown, nowMicros);
+            return;
+        }
         while (left > 0) {
             int index = job.nextWaiting();
             if (index < 0 || team != null && !team.allows(
@@ -148,6 +151,67 @@
         }
     }
 
+    /** All missing tasks of a gang at once, or none: a part of it would hold its places for nothing. */
+    private void placeGang(Job job, int missing, List<Machine> all, boolean preempts, Resources unknown,
+            long nowMicros) {
+        JobSpec spec = job.spec;
+        Team team = settings.teams().get(spec.team());
+        boolean ended = job.gangBroken || job.gangStarted && !job.live.isEmpty();
+        if (ended || team != null
+                && !team.allows(scheduler.teamUse(spec.team()).plus(unknown).plus(spec.each().times(missing)))) {
+            return;
+        }
+        Map<String, Long> perZone = new HashMap<>();
+        for (Machine machine : all) {
+            Resources room = machine.room();
+            if (preempts) {
+                for (Placement placement : machine.placements) {
+                    if (!placement.stopping() && yields(placement, job)) {
+                        room = room.plus(placement.job.spec.each());
+                    }
+                }
+            }
+            perZone.merge(machine.zone, spec.each().countIn(room), Long::sum);
+        }
+        List<Machine> candidates = all;
+        if (spec.oneZone()) {
+            String zone = job.live.isEmpty() ? null : job.live.values().iterator().next().get(0).machine.zone;
+            for (Map.Entry<String, Long> entry : perZone.entrySet()) {
+                if (zone == null && entry.getValue() >= missing) {
+                    zone = entry.getKey();
+                }
+            }
+            String chosen = zone;
+            candidates = all.stream().filter(machine -> machine.zone.equals(chosen)).toList();
+            if (chosen == null || perZone.getOrDefault(chosen, 0L) < missing) {
+                return;
+            }
+        } else {
+            long fits = 0;
+            for (long count : perZone.values()) {
+                fits += Math.min(count, spec.mostInOneZone());
+            }
+            if (fits < missing) {
+                return;
+            }
+        }
+        for (int i = 0; i < missing; i++) {
+            int index = job.nextWaiting();
+            Machine machine = index < 0 ? null : choose(job, candidates, preempts, nowMicros);
+            if (machine == null) {
+                for (List<Placement> list : List.copyOf(job.live.values())) {
+                    for (Placement placement : List.copyOf(list)) {
+                        if (placement.unsent()) {
+                            scheduler.remove(placement);
+                        }
+                    }
+                }
+                return;
+            }
+            scheduler.place(job, index, machine, nowMicros);
+        }
+    }
+
     private Machine choose(Job job, List<Machine> candidates, boolean preempts, long nowMicros) {
         JobSpec spec = job.spec;
         Machine without = null;
@@ -169,10 +233,40 @@
                     return machine;
                 }
             }
+            if (without == null) {
+                askSavingWork(job, candidates, nowMicros);
+            }
         }
         return without;
     }
 
+    /** Work that saves needs time to end; its room is taken once it is there. */
+    private void askSavingWork(Job job, List<Machine> candidates, long nowMicros) {
+        if (job.roomComingMicros > nowMicros) {
+            return;
+        }
+        for (Machine machine : candidates) {
+            Resources room = machine.room();
+            List<Placement> victims = new ArrayList<>();
+            for (Placement placement : machine.placements) {
+                JobSpec theirs = placement.job.spec;
+                if (!job.spec.each().fitsIn(room) && theirs.kind() != JobKind.SERVICE && !placement.stopping()
+                        && job.spec.priority().above(theirs.priority())) {
+                    victims.add(placement);
+                    room = room.plus(theirs.each());
+                }
+            }
+            if (!victims.isEmpty() && job.spec.each().fitsIn(room)) {
+                for (Placement victim : victims) {
+                    job.roomComingMicros = Math.max(job.roomComingMicros,
+                            nowMicros + victim.job.spec.saveMicros() + 5 * Micros.SECOND);
+                    scheduler.stopToSave(victim, nowMicros);
+                }
+                return;
+            }
+        }
+    }
+
     private long fetchMicros(Machine machine, JobSpec spec) {
         MachineType type = fleet.types().get(machine.type);
         return type == null || type.fetchGbPerSecond() <= 0 ? 0
--- a/src/main/java/io/micatide/core/Renter.java
+++ b/src/main/java/io/micatide/core/Renter.java
@@ -120,7 +120,7 @@
         for (Planner.Queued queued : planner.queue(nowMicros)) {
             Job job = queued.job();
             JobSpec spec = job.spec;
-            if (spec.kind() == JobKind.GANG || job.unsettled()) {
+            if (job.unsettled()) {
                 continue;
             }
             int count = wanted(queued, nowMicros);
@@ -158,7 +158,7 @@
     /** How many more tasks of the job should run at the same time for it to be ready when it should. */
     private int wanted(Planner.Queued queued, long nowMicros) {
         JobSpec spec = queued.job().spec;
-        if (spec.kind() == JobKind.SERVICE) {
+        if (spec.kind() != JobKind.ARRAY) {
             return queued.waiting();
         }
         long length = runTimes.expected(spec);
--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -209,6 +209,10 @@
             if (line.state() != TaskState.FETCHING) {
                 hasImage(machine, job);
             }
+            if (job.spec.kind() == JobKind.GANG && line.state() != TaskState.FETCHING
+                    && line.state() != TaskState.WAITING) {
+                job.gangStarted = true;
+            }
             listed.add(placement);
         }
         for (Placement placement : List.copyOf(machine.placements)) {
@@ -226,7 +230,14 @@
             if (!job.finished.get(line.index())) {
                 learn(machine, placement, nowMicros);
                 hasImage(machine, job);
-                book.finished(job, line.index(), nowMicros);
+                if (job.spec.kind() == JobKind.GANG) {
+                    // A gang completes together, so one report tells of all, also of those that are lost now.
+                    for (int index = 0; index < job.spec.tasks(); index++) {
+                        book.finished(job, index, nowMicros);
+                    }
+                } else {
+                    book.finished(job, line.index(), nowMicros);
+                }
                 for (Placement other : List.copyOf(job.live.getOrDefault(line.index(), List.of()))) {
                     if (other != placement) {
                         if (other.unsent()) {
@@ -248,6 +259,10 @@
         }
         if (placement != null) {
             remove(placement);
+            if (placement.job.spec.kind() == JobKind.GANG && line.cause() != ExitCause.NO_ROOM
+                    && line.cause() != ExitCause.BUSY && line.cause() != ExitCause.UNKNOWN) {
+                placement.job.gangBroken = !placement.job.live.isEmpty();
+            }
         }
     }
 
@@ -308,12 +323,50 @@
             if (placement.unsent()) {
                 remove(placement);
             } else if (placement.job.spec.checkpointMicros() > 0) {
-                stop(placement, Micros.withDrift(placement.job.spec.saveMicros()) + Micros.SECOND, nowMicros);
+                stopToSave(placement, nowMicros);
             }
         }
         planNeeded = true;
     }
 
+    /** A gang saves only together: all its tasks have to be told within the time that they wait for one another. */
+    void stopToSave(Placement placement, long nowMicros) {
+        Job job = placement.job;
+        long grace = Micros.withDrift(job.spec.saveMicros()) + Micros.SECOND;
+        if (job.spec.kind() == JobKind.GANG) {
+            job.gangBroken = true;
+            for (Placement each : allOf(job)) {
+                if (each.unsent()) {
+                    remove(each);
+                } else {
+                    stop(each, grace + settings.gangPeerMicros(), nowMicros);
+                }
+            }
+        } else {
+            stop(placement, grace, nowMicros);
+        }
+    }
+
+    /** A gang that lost a task after it started cannot go on, and one that gave up waiting is not completed. */
+    private void endBrokenGangs(long nowMicros) {
+        for (Job job : book.jobs()) {
+            if (job.spec.kind() != JobKind.GANG || job.live.isEmpty() || job.unsettled() || job.allFinished()) {
+                continue;
+            }
+            boolean incomplete = job.gangStarted && job.live.size() < job.spec.tasks();
+            if (incomplete || job.gangBroken) {
+                job.gangBroken = true;
+                for (Placement each : allOf(job)) {
+                    if (each.unsent()) {
+                        remove(each);
+                    } else if (!each.stopping()) {
+                        stop(each, 0, nowMicros);
+                    }
+                }
+            }
+        }
+    }
+
     // ---- placements
 
     private static Placement find(Machine machine, TaskReport line) {
@@ -342,6 +395,10 @@
         placement.job.remove(placement);
         teamUse.merge(placement.job.spec.team(), Resources.NONE.minus(placement.job.spec.each()), Resources::plus);
         planNeeded = true;
+        if (placement.job.live.isEmpty()) {
+            placement.job.gangStarted = false;
+            placement.job.gangBroken = false;
+        }
         if (placement.job.cancelled) {
             settleCancelled(placement.job, placement.createdMicros);
         }
@@ -359,6 +416,11 @@
     /** Decides a start. Its attempt carries the token, so that it is unique without being written. */
     void place(Job job, int index, Machine machine, long nowMicros) {
         long attempt = (token << 20) + ++attemptCounter;
+        if (job.spec.kind() == JobKind.GANG) {
+            long live = job.liveAttempt();
+            attempt = live != 0 ? live : attempt;
+            job.gangAttempt = attempt;
+        }
         boolean recorded = job.recordedMachines.contains(machine.name);
         add(new Placement(job, index, attempt, machine,
                 recorded ? Placement.Phase.READY : Placement.Phase.HELD, nowMicros));
@@ -379,6 +441,7 @@
         for (Machine machine : List.copyOf(fleet.machines())) {
             expire(machine, nowMicros);
         }
+        endBrokenGangs(nowMicros);
         planNeeded = true;
         plan(nowMicros);
         renter.plan(nowMicros, termStartMicros);
