--- /dev/null
+++ b/src/test/java/io/micatide/core/FailureTest.java
@@ -0,0 +1,111 @@
+package io.micatide.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The only test that matters: kill it between any two steps, and count second runs and what stays unknown. */
+class FailureTest {
+    private static void submitAll(World world) {
+        world.submit(World.job("wk-1", JobKind.ARRAY, "red", Priority.NORMAL, 20, 6));
+        world.submit(World.job("wk-2", JobKind.ARRAY, "blue", Priority.NORMAL, 12, 9));
+        world.submit(World.job("wk-3", JobKind.SERVICE, "blue", Priority.HIGH, 2, 0));
+        world.submit(World.job("wk-4", JobKind.ARRAY, "blue", Priority.NORMAL, 8, 30));
+        world.submit(World.job("wk-5", JobKind.GANG, "blue", Priority.NORMAL, 3, 5));
+    }
+
+    private static void assertSound(World world, String what) {
+        assertEquals(List.of(), world.broken, what);
+        for (String id : List.of("wk-1", "wk-2", "wk-5")) {
+            assertEquals(JobState.DONE, world.state(id), what + ": " + id);
+        }
+        assertEquals(JobState.CANCELLED, world.state("wk-4"), what);
+        assertTrue(world.leader.summary(world.now).contains("unsettled=0"), what + world.leader.summary(world.now));
+        // Nothing of what is over stays behind: only the replicas run and only their ledger is kept.
+        List<String> kept = new ArrayList<>();
+        world.rows.keySet().stream().filter(key -> key.startsWith(StoreKeys.LEDGERS)).forEach(kept::add);
+        assertEquals(List.of(StoreKeys.ledger("wk-3", 0)), kept, what);
+    }
+
+    /** Each row moves the kill over another stretch of the interactions of a whole run. */
+    @ParameterizedTest
+    @CsvSource({"0, 0", "0, 0.02", "300, 0", "300, 0.02", "150, 0.1"})
+    void noSecondRunWhereverTheLeaderIsKilled(int from, double lostAnswers) {
+        int duplicates = 0;
+        for (int kill = from + 1; kill <= from + 300; kill++) {
+            World world = new World(kill, 3);
+            world.lostAnswers = lostAnswers;
+            world.killAfter = kill;
+            world.takeOver();
+            submitAll(world);
+            world.run(12 * Micros.SECOND);
+            world.cancel("wk-4");
+            world.run(150 * Micros.SECOND);
+            assertTrue(world.interactions > kill || world.takeOvers > 1, "the kill was not reached");
+            assertSound(world, "kill " + kill + " lost " + lostAnswers);
+            duplicates += (int) world.broken.stream().filter(rule -> rule.startsWith("ran_twice")).count();
+        }
+        assertEquals(0, duplicates);
+    }
+
+    /**
+     * Each row is a failure around a take-over. A machine that hangs over it may go on within its lease, so what was
+     * on it stays unknown until it reports to the new leader or its deletion is answered.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        // hangs at, for, leader killed after, state outage from, for, cloud outage from, for
+        "3, 9, 60, 0, 0, 0, 0",
+        "3, 25, 60, 0, 0, 0, 0",
+        "3, 60, 60, 0, 0, 0, 0",
+        "3, 25, 40, 4, 20, 0, 0",
+        "5, 6, 90, 4, 20, 2, 60",
+        "2, 12, 30, 0, 0, 0, 60",
+        "0, 0, 50, 2, 30, 0, 40",
+    })
+    void hangsAndOutagesOverATakeOver(int hangAt, int hangFor, int kill, int outageAt, int outageFor, int cloudAt,
+            int cloudFor) {
+        for (int seed = 0; seed < 12; seed++) {
+            World world = new World(seed, 4);
+            world.killAfter = kill + seed * 5;
+            world.lostAnswers = 0.01;
+            world.takeOver();
+            submitAll(world);
+            for (int second = 0; second < 240; second++) {
+                if (second == hangAt && hangFor > 0) {
+                    world.workers.values().iterator().next().hungUntil = world.now + hangFor * Micros.SECOND;
+                }
+                if (second == 12 || second == 80) {
+                    world.cancel("wk-4");
+                }
+                world.stateOutage = outageFor > 0 && second >= outageAt && second < outageAt + outageFor;
+                world.cloudOutage = cloudFor > 0 && second >= cloudAt && second < cloudAt + cloudFor;
+                world.run(Micros.SECOND);
+            }
+            assertSound(world, "seed " + seed);
+        }
+    }
+
+    /** In an outage of the state service the leader answers on, so tasks live, and nothing new starts. */
+    @Test
+    void outageKeepsTasksAliveAndStartsNothing() {
+        World world = new World(1, 3);
+        world.takeOver();
+        world.submit(World.job("wk-3", JobKind.SERVICE, "blue", Priority.HIGH, 4, 0));
+        world.run(15 * Micros.SECOND);
+        assertEquals(4, world.starts);
+        world.stateOutage = true;
+        world.submit(World.job("wk-6", JobKind.ARRAY, "blue", Priority.NORMAL, 4, 5));
+        world.run(40 * Micros.SECOND);
+        assertEquals(4, world.starts, "started during the outage");
+        world.stateOutage = false;
+        world.run(30 * Micros.SECOND);
+        assertEquals(8, world.starts, "replicas were started again");
+        assertEquals(JobState.DONE, world.state("wk-6"));
+    }
+}
--- /dev/null
+++ b/src/test/java/io/micatide/core/LeadershipTest.java
@@ -0,0 +1,57 @@
+package io.micatide.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class LeadershipTest {
+    private static final long TTL = 3 * Micros.SECOND;
+
+    /**
+     * Each row plays events and says who leads then: `row:owner:version` watched, `read:` read, `lease`, `won:token`,
+     * `lost`, `gone` (lease), `high:token:owner`, `unknown` (claim without an answer).
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "'read::0,lease,won:5', 5, me, NOTHING",
+        "'read:other:4,lease', 0, other, NOTHING",
+        // A free row is claimed at once.
+        "'read:other:4,lease,row::0', 0, other, CLAIM",
+        // The row of our own earlier process is replaced: that process is gone.
+        "'read:me:4,lease', 0, me, CLAIM",
+        "'read::0,lease,lost', 0, , READ_ROW",
+        "'read::0,lease,unknown', 0, , READ_ROW",
+        // A lease that ended takes the row with it.
+        "'read::0,lease,won:5,gone', 0, , READ_ROW",
+        // Fenced by the row, by a sibling and by a worker.
+        "'read::0,lease,won:5,row:other:9', 0, other, NOTHING",
+        "'read::0,lease,won:5,high:9:other', 0, other, READ_ROW",
+        "'read::0,lease,won:5,high:9:', 0, , READ_ROW",
+        // What is older changes nothing.
+        "'read::0,lease,won:5,high:4:other', 5, me, NOTHING",
+        "'read::0,lease,won:5,high:5:', 5, me, NOTHING",
+    })
+    void leads(String events, long token, String leader, Leadership.Wish next) {
+        Leadership leadership = new Leadership("me", TTL);
+        long now = Micros.SECOND;
+        for (String event : events.split(",")) {
+            String[] part = event.split(":", -1);
+            String owner = part.length > 1 && !part[1].isEmpty() ? part[1] : null;
+            switch (part[0]) {
+                case "read" -> leadership.rowRead(owner, Long.parseLong(part[2]));
+                case "row" -> leadership.row(owner, Long.parseLong(part[2]));
+                case "lease" -> leadership.granted(7, now);
+                case "won" -> leadership.claimed(Long.parseLong(part[1]));
+                case "lost" -> leadership.claimRefused();
+                case "gone" -> leadership.leaseGone();
+                case "unknown" -> leadership.claimUnknown(now - Micros.SECOND);
+                case "high" -> leadership.higherToken(Long.parseLong(part[1]), part[2].isEmpty() ? null : part[2]);
+                default -> throw new IllegalArgumentException(event);
+            }
+        }
+        assertEquals(token, leadership.token());
+        assertEquals(leader, leadership.leader());
+        assertEquals(next, leadership.next(now));
+    }
+}
--- /dev/null
+++ b/src/test/java/io/micatide/core/RangesTest.java
@@ -0,0 +1,42 @@
+package io.micatide.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.BitSet;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class RangesTest {
+    @ParameterizedTest
+    @CsvSource({"'', 0, 10", "0-3, 0, 10", "'0,2,4-5', 0, 10", "'1,9', 20, 30", "0-9, 20, 30"})
+    void comesBackAsItWentIn(String text, int from, int to) {
+        BitSet bits = new BitSet();
+        Ranges.parseInto(text, from, bits);
+        bits.set(to);
+        assertEquals(text, Ranges.format(bits, from, to));
+    }
+
+    /** The worst fragmentation of a page fits the smallest value that a deployment allows us. */
+    @ParameterizedTest
+    @CsvSource({"16", "32", "64"})
+    void worstPageFitsAValue(int valueKb) {
+        int page = Math.max(256, Integer.highestOneBit(valueKb * 1024 / 4));
+        BitSet bits = new BitSet();
+        for (int i = 0; i < 100_000; i += 2) {
+            bits.set(i);
+        }
+        for (int from = 0; from < 100_000; from += page) {
+            int length = Ranges.format(bits, from, from + page).length();
+            assertTrue(length < valueKb * 1024 * 3 / 4, "page at " + from + " takes " + length);
+        }
+    }
+
+    @Test
+    void emptyTextIsNoTask() {
+        BitSet bits = new BitSet();
+        Ranges.parseInto("", 0, bits);
+        assertTrue(bits.isEmpty());
+    }
+}
--- /dev/null
+++ b/src/test/java/io/micatide/core/World.java
@@ -0,0 +1,431 @@
+package io.micatide.core;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Stand-ins of the state service, the cloud and the workers, written to the published protocol, in simulated time. A
+ * leader can be killed after any interaction, and what it had sent may still arrive: that is where second runs of a
+ * task come from.
+ */
+final class World {
+    static final long STEP = 100 * Micros.MILLISECOND;
+    static final MachineType TYPE = new MachineType("small", Resources.of(8, 0, 64), 25, 0.5, 0.5, 0.2,
+            10 * Micros.SECOND, List.of("a", "b"));
+
+    final Settings settings;
+    final Random random;
+    long now = Micros.SECOND;
+    long revision = 100;
+    final TreeMap<String, Row> rows = new TreeMap<>();
+    final Map<String, Long> versions = new HashMap<>();
+    final Map<String, Worker> workers = new LinkedHashMap<>();
+    final List<String> broken = new ArrayList<>();
+    final Set<String> everStarted = new HashSet<>();
+    final Set<String> cancelled = new HashSet<>();
+    final Map<String, Long> cancelledAt = new HashMap<>();
+    int starts;
+    private int machineNumber;
+
+    Scheduler leader;
+    long token;
+    /** Interactions until the leader is killed; negative: never. */
+    int killAfter = -1;
+    int interactions;
+    long deadUntil = -1;
+    /** Transactions of dead leaders that the state service has still to receive. */
+    final Deque<Transaction> late = new ArrayDeque<>();
+    double lostAnswers;
+    boolean stateOutage;
+    boolean cloudOutage;
+    int takeOvers;
+
+    World(long seed, int machines) {
+        random = new Random(seed);
+        Map<String, Team> teams = new LinkedHashMap<>();
+        teams.put("red", new Team("red", 16_000, 0, 24_000, 0));
+        teams.put("blue", new Team("blue", 0, 0, 0, 0));
+        settings = new Settings("c0", "a", "127.0.0.1:1", "127.0.0.1:2", List.of(), "127.0.0.1:3", "127.0.0.1:4",
+                List.of("a", "b"), 0, teams, List.of(), 800 * Micros.MILLISECOND, 10 * Micros.SECOND,
+                30 * Micros.SECOND, 5 * Micros.SECOND, 30 * Micros.SECOND, 80, 30, 16 * 1024, 16, 8,
+                5 * Micros.SECOND, 0.4, 150, 700);
+        for (int i = 0; i < machines; i++) {
+            boot(i % 2 == 0 ? "a" : "b", false, 0);
+        }
+    }
+
+    /** A worker as the protocol describes it. */
+    final class Worker {
+        final String name;
+        final String zone;
+        final boolean spot;
+        long upAt;
+        long session = 1;
+        long sequence;
+        long seenToken;
+        long lastAnsweredSent;
+        long nextReport;
+        long hungUntil = -1;
+        boolean deleted;
+        final Map<String, Task> tasks = new LinkedHashMap<>();
+
+        Worker(String name, String zone, boolean spot, long upAt) {
+            this.name = name;
+            this.zone = zone;
+            this.spot = spot;
+            this.upAt = upAt;
+            this.lastAnsweredSent = upAt;
+            this.nextReport = upAt;
+        }
+
+        MachineReport report() {
+            sequence++;
+            List<TaskReport> list = new ArrayList<>();
+            for (Task task : tasks.values()) {
+                list.add(new TaskReport(task.job, task.index, task.attempt, task.state(), task.cause, false));
+            }
+            return new MachineReport(name, "x:1", TYPE.name(), zone, spot, session, sequence, seenToken, -1, list);
+        }
+
+        void execute(long answerToken, List<Command> commands, long sentAt, long ofSession) {
+            if (deleted || ofSession != session || answerToken < seenToken) {
+                return;
+            }
+            seenToken = answerToken;
+            lastAnsweredSent = Math.max(lastAnsweredSent, sentAt);
+            for (Command command : commands) {
+                String key = command.job() + "/" + command.index() + "@" + command.attempt();
+                Task task = tasks.get(key);
+                if (command instanceof Command.Start && task == null) {
+                    start(this, command, key);
+                } else if (command instanceof Command.Stop && task != null && task.cause == null) {
+                    task.cause = ExitCause.STOPPED;
+                } else if (command instanceof Command.Forget && task != null && task.cause != null) {
+                    tasks.remove(key);
+                }
+            }
+        }
+
+        void live() {
+            for (Task task : tasks.values()) {
+                if (task.cause == null && now >= task.endsAt) {
+                    task.cause = ExitCause.DONE;
+                }
+            }
+            if (now - lastAnsweredSent > settings.leaseMicros()) {
+                tasks.clear();
+                session++;
+                lastAnsweredSent = now;
+            }
+        }
+    }
+
+    static final class Task {
+        String job;
+        int index;
+        long attempt;
+        long imageAt;
+        long endsAt;
+        ExitCause cause;
+
+        TaskState state() {
+            return cause == null ? TaskState.RUNNING : TaskState.EXITED;
+        }
+    }
+
+    Worker boot(String zone, boolean spot, long upAt) {
+        String name = String.format("i-%06d", ++machineNumber);
+        Worker worker = new Worker(name, zone, spot, Math.max(upAt, now));
+        workers.put(name, worker);
+        return worker;
+    }
+
+    private void start(Worker worker, Command command, String key) {
+        String taskName = command.job() + "/" + command.index();
+        Row row = rows.get(StoreKeys.job(command.job()));
+        for (Worker other : workers.values()) {
+            for (Task task : other.tasks.values()) {
+                if (task.cause == null && task.job.equals(command.job()) && task.index == command.index()) {
+                    broken.add("ran_twice " + taskName + " on " + worker.name + " and " + other.name);
+                }
+            }
+        }
+        if (cancelledAt.getOrDefault(command.job(), Long.MAX_VALUE) < now - settings.cancelMicros()) {
+            broken.add("ran_cancelled " + taskName);
+        }
+        Task task = new Task();
+        task.job = command.job();
+        task.index = command.index();
+        task.attempt = command.attempt();
+        JobSpec spec = specs.get(command.job());
+        task.endsAt = spec.kind() == JobKind.SERVICE ? Long.MAX_VALUE : now + spec.estimateMicros();
+        worker.tasks.put(key, task);
+        starts++;
+        everStarted.add(taskName);
+        if (row == null) {
+            broken.add("started without a row: " + taskName);
+        }
+        long red = 0;
+        for (Worker other : workers.values()) {
+            for (Task each : other.tasks.values()) {
+                if (each.cause == null && specs.get(each.job).team().equals("red")) {
+                    red += specs.get(each.job).each().cpus();
+                }
+            }
+        }
+        if (red > settings.teams().get("red").cpusMax()) {
+            broken.add("quota at " + taskName);
+        }
+    }
+
+    final Map<String, JobSpec> specs = new HashMap<>();
+
+    void submit(JobSpec spec) {
+        specs.put(spec.id(), spec);
+        put(StoreKeys.job(spec.id()), new Row.JobRow(JobState.OPEN, spec, 0, spec.tasks()), ++revision);
+        tellJob(spec.id());
+    }
+
+    void cancel(String id) {
+        Row.JobRow row = (Row.JobRow) rows.get(StoreKeys.job(id));
+        if (row != null && row.state() == JobState.OPEN) {
+            put(StoreKeys.job(id), new Row.JobRow(JobState.CANCELLED, null, 0, row.tasks()), ++revision);
+            cancelledAt.put(id, now);
+            tellJob(id);
+        }
+    }
+
+    private void tellJob(String id) {
+        if (leader != null) {
+            leader.jobSeen(id, (Row.JobRow) rows.get(StoreKeys.job(id)), versions.get(StoreKeys.job(id)), 0, now);
+        }
+    }
+
+    JobState state(String id) {
+        return ((Row.JobRow) rows.get(StoreKeys.job(id))).state();
+    }
+
+    private void put(String key, Row row, long at) {
+        if (row == null) {
+            rows.remove(key);
+            versions.remove(key);
+        } else {
+            if (row instanceof Row.JobRow job && job.state() == JobState.DONE) {
+                checkDone(key.substring(StoreKeys.JOBS.length()));
+            }
+            rows.put(key, row);
+            versions.put(key, at);
+        }
+    }
+
+    private void checkDone(String id) {
+        JobSpec spec = specs.get(id);
+        for (int i = 0; i < spec.tasks(); i++) {
+            if (!everStarted.contains(id + "/" + i)) {
+                broken.add("not_done " + id + "/" + i);
+            }
+        }
+    }
+
+    /** The revision, or 0 if a condition failed. */
+    long apply(Transaction transaction) {
+        for (Transaction.Compare compare : transaction.conditions()) {
+            if (versions.getOrDefault(compare.key(), 0L) != compare.version()) {
+                return 0;
+            }
+        }
+        revision++;
+        for (Transaction.Write write : transaction.writes()) {
+            put(write.key(), write.row(), revision);
+        }
+        return revision;
+    }
+
+    void takeOver() {
+        token = ++revision;
+        put(StoreKeys.LEADER, new Row.Leader("c0"), token);
+        leader = new Scheduler(settings, token, now);
+        takeOvers++;
+        leader.typesKnown(List.of(TYPE), now);
+        rows.forEach((key, row) -> {
+            if (row instanceof Row.JobRow job) {
+                leader.jobSeen(key.substring(StoreKeys.JOBS.length()), job, versions.get(key), 0, now);
+            }
+        });
+        rows.forEach((key, row) -> {
+            if (row instanceof Row.Ledger ledger) {
+                leader.ledgerLoaded(key, ledger, versions.get(key));
+            } else if (row instanceof Row.Booking booking) {
+                leader.bookingLoaded(key.substring(StoreKeys.BOOKINGS.length()), booking, now);
+            }
+        });
+        leader.loaded(now);
+    }
+
+    /** Whether the leader dies here; called between any two things that it does. */
+    private boolean dies() {
+        if (leader != null && ++interactions == killAfter) {
+            leader = null;
+            deadUntil = now + 2 * Micros.SECOND + random.nextInt(8) * Micros.SECOND;
+            return true;
+        }
+        return leader == null;
+    }
+
+    void run(long micros) {
+        for (long end = now + micros; now < end; now += STEP) {
+            step();
+        }
+    }
+
+    private void step() {
+        if (leader == null && now >= deadUntil && !stateOutage) {
+            takeOver();
+        }
+        if (random.nextInt(10) == 0 && !late.isEmpty()) {
+            apply(late.pollFirst());
+        }
+        for (Worker worker : List.copyOf(workers.values())) {
+            if (worker.deleted || worker.upAt > now || worker.hungUntil > now) {
+                continue;
+            }
+            worker.live();
+            if (now >= worker.nextReport) {
+                worker.nextReport = now + settings.reportMicros();
+                exchange(worker);
+            }
+        }
+        if (leader != null) {
+            if (!stateOutage) {
+                leader.stateFresh(now);
+            }
+            leader.tick(now);
+            writeRound();
+        }
+        if (leader != null) {
+            for (CloudCall call : leader.cloudCalls(now)) {
+                if (!dies()) {
+                    cloud(call);
+                }
+            }
+        }
+    }
+
+    private void exchange(Worker worker) {
+        MachineReport report = worker.report();
+        long session = worker.session;
+        if (dies() || report.token() > token) {
+            return;
+        }
+        List<Command> commands = leader.report(report, now);
+        boolean lost = random.nextDouble() < lostAnswers;
+        boolean diesAfter = dies();
+        if (!lost && !(diesAfter && random.nextBoolean())) {
+            worker.execute(token, commands, now, session);
+        }
+    }
+
+    private void writeRound() {
+        Transaction round = leader.round(now);
+        if (round == null) {
+            return;
+        }
+        if (dies()) {
+            // Killed with the request on its way: it arrives some time later, or never.
+            late.add(round);
+            return;
+        }
+        if (stateOutage) {
+            leader.roundNotExecuted(now);
+            return;
+        }
+        boolean lost = random.nextDouble() < lostAnswers;
+        if (lost && random.nextBoolean()) {
+            late.add(round);
+            readBack();
+            return;
+        }
+        long applied = apply(round);
+        if (dies()) {
+            return;
+        }
+        if (lost || applied == 0) {
+            readBack();
+        } else {
+            leader.roundConfirmed(applied, now);
+        }
+    }
+
+    private void readBack() {
+        for (String key : leader.roundUnresolved()) {
+            Row row = rows.get(key);
+            if (row instanceof Row.JobRow job) {
+                leader.jobReadBack(key.substring(StoreKeys.JOBS.length()), job, versions.get(key), now);
+            } else if (key.startsWith(StoreKeys.LEDGERS)) {
+                leader.ledgerReadBack(key, (Row.Ledger) row, versions.getOrDefault(key, 0L));
+            }
+        }
+        leader.roundResolved(now);
+    }
+
+    private void cloud(CloudCall call) {
+        if (call instanceof CloudCall.Rent rent) {
+            if (cloudOutage) {
+                leader.rentUnanswered(rent.booking(), now);
+                return;
+            }
+            List<String> names = new ArrayList<>();
+            for (int i = 0; i < rent.count() && workers.size() < 40; i++) {
+                names.add(boot(rent.zone(), rent.spot(), now + TYPE.bootMicros()).name);
+            }
+            if (random.nextDouble() < lostAnswers) {
+                leader.rentUnanswered(rent.booking(), now);
+            } else if (names.isEmpty()) {
+                leader.noCapacity(rent.booking(), now);
+            } else {
+                leader.rented(rent.booking(), names, now);
+            }
+        } else if (call instanceof CloudCall.Delete delete) {
+            if (cloudOutage) {
+                return;
+            }
+            for (String name : delete.machines()) {
+                Worker worker = workers.get(name);
+                if (worker != null) {
+                    worker.deleted = true;
+                    worker.tasks.clear();
+                }
+            }
+            if (random.nextDouble() >= lostAnswers) {
+                leader.deleted(delete.machines(), now);
+            }
+        } else if (call instanceof CloudCall.ListTypes) {
+            leader.typesKnown(List.of(TYPE), now);
+        } else if (cloudOutage) {
+            leader.listed(null, now, now);
+        } else {
+            List<ListedMachine> list = new ArrayList<>();
+            for (Worker worker : workers.values()) {
+                if (!worker.deleted) {
+                    list.add(new ListedMachine(worker.name, TYPE.name(), worker.zone, worker.spot,
+                            worker.upAt > now ? ListedMachine.State.BOOTING : ListedMachine.State.RUNNING, 0));
+                }
+            }
+            leader.listed(list, now, now);
+        }
+    }
+
+    static JobSpec job(String id, JobKind kind, String team, Priority priority, int tasks, int seconds) {
+        return new JobSpec(id, "class", team, kind, priority, tasks, Resources.of(2, 0, 8), "img-1", 1, List.of(), null,
+                false, false, kind == JobKind.ARRAY, seconds * Micros.SECOND, 0, 0, -1);
+    }
+}
