--- /dev/null
+++ b/src/main/java/io/micatide/core/Deadlines.java
@@ -0,0 +1,74 @@
+package io.micatide.core;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+
+/**
+ * Which jobs can be ready when they should, given how many processors work on them. Earliest due first serves most
+ * users only while everything fits; when it does not, the largest job of those considered so far is left for later
+ * (Moore and Hodgson's rule), since one job too many would make all behind it late.
+ */
+final class Deadlines {
+    /** A job with what is left of it. */
+    static final class Entry {
+        final Job job;
+        /** Work that is left, in thousandths of a processor times microseconds. */
+        final double work;
+        /** Longest expected time of one of its tasks. */
+        final long lengthMicros;
+        final long dueMicros;
+        boolean onTime;
+
+        Entry(Job job, double work, long lengthMicros, long dueMicros) {
+            this.job = job;
+            this.work = work;
+            this.lengthMicros = lengthMicros;
+            this.dueMicros = dueMicros;
+        }
+    }
+
+    private Deadlines() {
+    }
+
+    /** Marks what can be on time and returns the entries, earliest due first. */
+    static List<Entry> decide(List<Entry> entries, double cpus, long nowMicros) {
+        List<Entry> sorted = new ArrayList<>(entries);
+        sorted.sort(Comparator.comparingLong((Entry e) -> e.dueMicros).thenComparingLong(e -> e.job.submittedMicros));
+        PriorityQueue<Entry> kept = new PriorityQueue<>(Comparator.comparingDouble((Entry e) -> -e.work));
+        double total = 0;
+        for (Entry entry : sorted) {
+            entry.onTime = entry.dueMicros - nowMicros >= entry.lengthMicros;
+            if (!entry.onTime) {
+                continue;
+            }
+            kept.add(entry);
+            total += entry.work;
+            if (cpus <= 0 || total / cpus > entry.dueMicros - nowMicros) {
+                Entry largest = kept.poll();
+                largest.onTime = false;
+                total -= largest.work;
+            }
+        }
+        return sorted;
+    }
+
+    /**
+     * Processors, in thousandths, with which every job is ready when it should be: a job of short time and long tasks
+     * needs nearly all of them at once, whatever its share of the work is.
+     *
+     * @param startMicros what a task takes before it runs: the fetch of its image
+     * @param lateMicros in what time jobs are wanted that are late already
+     */
+    static double wanted(List<Entry> entries, long startMicros, long lateMicros, long nowMicros) {
+        double cpus = 0;
+        for (Entry entry : entries) {
+            long left = Math.min(entry.dueMicros - nowMicros, Math.max(lateMicros, entry.lengthMicros)) - startMicros;
+            long rounds = Math.max(1, left / entry.lengthMicros);
+            long parallel = (entry.job.unfinished() + rounds - 1) / rounds;
+            cpus += (double) parallel * entry.job.spec.each().cpus();
+        }
+        return cpus;
+    }
+}
--- a/src/main/java/io/micatide/core/JobBook.java
+++ b/src/main/java/io/micatide/core/JobBook.java
@@ -183,6 +183,8 @@
         if (bytes > mostBytes && !writes.isEmpty()) {
             return null;
         }
+        // Without this a write that arrives after the job's end would bring its ledger back: both are absent then.
+        conditions.add(new Transaction.Compare(StoreKeys.job(job.id()), job.version));
         for (int page : pages) {
             conditions.add(new Transaction.Compare(StoreKeys.ledger(job.id(), page),
                     job.pageVersions.getOrDefault(page, 0L)));
@@ -265,9 +267,9 @@
     /** The keys whose values must be read before their jobs are written again: the outcome is not known. */
     List<String> unresolved(Round round) {
         List<String> keys = new ArrayList<>();
-        for (Transaction.Write write : round.transaction().writes()) {
-            if (write.key().startsWith(StoreKeys.LEDGERS) || write.key().startsWith(StoreKeys.JOBS)) {
-                keys.add(write.key());
+        for (Transaction.Compare compare : round.transaction().conditions()) {
+            if (!compare.key().equals(StoreKeys.LEADER)) {
+                keys.add(compare.key());
             }
         }
         return keys;
--- a/src/main/java/io/micatide/core/Planner.java
+++ b/src/main/java/io/micatide/core/Planner.java
@@ -14,6 +14,8 @@
     /** An image that takes longer than this to fetch is worth stopping other work for. */
     private static final long LONG_FETCH_MICROS = 1_500 * Micros.MILLISECOND;
 
+    private static final long GUARANTEE_PATIENCE_MICROS = 2_500 * Micros.MILLISECOND;
+
     private final Scheduler scheduler;
     private final Settings settings;
     private final Fleet fleet;
@@ -29,13 +31,17 @@
     }
 
     /** A job with tasks to place and where it stands in the queue; earlier is better. */
-    record Queued(Job job, int waiting, boolean guaranteed, long dueMicros) {
+    record Queued(Job job, int waiting, boolean guaranteed, boolean onTime, long dueMicros) {
     }
 
     /** Jobs with waiting tasks in the order in which they get room. */
     List<Queued> queue(long nowMicros) {
-        List<Queued> result = new ArrayList<>();
         Map<String, Resources> asked = new HashMap<>();
+        List<Queued> result = new ArrayList<>();
+        Map<Job, Deadlines.Entry> entries = new HashMap<>();
+        for (Deadlines.Entry entry : Deadlines.decide(arrays(nowMicros), arrayCpus(nowMicros), nowMicros)) {
+            entries.put(entry.job, entry);
+        }
         for (Job job : book.jobs()) {
             if (job.cancelled) {
                 continue;
@@ -45,39 +51,72 @@
             boolean guaranteed = team != null && team.cpus() > 0 && team.guarantees(total);
             int waiting = job.waiting();
             if (waiting > 0) {
-                result.add(new Queued(job, waiting, guaranteed, due(job, nowMicros)));
+                Deadlines.Entry entry = entries.get(job);
+                result.add(new Queued(job, waiting, guaranteed, entry == null || entry.onTime,
+                        entry == null ? job.submittedMicros : entry.dueMicros));
             }
         }
         result.sort(Comparator.comparing((Queued q) -> q.job().spec.priority())
                 .thenComparing(q -> q.job().spec.kind() == JobKind.SERVICE ? 0 : 1)
                 .thenComparing(q -> !q.guaranteed())
+                .thenComparing(q -> !q.onTime())
                 .thenComparing(Queued::dueMicros)
                 .thenComparing(q -> q.job().submittedMicros));
         return result;
     }
 
-    /** When the job has to start its last task at the latest; jobs that are late anyway come after the others. */
-    private long due(Job job, long nowMicros) {
+    /** What is left of every job that ends. */
+    List<Deadlines.Entry> arrays(long nowMicros) {
+        List<Deadlines.Entry> result = new ArrayList<>();
+        for (Job job : book.jobs()) {
+            if (!job.cancelled && job.spec.kind() != JobKind.SERVICE && job.unfinished() > 0) {
+                long length = runTimes.expected(job.spec);
+                int waiting = job.waiting();
+                double work = job.spec.each().cpus() * (double) length
+                        * (waiting + 0.5 * (job.unfinished() - waiting));
+                result.add(new Deadlines.Entry(job, work, length, due(job, length, nowMicros)));
+            }
+        }
+        return result;
+    }
+
+    /** Processors, in thousandths, that are there for work that ends. */
+    double arrayCpus(long nowMicros) {
+        double cpus = 0;
+        for (Machine machine : fleet.machines()) {
+            if (machine.size != null && !machine.deleting && !machine.draining && machine.noticeAtMicros < 0
+                    && machine.responsive(nowMicros, settings)) {
+                cpus += machine.size.cpus();
+                for (Placement placement : machine.placements) {
+                    if (placement.job.spec.kind() == JobKind.SERVICE) {
+                        cpus -= placement.job.spec.each().cpus();
+                    }
+                }
+            }
+        }
+        return cpus;
+    }
+
+    /** The earliest time at which users expect the job and that it can still reach. */
+    private long due(Job job, long length, long nowMicros) {
         JobSpec spec = job.spec;
-        long length = runTimes.expected(spec);
+        long reachable = nowMicros + length;
         long due = Long.MAX_VALUE;
-        if (spec.deadlineMicros() >= 0) {
-            due = later(due, job.deadlineMicros(), nowMicros + length);
+        if (spec.deadlineMicros() >= 0 && job.deadlineMicros() >= reachable) {
+            due = job.deadlineMicros();
         }
         for (Settings.Objective objective : settings.objectives()) {
             if (objective.withinMicros() > 0 && objective.kind().equals("finished")
                     && objective.jobClass().equals(spec.jobClass())) {
-                due = later(due, job.submittedMicros + objective.withinMicros(), nowMicros + length);
+                long candidate = job.submittedMicros + objective.withinMicros();
+                if (candidate >= reachable) {
+                    due = Math.min(due, candidate);
+                }
             }
         }
-        if (due == Long.MAX_VALUE) {
-            return job.submittedMicros + 3600 * Micros.SECOND;
-        }
-        return due - length;
-    }
-
-    private static long later(long due, long candidate, long reachable) {
-        return candidate < reachable ? due : Math.min(due, candidate);
+        // Without an aim, or beyond all of them: soon, but after what can still be on time.
+        return due < Long.MAX_VALUE ? due : Math.max(job.submittedMicros, nowMicros - 600 * Micros.SECOND)
+                + 900 * Micros.SECOND;
     }
 
     boolean startable(Job job, long nowMicros) {
@@ -130,8 +169,11 @@
         String image = spec.image();
         candidates.sort(Comparator.comparing((Machine m) -> !m.images.containsKey(image))
                 .thenComparing(m -> !m.spot)
-                .thenComparing(m -> -m.room().cpus()));
-        boolean preempts = service || queued.guaranteed() || spec.priority() != Priority.NORMAL;
+                .thenComparing(m -> m.room().cpus()));
+        // Room comes free all the time, and what is first in the queue gets it: stopping work of the same priority
+        // is for a team that has waited for its guarantee.
+        boolean waited = nowMicros - job.submittedMicros > GUARANTEE_PATIENCE_MICROS;
+        boolean preempts = service || queued.guaranteed() && waited || spec.priority() != Priority.NORMAL;
         if (spec.kind() == JobKind.GANG) {
             placeGang(job, left, candidates, preempts, unknown, nowMicros);
             return;
--- a/src/main/java/io/micatide/core/Renter.java
+++ b/src/main/java/io/micatide/core/Renter.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -11,27 +12,25 @@
 final class Renter {
     private static final long PLAN_EVERY_MICROS = 500 * Micros.MILLISECOND;
     private static final long IDLE_MICROS = 20 * Micros.SECOND;
+    private static final long FETCH_MICROS = 5 * Micros.SECOND;
+    private static final long LATE_MICROS = 60 * Micros.SECOND;
     private static final int MOST_PER_CALL = 10;
     private static final long PRICES_EVERY_MICROS = 60 * Micros.SECOND;
 
     private final Settings settings;
     private final Fleet fleet;
-    private final JobBook book;
     private final Rentals rentals;
     private final Planner planner;
-    private final RunTimes runTimes;
     private long plannedMicros = Long.MIN_VALUE / 2;
     private long listAskedMicros = Long.MIN_VALUE / 2;
     private boolean listing;
     private long typesAskedMicros = Long.MIN_VALUE / 2;
 
-    Renter(Settings settings, Fleet fleet, JobBook book, Rentals rentals, Planner planner, RunTimes runTimes) {
+    Renter(Settings settings, Fleet fleet, Rentals rentals, Planner planner) {
         this.settings = settings;
         this.fleet = fleet;
-        this.book = book;
         this.rentals = rentals;
         this.planner = planner;
-        this.runTimes = runTimes;
     }
 
     void plan(long nowMicros, long termStartMicros) {
@@ -90,6 +89,7 @@
         return machine.bootStartedMicros >= 0 && nowMicros - machine.bootStartedMicros < 2 * type.bootMicros();
     }
 
+    /** Rents what is missing; returns whether anything waits that more machines would help. */
     private boolean rent(long nowMicros) {
         Resources comingOrdinary = Resources.NONE;
         Resources comingSpot = Resources.NONE;
@@ -115,64 +115,75 @@
                 }
             }
         }
-        Map<String, Resources> teamNeed = new HashMap<>();
+        boolean need = rentForServices(comingOrdinary, nowMicros);
+        return rentForArrays(comingOrdinary.plus(comingSpot), nowMicros) || need;
+    }
+
+    /** Replicas and gangs want their room now; it is what they take and nothing more. */
+    private boolean rentForServices(Resources ordinary, long nowMicros) {
         boolean need = false;
+        Map<JobSpec, Integer> missing = new LinkedHashMap<>();
+        Resources left = ordinary;
         for (Planner.Queued queued : planner.queue(nowMicros)) {
-            Job job = queued.job();
-            JobSpec spec = job.spec;
-            if (job.unsettled()) {
+            JobSpec spec = queued.job().spec;
+            if (spec.kind() == JobKind.ARRAY || queued.job().unsettled()) {
                 continue;
             }
-            int count = wanted(queued, nowMicros);
-            Team team = settings.teams().get(spec.team());
-            Resources asked = teamNeed.getOrDefault(spec.team(), Resources.NONE);
-            while (count > 0 && team != null && !team.allows(asked.plus(spec.each().times(count)))) {
-                count--;
-            }
-            teamNeed.put(spec.team(), asked.plus(spec.each().times(count)));
-            Resources each = spec.each();
-            if (spec.spot()) {
-                long fits = Math.min(count, each.countIn(comingSpot));
-                comingSpot = comingSpot.minus(each.times(fits));
-                count -= (int) fits;
-            }
-            long fits = Math.min(count, each.countIn(comingOrdinary));
-            comingOrdinary = comingOrdinary.minus(each.times(fits));
+            int count = queued.waiting();
+            long fits = Math.min(count, spec.each().countIn(left));
+            left = left.minus(spec.each().times(fits));
             count -= (int) fits;
             if (count > 0) {
                 need = true;
-                Resources[] got = rentFor(spec, count, nowMicros);
-                if (got != null) {
-                    Resources used = each.times(Math.min(count, each.countIn(got[0].plus(got[1]))));
-                    if (got[1].cpus() > 0) {
-                        comingSpot = comingSpot.plus(got[1]).minus(used);
-                    } else {
-                        comingOrdinary = comingOrdinary.plus(got[0]).minus(used);
-                    }
-                }
+                missing.merge(shape(spec), count, Integer::sum);
             }
         }
+        missing.forEach((spec, count) -> rentFor(spec, count, nowMicros));
         return need;
     }
 
-    /** How many more tasks of the job should run at the same time for it to be ready when it should. */
-    private int wanted(Planner.Queued queued, long nowMicros) {
-        JobSpec spec = queued.job().spec;
-        if (spec.kind() != JobKind.ARRAY) {
-            return queued.waiting();
-        }
-        long length = runTimes.expected(spec);
-        long left = queued.dueMicros() + length - nowMicros;
-        long boot = Long.MAX_VALUE;
-        for (MachineType type : fleet.types().values()) {
-            boot = Math.min(boot, type.bootMicros());
+    /** Jobs that can use the same machines are rented for together. */
+    private static JobSpec shape(JobSpec spec) {
+        return new JobSpec("", "", "", JobKind.SERVICE, Priority.NORMAL, 1, spec.each(), "", 0, spec.types(),
+                spec.zone(), false, false, spec.spot(), 0, 0, 0, -1);
+    }
+
+    /** Work that ends wants as many processors as make it ready in time. */
+    private boolean rentForArrays(Resources coming, long nowMicros) {
+        List<Deadlines.Entry> entries = planner.arrays(nowMicros);
+        Map<String, Resources> perTeam = new HashMap<>();
+        for (Deadlines.Entry entry : entries) {
+            perTeam.merge(entry.job.spec.team(), entry.job.spec.each().times(entry.job.unfinished()), Resources::plus);
+        }
+        double useful = 0;
+        for (Map.Entry<String, Resources> entry : perTeam.entrySet()) {
+            Team team = settings.teams().get(entry.getKey());
+            long most = team == null || team.cpusMax() == 0 ? Long.MAX_VALUE : team.cpusMax();
+            useful += Math.min(most, entry.getValue().cpus());
+        }
+        double there = planner.arrayCpus(nowMicros) + coming.cpus();
+        double wanted = Deadlines.wanted(entries, FETCH_MICROS, LATE_MICROS, nowMicros);
+        // More processors than tasks that may run at once are of no use.
+        double missing = Math.min(wanted, useful) - there;
+        if (missing <= 0) {
+            return false;
+        }
+        Deadlines.Entry largest = null;
+        for (Deadlines.Entry entry : entries) {
+            if (!entry.job.unsettled() && (largest == null || entry.work > largest.work)) {
+                largest = entry;
+            }
+        }
+        if (largest == null) {
+            return false;
         }
-        long rounds = Math.max(1, (left - boot - 5 * Micros.SECOND) / length);
-        return (int) Math.max(1, Math.min(queued.waiting(), (queued.waiting() + rounds - 1) / rounds));
+        JobSpec spec = largest.job.spec;
+        rentFor(spec, (int) Math.ceil(missing / Math.max(1, spec.each().cpus())), nowMicros);
+        return true;
     }
 
-    /** Rents the cheapest that suits; returns ordinary and spot room asked for, or null. */
-    private Resources[] rentFor(JobSpec spec, int count, long nowMicros) {
+    /** Rents the cheapest that suits. */
+    private void rentFor(JobSpec spec, int count, long nowMicros) {
         Rentals.Offer best = null;
         double bestPrice = Double.MAX_VALUE;
         long bestPer = 0;
@@ -188,11 +199,12 @@
             for (String zone : type.zones()) {
                 for (boolean spot : new boolean[] {true, false}) {
                     Rentals.Offer offer = new Rentals.Offer(type.name(), zone, spot);
-                    if (!spec.allowsMachine(type.name(), zone, spot) || rentals.refused(offer, nowMicros)) {
+                    if (!spec.allowsMachine(type.name(), zone, spot) || rentals.refused(offer, nowMicros)
+                            || rentals.expected(offer) > 0) {
                         continue;
                     }
                     double price = type.priceOf(spot) / Math.min(per, count)
-                            * (1 + 0.001 * (perZone.getOrDefault(zone, 0) + 3 * rentals.expected(offer)));
+                            * (1 + 0.001 * perZone.getOrDefault(zone, 0));
                     if (price < bestPrice) {
                         bestPrice = price;
                         best = offer;
@@ -201,13 +213,10 @@
                 }
             }
         }
-        if (best == null) {
-            return null;
+        if (best != null) {
+            long machines = spec.kind() == JobKind.ARRAY ? count / bestPer : (count + bestPer - 1) / bestPer;
+            rentals.claim(best, (int) Math.max(1, Math.min(MOST_PER_CALL, machines)), nowMicros);
         }
-        int machines = (int) Math.max(1, Math.min(MOST_PER_CALL, (count + bestPer - 1) / bestPer));
-        rentals.claim(best, machines, nowMicros);
-        Resources room = fleet.types().get(best.type()).size().times(machines);
-        return best.spot() ? new Resources[] {Resources.NONE, room} : new Resources[] {room, Resources.NONE};
     }
 
     private void returnIdle(long nowMicros, boolean need) {
--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -41,7 +41,7 @@
         this.book = new JobBook(settings, token);
         this.rentals = new Rentals(settings, token);
         this.planner = new Planner(this, settings, fleet, book, runTimes);
-        this.renter = new Renter(settings, fleet, book, rentals, planner, runTimes);
+        this.renter = new Renter(settings, fleet, rentals, planner);
         this.writeTokens = leaderWriteRate();
         this.writeTokensMicros = nowMicros;
         this.freshMicros = nowMicros;
--- a/src/test/java/io/micatide/core/World.java
+++ b/src/test/java/io/micatide/core/World.java
@@ -117,6 +117,7 @@
 
         void live() {
             for (Task task : tasks.values()) {
+                liveInGang(task);
                 if (task.cause == null && now >= task.endsAt) {
                     task.cause = ExitCause.DONE;
                 }
@@ -133,12 +134,45 @@
         String job;
         int index;
         long attempt;
-        long imageAt;
+        boolean waiting;
         long endsAt;
+        long placedAt;
         ExitCause cause;
 
         TaskState state() {
-            return cause == null ? TaskState.RUNNING : TaskState.EXITED;
+            return cause != null ? TaskState.EXITED : waiting ? TaskState.WAITING : TaskState.RUNNING;
+        }
+    }
+
+    /** A gang starts when its last task is there, completes together, and ends when it loses one. */
+    private void liveInGang(Task task) {
+        JobSpec spec = specs.get(task.job);
+        if (spec.kind() != JobKind.GANG || task.cause != null) {
+            return;
+        }
+        List<Task> peers = new ArrayList<>();
+        boolean done = false;
+        for (Worker worker : workers.values()) {
+            for (Task other : worker.tasks.values()) {
+                if (other.job.equals(task.job) && other.attempt == task.attempt) {
+                    done |= other.cause == ExitCause.DONE;
+                    if (other.cause == null) {
+                        peers.add(other);
+                    }
+                }
+            }
+        }
+        if (task.waiting && peers.size() == spec.tasks()) {
+            for (Task other : peers) {
+                other.waiting = false;
+                other.endsAt = now + spec.estimateMicros();
+            }
+        } else if (task.waiting && now - task.placedAt > settings.gangWaitMicros()) {
+            task.cause = ExitCause.ALONE;
+        } else if (!task.waiting && done) {
+            task.cause = ExitCause.DONE;
+        } else if (!task.waiting && peers.size() < spec.tasks()) {
+            task.cause = ExitCause.PEERS;
         }
     }
 
@@ -167,7 +201,9 @@
         task.index = command.index();
         task.attempt = command.attempt();
         JobSpec spec = specs.get(command.job());
-        task.endsAt = spec.kind() == JobKind.SERVICE ? Long.MAX_VALUE : now + spec.estimateMicros();
+        task.placedAt = now;
+        task.waiting = spec.kind() == JobKind.GANG;
+        task.endsAt = task.waiting || spec.kind() == JobKind.SERVICE ? Long.MAX_VALUE : now + spec.estimateMicros();
         worker.tasks.put(key, task);
         starts++;
         everStarted.add(taskName);
