--- a/src/main/java/io/micatide/core/Deadlines.java
+++ b/src/main/java/io/micatide/core/Deadlines.java
@@ -55,19 +55,29 @@
     }
 
     /**
-     * Processors, in thousandths, with which every job is ready when it should be: a job of short time and long tasks
-     * needs nearly all of them at once, whatever its share of the work is.
+     * Processors, in thousandths, with which every job is ready when it should be, if the earliest due goes first. Tasks
+     * run in whole rounds, so a job of short time and long tasks takes more than its share of the work.
      *
      * @param startMicros what a task takes before it runs: the fetch of its image
      * @param lateMicros in what time jobs are wanted that are late already
      */
     static double wanted(List<Entry> entries, long startMicros, long lateMicros, long nowMicros) {
-        double cpus = 0;
+        record Demand(long leftMicros, double work) {
+        }
+        List<Demand> demands = new ArrayList<>();
         for (Entry entry : entries) {
             long left = Math.min(entry.dueMicros - nowMicros, Math.max(lateMicros, entry.lengthMicros)) - startMicros;
             long rounds = Math.max(1, left / entry.lengthMicros);
             long parallel = (entry.job.unfinished() + rounds - 1) / rounds;
-            cpus += (double) parallel * entry.job.spec.each().cpus();
+            double own = (double) parallel * entry.job.spec.each().cpus();
+            demands.add(new Demand(Math.max(left, entry.lengthMicros), own * rounds * entry.lengthMicros));
+        }
+        demands.sort(Comparator.comparingLong(Demand::leftMicros));
+        double cpus = 0;
+        double total = 0;
+        for (Demand demand : demands) {
+            total += demand.work();
+            cpus = Math.max(cpus, total / demand.leftMicros());
         }
         return cpus;
     }
--- a/src/main/java/io/micatide/core/Planner.java
+++ b/src/main/java/io/micatide/core/Planner.java
@@ -269,11 +269,30 @@
         }
         boolean longFetch = without != null && fetchMicros(without, spec) > LONG_FETCH_MICROS;
         if (preempts && (without == null || longFetch)) {
+            List<Placement> cheapest = null;
+            Machine there = null;
+            long least = Long.MAX_VALUE;
             for (Machine machine : candidates) {
-                if ((without == null || machine.images.containsKey(spec.image())) && zoneAllows(job, machine)
-                        && makeRoom(job, machine, nowMicros)) {
-                    return machine;
+                if ((without == null || machine.images.containsKey(spec.image())) && zoneAllows(job, machine)) {
+                    List<Placement> victims = victims(job, machine);
+                    long loss = victims == null ? Long.MAX_VALUE : loss(victims, nowMicros)
+                            + (machine.images.containsKey(spec.image()) ? 0 : fetchMicros(machine, spec));
+                    if (loss < least) {
+                        least = loss;
+                        cheapest = victims;
+                        there = machine;
+                    }
+                }
+            }
+            if (there != null) {
+                for (Placement victim : cheapest) {
+                    if (victim.unsent()) {
+                        scheduler.remove(victim);
+                    } else {
+                        scheduler.stop(victim, 0, nowMicros);
+                    }
                 }
+                return there;
             }
             if (without == null) {
                 askSavingWork(job, candidates, nowMicros);
@@ -334,8 +353,18 @@
         return inZone < job.spec.mostInOneZone();
     }
 
-    /** Stops lesser work that ends at once, so that a start behind it in the same answer finds room. */
-    private boolean makeRoom(Job job, Machine machine, long nowMicros) {
+    private static long loss(List<Placement> victims, long nowMicros) {
+        long loss = 0;
+        for (Placement victim : victims) {
+            if (!victim.unsent()) {
+                loss += Micros.SECOND + nowMicros - victim.createdMicros;
+            }
+        }
+        return loss;
+    }
+
+    /** Lesser work that ends at once when it is stopped, so that a start in the same answer finds room; or null. */
+    private List<Placement> victims(Job job, Machine machine) {
         List<Placement> victims = new ArrayList<>();
         Resources room = machine.room();
         List<Placement> lesser = new ArrayList<>();
@@ -356,17 +385,7 @@
                 taken.merge(placement.job.spec.team(), placement.job.spec.each(), Resources::plus);
             }
         }
-        if (!job.spec.each().fitsIn(room)) {
-            return false;
-        }
-        for (Placement victim : victims) {
-            if (victim.unsent()) {
-                scheduler.remove(victim);
-            } else {
-                scheduler.stop(victim, 0, nowMicros);
-            }
-        }
-        return true;
+        return job.spec.each().fitsIn(room) ? victims : null;
     }
 
     private boolean yields(Placement placement, Job job) {
