--- a/src/main/java/io/micatide/core/Deadlines.java
+++ b/src/main/java/io/micatide/core/Deadlines.java
@@ -6,7 +6,7 @@
 import java.util.PriorityQueue;
 
 /**
- * Which jobs can be ready when they should, given how many processors work on them. Earliest due first serves most
+ * Which jobs can be ready when they should, given how many processors work on them. Earliest first serves most
  * users only while everything fits; when it does not, the largest job of those considered so far is left for later
  * (Moore and Hodgson's rule), since one job too many would make all behind it late.
  */
@@ -27,15 +27,21 @@
             this.lengthMicros = lengthMicros;
             this.dueMicros = dueMicros;
         }
+
+        /** Tasks are not divisible: one that takes long has to start long before its job is due. */
+        long latestStartMicros() {
+            return dueMicros - lengthMicros;
+        }
     }
 
     private Deadlines() {
     }
 
-    /** Marks what can be on time and returns the entries, earliest due first. */
+    /** Marks what can be on time and returns the entries, the one first that has to start first. */
     static List<Entry> decide(List<Entry> entries, double cpus, long nowMicros) {
         List<Entry> sorted = new ArrayList<>(entries);
-        sorted.sort(Comparator.comparingLong((Entry e) -> e.dueMicros).thenComparingLong(e -> e.job.submittedMicros));
+        sorted.sort(Comparator.comparingLong(Entry::latestStartMicros)
+                .thenComparingLong(e -> e.job.submittedMicros));
         PriorityQueue<Entry> kept = new PriorityQueue<>(Comparator.comparingDouble((Entry e) -> -e.work));
         double total = 0;
         for (Entry entry : sorted) {
--- a/src/main/java/io/micatide/core/Planner.java
+++ b/src/main/java/io/micatide/core/Planner.java
@@ -53,7 +53,7 @@
             if (waiting > 0) {
                 Deadlines.Entry entry = entries.get(job);
                 result.add(new Queued(job, waiting, guaranteed, entry == null || entry.onTime,
-                        entry == null ? job.submittedMicros : entry.dueMicros));
+                        entry == null ? job.submittedMicros : entry.latestStartMicros()));
             }
         }
         result.sort(Comparator.comparing((Queued q) -> q.job().spec.priority())
