--- a/src/main/java/io/micatide/core/Deadlines.java
+++ b/src/main/java/io/micatide/core/Deadlines.java
@@ -68,7 +68,7 @@
      * @param lateMicros in what time jobs are wanted that are late already
      */
     static double wanted(List<Entry> entries, long startMicros, long lateMicros, long nowMicros) {
-        record Demand(long leftMicros, double work) {
+        record Demand(long leftMicros, double work, double own) {
         }
         List<Demand> demands = new ArrayList<>();
         for (Entry entry : entries) {
@@ -76,15 +76,18 @@
             long rounds = Math.max(1, left / entry.lengthMicros);
             long parallel = (entry.job.unfinished() + rounds - 1) / rounds;
             double own = (double) parallel * entry.job.spec.each().cpus();
-            demands.add(new Demand(Math.max(left, entry.lengthMicros), own * rounds * entry.lengthMicros));
+            demands.add(new Demand(Math.max(left, entry.lengthMicros), own * rounds * entry.lengthMicros, own));
         }
         demands.sort(Comparator.comparingLong(Demand::leftMicros));
         double cpus = 0;
         double total = 0;
+        double sum = 0;
         for (Demand demand : demands) {
             total += demand.work();
+            sum += demand.own();
             cpus = Math.max(cpus, total / demand.leftMicros());
         }
-        return cpus;
+        // Tasks already running cannot be divided or moved, so the truth lies between this and all jobs at once.
+        return (cpus + sum) / 2;
     }
 }
