--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -622,12 +622,22 @@
         int usable = 0;
         Resources size = Resources.NONE;
         Resources used = Resources.NONE;
+        long running = 0;
+        long spotCpus = 0;
+        int booting = 0;
         for (Machine machine : fleet.machines()) {
             confirmed += machine.confirmed ? 1 : 0;
             if (machine.usable(nowMicros, settings)) {
                 usable++;
                 size = size.plus(machine.size);
                 used = used.plus(machine.used);
+                spotCpus += machine.spot ? machine.size.cpus() : 0;
+            }
+            booting += machine.lastAnsweredMicros < 0 ? 1 : 0;
+            for (Placement placement : machine.placements) {
+                if (placement.phase == Placement.Phase.REPORTED && placement.state == TaskState.RUNNING) {
+                    running += placement.job.spec.each().cpus();
+                }
             }
         }
         int waiting = 0;
@@ -638,6 +648,7 @@
         }
         return "jobs=" + book.jobs().size() + " waiting=" + waiting + " unsettled=" + unsettled + " machines="
                 + fleet.machines().size() + " confirmed=" + confirmed + " usable=" + usable + " cpus="
-                + used.cpus() / 1000 + "/" + size.cpus() / 1000 + " bookings=" + rentals.bookings.size();
+                + used.cpus() / 1000 + "/" + size.cpus() / 1000 + " running=" + running / 1000 + " spot="
+                + spotCpus / 1000 + " booting=" + booting + " bookings=" + rentals.bookings.size();
     }
 }
