Plan with the slowest task's time; a line on each completed job

Cause: jobs of 47 s tasks were done after 84 s though all started at once: the slowest task decides.

--- a/src/main/java/io/micatide/core/Deadlines.java
+++ b/src/main/java/io/micatide/core/Deadlines.java
@@ -16,7 +16,7 @@
         final Job job;
         /** Work that is left, in thousandths of a processor times microseconds. */
         final double work;
-        /** Longest expected time of one of its tasks. */
+        /** How long the slowest of its tasks is likely to take. */
         final long lengthMicros;
         final long dueMicros;
         boolean onTime;
--- a/src/main/java/io/micatide/core/Job.java
+++ b/src/main/java/io/micatide/core/Job.java
@@ -39,6 +39,8 @@
     /** Scan position for the next task to place. */
     int cursor;
     long firstStartMicros = -1;
+    long lastStartMicros = -1;
+    int attempts;
     /** Until when room that was asked for by stopping saving work is waited for. */
     long roomComingMicros = -1;
     /** A task of the gang's present attempt has run: what is missing cannot be replaced any more. */
--- a/src/main/java/io/micatide/core/Planner.java
+++ b/src/main/java/io/micatide/core/Planner.java
@@ -74,7 +74,8 @@
                 int waiting = job.waiting();
                 double work = job.spec.each().cpus() * (double) length
                         * (waiting + 0.5 * (job.unfinished() - waiting));
-                result.add(new Deadlines.Entry(job, work, length, due(job, length, nowMicros)));
+                long slowest = runTimes.slowest(job.spec);
+                result.add(new Deadlines.Entry(job, work, slowest, due(job, slowest, nowMicros)));
             }
         }
         return result;
--- a/src/main/java/io/micatide/core/RunTimes.java
+++ b/src/main/java/io/micatide/core/RunTimes.java
@@ -9,18 +9,36 @@
  */
 final class RunTimes {
     private static final double WEIGHT = 0.02;
-    private final Map<String, Double> factors = new HashMap<>();
+    private static final double USUAL_SPREAD = 0.2;
+
+    /** Mean of run time by estimate, and how far a single task is usually from it. */
+    private record Factor(double mean, double spread) {
+    }
+
+    private static final Factor UNKNOWN = new Factor(1, USUAL_SPREAD);
+
+    private final Map<String, Factor> factors = new HashMap<>();
 
     void finished(JobSpec spec, long ranMicros) {
         if (spec.estimateMicros() <= 0) {
             return;
         }
-        double factor = Math.max(0.1, Math.min(10, ranMicros / (double) spec.estimateMicros()));
-        factors.merge(spec.jobClass(), factor, (old, seen) -> old + (seen - old) * WEIGHT);
+        double seen = Math.max(0.1, Math.min(10, ranMicros / (double) spec.estimateMicros()));
+        Factor old = factors.getOrDefault(spec.jobClass(), UNKNOWN);
+        double mean = old.mean() + (seen - old.mean()) * WEIGHT;
+        double spread = old.spread() + (Math.abs(seen - mean) / mean - old.spread()) * WEIGHT;
+        factors.put(spec.jobClass(), new Factor(mean, spread));
     }
 
+    /** How long a task takes on average. */
     long expected(JobSpec spec) {
-        return Math.max(Micros.SECOND,
-                Math.round(spec.estimateMicros() * factors.getOrDefault(spec.jobClass(), 1.0)));
+        return Math.max(Micros.SECOND, Math.round(
+                spec.estimateMicros() * factors.getOrDefault(spec.jobClass(), UNKNOWN).mean()));
+    }
+
+    /** How long the slowest of a job's tasks is likely to take: the job is not done before that one is. */
+    long slowest(JobSpec spec) {
+        double spread = factors.getOrDefault(spec.jobClass(), UNKNOWN).spread();
+        return Math.round(expected(spec) * (1 + Math.min(1, 2 * spread)));
     }
 }
--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -33,6 +33,7 @@
     private double writeTokens;
     private long writeTokensMicros;
     private boolean planNeeded = true;
+    private final List<Job> completed = new ArrayList<>();
 
     public Scheduler(Settings settings, long token, long nowMicros) {
         this.settings = settings;
@@ -428,6 +429,8 @@
         if (job.firstStartMicros < 0) {
             job.firstStartMicros = nowMicros;
         }
+        job.lastStartMicros = nowMicros;
+        job.attempts++;
     }
 
     Resources teamUse(String team) {
@@ -506,6 +509,11 @@
     public void roundConfirmed(long revision, long nowMicros) {
         JobBook.Round round = inFlight;
         inFlight = null;
+        for (JobBook.Part part : round.parts()) {
+            if (part.over() && !part.job().cancelled) {
+                completed.add(part.job());
+            }
+        }
         book.confirmed(round, revision, nowMicros);
         for (Rentals.Booking booking : round.bookings()) {
             booking.writing = false;
@@ -616,6 +624,21 @@
         return result;
     }
 
+    /** A line for the log on each job completed since the last call. */
+    public List<String> completions(long nowMicros) {
+        List<String> lines = new ArrayList<>();
+        for (Job job : completed) {
+            lines.add(String.format("%s (%s) done %.1f s after its submission: %d tasks, %d starts, first after %.1f s,"
+                    + " last after %.1f s, %.1f s expected", job.id(), job.spec.jobClass(),
+                    Micros.toSeconds(nowMicros - job.submittedMicros), job.spec.tasks(), job.attempts,
+                    Micros.toSeconds(job.firstStartMicros - job.submittedMicros),
+                    Micros.toSeconds(job.lastStartMicros - job.submittedMicros),
+                    Micros.toSeconds(runTimes.expected(job.spec))));
+        }
+        completed.clear();
+        return lines;
+    }
+
     /** One line for the log. */
     public String summary(long nowMicros) {
         int confirmed = 0;
--- a/src/main/java/io/micatide/node/LeaderActor.java
+++ b/src/main/java/io/micatide/node/LeaderActor.java
@@ -418,6 +418,7 @@
         for (CloudCall call : scheduler.cloudCalls(now)) {
             call(call, now);
         }
+        scheduler.completions(now).forEach(log::debug);
         news(now);
         if (now - summaryMicros >= SUMMARY_MICROS) {
             summaryMicros = now;
