A failed read-back asks once; cancelled jobs are wound up by the next leader

Cause 2: a job cancelled while nobody led was not taken over: its ledger stayed and its tasks did not count for their team. Found by the tests once their gangs followed the protocol.

--- a/src/main/java/io/micatide/core/JobBook.java
+++ b/src/main/java/io/micatide/core/JobBook.java
@@ -52,19 +52,29 @@
         return job;
     }
 
-    /** Takes over a ledger value of an earlier leader. */
-    void load(String key, Row.Ledger ledger, long version) {
-        String rest = key.substring(StoreKeys.LEDGERS.length());
+    static String jobOf(String ledgerKey) {
+        String rest = ledgerKey.substring(StoreKeys.LEDGERS.length());
         int slash = rest.indexOf('/');
-        Job job = jobs.get(slash < 0 ? rest : rest.substring(0, slash));
+        return slash < 0 ? rest : rest.substring(0, slash);
+    }
+
+    private static int pageOf(String ledgerKey) {
+        int slash = ledgerKey.indexOf('/', StoreKeys.LEDGERS.length());
+        return slash < 0 ? 0 : Integer.parseInt(ledgerKey.substring(slash + 1));
+    }
+
+    /** Takes over a ledger value of an earlier leader; false if it belongs to no job that is known. */
+    boolean load(String key, Row.Ledger ledger, long version) {
+        Job job = jobs.get(jobOf(key));
         if (job == null) {
-            return;
+            return false;
         }
-        int page = slash < 0 ? 0 : Integer.parseInt(rest.substring(slash + 1));
+        int page = pageOf(key);
         adopt(job, page, ledger, version);
         if (page == 0) {
             job.unsettledMachines.addAll(ledger.machines());
         }
+        return true;
     }
 
     private void adopt(Job job, int page, Row.Ledger ledger, long version) {
@@ -277,10 +287,8 @@
 
     /** A value as read back after a round without a certain outcome; {@code ledger} null if there is none. */
     void readBack(String key, Row.Ledger ledger, long version) {
-        String rest = key.substring(StoreKeys.LEDGERS.length());
-        int slash = rest.indexOf('/');
-        Job job = jobs.get(slash < 0 ? rest : rest.substring(0, slash));
-        int page = slash < 0 ? 0 : Integer.parseInt(rest.substring(slash + 1));
+        Job job = jobs.get(jobOf(key));
+        int page = pageOf(key);
         if (job == null) {
             return;
         }
--- a/src/main/java/io/micatide/core/JobDirectory.java
+++ b/src/main/java/io/micatide/core/JobDirectory.java
@@ -1,7 +1,9 @@
 package io.micatide.core;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -39,6 +41,17 @@
         return open.values();
     }
 
+    /** Everything of which a task may be on a machine. */
+    public List<Entry> openAndCancelled() {
+        List<Entry> result = new ArrayList<>();
+        for (Entry entry : entries.values()) {
+            if (entry.row().state() != JobState.DONE) {
+                result.add(entry);
+            }
+        }
+        return result;
+    }
+
     /** Applies a row unless a newer one is known; returns whether it was news. */
     public boolean apply(String id, Row.JobRow row, long version) {
         Entry known = entries.get(id);
--- /dev/null
+++ b/src/main/java/io/micatide/core/ReadBack.java
@@ -0,0 +1,44 @@
+package io.micatide.core;
+
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Deque;
+
+/**
+ * Reads keys one after another, one request at a time, whatever the answers are. A controller that was cut off from the
+ * state service once ran out of memory here: each failed read asked for two more.
+ */
+public final class ReadBack {
+    private final Deque<String> unread;
+    private boolean asking;
+
+    public ReadBack(Collection<String> keys) {
+        unread = new ArrayDeque<>(keys);
+    }
+
+    /** The key to read now, or null while a read is under way or everything is read. */
+    public String next() {
+        if (asking || unread.isEmpty()) {
+            return null;
+        }
+        asking = true;
+        return unread.peekFirst();
+    }
+
+    /** The answer to the read that is under way was taken in. */
+    public void read() {
+        if (asking) {
+            asking = false;
+            unread.removeFirst();
+        }
+    }
+
+    /** The read that is under way failed; the same key is next, after a pause that the caller makes. */
+    public void failed() {
+        asking = false;
+    }
+
+    public boolean finished() {
+        return unread.isEmpty();
+    }
+}
--- a/src/main/java/io/micatide/core/Row.java
+++ b/src/main/java/io/micatide/core/Row.java
@@ -7,7 +7,7 @@
     record Leader(String owner) implements Row {
     }
 
-    /** {@code spec} is null once the job is over; {@code submittedWall} is the time of day. */
+    /** {@code spec} is null once the job is done; {@code submittedWall} is the time of day. */
     record JobRow(JobState state, JobSpec spec, long submittedWall, int tasks) implements Row {
     }
 
--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -33,6 +33,8 @@
     private double writeTokens;
     private long writeTokensMicros;
     private boolean planNeeded = true;
+    private boolean loading = true;
+    private final Map<String, Row.JobRow> ending = new HashMap<>();
     private final List<Job> completed = new ArrayList<>();
 
     public Scheduler(Settings settings, long token, long nowMicros) {
@@ -69,6 +71,8 @@
             } else {
                 job.version = version;
             }
+        } else if (job == null && loading && row.state() == JobState.CANCELLED && row.spec() != null) {
+            ending.put(id, row);
         } else if (job != null && !job.cancelled) {
             if (row.state() == JobState.CANCELLED) {
                 cancel(job, nowMicros);
@@ -99,8 +103,19 @@
         }
     }
 
-    public void ledgerLoaded(String key, Row.Ledger ledger, long version) {
-        book.load(key, ledger, version);
+    /**
+     * A ledger without an open job belongs to one that was cancelled while nobody led: its tasks may still run, have to
+     * be stopped and count for their team until then. Of completed jobs only further pages can be left.
+     */
+    public void ledgerLoaded(String key, Row.Ledger ledger, long version, long nowMicros) {
+        String id = JobBook.jobOf(key);
+        Row.JobRow row = ending.get(id);
+        if (book.get(id) == null && row != null) {
+            book.add(row.spec(), 0, row.submittedWall(), nowMicros).cancelled = true;
+        }
+        if (!book.load(key, ledger, version)) {
+            extraWrites.add(new Transaction.Write(key, null, 0));
+        }
     }
 
     public void bookingLoaded(String name, Row.Booking row, long nowMicros) {
@@ -109,10 +124,13 @@
 
     /** All rows are read: machines that the ledgers name are known of from here on. */
     public void loaded(long nowMicros) {
+        loading = false;
+        ending.clear();
         for (Job job : book.jobs()) {
             for (String name : job.unsettledMachines) {
                 fleet.obtain(name, nowMicros);
             }
+            settleCancelled(job, nowMicros);
         }
     }
 
@@ -489,7 +507,7 @@
         if (most < 1) {
             return null;
         }
-        List<Transaction.Write> writes = new ArrayList<>(extraWrites);
+        List<Transaction.Write> writes = new ArrayList<>(extraWrites.subList(0, Math.min(extraWrites.size(), most / 2)));
         List<Rentals.Booking> bookings = rentals.toWrite(Math.max(1, most / 2), nowMicros);
         for (Rentals.Booking booking : bookings) {
             writes.add(new Transaction.Write(StoreKeys.booking(booking.name),
@@ -509,6 +527,11 @@
     public void roundConfirmed(long revision, long nowMicros) {
         JobBook.Round round = inFlight;
         inFlight = null;
+        for (Transaction.Write write : round.transaction().writes()) {
+            if (write.row() == null) {
+                extraWrites.remove(write);
+            }
+        }
         for (JobBook.Part part : round.parts()) {
             if (part.over() && !part.job().cancelled) {
                 completed.add(part.job());
--- a/src/main/java/io/micatide/node/LeaderActor.java
+++ b/src/main/java/io/micatide/node/LeaderActor.java
@@ -8,6 +8,7 @@
 import io.micatide.core.MachineReport;
 import io.micatide.core.MachineType;
 import io.micatide.core.Micros;
+import io.micatide.core.ReadBack;
 import io.micatide.core.Row;
 import io.micatide.core.Scheduler;
 import io.micatide.core.Settings;
@@ -48,7 +49,7 @@
     record JobSeen(String id, Row.JobRow row, long version) implements Message {
     }
 
-    record JobsSeen(List<JobDirectory.Entry> open) implements Message {
+    record JobsSeen(List<JobDirectory.Entry> jobs) implements Message {
     }
 
     record StateFresh(long askedMicros) implements Message {
@@ -78,6 +79,15 @@
     record KeyRead(Reply reply, long token, String key) implements Message {
     }
 
+    record ReadBackDue(long token) implements Message {
+    }
+
+    record LoadDue(long token, String prefix) implements Message {
+    }
+
+    record WatchDue() implements Message {
+    }
+
     record TypesStored(Reply reply, long token) implements Message {
     }
 
@@ -92,6 +102,7 @@
 
     private static final long TICK_MICROS = 100 * Micros.MILLISECOND;
     private static final long LEASE_TICK_MICROS = 50 * Micros.MILLISECOND;
+    private static final long RETRY_MICROS = 300 * Micros.MILLISECOND;
     private static final long WATCH_MICROS = 20 * Micros.SECOND;
     private static final long NEWS_MICROS = Micros.SECOND;
     private static final long SUMMARY_MICROS = 5 * Micros.SECOND;
@@ -108,8 +119,7 @@
     private Scheduler scheduler;
     /** What still has to be read before the scheduler may act: jobs, ledgers, bookings. */
     private int loading;
-    private List<String> unread = List.of();
-    private int reading;
+    private ReadBack unread = new ReadBack(List.of());
     private List<MachineType> storedTypes = List.of();
     private long newsMicros;
     private long summaryMicros;
@@ -162,8 +172,20 @@
             peerNews(m.request());
         } else if (message instanceof PeerAnswered m) {
             peerAnswered(m.reply());
-        } else if (message instanceof TypesStored) {
-            return;
+        } else if (message instanceof ReadBackDue m) {
+            if (scheduler != null && scheduler.token() == m.token()) {
+                readBack();
+            }
+        } else if (message instanceof LoadDue m) {
+            if (scheduler != null && scheduler.token() == m.token()) {
+                load(m.token(), m.prefix(), null);
+            }
+        } else if (message instanceof WatchDue) {
+            watching = false;
+        } else if (message instanceof TypesStored m) {
+            if (!m.reply().ok()) {
+                storedTypes = List.of();
+            }
         } else {
             leadershipAnswer(message);
             advance();
@@ -271,8 +293,7 @@
                 watchFrom = 0;
             }
             leadership.forgetRow();
-            tellLater(new Watched(new Reply(200, ("{\"ledger\":" + watchFrom + ",\"events\":[]}")
-                    .getBytes(java.nio.charset.StandardCharsets.US_ASCII), false)), Micros.SECOND / 2);
+            tellLater(new WatchDue(), RETRY_MICROS);
         }
     }
 
@@ -289,17 +310,20 @@
         log.info("leads with token {}", token);
         scheduler = new Scheduler(settings, token, now);
         loading = 4;
-        reading = 0;
-        unread = List.of();
+        unread = new ReadBack(List.of());
         listing = false;
         newsMicros = 0;
         storedTypes = List.of();
         users.tell(new UsersActor.Follow(this));
         load(token, StoreKeys.BOOKINGS, null);
-        state.read(StoreKeys.TYPES, answer(r -> new Loaded(r, token, StoreKeys.TYPES)));
+        load(token, StoreKeys.TYPES, null);
     }
 
     private void load(long token, String prefix, String after) {
+        if (prefix.equals(StoreKeys.TYPES)) {
+            state.read(prefix, answer(r -> new Loaded(r, token, prefix)));
+            return;
+        }
         state.list(prefix, after, answer(r -> new Loaded(r, token, prefix)));
     }
 
@@ -311,10 +335,10 @@
         scheduler.jobSeen(id, row, version, Clock.wall() - row.submittedWall(), Clock.now());
     }
 
-    /** The open jobs by a read that began after our claim: every start of an earlier leader belongs to one of them. */
+    /** The open and the cancelled jobs by a read that began after our claim: every start of an earlier leader belongs to one of them. */
     private void jobsSeen(JobsSeen message) {
         if (scheduler != null && loading > 0) {
-            message.open().forEach(entry -> jobSeen(entry.id(), entry.row(), entry.version()));
+            message.jobs().forEach(entry -> jobSeen(entry.id(), entry.row(), entry.version()));
             load(scheduler.token(), StoreKeys.LEDGERS, null);
             loadedOne();
         }
@@ -345,7 +369,7 @@
             for (StateCodec.Item item : page.items()) {
                 last = item.key();
                 if (item.row() instanceof Row.Ledger ledger) {
-                    scheduler.ledgerLoaded(item.key(), ledger, item.version());
+                    scheduler.ledgerLoaded(item.key(), ledger, item.version(), now);
                 } else if (item.row() instanceof Row.Booking booking) {
                     scheduler.bookingLoaded(item.key().substring(StoreKeys.BOOKINGS.length()), booking, now);
                 }
@@ -362,14 +386,7 @@
     }
 
     private void retryLoad(Loaded message) {
-        Runnable again = () -> {
-            if (message.prefix().equals(StoreKeys.TYPES)) {
-                state.read(StoreKeys.TYPES, answer(r -> new Loaded(r, message.token(), StoreKeys.TYPES)));
-            } else {
-                load(message.token(), message.prefix(), null);
-            }
-        };
-        again.run();
+        tellLater(new LoadDue(message.token(), message.prefix()), RETRY_MICROS);
     }
 
     private void loadedOne() {
@@ -461,19 +478,20 @@
             log.error("transaction answer: {}", e.getMessage());
         }
         log.warn("round of unknown outcome or refused ({}): reading back", reply.status());
-        unread = new ArrayList<>(scheduler.roundUnresolved());
-        reading = 0;
+        unread = new ReadBack(scheduler.roundUnresolved());
         readBack();
     }
 
     private void readBack() {
-        if (unread.isEmpty()) {
+        if (unread.finished()) {
             scheduler.roundResolved(Clock.now());
             return;
         }
-        long token = scheduler.token();
-        String key = unread.get(0);
-        state.read(key, answer(r -> new KeyRead(r, token, key)));
+        String key = unread.next();
+        if (key != null) {
+            long token = scheduler.token();
+            state.read(key, answer(r -> new KeyRead(r, token, key)));
+        }
     }
 
     private void keyRead(KeyRead message) {
@@ -495,17 +513,14 @@
                     scheduler.ledgerReadBack(message.key(), null, 0);
                 }
             } else {
-                tellLater(new KeyRead(new Reply(-1, new byte[0], false), message.token(), message.key()),
-                        reply.status() == -1 ? 0 : 300 * Micros.MILLISECOND);
-                if (reply.status() == -1) {
-                    readBack();
-                }
+                unread.failed();
+                tellLater(new ReadBackDue(message.token()), RETRY_MICROS);
                 return;
             }
         } catch (MalformedException e) {
             log.error("{}: {}", message.key(), e.getMessage());
         }
-        unread.remove(message.key());
+        unread.read();
         readBack();
     }
 
--- a/src/main/java/io/micatide/node/UsersActor.java
+++ b/src/main/java/io/micatide/node/UsersActor.java
@@ -104,6 +104,7 @@
     private LeaderActor leader;
     private boolean followPending;
     private boolean loaded;
+    private boolean typesAsked;
     private boolean refreshing;
     private boolean refreshTimer;
     private long refreshedMicros;
@@ -133,7 +134,11 @@
             cancelled(m);
         } else if (message instanceof Load) {
             state.list(StoreKeys.JOBS, null, answer(r -> new PageRead(r, true)));
-            state.read(StoreKeys.TYPES, answer(TypesRead::new));
+            if (!typesAsked) {
+                // Once: it repeats by itself until the types are known.
+                typesAsked = true;
+                state.read(StoreKeys.TYPES, answer(TypesRead::new));
+            }
         } else if (message instanceof PageRead m) {
             pageRead(m);
         } else if (message instanceof Progress m) {
@@ -280,7 +285,7 @@
             if (leader != null) {
                 if (followPending) {
                     followPending = false;
-                    leader.tell(new LeaderActor.JobsSeen(List.copyOf(directory.open())));
+                    leader.tell(new LeaderActor.JobsSeen(directory.openAndCancelled()));
                 }
                 leader.tell(new LeaderActor.StateFresh(message.askedMicros()));
             }
@@ -499,19 +504,25 @@
             request.answer(200, JobCodec.accepted(id, standing(entry)));
             return;
         }
-        Row.JobRow row = new Row.JobRow(JobState.CANCELLED, null, entry.row().submittedWall(), entry.row().tasks());
+        Row.JobRow row = cancelledRow(entry);
         Transaction put = new Transaction(List.of(new Transaction.Compare(StoreKeys.job(id), entry.version())),
                 List.of(new Transaction.Write(StoreKeys.job(id), row, 0)));
         state.transaction(put, answer(r -> new Cancelled(r, request, id, tries)));
     }
 
+    /** The description stays: a leader that finds tasks of the job has to know what they take of their team's limit. */
+    private static Row.JobRow cancelledRow(JobDirectory.Entry entry) {
+        return new Row.JobRow(JobState.CANCELLED, entry.row().spec(), entry.row().submittedWall(),
+                entry.row().tasks());
+    }
+
     private void cancelled(Cancelled message) {
         Reply reply = message.reply();
         String id = message.id();
         if (reply.ok()) {
             try {
                 JobDirectory.Entry entry = directory.get(id);
-                apply(id, new Row.JobRow(JobState.CANCELLED, null, entry.row().submittedWall(), entry.row().tasks()),
+                apply(id, cancelledRow(entry),
                         StateCodec.revision(reply.body()));
                 message.request().answer(200, JobCodec.accepted(id, Standing.CANCELLED));
                 return;
--- a/src/main/java/io/micatide/wire/StateCodec.java
+++ b/src/main/java/io/micatide/wire/StateCodec.java
@@ -100,7 +100,7 @@
         }
         if (key.startsWith(StoreKeys.JOBS)) {
             JobState state = JobState.valueOf(in.text("state"));
-            return new Row.JobRow(state, state.isFinal() ? null : JobCodec.spec(data.get("spec")),
+            return new Row.JobRow(state, state.isFinal() && !in.has("spec") ? null : JobCodec.spec(data.get("spec")),
                     in.count("submitted", 0, Long.MAX_VALUE), (int) in.count("tasks", 0, Integer.MAX_VALUE));
         }
         if (key.startsWith(StoreKeys.LEDGERS)) {
--- a/src/test/java/io/micatide/core/World.java
+++ b/src/test/java/io/micatide/core/World.java
@@ -234,7 +234,7 @@
     void cancel(String id) {
         Row.JobRow row = (Row.JobRow) rows.get(StoreKeys.job(id));
         if (row != null && row.state() == JobState.OPEN) {
-            put(StoreKeys.job(id), new Row.JobRow(JobState.CANCELLED, null, 0, row.tasks()), ++revision);
+            put(StoreKeys.job(id), new Row.JobRow(JobState.CANCELLED, row.spec(), 0, row.tasks()), ++revision);
             cancelledAt.put(id, now);
             tellJob(id);
         }
@@ -299,7 +299,7 @@
         });
         rows.forEach((key, row) -> {
             if (row instanceof Row.Ledger ledger) {
-                leader.ledgerLoaded(key, ledger, versions.get(key));
+                leader.ledgerLoaded(key, ledger, versions.get(key), now);
             } else if (row instanceof Row.Booking booking) {
                 leader.bookingLoaded(key.substring(StoreKeys.BOOKINGS.length()), booking, now);
             }
