--- a/src/main/java/io/micatide/core/Job.java
+++ b/src/main/java/io/micatide/core/Job.java
@@ -36,6 +36,8 @@
     long dirtySinceMicros = -1;
     long blockedUntilMicros;
     int errors;
+    /** Machines on which a task of it failed; it is not placed there again until it has waited. */
+    final Set<String> failedMachines = new HashSet<>();
     /** Scan position for the next task to place. */
     int cursor;
     long firstStartMicros = -1;
--- a/src/main/java/io/micatide/core/Machine.java
+++ b/src/main/java/io/micatide/core/Machine.java
@@ -1,9 +1,11 @@
 package io.micatide.core;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** What is known of one machine. */
 final class Machine {
@@ -29,13 +31,16 @@
     long bootStartedMicros = -1;
     boolean draining;
     long idleSinceMicros = -1;
-    int errors;
+    /** Jobs of which a task failed here since the last success. */
+    final Set<String> failedJobs = new HashSet<>();
+    /** Completions in usual time, fading by the second. */
+    double punctual;
+    /** Until when it is held to be slower than others, or -1. */
+    long slowUntilMicros = -1;
     final List<Placement> placements = new ArrayList<>();
     Resources used = Resources.NONE;
     /** Images by last use, oldest first, with their size. */
     final Map<String, Double> images = new LinkedHashMap<>(8, 0.75f, true);
-    double runMicros;
-    double expectedMicros;
 
     Machine(String name, long nowMicros) {
         this.name = name;
--- a/src/main/java/io/micatide/core/Planner.java
+++ b/src/main/java/io/micatide/core/Planner.java
@@ -86,7 +86,7 @@
         double cpus = 0;
         for (Machine machine : fleet.machines()) {
             if (machine.size != null && !machine.deleting && !machine.draining && machine.noticeAtMicros < 0
-                    && machine.responsive(nowMicros, settings)) {
+                    && machine.slowUntilMicros < nowMicros && machine.responsive(nowMicros, settings)) {
                 cpus += machine.size.cpus();
                 for (Placement placement : machine.placements) {
                     if (placement.job.spec.kind() == JobKind.SERVICE) {
@@ -121,6 +121,10 @@
     }
 
     boolean startable(Job job, long nowMicros) {
+        if (job.failedMachines.size() > 1 && job.blockedUntilMicros <= nowMicros) {
+            // It has waited for its failures: every machine may be tried again.
+            job.failedMachines.clear();
+        }
         return !job.cancelled && job.blockedUntilMicros <= nowMicros && !job.unsettled();
     }
 
@@ -162,7 +166,9 @@
         int left = queued.waiting();
         List<Machine> candidates = new ArrayList<>();
         for (Machine machine : usable) {
-            if (spec.allowsMachine(machine.type, machine.zone, machine.spot)) {
+            if (spec.allowsMachine(machine.type, machine.zone, machine.spot)
+                    && !job.failedMachines.contains(machine.name)
+                    && (spec.kind() == JobKind.SERVICE || machine.slowUntilMicros < nowMicros)) {
                 candidates.add(machine);
             }
         }
--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -25,6 +25,7 @@
     private final Planner planner;
     private final Renter renter;
     private final RunTimes runTimes = new RunTimes();
+    private final Health health = new Health(runTimes);
     private final Map<String, Resources> teamUse = new HashMap<>();
     private final List<Transaction.Write> extraWrites = new ArrayList<>();
     private long freshMicros;
@@ -33,6 +34,7 @@
     private double writeTokens;
     private long writeTokensMicros;
     private boolean planNeeded = true;
+    private int slowFound;
     private boolean loading = true;
     private final Map<String, Row.JobRow> ending = new HashMap<>();
     private final List<Job> completed = new ArrayList<>();
@@ -287,27 +289,20 @@
 
     private void failed(Machine machine, Job job, Placement placement, ExitCause cause, long nowMicros) {
         switch (cause) {
-            case ERROR -> {
-                job.errors++;
-                machine.errors++;
-                job.blockedUntilMicros = nowMicros + backoff(job.errors);
-                if (machine.errors >= 3) {
-                    machine.draining = true;
-                }
-            }
+            case ERROR -> health.failed(machine, job, nowMicros);
             case UNKNOWN, NO_ROOM, BUSY -> job.blockedUntilMicros = nowMicros + Micros.SECOND;
             default -> {
             }
         }
     }
 
-    private static long backoff(int errors) {
-        return Micros.SECOND << Math.min(6, Math.max(0, errors - 1));
-    }
-
     private void learn(Machine machine, Placement placement, long nowMicros) {
         if (placement != null && placement.runningSinceMicros >= 0) {
-            runTimes.finished(placement.job.spec, nowMicros - placement.runningSinceMicros);
+            health.completed(machine, placement, nowMicros);
+            health.succeeded(machine, placement.job);
+            if (machine.slowUntilMicros < nowMicros) {
+                runTimes.finished(placement.job.spec, nowMicros - placement.runningSinceMicros);
+            }
         }
     }
 
@@ -463,11 +458,31 @@
             expire(machine, nowMicros);
         }
         endBrokenGangs(nowMicros);
+        for (Machine machine : health.findSlow(fleet.machines(), nowMicros)) {
+            leaveSlow(machine, nowMicros);
+        }
         planNeeded = true;
         plan(nowMicros);
         renter.plan(nowMicros, termStartMicros);
     }
 
+    /** Starts over elsewhere what would take longer where it is. */
+    private void leaveSlow(Machine machine, long nowMicros) {
+        slowFound++;
+        for (Placement placement : List.copyOf(machine.placements)) {
+            if (placement.job.spec.kind() != JobKind.ARRAY) {
+                continue;
+            }
+            if (placement.unsent()) {
+                remove(placement);
+            } else if (placement.job.spec.checkpointMicros() > 0) {
+                stopToSave(placement, nowMicros);
+            } else {
+                stop(placement, 0, nowMicros);
+            }
+        }
+    }
+
     private void expire(Machine machine, long nowMicros) {
         if (machine.placements.isEmpty()) {
             return;
@@ -695,6 +710,6 @@
         return "jobs=" + book.jobs().size() + " waiting=" + waiting + " unsettled=" + unsettled + " machines="
                 + fleet.machines().size() + " confirmed=" + confirmed + " usable=" + usable + " cpus="
                 + used.cpus() / 1000 + "/" + size.cpus() / 1000 + " running=" + running / 1000 + " spot="
-                + spotCpus / 1000 + " booting=" + booting + " bookings=" + rentals.bookings.size();
+                + spotCpus / 1000 + " booting=" + booting + " slow=" + slowFound + " bookings=" + rentals.bookings.size();
     }
 }
