--- a/src/main/java/io/micatide/cli/CheckCommand.java
+++ b/src/main/java/io/micatide/cli/CheckCommand.java
@@ -1,29 +1,29 @@
 package io.micatide.cli;
 
-import io.micatide.core.Settings;
-import io.micatide.wire.MalformedException;
-import io.micatide.wire.SettingsReader;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Parameters;
 
-/** Says whether a settings file is good. */
-@Command(name = "check", description = "Check a settings file.", mixinStandardHelpOptions = true)
+/** Says whether the settings are good. */
+@Command(name = "check", description = "Check settings files.", mixinStandardHelpOptions = true)
 final class CheckCommand implements Callable<Integer> {
     @Parameters(paramLabel = "FILE", description = "the platform's settings (TOML)")
     private Path file;
 
+    @Mixin
+    private SettingsFiles files;
+
     @Override
     public Integer call() {
-        try {
-            Settings settings = SettingsReader.read(file);
-            System.out.println(file + ": good, " + settings.label() + " with " + settings.siblings().size()
-                    + " siblings and " + settings.teams().size() + " teams");
-            return 0;
-        } catch (MalformedException e) {
-            System.err.println(file + ": " + e.getMessage());
+        SettingsFiles.Loaded loaded = files.load(file);
+        if (loaded == null) {
             return Main.EXIT_SETTINGS;
         }
+        System.out.println(file + ": good, " + loaded.settings().label() + " with "
+                + loaded.settings().siblings().size() + " siblings and " + loaded.settings().teams().size()
+                + " teams");
+        return 0;
     }
 }
--- a/src/main/java/io/micatide/cli/ServeCommand.java
+++ b/src/main/java/io/micatide/cli/ServeCommand.java
@@ -1,12 +1,10 @@
 package io.micatide.cli;
 
-import io.micatide.core.Settings;
 import io.micatide.node.Node;
-import io.micatide.wire.MalformedException;
-import io.micatide.wire.SettingsReader;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 
 /** Runs a controller until it is killed. */
@@ -15,16 +13,16 @@
     @Option(names = "--config", required = true, paramLabel = "FILE", description = "the platform's settings (TOML)")
     private Path config;
 
+    @Mixin
+    private SettingsFiles files;
+
     @Override
     public Integer call() throws InterruptedException {
-        Settings settings;
-        try {
-            settings = SettingsReader.read(config);
-        } catch (MalformedException e) {
-            System.err.println(config + ": " + e.getMessage());
+        SettingsFiles.Loaded loaded = files.load(config);
+        if (loaded == null) {
             return Main.EXIT_SETTINGS;
         }
-        try (Node node = new Node(settings)) {
+        try (Node node = new Node(loaded.settings(), loaded.tuning())) {
             node.start();
             node.join();
         }
--- a/src/main/java/io/micatide/cli/WarmUp.java
+++ b/src/main/java/io/micatide/cli/WarmUp.java
@@ -1,11 +1,13 @@
 package io.micatide.cli;
 
+import io.micatide.core.Settings;
 import io.micatide.net.HttpClient;
 import io.micatide.net.HttpServer;
 import io.micatide.net.Reply;
 import io.micatide.node.Node;
 import io.micatide.wire.MalformedException;
 import io.micatide.wire.SettingsReader;
+import io.micatide.wire.TuningReader;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -36,7 +38,8 @@
             String settings = resource("/warm-up-settings.toml")
                     .replace("@bind@", "127.0.0.1:" + ports[1]).replace("@peer@", "127.0.0.1:" + ports[2])
                     .replace("@sibling@", "127.0.0.1:" + ports[2]).replace("@services@", "127.0.0.1:" + ports[0]);
-            try (Node node = new Node(SettingsReader.parse(settings))) {
+            Settings parsed = SettingsReader.parse(settings);
+            try (Node node = new Node(parsed, TuningReader.parse("idle_s = 20.0", parsed))) {
                 node.start();
                 HttpClient client = new HttpClient(group.next(), "127.0.0.1:" + ports[1], 1);
                 for (int round = 0; round < 8; round++) {
--- a/src/main/java/io/micatide/core/Renter.java
+++ b/src/main/java/io/micatide/core/Renter.java
@@ -11,13 +11,13 @@
 /** Which machines to rent and to return, and the calls for it, paced under the cloud's rate. */
 final class Renter {
     private static final long PLAN_EVERY_MICROS = 500 * Micros.MILLISECOND;
-    private static final long IDLE_MICROS = 20 * Micros.SECOND;
     private static final long FETCH_MICROS = 5 * Micros.SECOND;
     private static final long LATE_MICROS = 60 * Micros.SECOND;
     private static final int MOST_PER_CALL = 10;
     private static final long PRICES_EVERY_MICROS = 60 * Micros.SECOND;
 
     private final Settings settings;
+    private final Tuning tuning;
     private final Fleet fleet;
     private final Rentals rentals;
     private final Planner planner;
@@ -26,8 +26,9 @@
     private boolean listing;
     private long typesAskedMicros = Long.MIN_VALUE / 2;
 
-    Renter(Settings settings, Fleet fleet, Rentals rentals, Planner planner) {
+    Renter(Settings settings, Tuning tuning, Fleet fleet, Rentals rentals, Planner planner) {
         this.settings = settings;
+        this.tuning = tuning;
         this.fleet = fleet;
         this.rentals = rentals;
         this.planner = planner;
@@ -226,7 +227,7 @@
         for (Machine machine : fleet.machines()) {
             if (machine.confirmed && !machine.deleting && machine.placements.isEmpty()
                     && machine.idleSinceMicros >= 0
-                    && (nowMicros - machine.idleSinceMicros > IDLE_MICROS || machine.draining)) {
+                    && (nowMicros - machine.idleSinceMicros > tuning.idleMicros() || machine.draining)) {
                 machine.deleting = true;
             }
         }
--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -39,14 +39,14 @@
     private final Map<String, Row.JobRow> ending = new HashMap<>();
     private final List<Job> completed = new ArrayList<>();
 
-    public Scheduler(Settings settings, long token, long nowMicros) {
+    public Scheduler(Settings settings, Tuning tuning, long token, long nowMicros) {
         this.settings = settings;
         this.token = token;
         this.termStartMicros = nowMicros;
         this.book = new JobBook(settings, token);
         this.rentals = new Rentals(settings, token);
         this.planner = new Planner(this, settings, fleet, book, runTimes);
-        this.renter = new Renter(settings, fleet, rentals, planner);
+        this.renter = new Renter(settings, tuning, fleet, rentals, planner);
         this.writeTokens = leaderWriteRate();
         this.writeTokensMicros = nowMicros;
         this.freshMicros = nowMicros;
--- a/src/main/java/io/micatide/node/LeaderActor.java
+++ b/src/main/java/io/micatide/node/LeaderActor.java
@@ -14,6 +14,7 @@
 import io.micatide.core.Settings;
 import io.micatide.core.StoreKeys;
 import io.micatide.core.Transaction;
+import io.micatide.core.Tuning;
 import io.micatide.net.CloudClient;
 import io.micatide.net.HttpClient;
 import io.micatide.net.HttpServer.Request;
@@ -110,6 +111,7 @@
     private static final int NEWS_JOBS = 1_000;
 
     private final Settings settings;
+    private final Tuning tuning;
     private final StateClient state;
     private final CloudClient cloud;
     private final UsersActor users;
@@ -125,17 +127,17 @@
     private long summaryMicros;
     private boolean listing;
 
-    LeaderActor(EventLoop loop, Settings settings, StateClient state, CloudClient cloud, UsersActor users) {
+    LeaderActor(EventLoop loop, Settings settings, Tuning tuning, StateClient state, CloudClient cloud, UsersActor users) {
         super(loop);
         this.settings = settings;
+        this.tuning = tuning;
         this.state = state;
         this.cloud = cloud;
         this.users = users;
         for (Settings.Sibling sibling : settings.siblings()) {
             siblings.add(new HttpClient(loop, sibling.endpoint(), 2));
         }
-        // A worker loses its tasks when its lease ends, so a take-over has to be over long before that.
-        this.leadership = new Leadership(settings.label(), settings.leaseMicros() * 3 / 10);
+        this.leadership = new Leadership(settings.label(), tuning.leaderLeaseMicros());
     }
 
     @Override
@@ -308,7 +310,7 @@
 
     private void begin(long token, long now) {
         log.info("leads with token {}", token);
-        scheduler = new Scheduler(settings, token, now);
+        scheduler = new Scheduler(settings, tuning, token, now);
         loading = 4;
         unread = new ReadBack(List.of());
         listing = false;
--- a/src/main/java/io/micatide/node/Node.java
+++ b/src/main/java/io/micatide/node/Node.java
@@ -1,6 +1,7 @@
 package io.micatide.node;
 
 import io.micatide.core.Settings;
+import io.micatide.core.Tuning;
 import io.micatide.net.CloudClient;
 import io.micatide.net.HttpServer;
 import io.micatide.net.StateClient;
@@ -24,13 +25,13 @@
     private final LeaderActor leader;
     private final EventLoop loop;
 
-    public Node(Settings settings) {
+    public Node(Settings settings, Tuning tuning) {
         this.settings = settings;
         this.loop = group.next();
         StateClient state = new StateClient(loop, settings, Clock::now);
         CloudClient cloud = new CloudClient(loop, settings, Clock::now);
         this.users = new UsersActor(loop, settings, state, cloud);
-        this.leader = new LeaderActor(loop, settings, state, cloud, users);
+        this.leader = new LeaderActor(loop, settings, tuning, state, cloud, users);
     }
 
     /** Binds both addresses; fails if one cannot be had. */
--- /dev/null
+++ b/src/main/java/io/micatide/wire/TuningReader.java
@@ -0,0 +1,49 @@
+package io.micatide.wire;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import io.micatide.core.Settings;
+import io.micatide.core.Tuning;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Iterator;
+import java.util.Set;
+
+/** The operators' own settings. Unlike the platform's file, a key that is not known is an error: it is a typo. */
+public final class TuningReader {
+    private static final Set<String> KEYS = Set.of("leader_lease_s", "idle_s");
+
+    private TuningReader() {
+    }
+
+    public static Tuning read(Path file, Settings settings) throws MalformedException {
+        try {
+            return parse(Files.readString(file), settings);
+        } catch (IOException e) {
+            throw new MalformedException("file", "cannot be read");
+        }
+    }
+
+    public static Tuning parse(String text, Settings settings) throws MalformedException {
+        JsonNode tree;
+        try {
+            tree = new TomlMapper().readTree(text);
+        } catch (IOException e) {
+            throw new MalformedException("file", "is not TOML");
+        }
+        for (Iterator<String> names = tree.fieldNames(); names.hasNext();) {
+            String name = names.next();
+            if (!KEYS.contains(name)) {
+                throw new MalformedException(name, "is not a setting; known are idle_s and leader_lease_s");
+            }
+        }
+        Fields in = new Fields(tree, "");
+        Tuning defaults = Tuning.defaults(settings);
+        long lease = in.has("leader_lease_s") ? in.seconds("leader_lease_s") : defaults.leaderLeaseMicros();
+        if (lease < settings.leaseMicros() / 20 || lease > settings.leaseMicros() / 2) {
+            throw new MalformedException("leader_lease_s", "must be from a twentieth to half of the workers' lease");
+        }
+        return new Tuning(lease, in.has("idle_s") ? in.seconds("idle_s") : defaults.idleMicros());
+    }
+}
--- a/src/test/java/io/micatide/core/World.java
+++ b/src/test/java/io/micatide/core/World.java
@@ -289,7 +289,7 @@
     void takeOver() {
         token = ++revision;
         put(StoreKeys.LEADER, new Row.Leader("c0"), token);
-        leader = new Scheduler(settings, token, now);
+        leader = new Scheduler(settings, Tuning.defaults(settings), token, now);
         takeOvers++;
         leader.typesKnown(List.of(TYPE), now);
         rows.forEach((key, row) -> {
--- /dev/null
+++ b/src/test/java/io/micatide/wire/CodecTest.java
@@ -0,0 +1,121 @@
+package io.micatide.wire;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.micatide.core.Admission;
+import io.micatide.core.Command;
+import io.micatide.core.JobSpec;
+import io.micatide.core.JobState;
+import io.micatide.core.MachineType;
+import io.micatide.core.Micros;
+import io.micatide.core.Resources;
+import io.micatide.core.Row;
+import io.micatide.core.Team;
+import io.micatide.core.Transaction;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class CodecTest {
+    private static final String JOB = "{'nameId':'wk-1','roster':'train','crew':'red','form':'batch','rank':'high',"
+            + "'legs':16,'cpus':2.0,'cards':0.0,'memGb':4.0,'kit':'img','sizeGb':1.5,'builds':['g8'],'ground':null,"
+            + "'samePlace':false,'scatter':false,'loaners':true,'runtimeS':20.0,'halftimeS':0.0,'stowS':0.0,"
+            + "'whistleS':90.0}";
+
+    private static byte[] json(String text) {
+        return text.replace('\'', '"').getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** Each row replaces a part of a good job; the complaint names the field. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "'nameId':'wk-1'|'nameId':7|nameId",
+        "'nameId':'wk-1'|'nameId':'job 1'|nameId",
+        "'roster':'train',||roster",
+        "'form':'batch'|'form':'pile'|form",
+        "'rank':'high'|'rank':''|rank",
+        "'legs':16|'legs':0|legs",
+        "'legs':16|'legs':100001|legs",
+        "'legs':16|'legs':1.5|legs",
+        "'cpus':2.0|'cpus':-1|cpus",
+        "'cpus':2.0|'cpus':'2'|cpus",
+        "'memGb':4.0,||memGb",
+        "['g8']|7|builds",
+        "['g8']|[8]|builds",
+        "'ground':null|'ground':3|ground",
+        "'samePlace':false|'samePlace':0|samePlace",
+        "'whistleS':90.0|'whistleS':-2|whistleS",
+        "'runtimeS':20.0|'runtimeS':null|runtimeS",
+    })
+    void namesTheFieldOfAMalformedJob(String part, String instead, String field) {
+        String text = JOB.replace(part, instead == null ? "" : instead);
+        MalformedException e = assertThrows(MalformedException.class, () -> JobCodec.spec(Json.tree(json(text))));
+        assertEquals(field, e.field());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {"[]", "7", "{", "x", "''"})
+    void whatIsNoObjectIsMalformed(String text) {
+        assertThrows(MalformedException.class, () -> JobCodec.id(Json.tree(json(text))));
+    }
+
+    /** Each row replaces a part of a good job; the reason begins as given, or there is none. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "'crew':'red'|'crew':'red'|",
+        "'ground':null|'ground':'a'|",
+        "'crew':'red'|'crew':'green'|unknown team",
+        "'ground':null|'ground':'z'|unknown zone",
+        "['g8']|['g9']|a task fits no",
+        "'cpus':2.0|'cpus':9|a task fits no",
+        "'cards':0.0|'cards':1|a task fits no",
+        "'form':'batch'|'form':'daemon'|needs more than the limit",
+        "'form':'batch'|'form':'group'|needs more than the limit",
+    })
+    void admitsWhatCanRun(String part, String instead, String reason) throws MalformedException {
+        JobSpec spec = JobCodec.spec(Json.tree(json(JOB.replace(part, instead))));
+        MachineType type = new MachineType("g8", Resources.of(8, 0, 64), 25, 0.3, 1, 0.3, 1, List.of("a", "b"));
+        String refusal = Admission.refusal(spec, Map.of("red", new Team("red", 0, 0, 20_000, 0)),
+                List.of("a", "b"), List.of(type));
+        assertEquals(reason, refusal == null || reason == null ? refusal
+                : refusal.substring(0, Math.min(refusal.length(), reason.length())));
+    }
+
+    /** What is stored of an accepted job is what was submitted. */
+    @Test
+    void aJobComesBackFromTheStore() throws MalformedException {
+        JobSpec spec = JobCodec.spec(Json.tree(json(JOB)));
+        Row.JobRow row = new Row.JobRow(JobState.OPEN, spec, 5, 16);
+        byte[] sent = StateCodec.transaction(new Transaction(List.of(new Transaction.Compare("job/wk-1", 0)),
+                List.of(new Transaction.Write("job/wk-1", row, 0))));
+        String data = Json.MAPPER.convertValue(Json.tree(sent).path("writes").get(0).path("data"),
+                com.fasterxml.jackson.databind.JsonNode.class).toString();
+        StateCodec.Item item = StateCodec.item(json("{'k':'job/wk-1','data':" + data + ",'stamp':9}"));
+        assertEquals(row, item.row());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "{}", "[]", "{'berth':'i-1'}",
+        "{'berth':'i-1','build':'g8','ground':'a','stint':1,'tally':1,'armband':0,'legs':[{'leg':'wk-1'}]}",
+        "{'berth':'i-1','build':'g8','ground':'a','stint':1,'tally':1,'armband':0,'legs':7}",
+        "{'berth':'i-1','build':'g8','ground':'a','stint':1,'tally':1,'armband':0,"
+                + "'legs':[{'leg':'wk-1/x','throwIn':1,'standing':'running'}]}",
+    })
+    void aBadReportIsMalformed(String text) {
+        assertThrows(MalformedException.class, () -> WorkerCodec.report(json(text)));
+    }
+
+    @Test
+    void anAnswerCarriesTheTokenAndTheCommandsInOrder() {
+        byte[] answer = WorkerCodec.answer(41, List.of(new Command.Stop("wk-1", 0, 3, 10 * Micros.SECOND),
+                new Command.Forget("wk-2", 1, 4), new Command.Start("wk-3", 2, 5)));
+        assertEquals("{'armband':41,'calls':[{'call':'halt','leg':'wk-1/0','throwIn':3,'stoppageS':10.0},"
+                + "{'call':'reap','leg':'wk-2/1','throwIn':4},{'call':'start','leg':'wk-3/2','throwIn':5}]}",
+                new String(answer, StandardCharsets.UTF_8).replace('"', '\''));
+    }
+}
