--- a/src/main/java/io/micatide/core/Planner.java
+++ b/src/main/java/io/micatide/core/Planner.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -39,7 +40,7 @@
         Map<String, Resources> asked = new HashMap<>();
         List<Queued> result = new ArrayList<>();
         Map<Job, Deadlines.Entry> entries = new HashMap<>();
-        for (Deadlines.Entry entry : Deadlines.decide(arrays(nowMicros), arrayCpus(nowMicros), nowMicros)) {
+        for (Deadlines.Entry entry : decide(nowMicros)) {
             entries.put(entry.job, entry);
         }
         for (Job job : book.jobs()) {
@@ -65,6 +66,29 @@
         return result;
     }
 
+    /**
+     * What can be on time: first within each team's limit, since room beyond it helps none of the team's jobs, then
+     * with all processors.
+     */
+    private List<Deadlines.Entry> decide(long nowMicros) {
+        double cpus = arrayCpus(nowMicros);
+        Map<String, List<Deadlines.Entry>> perTeam = new LinkedHashMap<>();
+        for (Deadlines.Entry entry : arrays(nowMicros)) {
+            perTeam.computeIfAbsent(entry.job.spec.team(), k -> new ArrayList<>()).add(entry);
+        }
+        List<Deadlines.Entry> result = new ArrayList<>();
+        List<Deadlines.Entry> possible = new ArrayList<>();
+        perTeam.forEach((name, entries) -> {
+            Team team = settings.teams().get(name);
+            double most = team == null || team.cpusMax() == 0 ? cpus : Math.min(cpus, team.cpusMax());
+            for (Deadlines.Entry entry : Deadlines.decide(entries, most, nowMicros)) {
+                (entry.onTime ? possible : result).add(entry);
+            }
+        });
+        result.addAll(Deadlines.decide(possible, cpus, nowMicros));
+        return result;
+    }
+
     /** What is left of every job that ends. */
     List<Deadlines.Entry> arrays(long nowMicros) {
         List<Deadlines.Entry> result = new ArrayList<>();
--- /dev/null
+++ b/src/test/java/io/micatide/core/DeadlinesTest.java
@@ -0,0 +1,40 @@
+package io.micatide.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class DeadlinesTest {
+    /** Jobs as `tasks x seconds @ due`, one processor a task; says which can be on time, earliest start first. */
+    @ParameterizedTest
+    @CsvSource({
+        // Everything fits.
+        "10, '10x10@30,10x10@40', '30 40'",
+        // The largest is given up so that the two others make it.
+        "10, '10x10@20,40x10@25,10x10@30', '20 30'",
+        // A task that is longer than what is left can't be on time on any number of processors.
+        "100, '1x50@40,1x10@40', 40",
+        "0, '1x1@40', ''",
+    })
+    void leavesTheLargestForLater(double cpus, String jobs, String onTime) {
+        List<Deadlines.Entry> entries = new ArrayList<>();
+        for (String each : jobs.split(",")) {
+            String[] part = each.split("[x@]");
+            int tasks = Integer.parseInt(part[0]);
+            long length = Integer.parseInt(part[1]) * Micros.SECOND;
+            Job job = new Job(World.job("wk-" + each, JobKind.ARRAY, "blue", Priority.NORMAL, tasks, 1), 1, 0, 0);
+            entries.add(new Deadlines.Entry(job, (double) tasks * length, length,
+                    Integer.parseInt(part[2]) * Micros.SECOND));
+        }
+        List<String> kept = new ArrayList<>();
+        for (Deadlines.Entry entry : Deadlines.decide(entries, cpus, 0)) {
+            if (entry.onTime) {
+                kept.add(String.valueOf(entry.dueMicros / Micros.SECOND));
+            }
+        }
+        assertEquals(onTime, String.join(" ", kept));
+    }
+}
