--- a/src/main/java/io/micatide/core/Renter.java
+++ b/src/main/java/io/micatide/core/Renter.java
@@ -51,11 +51,15 @@
     private void markDead(long nowMicros, long termStartMicros) {
         int silent = 0;
         int up = 0;
+        List<Machine> quiet = new ArrayList<>();
         List<Machine> dead = new ArrayList<>();
         for (Machine machine : fleet.machines()) {
             MachineType type = machine.type == null ? null : fleet.types().get(machine.type);
             if (machine.lastAnsweredMicros >= 0) {
                 up++;
+                if (machine.confirmed && !machine.deleting && nowMicros - machine.lastAnsweredMicros > quietMicros()) {
+                    quiet.add(machine);
+                }
                 if (nowMicros - machine.lastAnsweredMicros > settings.goneAfterMicros()) {
                     silent++;
                     if (nowMicros - machine.lastAnsweredMicros > 4 * settings.goneAfterMicros()
@@ -80,6 +84,26 @@
         for (Machine machine : dead) {
             machine.deleting = true;
         }
+        // One machine alone that says nothing has hung or lost its network, and most likely loses its tasks: once its
+        // deletion is answered they may start elsewhere, some seconds before its lease is certainly over.
+        if (quiet.size() <= Math.max(1, up / 20)) {
+            for (Machine machine : quiet) {
+                machine.deleting |= hasReplica(machine);
+            }
+        }
+    }
+
+    private long quietMicros() {
+        return 4 * Micros.SECOND + 2 * settings.reportMicros();
+    }
+
+    private static boolean hasReplica(Machine machine) {
+        for (Placement placement : machine.placements) {
+            if (placement.job.spec.kind() == JobKind.SERVICE) {
+                return true;
+            }
+        }
+        return false;
     }
 
     private boolean coming(Machine machine, long nowMicros) {
