--- a/src/main/java/io/micatide/cli/ServeCommand.java
+++ b/src/main/java/io/micatide/cli/ServeCommand.java
@@ -25,7 +25,10 @@
         try (Node node = new Node(loaded.settings(), loaded.tuning())) {
             node.start();
             node.join();
+            return 0;
+        } catch (IllegalStateException e) {
+            System.err.println(config + ": " + e.getMessage());
+            return Main.EXIT_SETTINGS;
         }
-        return 0;
     }
 }
--- a/src/main/java/io/micatide/node/Node.java
+++ b/src/main/java/io/micatide/node/Node.java
@@ -10,6 +10,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.micatide.wire.Json;
+import java.util.concurrent.CountDownLatch;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -24,6 +25,7 @@
     private final UsersActor users;
     private final LeaderActor leader;
     private final EventLoop loop;
+    private volatile String failure;
 
     public Node(Settings settings, Tuning tuning) {
         this.settings = settings;
@@ -34,16 +36,36 @@
         this.leader = new LeaderActor(loop, settings, tuning, state, cloud, users);
     }
 
-    /** Binds both addresses; fails if one cannot be had. */
+    /**
+     * Binds both addresses; fails if one cannot be had. All of it happens on the event loop, so that the calling thread
+     * has nothing to load or to read while the loop works: on the bench a controller has ended inside the C library's
+     * read when both did (docs/questions.md).
+     */
     public void start() throws InterruptedException {
-        int most = Math.max(10, settings.maxConnections() * 8 / 10);
-        users.tell(new UsersActor.Load());
-        leader.tell(new LeaderActor.LeaseTick());
-        leader.tell(new LeaderActor.Tick());
-        new HttpServer(this::handle, most).bind(loop, settings.bind()).sync();
-        new HttpServer(this::handlePeer, most).bind(loop, settings.peerBind()).sync();
-        LOG.info("{} in {} serves on {}, siblings on {}", settings.label(), settings.zone(), settings.bind(),
-                settings.peerBind());
+        CountDownLatch bound = new CountDownLatch(2);
+        loop.execute(() -> {
+            int most = Math.max(10, settings.maxConnections() * 8 / 10);
+            users.tell(new UsersActor.Load());
+            leader.tell(new LeaderActor.LeaseTick());
+            leader.tell(new LeaderActor.Tick());
+            bind(new HttpServer(this::handle, most), settings.bind(), bound);
+            bind(new HttpServer(this::handlePeer, most), settings.peerBind(), bound);
+            LOG.info("{} in {} serves on {}, siblings on {}", settings.label(), settings.zone(), settings.bind(),
+                    settings.peerBind());
+        });
+        bound.await();
+        if (failure != null) {
+            throw new IllegalStateException(failure);
+        }
+    }
+
+    private void bind(HttpServer server, String address, CountDownLatch bound) {
+        server.bind(loop, address).addListener(done -> {
+            if (!done.isSuccess()) {
+                failure = "cannot bind " + address + ": " + done.cause().getMessage();
+            }
+            bound.countDown();
+        });
     }
 
     private void handle(HttpServer.Request request) {
