--- a/src/main/java/io/micatide/core/Health.java
+++ b/src/main/java/io/micatide/core/Health.java
@@ -32,7 +32,7 @@
     /** A completed task says whether the machine keeps the usual time. */
     void completed(Machine machine, Placement placement, long nowMicros) {
         if (placement.runningSinceMicros >= 0
-                && nowMicros - placement.runningSinceMicros <= OVERDUE * runTimes.slowest(placement.job.spec)) {
+                && nowMicros - placement.runningSinceMicros <= OVERDUE * runTimes.slowest(placement.job)) {
             machine.punctual++;
         }
     }
@@ -65,7 +65,7 @@
                 if (placement.job.spec.kind() == JobKind.ARRAY && placement.state == TaskState.RUNNING
                         && placement.runningSinceMicros >= 0 && !placement.stopping()
                         && nowMicros - placement.runningSinceMicros
-                                > OVERDUE * runTimes.slowest(placement.job.spec) + Micros.SECOND) {
+                                > OVERDUE * runTimes.slowest(placement.job) + Micros.SECOND) {
                     overdue++;
                 }
             }
--- a/src/main/java/io/micatide/core/Job.java
+++ b/src/main/java/io/micatide/core/Job.java
@@ -43,6 +43,9 @@
     long firstStartMicros = -1;
     long lastStartMicros = -1;
     int attempts;
+    /** Run time and number of its tasks that completed in this term. */
+    long ranMicros;
+    int ranTasks;
     /** Until when room that was asked for by stopping saving work is waited for. */
     long roomComingMicros = -1;
     /** A task of the gang's present attempt has run: what is missing cannot be replaced any more. */
--- a/src/main/java/io/micatide/core/Planner.java
+++ b/src/main/java/io/micatide/core/Planner.java
@@ -94,11 +94,11 @@
         List<Deadlines.Entry> result = new ArrayList<>();
         for (Job job : book.jobs()) {
             if (!job.cancelled && job.spec.kind() != JobKind.SERVICE && job.unfinished() > 0) {
-                long length = runTimes.expected(job.spec);
+                long length = runTimes.expected(job);
                 int waiting = job.waiting();
                 double work = job.spec.each().cpus() * (double) length
                         * (waiting + 0.5 * (job.unfinished() - waiting));
-                long slowest = runTimes.slowest(job.spec);
+                long slowest = runTimes.slowest(job);
                 result.add(new Deadlines.Entry(job, work, slowest, due(job, slowest, nowMicros)));
             }
         }
--- a/src/main/java/io/micatide/core/RunTimes.java
+++ b/src/main/java/io/micatide/core/RunTimes.java
@@ -9,6 +9,8 @@
  */
 final class RunTimes {
     private static final double WEIGHT = 0.02;
+    /** As many own tasks as it takes for them to count as much as the owner's estimate. */
+    private static final double ESTIMATE_WEIGHT = 2;
     private static final double USUAL_SPREAD = 0.2;
 
     /** Mean of run time by estimate, and how far a single task is usually from it. */
@@ -19,7 +21,10 @@
 
     private final Map<String, Factor> factors = new HashMap<>();
 
-    void finished(JobSpec spec, long ranMicros) {
+    void finished(Job job, long ranMicros) {
+        JobSpec spec = job.spec;
+        job.ranMicros += ranMicros;
+        job.ranTasks++;
         if (spec.estimateMicros() <= 0) {
             return;
         }
@@ -30,15 +35,17 @@
         factors.put(spec.jobClass(), new Factor(mean, spread));
     }
 
-    /** How long a task takes on average. */
-    long expected(JobSpec spec) {
-        return Math.max(Micros.SECOND, Math.round(
-                spec.estimateMicros() * factors.getOrDefault(spec.jobClass(), UNKNOWN).mean()));
+    /** How long a task takes on average: its owner's estimate, until the job's own tasks tell better. */
+    long expected(Job job) {
+        JobSpec spec = job.spec;
+        double estimate = spec.estimateMicros() * factors.getOrDefault(spec.jobClass(), UNKNOWN).mean();
+        return Math.max(Micros.SECOND, Math.round((ESTIMATE_WEIGHT * estimate + job.ranMicros)
+                / (ESTIMATE_WEIGHT + job.ranTasks)));
     }
 
     /** How long the slowest of a job's tasks is likely to take: the job is not done before that one is. */
-    long slowest(JobSpec spec) {
-        double spread = factors.getOrDefault(spec.jobClass(), UNKNOWN).spread();
-        return Math.round(expected(spec) * (1 + Math.min(1, 2 * spread)));
+    long slowest(Job job) {
+        double spread = factors.getOrDefault(job.spec.jobClass(), UNKNOWN).spread();
+        return Math.round(expected(job) * (1 + Math.min(1, 2 * spread)));
     }
 }
--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -301,7 +301,7 @@
             health.completed(machine, placement, nowMicros);
             health.succeeded(machine, placement.job);
             if (machine.slowUntilMicros < nowMicros) {
-                runTimes.finished(placement.job.spec, nowMicros - placement.runningSinceMicros);
+                runTimes.finished(placement.job, nowMicros - placement.runningSinceMicros);
             }
         }
     }
@@ -671,7 +671,7 @@
                     Micros.toSeconds(nowMicros - job.submittedMicros), job.spec.tasks(), job.attempts,
                     Micros.toSeconds(job.firstStartMicros - job.submittedMicros),
                     Micros.toSeconds(job.lastStartMicros - job.submittedMicros),
-                    Micros.toSeconds(runTimes.expected(job.spec))));
+                    Micros.toSeconds(runTimes.expected(job))));
         }
         completed.clear();
         return lines;
