--- a/src/main/java/io/micatide/core/Settings.java
+++ b/src/main/java/io/micatide/core/Settings.java
@@ -26,8 +26,11 @@
         return Micros.withDrift(leaseMicros) + 300 * Micros.MILLISECOND;
     }
 
-    /** A job's tasks are recorded in pages of this many, so that the worst fragmentation fits one value. */
+    /**
+     * A job's tasks are recorded in pages of this many: the worst fragmentation takes five eighths of a value, and the
+     * rest is for the machines that the first page names.
+     */
     public int pageTasks() {
-        return Math.max(256, Integer.highestOneBit(valueBytes / 4));
+        return Math.max(256, Integer.highestOneBit(valueBytes / 8));
     }
 }
--- a/src/main/java/io/micatide/net/CloudClient.java
+++ b/src/main/java/io/micatide/net/CloudClient.java
@@ -10,26 +10,15 @@
 import java.util.function.LongSupplier;
 
 /** The cloud's calls, paced under its rate. */
-public final class CloudClient {
+public final class CloudClient extends PacedClient {
     public static final int PAGE = 500;
     private static final long PATIENCE_MICROS = 5 * Micros.SECOND;
 
     private final HttpClient http;
-    private final Pacer pacer;
-    private final LongSupplier clock;
 
     public CloudClient(EventLoop loop, Settings settings, LongSupplier clock) {
+        super(settings.cloudRate() * 0.8, Math.max(1, settings.cloudRate()), clock);
         this.http = new HttpClient(loop, settings.cloud(), 6);
-        this.pacer = new Pacer(settings.cloudRate() * 0.8, Math.max(1, settings.cloudRate()), clock.getAsLong());
-        this.clock = clock;
-    }
-
-    private boolean over(Consumer<Reply> then) {
-        if (pacer.take(clock.getAsLong())) {
-            return false;
-        }
-        then.accept(new Reply(429, new byte[0], false));
-        return true;
     }
 
     public void types(Consumer<Reply> then) {
--- /dev/null
+++ b/src/main/java/io/micatide/net/PacedClient.java
@@ -0,0 +1,26 @@
+package io.micatide.net;
+
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+/** A client that answers a request itself, as the service would, when the request would be above the service's rate. */
+abstract class PacedClient {
+    private static final Reply ABOVE_RATE = new Reply(429, new byte[0], false);
+
+    private final Pacer pacer;
+    private final LongSupplier clock;
+
+    PacedClient(double rate, double burst, LongSupplier clock) {
+        this.pacer = new Pacer(rate, burst, clock.getAsLong());
+        this.clock = clock;
+    }
+
+    /** Whether the request is above the rate, in which case it has been answered. */
+    final boolean over(Consumer<Reply> then) {
+        if (pacer.take(clock.getAsLong())) {
+            return false;
+        }
+        then.accept(ABOVE_RATE);
+        return true;
+    }
+}
--- a/src/main/java/io/micatide/net/StateClient.java
+++ b/src/main/java/io/micatide/net/StateClient.java
@@ -9,26 +9,15 @@
 import java.util.function.LongSupplier;
 
 /** The state service's calls, paced so that the controllers together stay under its rate. */
-public final class StateClient {
+public final class StateClient extends PacedClient {
     private final HttpClient http;
     private final HttpClient watches;
-    private final Pacer pacer;
-    private final LongSupplier clock;
 
     public StateClient(EventLoop loop, Settings settings, LongSupplier clock) {
+        // One controller alone may need most of the rate; 429 and a second try settle the rare sum above it.
+        super(settings.stateRate() * 0.6, settings.stateRate() * 0.3, clock);
         this.http = new HttpClient(loop, settings.state(), 12);
         this.watches = new HttpClient(loop, settings.state(), 2);
-        // One controller alone may need most of the rate; 429 and a second try settle the rare sum above it.
-        this.pacer = new Pacer(settings.stateRate() * 0.6, settings.stateRate() * 0.3, clock.getAsLong());
-        this.clock = clock;
-    }
-
-    private boolean over(Consumer<Reply> then) {
-        if (pacer.take(clock.getAsLong())) {
-            return false;
-        }
-        then.accept(new Reply(429, new byte[0], false));
-        return true;
     }
 
     public void transaction(Transaction transaction, Consumer<Reply> then) {
--- a/src/main/java/io/micatide/node/UsersActor.java
+++ b/src/main/java/io/micatide/node/UsersActor.java
@@ -429,6 +429,11 @@
         Row.JobRow row = new Row.JobRow(JobState.OPEN, spec, Clock.wall(), spec.tasks());
         Transaction put = new Transaction(List.of(new Transaction.Compare(StoreKeys.job(id), 0)),
                 List.of(new Transaction.Write(StoreKeys.job(id), row, 0)));
+        if (StateCodec.transaction(put).length > settings.valueBytes()) {
+            // The state service would refuse it each time, and the user would try again for nothing.
+            refuse(request, id, 400, Json.error("body", "body: is too long to be kept"));
+            return;
+        }
         state.transaction(put, answer(r -> new Submitted(r, request, spec, row)));
     }
 
