--- a/src/main/java/io/micatide/core/Machine.java
+++ b/src/main/java/io/micatide/core/Machine.java
@@ -28,6 +28,8 @@
     boolean deleting;
     long deleteAskedMicros = -1;
     boolean listed;
+    /** A ledger names it: until it reports to this leader or is gone, those jobs' missing tasks may be on it. */
+    boolean holdsUp;
     long bootStartedMicros = -1;
     boolean draining;
     long idleSinceMicros = -1;
--- a/src/main/java/io/micatide/core/Renter.java
+++ b/src/main/java/io/micatide/core/Renter.java
@@ -55,6 +55,10 @@
         List<Machine> dead = new ArrayList<>();
         for (Machine machine : fleet.machines()) {
             MachineType type = machine.type == null ? null : fleet.types().get(machine.type);
+            long heard = Math.max(termStartMicros, machine.lastAnsweredMicros);
+            if (machine.holdsUp && !machine.deleting && nowMicros - heard > quietMicros() + Micros.SECOND) {
+                quiet.add(machine);
+            }
             if (machine.lastAnsweredMicros >= 0) {
                 up++;
                 if (machine.confirmed && !machine.deleting && nowMicros - machine.lastAnsweredMicros > quietMicros()) {
@@ -86,9 +90,10 @@
         }
         // One machine alone that says nothing has hung or lost its network, and most likely loses its tasks: once its
         // deletion is answered they may start elsewhere, some seconds before its lease is certainly over.
+        // The same holds for one that a ledger names and that has not found a new leader while all others have.
         if (quiet.size() <= Math.max(1, up / 20)) {
             for (Machine machine : quiet) {
-                machine.deleting |= hasReplica(machine);
+                machine.deleting |= machine.holdsUp || hasReplica(machine);
             }
         }
     }
--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -130,7 +130,7 @@
         ending.clear();
         for (Job job : book.jobs()) {
             for (String name : job.unsettledMachines) {
-                fleet.obtain(name, nowMicros);
+                fleet.obtain(name, nowMicros).holdsUp = true;
             }
             settleCancelled(job, nowMicros);
         }
@@ -183,6 +183,7 @@
 
     private void confirm(Machine machine, long nowMicros) {
         machine.confirmed = true;
+        machine.holdsUp = false;
         planNeeded = true;
         settle(machine.name, nowMicros);
     }
