--- a/src/main/java/io/micatide/core/Placement.java
+++ b/src/main/java/io/micatide/core/Placement.java
@@ -25,6 +25,8 @@
     long sentSequence;
     long createdMicros;
     long runningSinceMicros = -1;
+    /** Found running by this leader: how long it ran before is not known, so it teaches nothing about run times. */
+    boolean adopted;
     /** When a stop was first decided, or -1. */
     long stopSinceMicros = -1;
     long stopGraceMicros;
--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -218,6 +218,7 @@
             if (placement == null) {
                 placement = new Placement(job, line.index(), line.attempt(), machine, Placement.Phase.REPORTED,
                         nowMicros);
+                placement.adopted = true;
                 add(placement);
                 if (job.cancelled || job.spec.kind() != JobKind.SERVICE && job.finished.get(line.index())) {
                     stop(placement, 0, nowMicros);
@@ -301,7 +302,7 @@
         if (placement != null && placement.runningSinceMicros >= 0) {
             health.completed(machine, placement, nowMicros);
             health.succeeded(machine, placement.job);
-            if (machine.slowUntilMicros < nowMicros) {
+            if (machine.slowUntilMicros < nowMicros && !placement.adopted) {
                 runTimes.finished(placement.job, nowMicros - placement.runningSinceMicros);
             }
         }
