A job in very many pieces keeps the transaction's size

Cause: sixteen pages of the worst fragmentation are 80 KB, above the 64 KiB of a transaction: the round would have been refused for ever.

--- a/src/main/java/io/micatide/core/JobBook.java
+++ b/src/main/java/io/micatide/core/JobBook.java
@@ -181,15 +181,21 @@
         int size = settings.pageTasks();
         Map<Integer, java.util.BitSet> done = new HashMap<>();
         List<Transaction.Write> own = new ArrayList<>();
-        for (int page : pages) {
+        int bytes = 0;
+        for (int page : List.copyOf(pages)) {
             String text = Ranges.format(job.finished, page * size, (page + 1) * size);
+            if (page > 0 && bytes + text.length() > MOST_BYTES / 2) {
+                // A job in many pieces fills a transaction by itself; the rest of it goes with the next round.
+                pages.remove(Integer.valueOf(page));
+                continue;
+            }
             java.util.BitSet bits = new java.util.BitSet();
             Ranges.parseInto(text, page * size, bits);
             done.put(page, bits);
             own.add(new Transaction.Write(StoreKeys.ledger(job.id(), page), new Row.Ledger(
                     page == 0 ? List.copyOf(machines) : List.of(), page == 0 ? job.gangAttempt : 0, text), 0));
+            bytes += sizeOf(own.get(own.size() - 1));
         }
-        int bytes = own.stream().mapToInt(JobBook::sizeOf).sum();
         if (bytes > mostBytes && !writes.isEmpty()) {
             return null;
         }
