Plan at ticks, refill machines at their reports, count instead of searching

Also: a task that displaces others counts the room of those that are stopped already; before, each further one displaced more.

--- a/src/main/java/io/micatide/core/Fleet.java
+++ b/src/main/java/io/micatide/core/Fleet.java
@@ -1,6 +1,5 @@
 package io.micatide.core;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -56,12 +55,6 @@
         machine.zone = zone;
         machine.spot = spot;
         MachineType known = type == null ? null : types.get(type);
-        machine.size = known == null ? null : known.size();
-    }
-
-    List<Machine> sortedByRoom() {
-        List<Machine> result = new ArrayList<>(machines.values());
-        result.sort((a, b) -> Long.compare(b.room().cpus(), a.room().cpus()));
-        return result;
+        machine.resize(known == null ? null : known.size());
     }
 }
--- a/src/main/java/io/micatide/core/Job.java
+++ b/src/main/java/io/micatide/core/Job.java
@@ -1,5 +1,7 @@
 package io.micatide.core;
 
+import com.google.common.collect.HashMultiset;
+import com.google.common.collect.Multiset;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashMap;
@@ -16,8 +18,14 @@
     final long submittedMicros;
     long version;
     boolean cancelled;
-    /** Finished tasks, recorded or not. */
+    /** Finished tasks, recorded or not; changed by {@link #finish} and {@link #adopt} only. */
     final BitSet finished = new BitSet();
+    /** Tasks that are finished or live, so that the next one to place is found without a search. */
+    private final BitSet taken = new BitSet();
+    private int finishedCount;
+    private int liveUnfinished;
+    /** Machines with live attempts, and how many. */
+    final Multiset<String> liveMachines = HashMultiset.create();
     /** Finished tasks that a confirmed write holds: only these may be forgotten by the workers. */
     final BitSet recorded = new BitSet();
     /** Attempts that may be on a machine, by task. */
@@ -38,14 +46,14 @@
     int errors;
     /** Machines on which a task of it failed; it is not placed there again until it has waited. */
     final Set<String> failedMachines = new HashSet<>();
-    /** Scan position for the next task to place. */
-    int cursor;
     long firstStartMicros = -1;
     long lastStartMicros = -1;
     int attempts;
     /** Run time and number of its tasks that completed in this term. */
     long ranMicros;
     int ranTasks;
+    /** When it may next displace other work. */
+    long preemptsAgainMicros;
     /** Until when room that was asked for by stopping saving work is waited for. */
     long roomComingMicros = -1;
     /** A task of the gang's present attempt has run: what is missing cannot be replaced any more. */
@@ -64,54 +72,71 @@
         return spec.id();
     }
 
+    /** Whether that is news. */
+    boolean finish(int index) {
+        if (finished.get(index)) {
+            return false;
+        }
+        finished.set(index);
+        taken.set(index);
+        finishedCount++;
+        if (live.containsKey(index)) {
+            liveUnfinished--;
+        }
+        return true;
+    }
+
+    /** Finished tasks as an earlier leader recorded them. */
+    void adopt(BitSet recordedThen) {
+        recorded.or(recordedThen);
+        for (int i = recordedThen.nextSetBit(0); i >= 0; i = recordedThen.nextSetBit(i + 1)) {
+            finish(i);
+        }
+    }
+
+    int finishedCount() {
+        return finishedCount;
+    }
+
     int unfinished() {
-        return spec.tasks() - finished.cardinality();
+        return spec.tasks() - finishedCount;
     }
 
     boolean allFinished() {
-        return spec.kind() != JobKind.SERVICE && finished.cardinality() >= spec.tasks();
+        return spec.kind() != JobKind.SERVICE && finishedCount >= spec.tasks();
     }
 
     /** Tasks that are neither finished nor possibly on a machine that we have listed. */
     int waiting() {
-        return cancelled ? 0 : Math.max(0, unfinished() - liveUnfinished());
+        return cancelled ? 0 : Math.max(0, unfinished() - liveUnfinished);
     }
 
-    private int liveUnfinished() {
-        int count = 0;
-        for (int index : live.keySet()) {
-            if (!finished.get(index)) {
-                count++;
-            }
-        }
-        return count;
-    }
-
-    /** The next task that may be placed at or after the cursor, or -1. */
+    /** The next task that may be placed, or -1. */
     int nextWaiting() {
-        for (int step = 0, i = cursor; step < spec.tasks(); step++, i++) {
-            if (i >= spec.tasks()) {
-                i = 0;
-            }
-            if (!finished.get(i) && !live.containsKey(i)) {
-                cursor = i;
-                return i;
-            }
-        }
-        return -1;
+        int index = taken.nextClearBit(0);
+        return index < spec.tasks() ? index : -1;
     }
 
     void add(Placement placement) {
-        live.computeIfAbsent(placement.index, k -> new ArrayList<>(1)).add(placement);
+        List<Placement> list = live.computeIfAbsent(placement.index, k -> new ArrayList<>(1));
+        if (list.isEmpty() && !finished.get(placement.index)) {
+            liveUnfinished++;
+        }
+        list.add(placement);
+        taken.set(placement.index);
+        liveMachines.add(placement.machine.name);
     }
 
     void remove(Placement placement) {
         List<Placement> list = live.get(placement.index);
-        if (list != null) {
-            list.remove(placement);
+        if (list != null && list.remove(placement)) {
+            liveMachines.remove(placement.machine.name);
             if (list.isEmpty()) {
                 live.remove(placement.index);
-                cursor = Math.min(cursor, placement.index);
+                if (!finished.get(placement.index)) {
+                    taken.clear(placement.index);
+                    liveUnfinished--;
+                }
             }
         }
     }
--- a/src/main/java/io/micatide/core/JobBook.java
+++ b/src/main/java/io/micatide/core/JobBook.java
@@ -1,6 +1,7 @@
 package io.micatide.core;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -31,7 +32,7 @@
     }
 
     /** What a round writes of one job; {@code machines} is the set that the new ledger names. */
-    record Part(Job job, boolean over, Set<String> machines, List<Integer> pages, Map<Integer, java.util.BitSet> done) {
+    record Part(Job job, boolean over, Set<String> machines, List<Integer> pages, Map<Integer, BitSet> done) {
     }
 
     /** One transaction and what it means. {@code bookings} are the rentals written along with it. */
@@ -79,8 +80,9 @@
 
     private void adopt(Job job, int page, Row.Ledger ledger, long version) {
         job.pageVersions.put(page, version);
-        Ranges.parseInto(ledger.done(), page * settings.pageTasks(), job.recorded);
-        job.finished.or(job.recorded);
+        BitSet done = new BitSet();
+        Ranges.parseInto(ledger.done(), page * settings.pageTasks(), done);
+        job.adopt(done);
         if (page == 0) {
             job.recordedMachines = new HashSet<>(ledger.machines());
             job.gangAttempt = Math.max(job.gangAttempt, ledger.gangAttempt());
@@ -95,8 +97,7 @@
     }
 
     void finished(Job job, int index, long nowMicros) {
-        if (!job.finished.get(index)) {
-            job.finished.set(index);
+        if (job.finish(index)) {
             job.dirtyPages.set(index / settings.pageTasks());
             touch(job, nowMicros);
         }
@@ -162,11 +163,7 @@
         }
         Set<String> machines = new HashSet<>(job.neededMachines);
         machines.addAll(job.unsettledMachines);
-        for (List<Placement> list : job.live.values()) {
-            for (Placement placement : list) {
-                machines.add(placement.machine.name);
-            }
-        }
+        machines.addAll(job.liveMachines.elementSet());
         List<Integer> pages = new ArrayList<>();
         pages.add(0);
         for (int page = job.dirtyPages.nextSetBit(1); page >= 0; page = job.dirtyPages.nextSetBit(page + 1)) {
@@ -179,7 +176,7 @@
             return null;
         }
         int size = settings.pageTasks();
-        Map<Integer, java.util.BitSet> done = new HashMap<>();
+        Map<Integer, BitSet> done = new HashMap<>();
         List<Transaction.Write> own = new ArrayList<>();
         int bytes = 0;
         for (int page : List.copyOf(pages)) {
@@ -189,8 +186,9 @@
                 pages.remove(Integer.valueOf(page));
                 continue;
             }
-            java.util.BitSet bits = new java.util.BitSet();
-            Ranges.parseInto(text, page * size, bits);
+            BitSet bits = (BitSet) job.finished.clone();
+            bits.clear(0, page * size);
+            bits.clear((page + 1) * size, Math.max(bits.length(), (page + 1) * size));
             done.put(page, bits);
             own.add(new Transaction.Write(StoreKeys.ledger(job.id(), page), new Row.Ledger(
                     page == 0 ? List.copyOf(machines) : List.of(), page == 0 ? job.gangAttempt : 0, text), 0));
@@ -246,8 +244,7 @@
             }
             for (int page : part.pages()) {
                 job.pageVersions.put(page, revision);
-                java.util.BitSet done = part.done().get(page);
-                job.recorded.or(done);
+                job.recorded.or(part.done().get(page));
             }
             job.recordedMachines = new HashSet<>(part.machines());
             settleAfterWrite(job, nowMicros);
@@ -270,10 +267,10 @@
         job.dirtyPages.clear();
         job.dirtySinceMicros = -1;
         int size = settings.pageTasks();
-        for (int i = job.finished.nextSetBit(0); i >= 0; i = job.finished.nextSetBit(i + 1)) {
-            if (!job.recorded.get(i)) {
-                job.dirtyPages.set(i / size);
-            }
+        BitSet unrecorded = (BitSet) job.finished.clone();
+        unrecorded.andNot(job.recorded);
+        for (int i = unrecorded.nextSetBit(0); i >= 0; i = unrecorded.nextSetBit((i / size + 1) * size)) {
+            job.dirtyPages.set(i / size);
         }
         if (!job.dirtyPages.isEmpty() || !job.neededMachines.isEmpty() || job.allFinished() || job.cancelled) {
             touch(job, nowMicros);
--- a/src/main/java/io/micatide/core/Machine.java
+++ b/src/main/java/io/micatide/core/Machine.java
@@ -14,8 +14,7 @@
     String type;
     String zone;
     boolean spot;
-    /** Null until the types are known. */
-    Resources size;
+    private Resources size;
     long session;
     long sequence;
     /** Its report shows our token: no start of an older leader can land any more. */
@@ -41,6 +40,7 @@
     long slowUntilMicros = -1;
     final List<Placement> placements = new ArrayList<>();
     Resources used = Resources.NONE;
+    private Resources room = Resources.NONE;
     /** Images by last use, oldest first, with their size. */
     final Map<String, Double> images = new LinkedHashMap<>(8, 0.75f, true);
 
@@ -50,7 +50,22 @@
     }
 
     Resources room() {
-        return size == null ? Resources.NONE : size.minus(used);
+        return room;
+    }
+
+    /** Null until the types are known. */
+    Resources size() {
+        return size;
+    }
+
+    void resize(Resources newSize) {
+        size = newSize;
+        use(used);
+    }
+
+    private void use(Resources newUse) {
+        used = newUse;
+        room = size == null ? Resources.NONE : size.minus(used);
     }
 
     boolean responsive(long nowMicros, Settings settings) {
@@ -65,13 +80,13 @@
 
     void add(Placement placement) {
         placements.add(placement);
-        used = used.plus(placement.job.spec.each());
+        use(used.plus(placement.job.spec.each()));
         idleSinceMicros = -1;
     }
 
     void remove(Placement placement) {
         if (placements.remove(placement)) {
-            used = used.minus(placement.job.spec.each());
+            use(used.minus(placement.job.spec.each()));
         }
     }
 
--- a/src/main/java/io/micatide/core/Placement.java
+++ b/src/main/java/io/micatide/core/Placement.java
@@ -23,6 +23,8 @@
     /** The report in whose answer the start went out: a newer report settles it. */
     long sentSession;
     long sentSequence;
+    /** The newest report that listed it. */
+    long listedSequence = -1;
     long createdMicros;
     long runningSinceMicros = -1;
     /** Found running by this leader: how long it ran before is not known, so it teaches nothing about run times. */
@@ -49,6 +51,6 @@
     }
 
     boolean is(TaskReport report) {
-        return job.id().equals(report.job()) && index == report.index() && attempt == report.attempt();
+        return attempt == report.attempt() && index == report.index() && job.id().equals(report.job());
     }
 }
--- a/src/main/java/io/micatide/core/Planner.java
+++ b/src/main/java/io/micatide/core/Planner.java
@@ -16,12 +16,26 @@
     private static final long LONG_FETCH_MICROS = 1_500 * Micros.MILLISECOND;
 
     private static final long GUARANTEE_PATIENCE_MICROS = 2_500 * Micros.MILLISECOND;
+    private static final long PREEMPT_EVERY_MICROS = 500 * Micros.MILLISECOND;
+    /** An order older than this is not gone by. */
+    private static final long ORDER_MICROS = Micros.SECOND;
+    /** A job whose image is there goes before one that is due so much earlier and has to fetch its own. */
+    private static final long IMAGE_PRECEDENCE_MICROS = 10 * Micros.SECOND;
+    private static final Comparator<Machine> LEAST_ROOM = Comparator.comparing((Machine machine) -> !machine.spot)
+            .thenComparing(machine -> machine.room().cpus());
+    private static final Comparator<Machine> MOST_ROOM =
+            Comparator.comparing((Machine machine) -> -machine.room().cpus());
 
     private final Scheduler scheduler;
     private final Settings settings;
     private final Fleet fleet;
     private final JobBook book;
     private final RunTimes runTimes;
+    private List<Queued> order = List.of();
+    private long orderMicros = Long.MIN_VALUE / 2;
+    /** The least of each resource that any job in the order asks for. */
+    private Resources least = Resources.NONE;
+    private Map<String, Resources> unknown = Map.of();
 
     Planner(Scheduler scheduler, Settings settings, Fleet fleet, JobBook book, RunTimes runTimes) {
         this.scheduler = scheduler;
@@ -33,6 +47,11 @@
 
     /** A job with tasks to place and where it stands in the queue; earlier is better. */
     record Queued(Job job, int waiting, boolean guaranteed, boolean onTime, long dueMicros) {
+        boolean sameRank(Queued other) {
+            return job.spec.priority() == other.job.spec.priority()
+                    && (job.spec.kind() == JobKind.SERVICE) == (other.job.spec.kind() == JobKind.SERVICE)
+                    && guaranteed == other.guaranteed && onTime == other.onTime;
+        }
     }
 
     /** Jobs with waiting tasks in the order in which they get room. */
@@ -109,9 +128,9 @@
     double arrayCpus(long nowMicros) {
         double cpus = 0;
         for (Machine machine : fleet.machines()) {
-            if (machine.size != null && !machine.deleting && !machine.draining && machine.noticeAtMicros < 0
+            if (machine.size() != null && !machine.deleting && !machine.draining && machine.noticeAtMicros < 0
                     && machine.slowUntilMicros < nowMicros && machine.responsive(nowMicros, settings)) {
-                cpus += machine.size.cpus();
+                cpus += machine.size().cpus();
                 for (Placement placement : machine.placements) {
                     if (placement.job.spec.kind() == JobKind.SERVICE) {
                         cpus -= placement.job.spec.each().cpus();
@@ -152,25 +171,100 @@
         return !job.cancelled && job.blockedUntilMicros <= nowMicros && !job.unsettled();
     }
 
+    /** Places what waits, on all machines. The order that it finds is what {@link #refill} goes by until the next time. */
     void plan(long nowMicros) {
+        order = queue(nowMicros);
+        orderMicros = nowMicros;
+        unknown = unknownUse();
+        if (order.isEmpty()) {
+            least = Resources.NONE;
+            return;
+        }
+        least = order.get(0).job().spec.each();
+        for (Queued queued : order) {
+            least = least.least(queued.job().spec.each());
+        }
         List<Machine> usable = new ArrayList<>();
         for (Machine machine : fleet.machines()) {
             if (machine.usable(nowMicros, settings)) {
                 usable.add(machine);
             }
         }
-        if (usable.isEmpty()) {
+        List<Machine> open = new ArrayList<>();
+        for (Machine machine : usable) {
+            if (least.fitsIn(machine.room())) {
+                open.add(machine);
+            }
+        }
+        for (Queued queued : order) {
+            if (startable(queued.job(), nowMicros)) {
+                placeJob(queued, usable, open, nowMicros);
+            }
+        }
+    }
+
+    /** The jobs with waiting tasks as of the last plan. */
+    List<Queued> order() {
+        return order;
+    }
+
+    /**
+     * Gives the room that came free on one machine to the next in the queue, so that it goes out with the answer to the
+     * report that told of it. Planning for all machines at every report once took more than the whole share of a
+     * core with 373 of them, and the leader lost its lease.
+     */
+    void refill(Machine machine, long nowMicros) {
+        if (nowMicros - orderMicros > ORDER_MICROS || !machine.usable(nowMicros, settings)) {
             return;
         }
-        Map<String, Resources> unknown = unknownUse();
-        for (Queued queued : queue(nowMicros)) {
-            Job job = queued.job();
-            if (startable(job, nowMicros)) {
-                placeJob(queued, usable, unknown.getOrDefault(job.spec.team(), Resources.NONE), nowMicros);
+        while (!order.isEmpty() && least.fitsIn(machine.room())) {
+            Queued first = null;
+            Queued chosen = null;
+            for (Queued queued : order) {
+                if (first != null && !first.sameRank(queued)) {
+                    break;
+                }
+                if (mayRefill(queued.job(), machine, nowMicros)) {
+                    first = first == null ? queued : first;
+                    if (hasImage(machine, queued.job())
+                            && queued.dueMicros() - first.dueMicros() < IMAGE_PRECEDENCE_MICROS) {
+                        chosen = queued;
+                        break;
+                    }
+                }
+            }
+            if (first == null) {
+                return;
             }
+            Job job = (chosen == null ? first : chosen).job();
+            scheduler.place(job, job.nextWaiting(), machine, nowMicros);
         }
     }
 
+    private boolean mayRefill(Job job, Machine machine, long nowMicros) {
+        return job.spec.kind() != JobKind.GANG && job.waiting() > 0 && book.get(job.id()) == job
+                && startable(job, nowMicros) && suits(job, machine, nowMicros)
+                && job.spec.each().fitsIn(machine.room()) && zoneAllows(job, machine) && teamAllows(job);
+    }
+
+    private boolean teamAllows(Job job) {
+        Team team = settings.teams().get(job.spec.team());
+        return team == null || team.allows(scheduler.teamUse(team.name())
+                .plus(unknown.getOrDefault(team.name(), Resources.NONE)).plus(job.spec.each()));
+    }
+
+    private static boolean suits(Job job, Machine machine, long nowMicros) {
+        JobSpec spec = job.spec;
+        return spec.allowsMachine(machine.type, machine.zone, machine.spot)
+                && !job.failedMachines.contains(machine.name)
+                && (spec.kind() == JobKind.SERVICE || machine.slowUntilMicros < nowMicros);
+    }
+
+    /** There, or being fetched for another task of the job. */
+    private static boolean hasImage(Machine machine, Job job) {
+        return machine.images.containsKey(job.spec.image()) || job.liveMachines.contains(machine.name);
+    }
+
     /** Tasks that may still sit on machines which have not reported to this leader count for their team. */
     private Map<String, Resources> unknownUse() {
         Map<String, Resources> result = new HashMap<>();
@@ -183,55 +277,125 @@
         return result;
     }
 
-    private void placeJob(Queued queued, List<Machine> usable, Resources unknown, long nowMicros) {
+    private void placeJob(Queued queued, List<Machine> usable, List<Machine> open, long nowMicros) {
         Job job = queued.job();
         JobSpec spec = job.spec;
-        Team team = settings.teams().get(spec.team());
-        int left = queued.waiting();
-        List<Machine> candidates = new ArrayList<>();
-        for (Machine machine : usable) {
-            if (spec.allowsMachine(machine.type, machine.zone, machine.spot)
-                    && !job.failedMachines.contains(machine.name)
-                    && (spec.kind() == JobKind.SERVICE || machine.slowUntilMicros < nowMicros)) {
-                candidates.add(machine);
-            }
-        }
-        boolean service = spec.kind() == JobKind.SERVICE;
-        String image = spec.image();
-        candidates.sort(Comparator.comparing((Machine m) -> !m.images.containsKey(image))
-                .thenComparing(m -> !m.spot)
-                .thenComparing(m -> m.room().cpus()));
         // Room comes free all the time, and what is first in the queue gets it: stopping work of the same priority
         // is for a team that has waited for its guarantee.
         boolean waited = nowMicros - job.submittedMicros > GUARANTEE_PATIENCE_MICROS;
-        boolean preempts = service || queued.guaranteed() && waited || spec.priority() != Priority.NORMAL;
+        boolean preempts = spec.kind() == JobKind.SERVICE || queued.guaranteed() && waited
+                || spec.priority() != Priority.NORMAL;
         if (spec.kind() == JobKind.GANG) {
-            placeGang(job, left, candidates, preempts, unknown, nowMicros);
-            return;
+            placeGang(job, queued.waiting(), suitable(job, usable, nowMicros), preempts, nowMicros);
+        } else if (spec.kind() == JobKind.SERVICE) {
+            placeReplicas(queued, suitable(job, usable, nowMicros), nowMicros);
+        } else {
+            placeArray(queued, open, nowMicros);
+            if (preempts && job.waiting() > 0 && nowMicros >= job.preemptsAgainMicros && othersYield(job)) {
+                job.preemptsAgainMicros = nowMicros + PREEMPT_EVERY_MICROS;
+                preempt(job, suitable(job, usable, nowMicros), nowMicros);
+            }
         }
-        while (left > 0) {
-            int index = job.nextWaiting();
-            if (index < 0 || team != null && !team.allows(
-                    scheduler.teamUse(spec.team()).plus(unknown).plus(spec.each()))) {
-                return;
+    }
+
+    private static List<Machine> suitable(Job job, List<Machine> machines, long nowMicros) {
+        List<Machine> result = new ArrayList<>();
+        for (Machine machine : machines) {
+            if (suits(job, machine, nowMicros)) {
+                result.add(machine);
             }
-            Machine machine = choose(job, candidates, preempts, nowMicros);
+        }
+        return result;
+    }
+
+    private void placeReplicas(Queued queued, List<Machine> candidates, long nowMicros) {
+        Job job = queued.job();
+        for (int left = queued.waiting(); left > 0 && job.waiting() > 0 && teamAllows(job); left--) {
+            Machine machine = choose(job, candidates, true, nowMicros);
             if (machine == null) {
                 return;
             }
-            scheduler.place(job, index, machine, nowMicros);
-            left--;
+            scheduler.place(job, job.nextWaiting(), machine, nowMicros);
+        }
+    }
+
+    /** Fills one machine after another: each further one has to fetch the image and to be recorded. */
+    private void placeArray(Queued queued, List<Machine> open, long nowMicros) {
+        if (open.isEmpty()) {
+            return;
+        }
+        Job job = queued.job();
+        List<Machine> ready = new ArrayList<>();
+        List<Machine> others = new ArrayList<>();
+        for (Machine machine : open) {
+            if (suits(job, machine, nowMicros)) {
+                (hasImage(machine, job) ? ready : others).add(machine);
+            }
+        }
+        ready.sort(LEAST_ROOM);
+        others.sort(MOST_ROOM);
+        ready.addAll(others);
+        for (Machine machine : ready) {
+            while (job.spec.each().fitsIn(machine.room()) && zoneAllows(job, machine)) {
+                if (job.waiting() == 0 || !teamAllows(job)) {
+                    open.removeIf(each -> !least.fitsIn(each.room()));
+                    return;
+                }
+                scheduler.place(job, job.nextWaiting(), machine, nowMicros);
+            }
+        }
+        open.removeIf(each -> !least.fitsIn(each.room()));
+    }
+
+    /** Whether there can be work that a task of this job may displace. */
+    private boolean othersYield(Job job) {
+        if (job.spec.priority() != Priority.NORMAL) {
+            return true;
+        }
+        for (Team team : settings.teams().values()) {
+            if (!team.name().equals(job.spec.team()) && !team.guarantees(scheduler.teamUse(team.name()))) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Takes the room of lesser work, machine by machine, those first that have the image. */
+    private void preempt(Job job, List<Machine> candidates, long nowMicros) {
+        candidates.sort(Comparator.comparing((Machine machine) -> !hasImage(machine, job)));
+        for (Machine machine : candidates) {
+            while (zoneAllows(job, machine)) {
+                if (job.waiting() == 0 || !teamAllows(job)) {
+                    return;
+                }
+                List<Placement> victims = victims(job, machine);
+                if (victims == null) {
+                    break;
+                }
+                displace(victims, nowMicros);
+                scheduler.place(job, job.nextWaiting(), machine, nowMicros);
+            }
+        }
+    }
+
+    private void displace(List<Placement> victims, long nowMicros) {
+        for (Placement victim : victims) {
+            if (victim.unsent()) {
+                scheduler.remove(victim);
+            } else {
+                scheduler.stop(victim, 0, nowMicros);
+            }
         }
     }
 
     /** All missing tasks of a gang at once, or none: a part of it would hold its places for nothing. */
-    private void placeGang(Job job, int missing, List<Machine> all, boolean preempts, Resources unknown,
-            long nowMicros) {
+    private void placeGang(Job job, int missing, List<Machine> all, boolean preempts, long nowMicros) {
         JobSpec spec = job.spec;
         Team team = settings.teams().get(spec.team());
         boolean ended = job.gangBroken || job.gangStarted && !job.live.isEmpty();
         if (ended || team != null
-                && !team.allows(scheduler.teamUse(spec.team()).plus(unknown).plus(spec.each().times(missing)))) {
+                && !team.allows(scheduler.teamUse(spec.team()).plus(unknown.getOrDefault(spec.team(), Resources.NONE))
+                        .plus(spec.each().times(missing)))) {
             return;
         }
         Map<String, Long> perZone = new HashMap<>();
@@ -287,17 +451,20 @@
 
     private Machine choose(Job job, List<Machine> candidates, boolean preempts, long nowMicros) {
         JobSpec spec = job.spec;
+        Machine with = null;
         Machine without = null;
         for (Machine machine : candidates) {
             if (spec.each().fitsIn(machine.room()) && zoneAllows(job, machine)) {
                 if (machine.images.containsKey(spec.image())) {
-                    return machine;
-                }
-                if (without == null || machine.room().cpus() > without.room().cpus()) {
-                    without = machine;
+                    with = with == null || LEAST_ROOM.compare(machine, with) < 0 ? machine : with;
+                } else {
+                    without = without == null || MOST_ROOM.compare(machine, without) < 0 ? machine : without;
                 }
             }
         }
+        if (with != null) {
+            return with;
+        }
         boolean longFetch = without != null && fetchMicros(without, spec) > LONG_FETCH_MICROS;
         if (preempts && (without == null || longFetch)) {
             List<Placement> cheapest = null;
@@ -316,13 +483,7 @@
                 }
             }
             if (there != null) {
-                for (Placement victim : cheapest) {
-                    if (victim.unsent()) {
-                        scheduler.remove(victim);
-                    } else {
-                        scheduler.stop(victim, 0, nowMicros);
-                    }
-                }
+                displace(cheapest, nowMicros);
                 return there;
             }
             if (without == null) {
@@ -400,7 +561,10 @@
         Resources room = machine.room();
         List<Placement> lesser = new ArrayList<>();
         for (Placement placement : machine.placements) {
-            if (!placement.stopping() && yields(placement, job)) {
+            if (placement.stopping() && placement.stopGraceMicros == 0) {
+                // Stopped for others that were placed here since: without this each further task displaced more.
+                room = room.plus(placement.job.spec.each());
+            } else if (!placement.stopping() && yields(placement, job)) {
                 lesser.add(placement);
             }
         }
--- a/src/main/java/io/micatide/core/Renter.java
+++ b/src/main/java/io/micatide/core/Renter.java
@@ -112,7 +112,7 @@
     }
 
     private boolean coming(Machine machine, long nowMicros) {
-        if (machine.deleting || machine.lastAnsweredMicros >= 0 || machine.size == null) {
+        if (machine.deleting || machine.lastAnsweredMicros >= 0 || machine.size() == null) {
             return false;
         }
         MachineType type = fleet.types().get(machine.type);
@@ -124,7 +124,7 @@
         Resources comingOrdinary = Resources.NONE;
         Resources comingSpot = Resources.NONE;
         for (Machine machine : fleet.machines()) {
-            boolean unconfirmed = !machine.confirmed && machine.lastAnsweredMicros >= 0 && machine.size != null
+            boolean unconfirmed = !machine.confirmed && machine.lastAnsweredMicros >= 0 && machine.size() != null
                     && !machine.deleting && machine.responsive(nowMicros, settings);
             if (coming(machine, nowMicros) || unconfirmed) {
                 if (machine.spot) {
@@ -154,7 +154,7 @@
         boolean need = false;
         Map<JobSpec, Integer> missing = new LinkedHashMap<>();
         Resources left = ordinary;
-        for (Planner.Queued queued : planner.queue(nowMicros)) {
+        for (Planner.Queued queued : planner.order()) {
             JobSpec spec = queued.job().spec;
             if (spec.kind() == JobKind.ARRAY || queued.job().unsettled()) {
                 continue;
--- a/src/main/java/io/micatide/core/Resources.java
+++ b/src/main/java/io/micatide/core/Resources.java
@@ -24,6 +24,11 @@
         return new Resources(cpus * count, cards * count, memory * count);
     }
 
+    /** The lesser of each. */
+    public Resources least(Resources other) {
+        return new Resources(Math.min(cpus, other.cpus), Math.min(cards, other.cards), Math.min(memory, other.memory));
+    }
+
     public boolean fitsIn(Resources room) {
         return cpus <= room.cpus && cards <= room.cards && memory <= room.memory;
     }
--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -2,10 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /**
  * One term of leadership: what a leader knows and decides from its claim until it is fenced. Everything here is gone
@@ -33,7 +31,6 @@
     private JobBook.Round inFlight;
     private double writeTokens;
     private long writeTokensMicros;
-    private boolean planNeeded = true;
     private int slowFound;
     private boolean loading = true;
     private final Map<String, Row.JobRow> ending = new HashMap<>();
@@ -69,7 +66,6 @@
         if (row.state() == JobState.OPEN) {
             if (job == null) {
                 book.add(row.spec(), version, row.submittedWall(), nowMicros - Math.max(0, ageMicros));
-                planNeeded = true;
             } else {
                 job.version = version;
             }
@@ -95,7 +91,6 @@
             }
         }
         settleCancelled(job, nowMicros);
-        planNeeded = true;
     }
 
     /** The ledger of a cancelled job stays until nothing of it can be on a machine. */
@@ -155,10 +150,9 @@
         machine.session = report.session();
         machine.sequence = report.sequence();
         machine.address = report.address();
-        if (machine.type == null || !machine.type.equals(report.type()) || machine.size == null) {
+        if (machine.type == null || !machine.type.equals(report.type()) || machine.size() == null) {
             fleet.describe(machine, report.type(), report.zone(), report.spot());
         }
-        boolean first = machine.lastAnsweredMicros < 0;
         machine.lastAnsweredMicros = nowMicros;
         if (report.noticeMicros() >= 0 && machine.noticeAtMicros < 0) {
             machine.noticeAtMicros = nowMicros + report.noticeMicros();
@@ -168,14 +162,11 @@
         if (report.token() == token && !machine.confirmed) {
             confirm(machine, nowMicros);
         }
-        if (first) {
-            planNeeded = true;
-        }
         if (machine.placements.isEmpty() && machine.idleSinceMicros < 0) {
             machine.idleSinceMicros = nowMicros;
         }
-        if (planNeeded && machine.confirmed) {
-            plan(nowMicros);
+        if (machine.confirmed && mayPlan(nowMicros)) {
+            planner.refill(machine, nowMicros);
         }
         addStopsAndStarts(machine, report, nowMicros, commands);
         return commands;
@@ -184,7 +175,6 @@
     private void confirm(Machine machine, long nowMicros) {
         machine.confirmed = true;
         machine.holdsUp = false;
-        planNeeded = true;
         settle(machine.name, nowMicros);
     }
 
@@ -194,7 +184,6 @@
             if (job.unsettledMachines.remove(machineName)) {
                 settleCancelled(job, nowMicros);
                 book.touch(job, nowMicros);
-                planNeeded = true;
             }
         }
     }
@@ -202,7 +191,6 @@
     /** The newest list is the truth about everything that was sent before it. */
     private List<Command> readBack(Machine machine, MachineReport report, long nowMicros) {
         List<Command> commands = new ArrayList<>();
-        Set<Placement> listed = new HashSet<>();
         for (TaskReport line : report.tasks()) {
             Job job = book.get(line.job());
             if (line.state() == TaskState.EXITED) {
@@ -236,13 +224,15 @@
                     && line.state() != TaskState.WAITING) {
                 job.gangStarted = true;
             }
-            listed.add(placement);
+            placement.listedSequence = report.sequence();
         }
-        for (Placement placement : List.copyOf(machine.placements)) {
-            if (!listed.contains(placement) && !placement.unsent()) {
-                remove(placement);
+        List<Placement> lost = new ArrayList<>();
+        for (Placement placement : machine.placements) {
+            if (placement.listedSequence != report.sequence() && !placement.unsent()) {
+                lost.add(placement);
             }
         }
+        lost.forEach(this::remove);
         return commands;
     }
 
@@ -342,7 +332,6 @@
                 stopToSave(placement, nowMicros);
             }
         }
-        planNeeded = true;
     }
 
     /** A gang saves only together: all its tasks have to be told within the time that they wait for one another. */
@@ -410,7 +399,6 @@
         placement.machine.remove(placement);
         placement.job.remove(placement);
         teamUse.merge(placement.job.spec.team(), Resources.NONE.minus(placement.job.spec.each()), Resources::plus);
-        planNeeded = true;
         if (placement.job.live.isEmpty()) {
             placement.job.gangStarted = false;
             placement.job.gangBroken = false;
@@ -463,8 +451,9 @@
         for (Machine machine : health.findSlow(fleet.machines(), nowMicros)) {
             leaveSlow(machine, nowMicros);
         }
-        planNeeded = true;
-        plan(nowMicros);
+        if (mayPlan(nowMicros)) {
+            planner.plan(nowMicros);
+        }
         renter.plan(nowMicros, termStartMicros);
     }
 
@@ -503,11 +492,8 @@
         }
     }
 
-    private void plan(long nowMicros) {
-        planNeeded = false;
-        if (nowMicros - freshMicros <= FRESH_MICROS && !fleet.types().isEmpty()) {
-            planner.plan(nowMicros);
-        }
+    private boolean mayPlan(long nowMicros) {
+        return nowMicros - freshMicros <= FRESH_MICROS && !fleet.types().isEmpty();
     }
 
     // ---- rounds
@@ -562,7 +548,6 @@
                 rentals.bookings.remove(booking.name);
             }
         }
-        planNeeded = true;
     }
 
     /** Not applied or of unknown outcome: the keys returned must be read back before {@link #roundResolved}. */
@@ -602,7 +587,6 @@
 
     public void typesKnown(List<MachineType> types, long nowMicros) {
         fleet.setTypes(types);
-        planNeeded = true;
     }
 
     public List<CloudCall> cloudCalls(long nowMicros) {
@@ -641,7 +625,6 @@
 
     public void listed(List<ListedMachine> machines, long askedMicros, long nowMicros) {
         renter.listed(machines, askedMicros, nowMicros);
-        planNeeded = true;
     }
 
     // ---- what others show
@@ -659,7 +642,7 @@
                     }
                 }
             }
-            result.add(new JobProgress(job.id(), job.finished.cardinality(), running));
+            result.add(new JobProgress(job.id(), job.finishedCount(), running));
         }
         return result;
     }
@@ -692,9 +675,9 @@
             confirmed += machine.confirmed ? 1 : 0;
             if (machine.usable(nowMicros, settings)) {
                 usable++;
-                size = size.plus(machine.size);
+                size = size.plus(machine.size());
                 used = used.plus(machine.used);
-                spotCpus += machine.spot ? machine.size.cpus() : 0;
+                spotCpus += machine.spot ? machine.size().cpus() : 0;
             }
             booting += machine.lastAnsweredMicros < 0 ? 1 : 0;
             for (Placement placement : machine.placements) {
