--- a/src/main/java/io/micatide/core/Deadlines.java
+++ b/src/main/java/io/micatide/core/Deadlines.java
@@ -8,7 +8,9 @@
 /**
  * Which jobs can be ready when they should, given how many processors work on them. Earliest first serves most
  * users only while everything fits; when it does not, the largest job of those considered so far is left for later
- * (Moore and Hodgson's rule), since one job too many would make all behind it late.
+ * (Moore and Hodgson's rule), since one job too many would make all behind it late. Largest is meant by what a job counts
+ * for: aims are shares of a class, so a job of a class with few jobs counts for more. Without that an overload was settled
+ * at the cost of the large arrays alone.
  */
 final class Deadlines {
     /** A job with what is left of it. */
@@ -19,11 +21,14 @@
         /** How long the slowest of its tasks is likely to take. */
         final long lengthMicros;
         final long dueMicros;
+        /** What one job of its class counts for in the aims. */
+        final double weight;
         boolean onTime;
 
-        Entry(Job job, double work, long lengthMicros, long dueMicros) {
+        Entry(Job job, double work, long lengthMicros, long dueMicros, double weight) {
             this.job = job;
             this.work = work;
+            this.weight = weight;
             this.lengthMicros = lengthMicros;
             this.dueMicros = dueMicros;
         }
@@ -42,7 +47,7 @@
         List<Entry> sorted = new ArrayList<>(entries);
         sorted.sort(Comparator.comparingLong(Entry::latestStartMicros)
                 .thenComparingLong(e -> e.job.submittedMicros));
-        PriorityQueue<Entry> kept = new PriorityQueue<>(Comparator.comparingDouble((Entry e) -> -e.work));
+        PriorityQueue<Entry> kept = new PriorityQueue<>(Comparator.comparingDouble((Entry e) -> -e.work / e.weight));
         double total = 0;
         for (Entry entry : sorted) {
             entry.onTime = entry.dueMicros - nowMicros >= entry.lengthMicros;
--- a/src/main/java/io/micatide/core/JobBook.java
+++ b/src/main/java/io/micatide/core/JobBook.java
@@ -1,5 +1,7 @@
 package io.micatide.core;
 
+import com.google.common.collect.HashMultiset;
+import com.google.common.collect.Multiset;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Collection;
@@ -25,6 +27,8 @@
     private final long token;
     private final Map<String, Job> jobs = new LinkedHashMap<>();
     private final Map<String, Job> dirty = new LinkedHashMap<>();
+    /** How many jobs of each class this leader has seen. */
+    private final Multiset<String> seenOfClass = HashMultiset.create();
 
     JobBook(Settings settings, long token) {
         this.settings = settings;
@@ -43,12 +47,17 @@
         return jobs.values();
     }
 
+    int countOf(String jobClass) {
+        return seenOfClass.count(jobClass);
+    }
+
     Job get(String id) {
         return jobs.get(id);
     }
 
     Job add(JobSpec spec, long version, long submittedWall, long submittedMicros) {
         Job job = new Job(spec, version, submittedWall, submittedMicros);
+        seenOfClass.add(spec.jobClass());
         jobs.put(spec.id(), job);
         return job;
     }
--- a/src/main/java/io/micatide/core/Planner.java
+++ b/src/main/java/io/micatide/core/Planner.java
@@ -118,12 +118,22 @@
                 double work = job.spec.each().cpus() * (double) length
                         * (waiting + 0.5 * (job.unfinished() - waiting));
                 long slowest = runTimes.slowest(job);
-                result.add(new Deadlines.Entry(job, work, slowest, due(job, slowest, nowMicros)));
+                result.add(new Deadlines.Entry(job, work, slowest, due(job, slowest, nowMicros),
+                        weight(job.spec.jobClass())));
             }
         }
         return result;
     }
 
+    /** Aims are shares of a class: the fewer jobs it has, and the more aims, the more one of them counts. */
+    private double weight(String jobClass) {
+        int aims = 1;
+        for (Settings.Objective objective : settings.objectives()) {
+            aims += jobClass.equals(objective.jobClass()) ? 1 : 0;
+        }
+        return aims / (double) Math.max(1, book.countOf(jobClass));
+    }
+
     /** Processors, in thousandths, that are there for work that ends. */
     double arrayCpus(long nowMicros) {
         double cpus = 0;
--- a/src/main/java/io/micatide/core/Renter.java
+++ b/src/main/java/io/micatide/core/Renter.java
@@ -13,7 +13,8 @@
     private static final long PLAN_EVERY_MICROS = 500 * Micros.MILLISECOND;
     private static final long FETCH_MICROS = 5 * Micros.SECOND;
     private static final long LATE_MICROS = 60 * Micros.SECOND;
-    private static final int MOST_PER_CALL = 10;
+    /** The cloud's own limit: a fleet of hundreds in tens took 20 s to rent, and its boots began as late. */
+    private static final int MOST_PER_CALL = 50;
     private static final long PRICES_EVERY_MICROS = 60 * Micros.SECOND;
 
     private final Settings settings;
@@ -25,6 +26,7 @@
     private long listAskedMicros = Long.MIN_VALUE / 2;
     private boolean listing;
     private long typesAskedMicros = Long.MIN_VALUE / 2;
+    private boolean firstTerm;
 
     Renter(Settings settings, Tuning tuning, Fleet fleet, Rentals rentals, Planner planner) {
         this.settings = settings;
@@ -34,14 +36,20 @@
         this.planner = planner;
     }
 
+    /** No leader before this one has placed anything. */
+    void firstTerm() {
+        firstTerm = true;
+    }
+
     void plan(long nowMicros, long termStartMicros) {
         if (nowMicros - plannedMicros < PLAN_EVERY_MICROS || fleet.types().isEmpty()) {
             return;
         }
         plannedMicros = nowMicros;
         markDead(nowMicros, termStartMicros);
-        // A new leader first hears from the workers: what waits may be running.
-        if (nowMicros - termStartMicros > 2 * settings.reportMicros() + Micros.SECOND) {
+        // A new leader first hears from the workers: what waits may be running. Where no ledger was found nothing does.
+        long hears = firstTerm ? 5 * settings.reportMicros() / 4 : 2 * settings.reportMicros() + Micros.SECOND;
+        if (nowMicros - termStartMicros > hears) {
             boolean need = rent(nowMicros);
             returnIdle(nowMicros, need);
         }
--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -33,6 +33,7 @@
     private long writeTokensMicros;
     private int slowFound;
     private boolean loading = true;
+    private boolean ledgersFound;
     private final Map<String, Row.JobRow> ending = new HashMap<>();
     private final List<Job> completed = new ArrayList<>();
 
@@ -106,6 +107,7 @@
      */
     public void ledgerLoaded(String key, Row.Ledger ledger, long version, long nowMicros) {
         String id = JobBook.jobOf(key);
+        ledgersFound = true;
         Row.JobRow row = ending.get(id);
         if (book.get(id) == null && row != null) {
             book.add(row.spec(), 0, row.submittedWall(), nowMicros).cancelled = true;
@@ -123,6 +125,9 @@
     public void loaded(long nowMicros) {
         loading = false;
         ending.clear();
+        if (!ledgersFound && rentals.bookings.isEmpty()) {
+            renter.firstTerm();
+        }
         for (Job job : book.jobs()) {
             for (String name : job.unsettledMachines) {
                 fleet.obtain(name, nowMicros).holdsUp = true;
--- a/src/test/java/io/micatide/core/DeadlinesTest.java
+++ b/src/test/java/io/micatide/core/DeadlinesTest.java
@@ -8,7 +8,10 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 class DeadlinesTest {
-    /** Jobs as `tasks x seconds @ due`, one processor a task; says which can be on time, earliest start first. */
+    /**
+     * Jobs as `tasks x seconds @ due`, and what one counts for if not 1, one processor a task; says which can be on time,
+     * earliest start first.
+     */
     @ParameterizedTest
     @CsvSource({
         // Everything fits.
@@ -18,6 +21,8 @@
         // A task that is longer than what is left can't be on time on any number of processors.
         "100, '1x50@40,1x10@40', 40",
         "0, '1x1@40', ''",
+        // A job of a rare class counts for as much as the many that would have to go for it.
+        "10, '10x10@20,40x10@50@5,10x10@55', '50 55'",
     })
     void leavesTheLargestForLater(double cpus, String jobs, String onTime) {
         List<Deadlines.Entry> entries = new ArrayList<>();
@@ -27,7 +32,7 @@
             long length = Integer.parseInt(part[1]) * Micros.SECOND;
             Job job = new Job(World.job("wk-" + each, JobKind.ARRAY, "blue", Priority.NORMAL, tasks, 1), 1, 0, 0);
             entries.add(new Deadlines.Entry(job, (double) tasks * length, length,
-                    Integer.parseInt(part[2]) * Micros.SECOND));
+                    Integer.parseInt(part[2]) * Micros.SECOND, part.length > 3 ? Integer.parseInt(part[3]) : 1));
         }
         List<String> kept = new ArrayList<>();
         for (Deadlines.Entry entry : Deadlines.decide(entries, cpus, 0)) {
