--- a/src/main/java/io/micatide/core/Health.java
+++ b/src/main/java/io/micatide/core/Health.java
@@ -10,14 +10,13 @@
 final class Health {
     private static final long LOOK_EVERY_MICROS = Micros.SECOND;
     private static final long AVOID_MICROS = 60 * Micros.SECOND;
-    /** A task is overdue after this many times the time that the slowest of its kind usually takes. */
-    private static final double OVERDUE = 1.25;
-    private static final int FEWEST_OVERDUE = 2;
-    /**
-     * Of the tasks that run there. With 32 tasks on a machine two were overdue by chance, or by an estimate that no
-     * completed task had corrected yet: six large machines were emptied for nothing within 90 s.
-     */
-    private static final double OVERDUE_SHARE = 0.3;
+    /** A machine is slow if its tasks take this many times as long as others of their jobs, on (geometric) average. */
+    private static final double SLOW = 1.8;
+    private static final int FEWEST_TASKS = 3;
+    /** How much of what completed tasks showed is left after a second. */
+    private static final double FADES = 0.97;
+    private static final double LEAST_RATIO = 0.25;
+    private static final double MOST_RATIO = 8;
     private static final int JOBS_TO_SUSPECT_A_MACHINE = 2;
     private static final int MACHINES_TO_SUSPECT_A_JOB = 2;
 
@@ -34,14 +33,24 @@
         job.errors = 0;
     }
 
-    /** A completed task says whether the machine keeps the usual time. */
+    /** A completed task tells the machine's pace, if the job's other tasks have shown how long they take. */
     void completed(Machine machine, Placement placement, long nowMicros) {
-        if (placement.runningSinceMicros >= 0
-                && nowMicros - placement.runningSinceMicros <= OVERDUE * runTimes.slowest(placement.job)) {
-            machine.punctual++;
+        if (tellsPace(placement)) {
+            machine.paceTasks++;
+            machine.paceSum += Math.log(ratio(placement, nowMicros));
         }
     }
 
+    private static boolean tellsPace(Placement placement) {
+        return placement.job.spec.kind() == JobKind.ARRAY && placement.runningSinceMicros >= 0 && !placement.adopted
+                && placement.job.ranTasks >= FEWEST_TASKS;
+    }
+
+    private double ratio(Placement placement, long nowMicros) {
+        double ratio = (nowMicros - placement.runningSinceMicros) / (double) runTimes.expected(placement.job);
+        return Math.max(LEAST_RATIO, Math.min(MOST_RATIO, ratio));
+    }
+
     /** A task failed: a job that fails in several places waits, a machine on which several jobs fail is given back. */
     void failed(Machine machine, Job job, long nowMicros) {
         job.failedMachines.add(machine.name);
@@ -64,25 +73,28 @@
         }
         lookedMicros = nowMicros;
         for (Machine machine : machines) {
-            machine.punctual *= 0.93;
-            int overdue = 0;
-            int running = 0;
+            machine.paceTasks *= FADES;
+            machine.paceSum *= FADES;
+            double tasks = machine.paceTasks;
+            double sum = machine.paceSum;
             for (Placement placement : machine.placements) {
-                if (placement.job.spec.kind() != JobKind.ARRAY || placement.state != TaskState.RUNNING
-                        || placement.runningSinceMicros < 0 || placement.stopping()) {
-                    continue;
-                }
-                running++;
-                if (placement.job.ranTasks >= FEWEST_OVERDUE && nowMicros - placement.runningSinceMicros
-                                > OVERDUE * runTimes.slowest(placement.job) + Micros.SECOND) {
-                    overdue++;
+                // Those that run on say that it is at least so slow; a machine is not judged by two tasks in 32 that
+                // take long by themselves: six large ones were once emptied for nothing within 90 s.
+                if (placement.state == TaskState.RUNNING && !placement.stopping() && tellsPace(placement)) {
+                    double ratio = ratio(placement, nowMicros);
+                    if (ratio > 1) {
+                        tasks++;
+                        sum += Math.log(ratio);
+                    }
                 }
             }
-            if (overdue >= FEWEST_OVERDUE && overdue > 2 * machine.punctual && overdue >= OVERDUE_SHARE * running) {
+            if (tasks >= FEWEST_TASKS && sum > tasks * Math.log(SLOW)) {
                 if (machine.slowUntilMicros < nowMicros) {
                     found.add(machine);
                 }
                 machine.slowUntilMicros = nowMicros + AVOID_MICROS;
+                machine.paceTasks = 0;
+                machine.paceSum = 0;
             }
         }
         return found;
--- /dev/null
+++ b/src/main/java/io/micatide/core/StateReach.java
@@ -0,0 +1,30 @@
+package io.micatide.core;
+
+/**
+ * Whether this controller alone has lost the state service. It cannot tell that from an outage by itself; a sibling that
+ * is served can tell it. In an outage it has to stay healthy, since nobody could serve users better.
+ */
+public final class StateReach {
+    private static final long PATIENCE_MICROS = 2 * Micros.SECOND;
+
+    private long servedMicros = Long.MIN_VALUE / 2;
+    private long siblingServedMicros = Long.MIN_VALUE / 2;
+
+    /** The state service answered this controller. */
+    public void served(long nowMicros) {
+        servedMicros = nowMicros;
+    }
+
+    /** A sibling says that the state service answers it. */
+    public void siblingServed(long nowMicros) {
+        siblingServedMicros = nowMicros;
+    }
+
+    public boolean reached(long nowMicros) {
+        return nowMicros - servedMicros < PATIENCE_MICROS;
+    }
+
+    public boolean lostAlone(long nowMicros) {
+        return !reached(nowMicros) && nowMicros - siblingServedMicros < PATIENCE_MICROS;
+    }
+}
--- a/src/main/java/io/micatide/net/HttpServer.java
+++ b/src/main/java/io/micatide/net/HttpServer.java
@@ -92,6 +92,15 @@
 
         /** @param retryAfterSeconds when to come back, or 0 */
         public void answer(int status, byte[] json, int retryAfterSeconds) {
+            answer(status, json, retryAfterSeconds, keepAlive);
+        }
+
+        /** Answers and closes the connection, so that the user's next one leads to another controller. */
+        public void answerAndClose(int status, byte[] json, int retryAfterSeconds) {
+            answer(status, json, retryAfterSeconds, false);
+        }
+
+        private void answer(int status, byte[] json, int retryAfterSeconds, boolean keep) {
             DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
                     HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(json));
             response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
@@ -99,11 +108,11 @@
             if (retryAfterSeconds > 0) {
                 response.headers().setInt(HttpHeaderNames.RETRY_AFTER, retryAfterSeconds);
             }
-            if (!keepAlive) {
+            if (!keep) {
                 response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             }
             ChannelFuture written = channel.writeAndFlush(response);
-            if (!keepAlive) {
+            if (!keep) {
                 written.addListener(done -> channel.close());
             }
         }
--- a/src/main/java/io/micatide/net/Reply.java
+++ b/src/main/java/io/micatide/net/Reply.java
@@ -13,6 +13,11 @@
         return status == 200;
     }
 
+    /** The service answered, and not that it is away. */
+    boolean served() {
+        return status != 0 && status != 503;
+    }
+
     /** True when the request was certainly not executed. */
     public boolean notExecuted() {
         return status == 503 || status == 429 || status == 0 && !sent;
--- a/src/main/java/io/micatide/net/StateClient.java
+++ b/src/main/java/io/micatide/net/StateClient.java
@@ -2,6 +2,7 @@
 
 import io.micatide.core.Micros;
 import io.micatide.core.Settings;
+import io.micatide.core.StateReach;
 import io.micatide.core.Transaction;
 import io.micatide.wire.StateCodec;
 import io.netty.channel.EventLoop;
@@ -12,37 +13,54 @@
 public final class StateClient extends PacedClient {
     private final HttpClient http;
     private final HttpClient watches;
+    private final LongSupplier clock;
+    private final StateReach reach = new StateReach();
 
     public StateClient(EventLoop loop, Settings settings, LongSupplier clock) {
         // One controller alone may need most of the rate; 429 and a second try settle the rare sum above it.
         super(settings.stateRate() * 0.6, settings.stateRate() * 0.3, clock);
         this.http = new HttpClient(loop, settings.state(), 12);
         this.watches = new HttpClient(loop, settings.state(), 2);
+        this.clock = clock;
+    }
+
+    /** What is known of this controller's and its siblings' way to the state service. */
+    public StateReach reach() {
+        return reach;
+    }
+
+    private Consumer<Reply> noting(Consumer<Reply> then) {
+        return reply -> {
+            if (reply.served()) {
+                reach.served(clock.getAsLong());
+            }
+            then.accept(reply);
+        };
     }
 
     public void transaction(Transaction transaction, Consumer<Reply> then) {
         if (!over(then)) {
-            http.post("/txn", StateCodec.transaction(transaction), HttpClient.PATIENCE_MICROS, then);
+            http.post("/txn", StateCodec.transaction(transaction), HttpClient.PATIENCE_MICROS, noting(then));
         }
     }
 
     public void read(String key, Consumer<Reply> then) {
         if (!over(then)) {
-            http.get("/store/" + key, HttpClient.PATIENCE_MICROS, then);
+            http.get("/store/" + key, HttpClient.PATIENCE_MICROS, noting(then));
         }
     }
 
     public void list(String prefix, String after, Consumer<Reply> then) {
         if (!over(then)) {
             http.get("/store?starts=" + prefix + (after == null ? "" : "&from=" + after) + "&most=500",
-                    3 * HttpClient.PATIENCE_MICROS, then);
+                    3 * HttpClient.PATIENCE_MICROS, noting(then));
         }
     }
 
     /** What changed since a revision, as of now: older than no answer that any node has given. */
     public void changes(String prefix, long since, Consumer<Reply> then) {
         if (!over(then)) {
-            http.get("/changes?starts=" + prefix + "&from=" + since, HttpClient.PATIENCE_MICROS, then);
+            http.get("/changes?starts=" + prefix + "&from=" + since, HttpClient.PATIENCE_MICROS, noting(then));
         }
     }
 
@@ -55,10 +73,10 @@
 
     /** Leases are not paced: losing the lead costs more than the requests. */
     public void grant(long ttlMicros, Consumer<Reply> then) {
-        http.post("/grants", StateCodec.grant(ttlMicros), HttpClient.PATIENCE_MICROS, then);
+        http.post("/grants", StateCodec.grant(ttlMicros), HttpClient.PATIENCE_MICROS, noting(then));
     }
 
     public void touch(long lease, Consumer<Reply> then) {
-        http.post("/grants/" + lease + "/touch", new byte[0], HttpClient.PATIENCE_MICROS, then);
+        http.post("/grants/" + lease + "/touch", new byte[0], HttpClient.PATIENCE_MICROS, noting(then));
     }
 }
--- a/src/main/java/io/micatide/node/LeaderActor.java
+++ b/src/main/java/io/micatide/node/LeaderActor.java
@@ -619,11 +619,12 @@
         if (leadsAndLoaded()) {
             users.tell(new UsersActor.Progress(true, jobs));
         }
+        boolean served = state.reach().reached(now);
         for (HttpClient sibling : siblings) {
             for (int from = 0; from == 0 || from < jobs.size(); from += NEWS_JOBS) {
                 List<JobProgress> part = jobs.subList(from, Math.min(jobs.size(), from + NEWS_JOBS));
                 sibling.post("/news", PeerCodec.news(
-                        new PeerCodec.News(scheduler.token(), settings.label(), from == 0, part)),
+                        new PeerCodec.News(scheduler.token(), settings.label(), served, from == 0, part)),
                         HttpClient.PATIENCE_MICROS, answer(PeerAnswered::new));
             }
         }
@@ -635,6 +636,9 @@
             if (leadership.higherToken(news.token(), news.leader())) {
                 checkDeposed();
             }
+            if (news.stateServed()) {
+                state.reach().siblingServed(Clock.now());
+            }
             if (scheduler == null && news.token() == leadership.highestToken()) {
                 users.tell(new UsersActor.Progress(news.first(), news.jobs()));
             }
--- a/src/main/java/io/micatide/node/UsersActor.java
+++ b/src/main/java/io/micatide/node/UsersActor.java
@@ -291,11 +291,28 @@
             }
             asked.forEach(Question::fresh);
         } else {
-            asked.forEach(question -> question.request().answer(503, UNAVAILABLE, 1));
+            asked.forEach(question -> unavailable(question.request()));
         }
         refresh();
     }
 
+    /** No answer of the state service; the user is sent away only if another controller can do better. */
+    private void unavailable(Request request) {
+        if (state.reach().lostAlone(Clock.now())) {
+            request.answerAndClose(503, UNAVAILABLE, 1);
+        } else {
+            request.answer(503, UNAVAILABLE, 1);
+        }
+    }
+
+    private void notWritten(Request request, Reply reply) {
+        if (reply.status() == 429) {
+            request.answer(429, BUSY, 1);
+        } else {
+            unavailable(request);
+        }
+    }
+
     private void whenFresh(Request request, Runnable then) {
         if (arriving.size() >= MOST_WAITING) {
             request.answer(429, BUSY, 2);
@@ -326,6 +343,8 @@
         if (path.equals("/healthz")) {
             if (!request.method().equals("GET")) {
                 request.answer(405, WRONG_METHOD);
+            } else if (state.reach().lostAlone(Clock.now())) {
+                request.answer(503, UNAVAILABLE, 1);
             } else if (loaded && !types.isEmpty()) {
                 request.answer(200, "{\"status\":\"ok\"}".getBytes(java.nio.charset.StandardCharsets.US_ASCII));
             } else {
@@ -480,7 +499,7 @@
         if (reply.status() == 409) {
             answerKnown(message.request(), id);
         } else {
-            message.request().answer(reply.status() == 429 ? 429 : 503, reply.status() == 429 ? BUSY : UNAVAILABLE, 1);
+            notWritten(message.request(), reply);
         }
     }
 
@@ -538,7 +557,7 @@
         if (reply.status() == 409 && message.tries() < 3) {
             cancel(message.request(), id, message.tries() + 1);
         } else {
-            message.request().answer(reply.status() == 429 ? 429 : 503, reply.status() == 429 ? BUSY : UNAVAILABLE, 1);
+            notWritten(message.request(), reply);
         }
     }
 }
--- a/src/main/java/io/micatide/wire/PeerCodec.java
+++ b/src/main/java/io/micatide/wire/PeerCodec.java
@@ -10,8 +10,11 @@
     private PeerCodec() {
     }
 
-    /** {@code first}: the counts of earlier messages of this sender are replaced. */
-    public record News(long token, String leader, boolean first, List<JobProgress> jobs) {
+    /**
+     * {@code stateServed}: the sender has had answers of the state service just now; {@code first}: the counts of earlier
+     * messages of this sender are replaced.
+     */
+    public record News(long token, String leader, boolean stateServed, boolean first, List<JobProgress> jobs) {
     }
 
     public static byte[] news(News news) {
@@ -19,6 +22,7 @@
             out.writeStartObject();
             out.writeNumberField("token", news.token());
             out.writeStringField("leader", news.leader());
+            out.writeBooleanField("stateServed", news.stateServed());
             out.writeBooleanField("first", news.first());
             out.writeArrayFieldStart("jobs");
             for (JobProgress job : news.jobs()) {
@@ -40,7 +44,8 @@
         for (JsonNode job : tree.path("jobs")) {
             jobs.add(new JobProgress(job.path(0).asText(), job.path(1).asInt(), job.path(2).asInt()));
         }
-        return new News(in.count("token", 1, Long.MAX_VALUE), in.text("leader"), in.flag("first"), jobs);
+        return new News(in.count("token", 1, Long.MAX_VALUE), in.text("leader"),
+                in.has("stateServed") && in.flag("stateServed"), in.flag("first"), jobs);
     }
 
     /** The answer to news: the highest token that the sibling knows of. */
