--- a/src/main/java/io/micatide/core/Planner.java
+++ b/src/main/java/io/micatide/core/Planner.java
@@ -19,8 +19,6 @@
     /** How much of an aim's time a team waits for its guarantee by itself before others have to yield. */
     private static final double GUARANTEE_PATIENCE = 0.5;
     private static final long PREEMPT_EVERY_MICROS = 500 * Micros.MILLISECOND;
-    /** For how long a replica is taken to run on; nobody says. */
-    private static final long REPLICA_STAYS_MICROS = 60 * Micros.SECOND;
     /** An order older than this is not gone by. */
     private static final long ORDER_MICROS = Micros.SECOND;
     /** A job whose image is there goes before one that is due so much earlier and has to fetch its own. */
@@ -215,7 +213,6 @@
         List<Machine> open = new ArrayList<>();
         for (Machine machine : usable) {
             if (least.fitsIn(machine.room())) {
-                machine.staysUntilMicros = staysUntil(machine, nowMicros);
                 open.add(machine);
             }
         }
@@ -329,7 +326,7 @@
         } else if (spec.kind() == JobKind.SERVICE) {
             placeReplicas(queued, suitable(job, usable, nowMicros), nowMicros);
         } else {
-            placeArray(queued, open, nowMicros);
+            placeArray(job, open, nowMicros);
             if (preempts && job.waiting() > 0 && nowMicros >= job.preemptsAgainMicros && othersYield(job)) {
                 job.preemptsAgainMicros = nowMicros + PREEMPT_EVERY_MICROS;
                 preempt(job, suitable(job, usable, nowMicros), nowMicros);
@@ -359,11 +356,10 @@
     }
 
     /** Fills one machine after another: each further one has to fetch the image and to be recorded. */
-    private void placeArray(Queued queued, List<Machine> open, long nowMicros) {
+    private void placeArray(Job job, List<Machine> open, long nowMicros) {
         if (open.isEmpty()) {
             return;
         }
-        Job job = queued.job();
         List<Machine> ready = new ArrayList<>();
         List<Machine> others = new ArrayList<>();
         for (Machine machine : open) {
@@ -371,10 +367,7 @@
                 (hasImage(machine, job) ? ready : others).add(machine);
             }
         }
-        long end = nowMicros + runTimes.expected(job);
-        int left = queued.waiting();
-        ready.sort(Comparator.comparingDouble((Machine machine) -> keepingCost(machine, job, left, end))
-                .thenComparing(LEAST_ROOM));
+        ready.sort(LEAST_ROOM);
         others.sort(MOST_ROOM);
         ready.addAll(others);
         for (Machine machine : ready) {
@@ -389,32 +382,6 @@
         open.removeIf(each -> !least.fitsIn(each.room()));
     }
 
-    /**
-     * What it costs a task that the machine is kept longer for it: long tasks that are strewn over all machines once kept
-     * twice the machines that were needed.
-     */
-    private double keepingCost(Machine machine, Job job, int left, long endMicros) {
-        long longer = endMicros - machine.staysUntilMicros;
-        if (longer <= 0) {
-            return 0;
-        }
-        MachineType type = fleet.types().get(machine.type);
-        double price = type == null ? 1 : type.priceOf(machine.spot);
-        return price * longer / Math.max(1, Math.min(left, job.spec.each().countIn(machine.room())));
-    }
-
-    private long staysUntil(Machine machine, long nowMicros) {
-        long until = nowMicros;
-        for (Placement placement : machine.placements) {
-            Job job = placement.job;
-            long since = placement.runningSinceMicros >= 0 ? placement.runningSinceMicros : nowMicros;
-            long end = job.spec.kind() == JobKind.SERVICE ? nowMicros + REPLICA_STAYS_MICROS
-                    : since + runTimes.expected(job);
-            until = Math.max(until, end);
-        }
-        return until;
-    }
-
     /** Whether there can be work that a task of this job may displace. */
     private boolean othersYield(Job job) {
         if (job.spec.priority() != Priority.NORMAL) {
