--- a/src/main/java/io/micatide/core/Planner.java
+++ b/src/main/java/io/micatide/core/Planner.java
@@ -347,7 +347,8 @@
     private void placeReplicas(Queued queued, List<Machine> candidates, long nowMicros) {
         Job job = queued.job();
         for (int left = queued.waiting(); left > 0 && job.waiting() > 0 && teamAllows(job); left--) {
-            Machine machine = choose(job, candidates, true, nowMicros);
+            Machine machine = besideReplicas(job, candidates, nowMicros);
+            machine = machine != null ? machine : choose(job, candidates, true, nowMicros);
             if (machine == null) {
                 return;
             }
@@ -355,6 +356,39 @@
         }
     }
 
+    /**
+     * A machine with the image that has replicas already, the one with most; work that ends yields there. Replicas live
+     * for minutes, and strewn over the fleet each of them kept a machine that would have been returned.
+     */
+    private Machine besideReplicas(Job job, List<Machine> candidates, long nowMicros) {
+        Resources each = job.spec.each();
+        Machine best = null;
+        long bestScore = 0;
+        for (Machine machine : candidates) {
+            if (!machine.images.containsKey(job.spec.image()) || !zoneAllows(job, machine)) {
+                continue;
+            }
+            Resources replicas = Resources.NONE;
+            for (Placement placement : machine.placements) {
+                if (placement.job.spec.kind() == JobKind.SERVICE) {
+                    replicas = replicas.plus(placement.job.spec.each());
+                }
+            }
+            if (replicas.cpus() == 0 || !each.plus(replicas).fitsIn(machine.size())) {
+                continue;
+            }
+            long score = replicas.cpus() + (each.fitsIn(machine.room()) ? 2 * each.cpus() : 0);
+            if (score > bestScore && (each.fitsIn(machine.room()) || victims(job, machine) != null)) {
+                best = machine;
+                bestScore = score;
+            }
+        }
+        if (best != null && !each.fitsIn(best.room())) {
+            displace(victims(job, best), nowMicros);
+        }
+        return best;
+    }
+
     /** Fills one machine after another: each further one has to fetch the image and to be recorded. */
     private void placeArray(Job job, List<Machine> open, long nowMicros) {
         if (open.isEmpty()) {
