--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -677,7 +677,10 @@
         long running = 0;
         long spotCpus = 0;
         int booting = 0;
+        int replicas = 0;
+        int serving = 0;
         for (Machine machine : fleet.machines()) {
+            int before = replicas;
             confirmed += machine.confirmed ? 1 : 0;
             if (machine.usable(nowMicros, settings)) {
                 usable++;
@@ -687,10 +690,12 @@
             }
             booting += machine.lastAnsweredMicros < 0 ? 1 : 0;
             for (Placement placement : machine.placements) {
+                replicas += placement.job.spec.kind() == JobKind.SERVICE ? 1 : 0;
                 if (placement.phase == Placement.Phase.REPORTED && placement.state == TaskState.RUNNING) {
                     running += placement.job.spec.each().cpus();
                 }
             }
+            serving += replicas > before ? 1 : 0;
         }
         int waiting = 0;
         int unsettled = 0;
@@ -701,6 +706,6 @@
         return "jobs=" + book.jobs().size() + " waiting=" + waiting + " unsettled=" + unsettled + " machines="
                 + fleet.machines().size() + " confirmed=" + confirmed + " usable=" + usable + " cpus="
                 + used.cpus() / 1000 + "/" + size.cpus() / 1000 + " running=" + running / 1000 + " spot="
-                + spotCpus / 1000 + " booting=" + booting + " slow=" + slowFound + " bookings=" + rentals.bookings.size();
+                + spotCpus / 1000 + " booting=" + booting + " replicas=" + replicas + " serving=" + serving + " slow=" + slowFound + " bookings=" + rentals.bookings.size();
     }
 }
