--- a/src/main/java/io/micatide/core/Planner.java
+++ b/src/main/java/io/micatide/core/Planner.java
@@ -42,6 +42,8 @@
     private long orderMicros = Long.MIN_VALUE / 2;
     /** The least of each resource that any job in the order asks for. */
     private Resources least = Resources.NONE;
+    private int displacedByReplicas;
+    private int displacedByGuarantees;
     /** Hardly any room was left by the last plan. */
     private boolean scarce;
     private Map<String, Resources> unknown = Map.of();
@@ -239,6 +241,11 @@
         scarce = left < SCARCE_SHARE * all;
     }
 
+    /** Attempts that had to yield in this term, for the log. */
+    String displaced() {
+        return displacedByReplicas + "/" + displacedByGuarantees;
+    }
+
     /** The jobs with waiting tasks as of the last plan. */
     List<Queued> order() {
         return order;
@@ -356,7 +363,7 @@
             placeArray(job, open, nowMicros);
             if (preempts && job.waiting() > 0 && nowMicros >= job.preemptsAgainMicros && othersYield(job)) {
                 job.preemptsAgainMicros = nowMicros + PREEMPT_EVERY_MICROS;
-                preempt(job, suitable(job, usable, nowMicros), nowMicros);
+                preempt(queued, suitable(job, usable, nowMicros), nowMicros);
             }
         }
     }
@@ -411,7 +418,7 @@
             }
         }
         if (best != null && !each.fitsIn(best.room())) {
-            displace(victims(job, best), nowMicros);
+            displace(job, victims(job, best), nowMicros);
         }
         return best;
     }
@@ -484,25 +491,52 @@
         return false;
     }
 
-    /** Takes the room of lesser work, machine by machine, those first that have the image. */
-    private void preempt(Job job, List<Machine> candidates, long nowMicros) {
-        candidates.sort(Comparator.comparing((Machine machine) -> !hasImage(machine, job)));
+    /**
+     * Takes the room of lesser work: those attempts first that have run for the shortest time, where the image is. The
+     * room that comes free by itself serves most of a job, so a team that waits for its guarantee takes a part at a
+     * time: taking all at once lost one start in ten, and some tasks were started fifteen times.
+     */
+    private void preempt(Queued queued, List<Machine> candidates, long nowMicros) {
+        Job job = queued.job();
+        int left = job.waiting();
+        if (job.spec.priority() == Priority.NORMAL) {
+            long until = job.submittedMicros + guaranteePatienceMicros * 3 / 2 - nowMicros;
+            left = (int) Math.ceil(left * PREEMPT_EVERY_MICROS / (double) Math.max(PREEMPT_EVERY_MICROS, until));
+        }
+        record Option(Machine machine, boolean image, long loss) {
+        }
+        List<Option> options = new ArrayList<>();
         for (Machine machine : candidates) {
-            while (zoneAllows(job, machine)) {
+            List<Placement> victims = victims(job, machine);
+            if (victims != null) {
+                options.add(new Option(machine, hasImage(machine, job), loss(victims, nowMicros)));
+            }
+        }
+        options.sort(Comparator.comparing((Option option) -> !option.image()).thenComparing(Option::loss));
+        for (boolean progress = true; progress && left > 0;) {
+            progress = false;
+            for (Option option : options) {
+                Machine machine = option.machine();
+                List<Placement> victims = left > 0 && zoneAllows(job, machine) ? victims(job, machine) : null;
                 if (job.waiting() == 0 || !teamAllows(job)) {
                     return;
                 }
-                List<Placement> victims = victims(job, machine);
-                if (victims == null) {
-                    break;
+                if (victims != null) {
+                    displace(job, victims, nowMicros);
+                    scheduler.place(job, job.nextWaiting(), machine, nowMicros);
+                    left--;
+                    progress = true;
                 }
-                displace(victims, nowMicros);
-                scheduler.place(job, job.nextWaiting(), machine, nowMicros);
             }
         }
     }
 
-    private void displace(List<Placement> victims, long nowMicros) {
+    private void displace(Job job, List<Placement> victims, long nowMicros) {
+        if (job.spec.kind() == JobKind.SERVICE) {
+            displacedByReplicas += victims.size();
+        } else {
+            displacedByGuarantees += victims.size();
+        }
         for (Placement victim : victims) {
             if (victim.unsent()) {
                 scheduler.remove(victim);
@@ -607,7 +641,7 @@
                 }
             }
             if (there != null) {
-                displace(cheapest, nowMicros);
+                displace(job, cheapest, nowMicros);
                 return there;
             }
             if (without == null) {
--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -706,6 +706,6 @@
         return "jobs=" + book.jobs().size() + " waiting=" + waiting + " unsettled=" + unsettled + " machines="
                 + fleet.machines().size() + " confirmed=" + confirmed + " usable=" + usable + " cpus="
                 + used.cpus() / 1000 + "/" + size.cpus() / 1000 + " running=" + running / 1000 + " spot="
-                + spotCpus / 1000 + " booting=" + booting + " replicas=" + replicas + " serving=" + serving + " slow=" + slowFound + " bookings=" + rentals.bookings.size();
+                + spotCpus / 1000 + " booting=" + booting + " replicas=" + replicas + " serving=" + serving + " displaced=" + planner.displaced() + " slow=" + slowFound + " bookings=" + rentals.bookings.size();
     }
 }
