--- a/src/main/java/io/micatide/core/Planner.java
+++ b/src/main/java/io/micatide/core/Planner.java
@@ -21,12 +21,10 @@
     private static final long PREEMPT_EVERY_MICROS = 500 * Micros.MILLISECOND;
     /** For how long a replica is taken to run on; nobody says. */
     private static final long REPLICA_STAYS_MICROS = 60 * Micros.SECOND;
-    /** Room is scarce below this share of all processors. */
-    private static final double SCARCE_SHARE = 0.05;
     /** An order older than this is not gone by. */
     private static final long ORDER_MICROS = Micros.SECOND;
-    /** A job that suits a machine better, by its image above all, goes before one that is due so much earlier. */
-    private static final long PRECEDENCE_MICROS = 10 * Micros.SECOND;
+    /** A job whose image is there goes before one that is due so much earlier and has to fetch its own. */
+    private static final long PRECEDENCE_MICROS = 5 * Micros.SECOND;
     private static final Comparator<Machine> LEAST_ROOM = Comparator.comparing((Machine machine) -> !machine.spot)
             .thenComparing(machine -> machine.room().cpus());
     private static final Comparator<Machine> MOST_ROOM =
@@ -44,8 +42,6 @@
     private Resources least = Resources.NONE;
     private int displacedByReplicas;
     private int displacedByGuarantees;
-    /** Hardly any room was left by the last plan. */
-    private boolean scarce;
     private Map<String, Resources> unknown = Map.of();
 
     Planner(Scheduler scheduler, Settings settings, Fleet fleet, JobBook book, RunTimes runTimes) {
@@ -230,15 +226,6 @@
                 placeJob(queued, usable, open, nowMicros);
             }
         }
-        long all = 0;
-        for (Machine machine : usable) {
-            all += machine.size().cpus();
-        }
-        long left = 0;
-        for (Machine machine : open) {
-            left += machine.room().cpus();
-        }
-        scarce = left < SCARCE_SHARE * all;
     }
 
     /** Attempts that had to yield in this term, for the log. */
@@ -254,17 +241,15 @@
     /**
      * Gives the room that came free on one machine to the next in the queue, so that it goes out with the answer to the
      * report that told of it. Planning for all machines at every report once took more than the whole share of a
-     * core with 373 of them, and the leader lost its lease. While room is left what waits is held up by its team's limit:
-     * then it goes where it keeps fewest machines, not to each that gets room, which once kept 370 half empty.
+     * core with 373 of them, and the leader lost its lease.
      */
     void refill(Machine machine, long nowMicros) {
         if (nowMicros - orderMicros > ORDER_MICROS || !machine.usable(nowMicros, settings)) {
             return;
         }
-        if (order.isEmpty() || !scarce || !least.fitsIn(machine.room())) {
+        if (order.isEmpty() || !least.fitsIn(machine.room())) {
             return;
         }
-        lookHowLongItStays(machine, nowMicros);
         for (Job job = next(machine, nowMicros); job != null; job = next(machine, nowMicros)) {
             scheduler.place(job, job.nextWaiting(), machine, nowMicros);
         }
@@ -273,26 +258,19 @@
     /** The job in the order that gets room on this machine, or null. */
     private Job next(Machine machine, long nowMicros) {
         Queued first = null;
-        Job best = null;
-        int bestMisfit = Integer.MAX_VALUE;
         for (Queued queued : order) {
-            boolean over = first != null && (!first.sameRank(queued)
-                    || queued.dueMicros() - first.dueMicros() >= PRECEDENCE_MICROS);
-            if (over || bestMisfit == 0) {
+            if (first != null && (!first.sameRank(queued)
+                    || queued.dueMicros() - first.dueMicros() >= PRECEDENCE_MICROS)) {
                 break;
             }
-            Job job = queued.job();
-            if (mayRefill(job, machine, nowMicros)) {
+            if (mayRefill(queued.job(), machine, nowMicros)) {
                 first = first == null ? queued : first;
-                int tier = job.spec.kind() == JobKind.SERVICE ? 0 : tier(job, machine, nowMicros);
-                int misfit = hasImage(machine, job) ? tier : tier + 3;
-                if (misfit < bestMisfit) {
-                    best = job;
-                    bestMisfit = misfit;
+                if (hasImage(machine, queued.job())) {
+                    return queued.job();
                 }
             }
         }
-        return best;
+        return first == null ? null : first.job();
     }
 
     private boolean mayRefill(Job job, Machine machine, long nowMicros) {
