--- a/src/main/java/io/micatide/core/Machine.java
+++ b/src/main/java/io/micatide/core/Machine.java
@@ -37,8 +37,6 @@
     /** Tasks that told its pace, fading by the second, and the sum of the logarithms of how much too long they took. */
     double paceTasks;
     double paceSum;
-    /** When all that is on it is likely to be over; as of the last look. */
-    long staysUntilMicros;
     /** Until when it is held to be slower than others, or -1. */
     long slowUntilMicros = -1;
     final List<Placement> placements = new ArrayList<>();
--- a/src/main/java/io/micatide/core/Planner.java
+++ b/src/main/java/io/micatide/core/Planner.java
@@ -19,8 +19,6 @@
     /** How much of an aim's time a team waits for its guarantee by itself before others have to yield. */
     private static final double GUARANTEE_PATIENCE = 0.5;
     private static final long PREEMPT_EVERY_MICROS = 500 * Micros.MILLISECOND;
-    /** For how long a replica is taken to run on; nobody says. */
-    private static final long REPLICA_STAYS_MICROS = 60 * Micros.SECOND;
     /** An order older than this is not gone by. */
     private static final long ORDER_MICROS = Micros.SECOND;
     /** A job whose image is there goes before one that is due so much earlier and has to fetch its own. */
@@ -217,7 +215,6 @@
         List<Machine> open = new ArrayList<>();
         for (Machine machine : usable) {
             if (least.fitsIn(machine.room())) {
-                lookHowLongItStays(machine, nowMicros);
                 open.add(machine);
             }
         }
@@ -413,8 +410,7 @@
                 (hasImage(machine, job) ? ready : others).add(machine);
             }
         }
-        ready.sort(Comparator.comparingInt((Machine machine) -> tier(job, machine, nowMicros))
-                .thenComparing(LEAST_ROOM));
+        ready.sort(LEAST_ROOM);
         others.sort(MOST_ROOM);
         ready.addAll(others);
         for (Machine machine : ready) {
@@ -429,33 +425,6 @@
         open.removeIf(each -> !least.fitsIn(each.room()));
     }
 
-    /**
-     * Which machine a task should rather be on. Ordinary machines cost several times as much as spot ones, and one long
-     * task keeps one: so long tasks go to spot machines, short ones to ordinary machines that are kept anyway. Strewn over
-     * the fleet, 143 long tasks once kept 125 machines.
-     */
-    private int tier(Job job, Machine machine, long nowMicros) {
-        long length = runTimes.expected(job);
-        boolean kept = machine.staysUntilMicros >= nowMicros + length;
-        MachineType type = fleet.types().get(machine.type);
-        boolean longTask = type != null && length > type.bootMicros();
-        if (machine.spot) {
-            return longTask ? 0 : 1;
-        }
-        return kept ? longTask ? 1 : 0 : 2;
-    }
-
-    private void lookHowLongItStays(Machine machine, long nowMicros) {
-        long until = nowMicros;
-        for (Placement placement : machine.placements) {
-            Job job = placement.job;
-            long since = placement.runningSinceMicros >= 0 ? placement.runningSinceMicros : nowMicros;
-            until = Math.max(until, job.spec.kind() == JobKind.SERVICE ? nowMicros + REPLICA_STAYS_MICROS
-                    : since + runTimes.expected(job));
-        }
-        machine.staysUntilMicros = until;
-    }
-
     /** Whether there can be work that a task of this job may displace. */
     private boolean othersYield(Job job) {
         if (job.spec.priority() != Priority.NORMAL) {
