--- a/src/main/java/io/micatide/core/Planner.java
+++ b/src/main/java/io/micatide/core/Planner.java
@@ -19,6 +19,8 @@
     /** How much of an aim's time a team waits for its guarantee by itself before others have to yield. */
     private static final double GUARANTEE_PATIENCE = 0.5;
     private static final long PREEMPT_EVERY_MICROS = 500 * Micros.MILLISECOND;
+    /** Work that may be lost for a replica that has room elsewhere. */
+    private static final long CHEAP_LOSS_MICROS = 10 * Micros.SECOND;
     /** An order older than this is not gone by. */
     private static final long ORDER_MICROS = Micros.SECOND;
     /** A job whose image is there goes before one that is due so much earlier and has to fetch its own. */
@@ -386,8 +388,9 @@
             if (replicas.cpus() == 0 || !each.plus(replicas).fitsIn(machine.size())) {
                 continue;
             }
-            long score = replicas.cpus() + (each.fitsIn(machine.room()) ? 2 * each.cpus() : 0);
-            if (score > bestScore && (each.fitsIn(machine.room()) || victims(job, machine) != null)) {
+            boolean fits = each.fitsIn(machine.room());
+            long score = replicas.cpus() + (fits ? 2 * each.cpus() : 0);
+            if (score > bestScore && (fits || yieldsCheaply(job, machine, nowMicros))) {
                 best = machine;
                 bestScore = score;
             }
@@ -398,6 +401,11 @@
         return best;
     }
 
+    private boolean yieldsCheaply(Job job, Machine machine, long nowMicros) {
+        List<Placement> victims = victims(job, machine);
+        return victims != null && loss(victims, nowMicros) < CHEAP_LOSS_MICROS;
+    }
+
     /** Fills one machine after another: each further one has to fetch the image and to be recorded. */
     private void placeArray(Job job, List<Machine> open, long nowMicros) {
         if (open.isEmpty()) {
