--- a/src/main/java/io/micatide/core/Deadlines.java
+++ b/src/main/java/io/micatide/core/Deadlines.java
@@ -93,6 +93,6 @@
             cpus = Math.max(cpus, total / demand.leftMicros());
         }
         // Tasks already running cannot be divided or moved, so the truth lies between this and all jobs at once.
-        return (cpus + sum) / 2;
+        return (cpus + 3 * sum) / 4;
     }
 }
