--- /dev/null
+++ b/src/test/java/io/micatide/core/PlannerTest.java
@@ -0,0 +1,77 @@
+package io.micatide.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class PlannerTest {
+    private static long live(World world, String job) {
+        return world.workers.values().stream().filter(worker -> !worker.deleted)
+                .flatMap(worker -> worker.tasks.values().stream())
+                .filter(task -> task.job.equals(job) && task.cause == null).count();
+    }
+
+    /**
+     * Machines are full of work beyond its team's guarantee. Whoever may displace it gets its room after a while, and not
+     * more of it ends than has to: room that was freed for one task once was not counted for the next.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        // kind, priority, tasks, displaced
+        "ARRAY, NORMAL, 1, 1",
+        "ARRAY, NORMAL, 5, 5",
+        "SERVICE, HIGH, 3, 3",
+    })
+    void displacesNoMoreThanItNeeds(JobKind kind, Priority priority, int tasks, int displaced) {
+        World world = new World(1, 2);
+        world.cloudOutage = true;
+        world.takeOver();
+        world.submit(World.job("wk-1", JobKind.ARRAY, "blue", Priority.NORMAL, 8, 300));
+        world.run(20 * Micros.SECOND);
+        assertEquals(8, live(world, "wk-1"));
+        world.submit(World.job("wk-2", kind, "red", priority, tasks, 100));
+        world.run(12 * Micros.SECOND);
+        assertEquals(tasks, live(world, "wk-2"));
+        assertEquals(8 - displaced, live(world, "wk-1"));
+        assertEquals(8 + tasks, world.starts, "what yielded was started again without room");
+    }
+
+    /** Replicas gather on one machine though another has room and the image: each one with replicas has to be kept. */
+    @Test
+    void replicasGather() {
+        World world = new World(1, 2);
+        world.cloudOutage = true;
+        world.takeOver();
+        world.submit(World.job("wk-1", JobKind.ARRAY, "blue", Priority.NORMAL, 8, 2));
+        world.run(10 * Micros.SECOND);
+        world.submit(World.job("wk-2", JobKind.SERVICE, "blue", Priority.HIGH, 1, 0));
+        world.run(3 * Micros.SECOND);
+        world.submit(World.job("wk-3", JobKind.ARRAY, "blue", Priority.NORMAL, 3, 300));
+        world.run(4 * Micros.SECOND);
+        world.submit(World.job("wk-4", JobKind.SERVICE, "blue", Priority.HIGH, 1, 0));
+        world.run(6 * Micros.SECOND);
+        assertEquals(3, live(world, "wk-3"));
+        long serving = world.workers.values().stream().filter(worker -> worker.tasks.values().stream()
+                .anyMatch(task -> task.job.equals("wk-2") || task.job.equals("wk-4"))).count();
+        assertEquals(1, serving);
+    }
+
+    /** The answer to the report that tells of room carries the next start: a plan is not waited for, nor a round. */
+    @Test
+    void machinesAreRefilledAtTheirReports() {
+        World world = new World(1, 1);
+        world.cloudOutage = true;
+        world.takeOver();
+        world.submit(World.job("wk-1", JobKind.ARRAY, "blue", Priority.NORMAL, 40, 2));
+        long from = world.now;
+        while (world.state("wk-1") == JobState.OPEN) {
+            world.run(World.STEP);
+            assertTrue(world.now - from < 60 * Micros.SECOND, "it never ends");
+        }
+        // Ten rounds of four tasks, each of 2 s and up to one report of 0.8 s.
+        assertTrue(world.now - from < 31 * Micros.SECOND, Micros.toSeconds(world.now - from) + " s");
+    }
+}
