--- a/src/main/java/io/micatide/core/Leadership.java
+++ b/src/main/java/io/micatide/core/Leadership.java
@@ -21,6 +21,8 @@
     private long highestToken;
     private String leader;
     private long retryAtMicros;
+    /** Having given the lead up, this controller leaves it to others until then. */
+    private long claimsAfterMicros = Long.MIN_VALUE;
 
     public Leadership(String label, long ttlMicros) {
         this.label = label;
@@ -77,7 +79,7 @@
         if (lease == 0) {
             return Wish.GRANT_LEASE;
         }
-        if (claimable()) {
+        if (claimable() && nowMicros >= claimsAfterMicros) {
             return Wish.CLAIM;
         }
         return touchDue ? Wish.TOUCH : Wish.NOTHING;
@@ -181,6 +183,28 @@
         return was;
     }
 
+    /**
+     * Gives the lead up for others who can serve better, and does not claim again at once.
+     *
+     * @return the lease to end, with which the row goes
+     */
+    public long resign(long nowMicros, long pauseMicros) {
+        long ended = lease;
+        lease = 0;
+        rowKnown = false;
+        claimsAfterMicros = nowMicros + pauseMicros;
+        depose();
+        return ended;
+    }
+
+    /**
+     * Until when the lease runs for certain. A process that stood still may have lost it, and what it asks of the cloud is
+     * not fenced.
+     */
+    public long holdsUntilMicros() {
+        return leads() ? leaseTouchedMicros + ttlMicros : Long.MIN_VALUE;
+    }
+
     /** Fenced: stops quietly. */
     public void depose() {
         token = 0;
--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -27,6 +27,9 @@
     private final Map<String, Resources> teamUse = new HashMap<>();
     private final List<Transaction.Write> extraWrites = new ArrayList<>();
     private long freshMicros;
+    private long holdsUntilMicros = Long.MAX_VALUE;
+    /** When this process went on after it had stood still. */
+    private long resumedMicros = Long.MIN_VALUE / 2;
     private long attemptCounter;
     private JobBook.Round inFlight;
     private double writeTokens;
@@ -138,7 +141,30 @@
 
     /** The state service was asked at {@code askedMicros} and the answer is applied. */
     public void stateFresh(long askedMicros) {
-        freshMicros = Math.max(freshMicros, askedMicros);
+        if (askedMicros >= resumedMicros) {
+            freshMicros = Math.max(freshMicros, askedMicros);
+        }
+    }
+
+    /**
+     * Until when the lead is certainly ours. Later nothing is started, rented or returned: a leader that stood still for 20 s
+     * takes every task for gone, and on a machine that has not heard of its successor a start of its own would land.
+     */
+    public void holdsUntil(long untilMicros) {
+        holdsUntilMicros = untilMicros;
+    }
+
+    /**
+     * This process stood still while its clock ran: what it held as fresh is old, and machines only seem silent until
+     * they had time to report again.
+     */
+    public void resumed(long nowMicros) {
+        resumedMicros = nowMicros;
+        freshMicros = Math.min(freshMicros, nowMicros - FRESH_MICROS - 1);
+    }
+
+    private boolean mayJudge(long nowMicros) {
+        return nowMicros - resumedMicros > 2 * settings.reportMicros() + Micros.SECOND;
     }
 
     // ---- reports
@@ -315,7 +341,7 @@
                         placement.stopGraceMicros));
             }
         }
-        if (!machine.confirmed || machine.deleting || nowMicros - freshMicros > FRESH_MICROS) {
+        if (!machine.confirmed || machine.deleting || !mayStart(nowMicros)) {
             return;
         }
         for (Placement placement : machine.placements) {
@@ -449,6 +475,9 @@
 
     /** Called every so often: leases that ran out, placing, renting. */
     public void tick(long nowMicros) {
+        if (!mayJudge(nowMicros)) {
+            return;
+        }
         for (Machine machine : List.copyOf(fleet.machines())) {
             expire(machine, nowMicros);
         }
@@ -498,7 +527,11 @@
     }
 
     private boolean mayPlan(long nowMicros) {
-        return nowMicros - freshMicros <= FRESH_MICROS && !fleet.types().isEmpty();
+        return mayStart(nowMicros) && !fleet.types().isEmpty();
+    }
+
+    private boolean mayStart(long nowMicros) {
+        return nowMicros - freshMicros <= FRESH_MICROS && nowMicros < holdsUntilMicros;
     }
 
     // ---- rounds
@@ -596,7 +629,7 @@
     }
 
     public List<CloudCall> cloudCalls(long nowMicros) {
-        return renter.calls(nowMicros);
+        return nowMicros < holdsUntilMicros && mayJudge(nowMicros) ? renter.calls(nowMicros) : List.of();
     }
 
     public void rented(String booking, List<String> names, long nowMicros) {
--- /dev/null
+++ b/src/main/java/io/micatide/core/WorkerReach.java
@@ -0,0 +1,124 @@
+package io.micatide.core;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Whether the workers reach the leader. A leader that only the workers have lost goes on renewing its lease, and every
+ * task dies with the workers' leases: on the operators' recorded days thousands did. It cannot tell such a cut from machines
+ * that are all gone; a sibling that the workers turn to instead can tell it. The same object keeps both sides: what a
+ * follower sees of workers that should be with the leader, and what a leader knows of its own silence.
+ */
+public final class WorkerReach {
+    /** So many workers that left the leader within {@link #RECENT_MICROS} show that it is not they who are cut off. */
+    private static final int MANY_STRAYS = 3;
+    private static final long RECENT_MICROS = 2 * Micros.SECOND;
+    /** A worker that was sent to the leader is there by then, and one that could not reach it is back later. */
+    private static final long ARRIVES_MICROS = 2 * Micros.SECOND;
+
+    private record Sent(long token, long atMicros) {
+    }
+
+    private final long silenceMicros;
+    private final Map<String, Sent> sent = new HashMap<>();
+    private final Map<String, Long> strays = new HashMap<>();
+    private long lastStrayMicros = Long.MIN_VALUE / 2;
+    private long leaderSilentSinceMicros = Long.MAX_VALUE / 2;
+    private long newsMicros = Long.MIN_VALUE / 2;
+    private boolean heardAny;
+    private long heardMicros;
+    private long strayedElsewhereMicros = Long.MIN_VALUE / 2;
+
+    public WorkerReach(Settings settings) {
+        // Reports are up to a quarter late; a fleet of any size is never silent for longer than one of them and a pause.
+        silenceMicros = settings.reportMicros() * 5 / 4 + Micros.SECOND;
+    }
+
+    // ---- a follower
+
+    /**
+     * A worker came to this controller, which does not lead; {@code seen} is the highest token that it knows. One that knows
+     * the leader, or comes back from it, has lost it.
+     */
+    public void cameHere(String machine, long seen, long leaderToken, long nowMicros) {
+        Sent before = sent.get(machine);
+        boolean back = before != null && before.token() == leaderToken
+                && nowMicros - before.atMicros() > ARRIVES_MICROS;
+        if (leaderToken > 0 && (seen == leaderToken || back)) {
+            lastStrayMicros = nowMicros;
+            strays.put(machine, nowMicros);
+        }
+        if (before == null || before.token() != leaderToken) {
+            sent.values().removeIf(each -> each.token() != leaderToken);
+            sent.put(machine, new Sent(leaderToken, nowMicros));
+        }
+    }
+
+    /** The leader says how long no worker has come to it. */
+    public void leaderSilent(long silentMicros, long nowMicros) {
+        newsMicros = nowMicros;
+        leaderSilentSinceMicros = nowMicros - silentMicros;
+    }
+
+    /**
+     * Whether workers should look for themselves instead of being sent to the leader: a connection to one that is cut off
+     * hangs for four seconds of a lease of ten.
+     */
+    public boolean leaderLost(long nowMicros) {
+        strays.values().removeIf(at -> nowMicros - at > RECENT_MICROS);
+        return strays.size() >= MANY_STRAYS || !strays.isEmpty() && nowMicros - newsMicros < RECENT_MICROS
+                && nowMicros - leaderSilentSinceMicros > silenceMicros;
+    }
+
+    /** How long ago a worker that had lost the leader came here, or -1 if that is too long ago to matter. */
+    public long strayedAgoMicros(long nowMicros) {
+        long ago = nowMicros - lastStrayMicros;
+        return ago < RECENT_MICROS ? ago : -1;
+    }
+
+    // ---- the leader
+
+    /** A term begins: workers have yet to find this controller. */
+    public void begin(long nowMicros) {
+        heardAny = false;
+        heardMicros = nowMicros + ARRIVES_MICROS;
+        strayedElsewhereMicros = Long.MIN_VALUE / 2;
+        sent.clear();
+        strays.clear();
+    }
+
+    public void heard(long nowMicros) {
+        heardAny = true;
+        heardMicros = nowMicros;
+    }
+
+    /** This process stood still: its silence says nothing about the workers. */
+    public void stalled(long nowMicros) {
+        heardMicros = Math.max(heardMicros, nowMicros);
+    }
+
+    public long silentMicros(long nowMicros) {
+        return Math.max(0, nowMicros - heardMicros);
+    }
+
+    /** Whether siblings should be asked now instead of with the next regular news. */
+    public boolean worried(long nowMicros) {
+        return heardAny && silentMicros(nowMicros) > silenceMicros / 2;
+    }
+
+    /** A sibling's word that a worker which had lost the leader came to it that long ago; -1: none did. */
+    public void strayedElsewhere(long agoMicros, long nowMicros) {
+        if (agoMicros >= 0) {
+            strayedElsewhereMicros = Math.max(strayedElsewhereMicros, nowMicros - agoMicros);
+        }
+    }
+
+    /**
+     * Whether this leader should give up: silence on its side and, since then, a worker that looked for it at a sibling.
+     * Without such news it stays, be it that all are cut off or that there are no machines: nobody could do better.
+     */
+    public boolean deaf(long nowMicros) {
+        return silentMicros(nowMicros) > silenceMicros && strayedElsewhereMicros > heardMicros
+                && nowMicros - strayedElsewhereMicros < RECENT_MICROS;
+    }
+}
--- a/src/main/java/io/micatide/net/HttpClient.java
+++ b/src/main/java/io/micatide/net/HttpClient.java
@@ -78,6 +78,10 @@
         send(HttpMethod.POST, path, body, timeoutMicros, then);
     }
 
+    public void delete(String path, long timeoutMicros, Consumer<Reply> then) {
+        send(HttpMethod.DELETE, path, NO_BODY, timeoutMicros, then);
+    }
+
     private void send(HttpMethod method, String path, byte[] body, long timeoutMicros, Consumer<Reply> then) {
         Call call = new Call(method, path, body, then);
         if (queue.size() >= MOST_QUEUED) {
--- a/src/main/java/io/micatide/net/StateClient.java
+++ b/src/main/java/io/micatide/net/StateClient.java
@@ -79,4 +79,8 @@
     public void touch(long lease, Consumer<Reply> then) {
         http.post("/grants/" + lease + "/touch", new byte[0], HttpClient.PATIENCE_MICROS, noting(then));
     }
+
+    public void endLease(long lease, Consumer<Reply> then) {
+        http.delete("/grants/" + lease, HttpClient.PATIENCE_MICROS, noting(then));
+    }
 }
--- a/src/main/java/io/micatide/node/LeaderActor.java
+++ b/src/main/java/io/micatide/node/LeaderActor.java
@@ -15,6 +15,7 @@
 import io.micatide.core.StoreKeys;
 import io.micatide.core.Transaction;
 import io.micatide.core.Tuning;
+import io.micatide.core.WorkerReach;
 import io.micatide.net.CloudClient;
 import io.micatide.net.HttpClient;
 import io.micatide.net.HttpServer.Request;
@@ -105,7 +106,10 @@
     private static final long LEASE_TICK_MICROS = 50 * Micros.MILLISECOND;
     private static final long RETRY_MICROS = 300 * Micros.MILLISECOND;
     private static final long WATCH_MICROS = 20 * Micros.SECOND;
+    /** No message for so long, with a timer every 50 ms, means that the process stood still. */
+    private static final long STALL_MICROS = Micros.SECOND;
     private static final long NEWS_MICROS = Micros.SECOND;
+    private static final long URGENT_NEWS_MICROS = 250 * Micros.MILLISECOND;
     private static final long SUMMARY_MICROS = 5 * Micros.SECOND;
     /** What fits a peer's request body. */
     private static final int NEWS_JOBS = 1_000;
@@ -117,6 +121,7 @@
     private final UsersActor users;
     private final List<HttpClient> siblings = new ArrayList<>();
     private final Leadership leadership;
+    private final WorkerReach reach;
     private boolean watching;
     private Scheduler scheduler;
     /** What still has to be read before the scheduler may act: jobs, ledgers, bookings. */
@@ -124,6 +129,8 @@
     private ReadBack unread = new ReadBack(List.of());
     private List<MachineType> storedTypes = List.of();
     private long newsMicros;
+    private long activeMicros = Clock.now();
+    private long urgentNewsMicros;
     private long summaryMicros;
     private boolean listing;
 
@@ -137,11 +144,13 @@
         for (Settings.Sibling sibling : settings.siblings()) {
             siblings.add(new HttpClient(loop, sibling.endpoint(), 2));
         }
+        this.reach = new WorkerReach(settings);
         this.leadership = new Leadership(settings.label(), tuning.leaderLeaseMicros());
     }
 
     @Override
     protected void receive(Message message) {
+        noticeStall();
         if (message instanceof Report m) {
             report(m.request());
         } else if (message instanceof Tick) {
@@ -194,6 +203,19 @@
         }
     }
 
+    /** Before anything that waited meanwhile is taken in. */
+    private void noticeStall() {
+        long now = Clock.now();
+        if (now - activeMicros > STALL_MICROS) {
+            log.warn("stood still for {} ms", (now - activeMicros) / Micros.MILLISECOND);
+            reach.stalled(now);
+            if (scheduler != null) {
+                scheduler.resumed(now);
+            }
+        }
+        activeMicros = now;
+    }
+
     // ---- leadership
 
     private void advance() {
@@ -244,6 +266,9 @@
             } else if (message instanceof Touched m) {
                 if (m.reply().ok()) {
                     leadership.touched(m.askedMicros());
+                    if (scheduler != null) {
+                        scheduler.holdsUntil(leadership.holdsUntilMicros());
+                    }
                 } else if (m.reply().status() == 404) {
                     leadership.leaseGone();
                 } else {
@@ -315,6 +340,8 @@
         unread = new ReadBack(List.of());
         listing = false;
         newsMicros = 0;
+        scheduler.holdsUntil(leadership.holdsUntilMicros());
+        reach.begin(now);
         storedTypes = List.of();
         users.tell(new UsersActor.Follow(this));
         load(token, StoreKeys.BOOKINGS, null);
@@ -413,8 +440,14 @@
         }
         if (scheduler == null) {
             String leader = leadership.leader();
-            request.answer(421, WorkerCodec.elsewhere(settings.label().equals(leader) ? null : leader));
-        } else if (loading > 0) {
+            long now = Clock.now();
+            reach.cameHere(report.machine(), report.token(), leadership.highestToken(), now);
+            boolean nobody = settings.label().equals(leader) || reach.leaderLost(now);
+            request.answer(421, WorkerCodec.elsewhere(nobody ? null : leader));
+            return;
+        }
+        reach.heard(Clock.now());
+        if (loading > 0) {
             // Renews the worker's lease; what the report says is taken from the next one.
             request.answer(200, WorkerCodec.answer(scheduler.token(), List.of()));
         } else {
@@ -432,6 +465,7 @@
             }
             return;
         }
+        askAfterWorkers(now);
         scheduler.tick(now);
         nextRound(now);
         for (CloudCall call : scheduler.cloudCalls(now)) {
@@ -615,6 +649,7 @@
             return;
         }
         newsMicros = now;
+        urgentNewsMicros = now;
         List<JobProgress> jobs = leadsAndLoaded() ? scheduler.progress() : List.of();
         if (leadsAndLoaded()) {
             users.tell(new UsersActor.Progress(true, jobs));
@@ -623,26 +658,57 @@
         for (HttpClient sibling : siblings) {
             for (int from = 0; from == 0 || from < jobs.size(); from += NEWS_JOBS) {
                 List<JobProgress> part = jobs.subList(from, Math.min(jobs.size(), from + NEWS_JOBS));
-                sibling.post("/news", PeerCodec.news(
-                        new PeerCodec.News(scheduler.token(), settings.label(), served, from == 0, part)),
-                        HttpClient.PATIENCE_MICROS, answer(PeerAnswered::new));
+                tellSibling(sibling, served, from == 0, part, now);
             }
         }
     }
 
+    private void tellSibling(HttpClient sibling, boolean served, boolean first, List<JobProgress> jobs, long now) {
+        sibling.post("/news", PeerCodec.news(new PeerCodec.News(scheduler.token(), settings.label(), served,
+                reach.silentMicros(now), first, jobs)), HttpClient.PATIENCE_MICROS, answer(PeerAnswered::new));
+    }
+
+    /** Between two regular news, while no worker comes: do they come to a sibling? */
+    private void askAfterWorkers(long now) {
+        if (reach.worried(now) && now - urgentNewsMicros >= URGENT_NEWS_MICROS) {
+            urgentNewsMicros = now;
+            boolean served = state.reach().reached(now);
+            siblings.forEach(sibling -> tellSibling(sibling, served, false, List.of(), now));
+        }
+    }
+
+    /**
+     * Leaves the lead to a sibling that the workers reach. Ending the lease removes the row at once; should that request be
+     * lost, the lease ends by itself.
+     */
+    private void resignIfDeaf(long now) {
+        if (scheduler != null && reach.deaf(now)) {
+            log.warn("gives up term {}: no worker has come for {} ms, and they come to a sibling", scheduler.token(),
+                    reach.silentMicros(now) / Micros.MILLISECOND);
+            long lease = leadership.resign(now, settings.leaseMicros());
+            state.endLease(lease, reply -> log.info("lease of the former term ended: {}", reply.status()));
+            checkDeposed();
+        }
+    }
+
     private void peerNews(Request request) {
         try {
             PeerCodec.News news = PeerCodec.news(request.body());
             if (leadership.higherToken(news.token(), news.leader())) {
                 checkDeposed();
             }
+            long now = Clock.now();
+            if (news.token() == leadership.highestToken()) {
+                reach.leaderSilent(news.silentMicros(), now);
+            }
             if (news.stateServed()) {
                 state.reach().siblingServed(Clock.now());
             }
             if (scheduler == null && news.token() == leadership.highestToken()) {
                 users.tell(new UsersActor.Progress(news.first(), news.jobs()));
             }
-            request.answer(200, PeerCodec.highest(leadership.highestToken()));
+            request.answer(200, PeerCodec.answer(
+                    new PeerCodec.Answer(leadership.highestToken(), reach.strayedAgoMicros(now))));
         } catch (MalformedException e) {
             request.answer(400, Json.error(e.field(), e.getMessage()));
         }
@@ -651,9 +717,13 @@
     private void peerAnswered(Reply reply) {
         if (reply.ok()) {
             try {
-                if (leadership.higherToken(PeerCodec.highest(reply.body()), null)) {
+                PeerCodec.Answer answer = PeerCodec.answer(reply.body());
+                if (leadership.higherToken(answer.token(), null)) {
                     checkDeposed();
                 }
+                long now = Clock.now();
+                reach.strayedElsewhere(answer.strayedAgoMicros(), now);
+                resignIfDeaf(now);
             } catch (MalformedException e) {
                 log.error("sibling: {}", e.getMessage());
             }
--- a/src/main/java/io/micatide/wire/PeerCodec.java
+++ b/src/main/java/io/micatide/wire/PeerCodec.java
@@ -11,10 +11,18 @@
     }
 
     /**
-     * {@code stateServed}: the sender has had answers of the state service just now; {@code first}: the counts of earlier
-     * messages of this sender are replaced.
+     * {@code stateServed}: the sender has had answers of the state service just now; {@code silentMicros}: how long no
+     * worker has come to it; {@code first}: the counts of earlier messages of this sender are replaced.
      */
-    public record News(long token, String leader, boolean stateServed, boolean first, List<JobProgress> jobs) {
+    public record News(long token, String leader, boolean stateServed, long silentMicros, boolean first,
+            List<JobProgress> jobs) {
+    }
+
+    /**
+     * What a sibling answers: the highest token that it knows of, and how long ago a worker that had lost the leader came to
+     * it, or -1.
+     */
+    public record Answer(long token, long strayedAgoMicros) {
     }
 
     public static byte[] news(News news) {
@@ -23,6 +31,7 @@
             out.writeNumberField("token", news.token());
             out.writeStringField("leader", news.leader());
             out.writeBooleanField("stateServed", news.stateServed());
+            out.writeNumberField("silentUs", news.silentMicros());
             out.writeBooleanField("first", news.first());
             out.writeArrayFieldStart("jobs");
             for (JobProgress job : news.jobs()) {
@@ -45,19 +54,21 @@
             jobs.add(new JobProgress(job.path(0).asText(), job.path(1).asInt(), job.path(2).asInt()));
         }
         return new News(in.count("token", 1, Long.MAX_VALUE), in.text("leader"),
-                in.has("stateServed") && in.flag("stateServed"), in.flag("first"), jobs);
+                in.has("stateServed") && in.flag("stateServed"),
+                tree.path("silentUs").asLong(0), in.flag("first"), jobs);
     }
 
-    /** The answer to news: the highest token that the sibling knows of. */
-    public static byte[] highest(long token) {
+    public static byte[] answer(Answer answer) {
         return Json.bytes(out -> {
             out.writeStartObject();
-            out.writeNumberField("token", token);
+            out.writeNumberField("token", answer.token());
+            out.writeNumberField("strayedUs", answer.strayedAgoMicros());
             out.writeEndObject();
         });
     }
 
-    public static long highest(byte[] body) throws MalformedException {
-        return new Fields(Json.tree(body), "").count("token", 0, Long.MAX_VALUE);
+    public static Answer answer(byte[] body) throws MalformedException {
+        JsonNode tree = Json.tree(body);
+        return new Answer(new Fields(tree, "").count("token", 0, Long.MAX_VALUE), tree.path("strayedUs").asLong(-1));
     }
 }
