--- a/src/test/java/io/micatide/core/FailureTest.java
+++ b/src/test/java/io/micatide/core/FailureTest.java
@@ -133,4 +133,65 @@
         assertEquals(8, world.starts, "replicas were started again");
         assertEquals(JobState.DONE, world.state("wk-6"));
     }
+
+    /**
+     * A leader that stood still and still leads takes in the reports before it judges: tasks whose lease did not run out go
+     * on, no machine is returned, and nothing is started twice.
+     */
+    @ParameterizedTest
+    @CsvSource({"4, 1, true", "4, 5, true", "4, 8, true", "4, 20, false", "1, 8, true"})
+    void aStallReturnsNoMachines(int machines, int seconds, boolean tasksLive) {
+        World world = new World(1, machines);
+        world.takeOver();
+        world.submit(World.job("wk-3", JobKind.SERVICE, "blue", Priority.HIGH, machines, 0));
+        world.submit(World.job("wk-6", JobKind.ARRAY, "blue", Priority.NORMAL, 2 * machines, 60));
+        world.run(15 * Micros.SECOND);
+        int starts = world.starts;
+        long returned = world.workers.values().stream().filter(worker -> worker.deleted).count();
+        world.stall(seconds * Micros.SECOND);
+        world.run(8 * Micros.SECOND);
+        assertEquals(returned, world.workers.values().stream().filter(worker -> worker.deleted).count());
+        assertEquals(List.of(), world.broken);
+        assertEquals(tasksLive, starts == world.starts, world.starts + " starts");
+        world.run(90 * Micros.SECOND);
+        assertEquals(JobState.DONE, world.state("wk-6"));
+    }
+
+    /**
+     * A leader that wakes up after its lease asks nothing of the cloud and starts nothing, even where a machine has not heard
+     * of its successor: what it takes for gone may run there.
+     */
+    @ParameterizedTest
+    @CsvSource({"2, true", "5, false", "30, false"})
+    void aFormerLeaderThatWakesUpDoesNothing(int seconds, boolean leads) {
+        World world = new World(1, 4);
+        world.takeOver();
+        world.run(15 * Micros.SECOND);
+        long held = world.now + 3 * Micros.SECOND;
+        world.leader.holdsUntil(held);
+        world.submit(World.job("wk-6", JobKind.ARRAY, "blue", Priority.NORMAL, 9, 60));
+        world.now += seconds * Micros.SECOND;
+        world.leader.resumed(world.now);
+        int before = world.starts;
+        List<CloudCall> calls = new ArrayList<>();
+        for (int step = 0; step < 80; step++) {
+            world.now += World.STEP;
+            if (leads) {
+                world.leader.holdsUntil(world.now + 3 * Micros.SECOND);
+            }
+            world.leader.stateFresh(world.now);
+            world.leader.tick(world.now);
+            Transaction round = world.leader.round(world.now);
+            if (round != null) {
+                world.leader.roundConfirmed(world.apply(round), world.now);
+            }
+            calls.addAll(world.leader.cloudCalls(world.now));
+            for (World.Worker worker : world.workers.values()) {
+                MachineReport report = worker.report();
+                worker.execute(world.token, world.leader.report(report, world.now), world.now, worker.session);
+            }
+        }
+        assertEquals(leads, world.starts > before);
+        assertEquals(leads, !calls.isEmpty());
+    }
 }
--- a/src/test/java/io/micatide/core/LeadershipTest.java
+++ b/src/test/java/io/micatide/core/LeadershipTest.java
@@ -28,6 +28,10 @@
         "'read::0,lease,won:5,row:other:9', 0, other, NOTHING",
         "'read::0,lease,won:5,high:9:other', 0, other, READ_ROW",
         "'read::0,lease,won:5,high:9:', 0, , READ_ROW",
+        // Having given up it leaves the free row to others for a while, its own earlier row too.
+        "'read::0,lease,won:5,resign,read:me:5,lease', 0, me, NOTHING",
+        "'read::0,lease,won:5,resign,read::0,lease', 0, , NOTHING",
+        "'read::0,lease,won:5,resign,read::0,lease,later', 0, , CLAIM",
         // What is older changes nothing.
         "'read::0,lease,won:5,high:4:other', 5, me, NOTHING",
         "'read::0,lease,won:5,high:5:', 5, me, NOTHING",
@@ -44,6 +48,11 @@
                 case "lease" -> leadership.granted(7, now);
                 case "won" -> leadership.claimed(Long.parseLong(part[1]));
                 case "lost" -> leadership.claimRefused();
+                case "resign" -> assertEquals(7, leadership.resign(now, 10 * Micros.SECOND));
+                case "later" -> {
+                    now += 11 * Micros.SECOND;
+                    leadership.touched(now);
+                }
                 case "gone" -> leadership.leaseGone();
                 case "unknown" -> leadership.claimUnknown(now - Micros.SECOND);
                 case "high" -> leadership.higherToken(Long.parseLong(part[1]), part[2].isEmpty() ? null : part[2]);
--- /dev/null
+++ b/src/test/java/io/micatide/core/WorkerReachTest.java
@@ -0,0 +1,79 @@
+package io.micatide.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Reports come every 0.8 s; the fleet counts as silent after 2 s. */
+class WorkerReachTest {
+    private static final Settings SETTINGS = new World(1, 0).settings;
+    private static final long NOW = 100 * Micros.SECOND;
+
+    private static long ago(double seconds) {
+        return NOW - Micros.ofSeconds(seconds);
+    }
+
+    /** Seconds ago: the term began, the last report came (-1: none), a worker strayed to a sibling (-1: none); stalled. */
+    @ParameterizedTest
+    @CsvSource({
+        // Cut off from the workers, which turn to a sibling.
+        "60, 2.5, 0.5, -1, true",
+        // Workers come.
+        "60, 0.3, 0.5, -1, false",
+        // All are cut, or the machines are gone: nobody could do better.
+        "60, 20, -1, -1, false",
+        // No machines at all.
+        "60, -1, -1, -1, false",
+        // What strayed before the last report, or long ago, has found back or is gone.
+        "60, 2.5, 3, -1, false",
+        "60, 20, 5, -1, false",
+        // A new leader is given time to be found, also by workers that come back from it.
+        "3, -1, 0.5, -1, false",
+        "6, -1, 0.5, -1, true",
+        // It was we who stood still.
+        "60, 20, 0.5, 0.1, false",
+    })
+    void givesUpOnlyForASiblingThatIsReached(double began, double heard, double strayed, double stalled, boolean deaf) {
+        WorkerReach reach = new WorkerReach(SETTINGS);
+        reach.begin(ago(began));
+        if (heard >= 0) {
+            reach.heard(ago(heard));
+        }
+        reach.strayedElsewhere(strayed < 0 ? -1 : Micros.ofSeconds(strayed), NOW);
+        if (stalled >= 0) {
+            reach.stalled(ago(stalled));
+        }
+        assertEquals(deaf, reach.deaf(NOW));
+    }
+
+    /**
+     * What a follower makes of a worker: the token it knows while 7 leads, how long ago it was sent to that leader (-1: not),
+     * and how long the leader says that it has been silent.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        // New, restarted, or of an earlier term: it looks for the leader.
+        "0, -1, 0, 1, false, false",
+        "5, -1, 0, 9, false, false",
+        // It knows the leader and yet is here; one alone may be cut off itself.
+        "7, -1, 0, 1, true, false",
+        "7, -1, 4, 1, true, true",
+        "7, -1, 0, 3, true, true",
+        // It was sent there and is back, or is only on its way.
+        "0, 5, 4, 1, true, true",
+        "0, 1, 4, 1, false, false",
+    })
+    void tellsWorkersThatLostTheLeader(long seen, double sentAgo, double silent, int workers, boolean stray, boolean lost) {
+        WorkerReach reach = new WorkerReach(SETTINGS);
+        for (int i = 0; i < workers; i++) {
+            if (sentAgo >= 0) {
+                reach.cameHere("i-" + i, 0, 7, ago(sentAgo));
+            }
+            reach.cameHere("i-" + i, seen, 7, NOW);
+        }
+        reach.leaderSilent(Micros.ofSeconds(silent), NOW);
+        assertEquals(stray, reach.strayedAgoMicros(NOW) >= 0);
+        assertEquals(lost, reach.leaderLost(NOW));
+    }
+}
--- a/src/test/java/io/micatide/core/World.java
+++ b/src/test/java/io/micatide/core/World.java
@@ -327,6 +327,18 @@
         }
     }
 
+    /** The leader's process stands still while its clock and the workers go on. */
+    void stall(long micros) {
+        for (long end = now + micros; now < end; now += STEP) {
+            for (Worker worker : workers.values()) {
+                if (!worker.deleted && worker.upAt <= now) {
+                    worker.live();
+                }
+            }
+        }
+        leader.resumed(now);
+    }
+
     private void step() {
         if (leader == null && now >= deadUntil && !stateOutage) {
             takeOver();
