--- a/src/test/java/io/micatide/core/FailureTest.java
+++ b/src/test/java/io/micatide/core/FailureTest.java
@@ -144,7 +144,7 @@
         World world = new World(1, machines);
         world.takeOver();
         world.submit(World.job("wk-3", JobKind.SERVICE, "blue", Priority.HIGH, machines, 0));
-        world.submit(World.job("wk-6", JobKind.ARRAY, "blue", Priority.NORMAL, 2 * machines, 60));
+        world.submit(World.job("wk-6", JobKind.ARRAY, "blue", Priority.NORMAL, 3 * machines, 60));
         world.run(15 * Micros.SECOND);
         int starts = world.starts;
         long returned = world.workers.values().stream().filter(worker -> worker.deleted).count();
--- a/src/test/java/io/micatide/core/World.java
+++ b/src/test/java/io/micatide/core/World.java
@@ -337,6 +337,9 @@
             }
         }
         leader.resumed(now);
+        // Its timers may fire before it has read what waits at its sockets.
+        leader.tick(now);
+        leader.cloudCalls(now).forEach(this::cloud);
     }
 
     private void step() {
