--- a/src/main/java/io/micatide/core/Health.java
+++ b/src/main/java/io/micatide/core/Health.java
@@ -18,7 +18,15 @@
     private static final double LEAST_RATIO = 0.25;
     private static final double MOST_RATIO = 8;
     private static final int JOBS_TO_SUSPECT_A_MACHINE = 2;
+    private static final int FAILURES_TO_SUSPECT_A_MACHINE = 3;
+    /** So many jobs of unknown worth are hardly all faulty. */
+    private static final int DOUBTFUL_JOBS_TO_SUSPECT_A_MACHINE = 4;
     private static final int MACHINES_TO_SUSPECT_A_JOB = 2;
+    /** A probe goes to other machines than the last ones did, until so many have been tried. */
+    private static final int MACHINES_TO_PROBE = 6;
+    private static final long FIRST_PAUSE_MICROS = 2 * Micros.SECOND;
+    private static final long LONGEST_PAUSE_MICROS = 30 * Micros.SECOND;
+    private static final long REPLICA_RUNS_MICROS = 5 * Micros.SECOND;
 
     private final RunTimes runTimes;
     private long lookedMicros = Long.MIN_VALUE / 2;
@@ -29,8 +37,19 @@
 
     void succeeded(Machine machine, Job job) {
         machine.failedJobs.clear();
-        job.failedMachines.clear();
-        job.errors = 0;
+        machine.doubtfulJobs.clear();
+        machine.failures = 0;
+        job.failedMachines.remove(machine.name);
+        job.suspect = false;
+        job.failedProbes = 0;
+    }
+
+    /** A replica never completes; one that keeps running shows as much. */
+    void runs(Placement placement, long nowMicros) {
+        if (placement.job.suspect && placement.job.spec.kind() == JobKind.SERVICE && placement.runningSinceMicros >= 0
+                && nowMicros - placement.runningSinceMicros > REPLICA_RUNS_MICROS) {
+            succeeded(placement.machine, placement.job);
+        }
     }
 
     /** A completed task tells the machine's pace, if the job's other tasks have shown how long they take. */
@@ -51,17 +70,38 @@
         return Math.max(LEAST_RATIO, Math.min(MOST_RATIO, ratio));
     }
 
-    /** A task failed: a job that fails in several places waits, a machine on which several jobs fail is given back. */
-    void failed(Machine machine, Job job, long nowMicros) {
+    /**
+     * A task failed. A job of which nothing ever succeeded and that fails on several machines is suspected: it clears the
+     * machines that it failed on, and is only probed from then on. A machine is given back when jobs fail on it that
+     * succeed elsewhere. Healthy machines were once returned because the first tasks of two faulty jobs met there.
+     */
+    void failed(Machine machine, Job job, Iterable<Machine> machines, long nowMicros) {
         job.failedMachines.add(machine.name);
-        job.errors++;
-        if (job.failedMachines.size() >= MACHINES_TO_SUSPECT_A_JOB) {
-            job.blockedUntilMicros = nowMicros + (Micros.SECOND << Math.min(6, job.errors));
-        } else {
+        if (job.works()) {
             machine.failedJobs.add(job.id());
-            if (machine.failedJobs.size() >= JOBS_TO_SUSPECT_A_MACHINE) {
-                machine.draining = true;
-            }
+            machine.failures++;
+        } else if (job.suspect || job.failedMachines.size() >= MACHINES_TO_SUSPECT_A_JOB) {
+            suspect(job, machines, nowMicros);
+        } else {
+            machine.doubtfulJobs.add(job.id());
+        }
+        machine.draining |= machine.failedJobs.size() >= JOBS_TO_SUSPECT_A_MACHINE
+                || machine.failures >= FAILURES_TO_SUSPECT_A_MACHINE
+                || machine.doubtfulJobs.size() >= DOUBTFUL_JOBS_TO_SUSPECT_A_MACHINE;
+    }
+
+    private static void suspect(Job job, Iterable<Machine> machines, long nowMicros) {
+        if (!job.suspect) {
+            job.suspect = true;
+            machines.forEach(each -> each.doubtfulJobs.remove(job.id()));
+        }
+        // Many of its tasks may be out and fail one after the other: only what fails after the pause is a probe.
+        if (nowMicros >= job.blockedUntilMicros) {
+            long pause = Math.min(LONGEST_PAUSE_MICROS, FIRST_PAUSE_MICROS << Math.min(10, job.failedProbes++));
+            job.blockedUntilMicros = nowMicros + pause;
+        }
+        if (job.failedMachines.size() >= MACHINES_TO_PROBE) {
+            job.failedMachines.clear();
         }
     }
 
--- a/src/main/java/io/micatide/core/Job.java
+++ b/src/main/java/io/micatide/core/Job.java
@@ -43,8 +43,11 @@
     boolean writing;
     long dirtySinceMicros = -1;
     long blockedUntilMicros;
-    int errors;
-    /** Machines on which a task of it failed; it is not placed there again until it has waited. */
+    /** Failed where nothing of it ever succeeded, on several machines: most likely submitted with a mistake. */
+    boolean suspect;
+    /** Probes of it that failed since it is suspected. */
+    int failedProbes;
+    /** Machines on which a task of it failed and none succeeded since; it is not placed there. */
     final Set<String> failedMachines = new HashSet<>();
     long firstStartMicros = -1;
     long lastStartMicros = -1;
@@ -111,6 +114,22 @@
         return cancelled ? 0 : Math.max(0, unfinished() - liveUnfinished);
     }
 
+    /** Whether any of its tasks has ever succeeded, as far as this leader can know. */
+    boolean works() {
+        return finishedCount > 0;
+    }
+
+    /** How many tasks may be placed now: of a suspected job one at a time shows whether it still fails. */
+    int placeable() {
+        if (!suspect || waiting() == 0) {
+            return waiting();
+        }
+        if (!live.isEmpty()) {
+            return 0;
+        }
+        return spec.kind() == JobKind.GANG ? waiting() : 1;
+    }
+
     /** The next task that may be placed, or -1. */
     int nextWaiting() {
         int index = taken.nextClearBit(0);
--- a/src/main/java/io/micatide/core/Machine.java
+++ b/src/main/java/io/micatide/core/Machine.java
@@ -32,8 +32,11 @@
     long bootStartedMicros = -1;
     boolean draining;
     long idleSinceMicros = -1;
-    /** Jobs of which a task failed here since the last success. */
+    /** Jobs that succeed elsewhere and failed here since the last success here, and how often they did. */
     final Set<String> failedJobs = new HashSet<>();
+    int failures;
+    /** Jobs of which nothing has succeeded anywhere yet and that failed here: it may be they or the machine. */
+    final Set<String> doubtfulJobs = new HashSet<>();
     /** Tasks that told its pace, fading by the second, and the sum of the logarithms of how much too long they took. */
     double paceTasks;
     double paceSum;
--- a/src/main/java/io/micatide/core/Planner.java
+++ b/src/main/java/io/micatide/core/Planner.java
@@ -88,6 +88,10 @@
             if (job.cancelled) {
                 continue;
             }
+            if (job.suspect) {
+                queueProbe(job, result);
+                continue;
+            }
             Team team = settings.teams().get(job.spec.team());
             Resources total = asked.merge(job.spec.team(), job.spec.each().times(job.unfinished()), Resources::plus);
             boolean guaranteed = team != null && team.cpus() > 0 && team.guarantees(total);
@@ -107,6 +111,13 @@
         return result;
     }
 
+    /** A job that fails wherever it is tried holds no guarantee and no place among what can be on time. */
+    private static void queueProbe(Job job, List<Queued> queue) {
+        if (job.placeable() > 0) {
+            queue.add(new Queued(job, job.placeable(), false, false, Long.MAX_VALUE));
+        }
+    }
+
     /**
      * What can be on time: first within each team's limit, since room beyond it helps none of the team's jobs, then
      * with all processors.
@@ -134,7 +145,7 @@
     List<Deadlines.Entry> arrays(long nowMicros) {
         List<Deadlines.Entry> result = new ArrayList<>();
         for (Job job : book.jobs()) {
-            if (!job.cancelled && job.spec.kind() != JobKind.SERVICE && job.unfinished() > 0) {
+            if (!job.cancelled && !job.suspect && job.spec.kind() != JobKind.SERVICE && job.unfinished() > 0) {
                 long length = runTimes.expected(job);
                 int waiting = job.waiting();
                 double work = job.spec.each().cpus() * (double) length
@@ -196,10 +207,6 @@
     }
 
     boolean startable(Job job, long nowMicros) {
-        if (job.failedMachines.size() > 1 && job.blockedUntilMicros <= nowMicros) {
-            // It has waited for its failures: every machine may be tried again.
-            job.failedMachines.clear();
-        }
         return !job.cancelled && job.blockedUntilMicros <= nowMicros && !job.unsettled();
     }
 
@@ -290,7 +297,7 @@
     }
 
     private boolean mayRefill(Job job, Machine machine, long nowMicros) {
-        return job.spec.kind() != JobKind.GANG && job.waiting() > 0 && book.get(job.id()) == job
+        return job.spec.kind() != JobKind.GANG && job.placeable() > 0 && book.get(job.id()) == job
                 && startable(job, nowMicros) && suits(job, machine, nowMicros)
                 && job.spec.each().fitsIn(machine.room()) && zoneAllows(job, machine) && teamAllows(job);
     }
@@ -314,7 +321,7 @@
      */
     List<String> likely(Job job, int most, long nowMicros) {
         List<String> names = new ArrayList<>();
-        if (job.spec.kind() == JobKind.ARRAY && job.waiting() > 0) {
+        if (job.spec.kind() == JobKind.ARRAY && job.waiting() > 0 && !job.suspect) {
             for (Machine machine : fleet.machines()) {
                 if (names.size() < most && machine.usable(nowMicros, settings) && suits(job, machine, nowMicros)) {
                     names.add(machine.name);
@@ -347,8 +354,8 @@
         // Room comes free all the time, and what is first in the queue gets it: stopping work of the same priority
         // is for a team that has waited for its guarantee.
         boolean waited = nowMicros - job.submittedMicros > guaranteePatienceMicros;
-        boolean preempts = spec.kind() == JobKind.SERVICE || queued.guaranteed() && waited
-                || spec.priority() != Priority.NORMAL;
+        boolean preempts = !job.suspect && (spec.kind() == JobKind.SERVICE || queued.guaranteed() && waited
+                || spec.priority() != Priority.NORMAL);
         if (spec.kind() == JobKind.GANG) {
             placeGang(job, queued.waiting(), suitable(job, usable, nowMicros), preempts, nowMicros);
         } else if (spec.kind() == JobKind.SERVICE) {
@@ -374,7 +381,7 @@
 
     private void placeReplicas(Queued queued, List<Machine> candidates, long nowMicros) {
         Job job = queued.job();
-        for (int left = queued.waiting(); left > 0 && job.waiting() > 0 && teamAllows(job); left--) {
+        for (int left = queued.waiting(); left > 0 && job.placeable() > 0 && teamAllows(job); left--) {
             Machine machine = besideReplicas(job, candidates, nowMicros);
             machine = machine != null ? machine : choose(job, candidates, true, nowMicros);
             if (machine == null) {
@@ -442,7 +449,7 @@
         ready.addAll(others);
         for (Machine machine : ready) {
             while (job.spec.each().fitsIn(machine.room()) && zoneAllows(job, machine)) {
-                if (job.waiting() == 0 || !teamAllows(job)) {
+                if (job.placeable() == 0 || !teamAllows(job)) {
                     open.removeIf(each -> !least.fitsIn(each.room()));
                     return;
                 }
--- a/src/main/java/io/micatide/core/Renter.java
+++ b/src/main/java/io/micatide/core/Renter.java
@@ -164,7 +164,7 @@
         Resources left = ordinary;
         for (Planner.Queued queued : planner.order()) {
             JobSpec spec = queued.job().spec;
-            if (spec.kind() == JobKind.ARRAY || queued.job().unsettled()) {
+            if (spec.kind() == JobKind.ARRAY || queued.job().unsettled() || queued.job().suspect) {
                 continue;
             }
             int count = queued.waiting();
--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -256,6 +256,7 @@
                 job.gangStarted = true;
             }
             placement.listedSequence = report.sequence();
+            health.runs(placement, nowMicros);
         }
         List<Placement> lost = new ArrayList<>();
         for (Placement placement : machine.placements) {
@@ -273,6 +274,7 @@
         if (done && !job.cancelled) {
             if (!job.finished.get(line.index())) {
                 learn(machine, placement, nowMicros);
+                health.succeeded(machine, job);
                 hasImage(machine, job);
                 if (job.spec.kind() == JobKind.GANG) {
                     // A gang completes together, so one report tells of all, also of those that are lost now.
@@ -297,7 +299,7 @@
             }
         } else {
             if (placement != null && job != null) {
-                failed(machine, job, placement, line.cause(), nowMicros);
+                failed(machine, job, line.cause(), nowMicros);
             }
             commands.add(new Command.Forget(line.job(), line.index(), line.attempt()));
         }
@@ -310,19 +312,31 @@
         }
     }
 
-    private void failed(Machine machine, Job job, Placement placement, ExitCause cause, long nowMicros) {
+    private void failed(Machine machine, Job job, ExitCause cause, long nowMicros) {
         switch (cause) {
-            case ERROR -> health.failed(machine, job, nowMicros);
+            case ERROR -> {
+                health.failed(machine, job, fleet.machines(), nowMicros);
+                if (job.suspect) {
+                    dropUnsent(job);
+                }
+            }
             case UNKNOWN, NO_ROOM, BUSY -> job.blockedUntilMicros = nowMicros + Micros.SECOND;
             default -> {
             }
         }
     }
 
+    private void dropUnsent(Job job) {
+        for (Placement placement : allOf(job)) {
+            if (placement.unsent()) {
+                remove(placement);
+            }
+        }
+    }
+
     private void learn(Machine machine, Placement placement, long nowMicros) {
         if (placement != null && placement.runningSinceMicros >= 0) {
             health.completed(machine, placement, nowMicros);
-            health.succeeded(machine, placement.job);
             if (machine.slowUntilMicros < nowMicros && !placement.adopted) {
                 runTimes.finished(placement.job, nowMicros - placement.runningSinceMicros);
             }
@@ -732,13 +746,15 @@
         }
         int waiting = 0;
         int unsettled = 0;
+        int suspect = 0;
         for (Job job : book.jobs()) {
+            suspect += job.suspect ? 1 : 0;
             waiting += job.waiting();
             unsettled += job.unsettled() ? 1 : 0;
         }
         return "jobs=" + book.jobs().size() + " waiting=" + waiting + " unsettled=" + unsettled + " machines="
                 + fleet.machines().size() + " confirmed=" + confirmed + " usable=" + usable + " cpus="
                 + used.cpus() / 1000 + "/" + size.cpus() / 1000 + " running=" + running / 1000 + " spot="
-                + spotCpus / 1000 + " booting=" + booting + " replicas=" + replicas + " serving=" + serving + " displaced=" + planner.displaced() + " slow=" + slowFound + " bookings=" + rentals.bookings.size();
+                + spotCpus / 1000 + " booting=" + booting + " replicas=" + replicas + " serving=" + serving + " displaced=" + planner.displaced() + " slow=" + slowFound + " suspect=" + suspect + " bookings=" + rentals.bookings.size();
     }
 }
--- a/src/test/java/io/micatide/core/World.java
+++ b/src/test/java/io/micatide/core/World.java
@@ -49,6 +49,10 @@
     long zombieToken;
     long zombieUntil;
     double lostAnswers;
+    /** Jobs submitted with a mistake and machines that are faulty: what runs there fails after a second. */
+    final Set<String> faultyJobs = new HashSet<>();
+    final Set<String> faultyMachines = new HashSet<>();
+    final Map<String, Integer> startsOf = new HashMap<>();
     boolean stateOutage;
     boolean cloudOutage;
     int takeOvers;
@@ -122,6 +126,10 @@
         void live() {
             for (Task task : tasks.values()) {
                 liveInGang(task);
+                boolean faulty = faultyJobs.contains(task.job) || faultyMachines.contains(name);
+                if (task.cause == null && faulty && now >= task.placedAt + Micros.SECOND) {
+                    task.cause = ExitCause.ERROR;
+                }
                 if (task.cause == null && now >= task.endsAt) {
                     task.cause = ExitCause.DONE;
                 }
@@ -210,6 +218,7 @@
         task.endsAt = task.waiting || spec.kind() == JobKind.SERVICE ? Long.MAX_VALUE : now + spec.estimateMicros();
         worker.tasks.put(key, task);
         starts++;
+        startsOf.merge(command.job(), 1, Integer::sum);
         everStarted.add(taskName);
         if (row == null) {
             broken.add("started without a row: " + taskName);
