--- a/src/main/java/io/micatide/core/Deadlines.java
+++ b/src/main/java/io/micatide/core/Deadlines.java
@@ -77,7 +77,9 @@
         }
         List<Demand> demands = new ArrayList<>();
         for (Entry entry : entries) {
-            long left = Math.min(entry.dueMicros - nowMicros, Math.max(lateMicros, entry.lengthMicros)) - startMicros;
+            // Work of the lowest priority may take all the time that it has; for what has no aim nothing is rented dearly.
+            long patience = entry.job.spec.priority() == Priority.LOW ? Long.MAX_VALUE / 2 : lateMicros;
+            long left = Math.min(entry.dueMicros - nowMicros, Math.max(patience, entry.lengthMicros)) - startMicros;
             long rounds = Math.max(1, left / entry.lengthMicros);
             long parallel = (entry.job.unfinished() + rounds - 1) / rounds;
             double own = (double) parallel * entry.job.spec.each().cpus();
--- a/src/main/java/io/micatide/core/Planner.java
+++ b/src/main/java/io/micatide/core/Planner.java
@@ -48,6 +48,7 @@
     private Resources least = Resources.NONE;
     /** Replicas that gather on one machine at most, as of the last plan. */
     private int mostTogether = FEWEST_TOGETHER;
+    private boolean lowestRuns;
     private int displacedByReplicas;
     private int displacedByGuarantees;
     private Map<String, Resources> unknown = Map.of();
@@ -125,10 +126,16 @@
     private List<Deadlines.Entry> decide(long nowMicros) {
         double cpus = arrayCpus(nowMicros);
         Map<String, List<Deadlines.Entry>> perTeam = new LinkedHashMap<>();
+        List<Deadlines.Entry> result = new ArrayList<>();
+        List<Deadlines.Entry> lowest = new ArrayList<>();
         for (Deadlines.Entry entry : arrays(nowMicros)) {
+            if (entry.job.spec.priority() == Priority.LOW) {
+                // It gets what is left: a large job of a rare class would count for more than many of the others.
+                lowest.add(entry);
+                continue;
+            }
             perTeam.computeIfAbsent(entry.job.spec.team(), k -> new ArrayList<>()).add(entry);
         }
-        List<Deadlines.Entry> result = new ArrayList<>();
         List<Deadlines.Entry> possible = new ArrayList<>();
         perTeam.forEach((name, entries) -> {
             Team team = settings.teams().get(name);
@@ -138,6 +145,7 @@
             }
         });
         result.addAll(Deadlines.decide(possible, cpus, nowMicros));
+        result.addAll(Deadlines.decide(lowest, cpus, nowMicros));
         return result;
     }
 
@@ -215,6 +223,7 @@
         order = queue(nowMicros);
         orderMicros = nowMicros;
         unknown = unknownUse();
+        lowestRuns = lowestRuns();
         if (order.isEmpty()) {
             least = Resources.NONE;
             return;
@@ -243,6 +252,16 @@
         }
     }
 
+    /** Whether work of the lowest priority runs, which any other may displace. */
+    private boolean lowestRuns() {
+        for (Job job : book.jobs()) {
+            if (job.spec.priority() == Priority.LOW && !job.live.isEmpty()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Attempts that had to yield in this term, for the log. */
     String displaced() {
         return displacedByReplicas + "/" + displacedByGuarantees;
@@ -354,7 +373,8 @@
         // Room comes free all the time, and what is first in the queue gets it: stopping work of the same priority
         // is for a team that has waited for its guarantee.
         boolean waited = nowMicros - job.submittedMicros > guaranteePatienceMicros;
-        boolean preempts = !job.suspect && (spec.kind() == JobKind.SERVICE || queued.guaranteed() && waited
+        boolean preempts = !job.suspect && (spec.kind() == JobKind.SERVICE
+                || (queued.guaranteed() || lowestRuns) && waited
                 || spec.priority() != Priority.NORMAL);
         if (spec.kind() == JobKind.GANG) {
             placeGang(job, queued.waiting(), suitable(job, usable, nowMicros), preempts, nowMicros);
@@ -461,7 +481,7 @@
 
     /** Whether there can be work that a task of this job may displace. */
     private boolean othersYield(Job job) {
-        if (job.spec.priority() != Priority.NORMAL) {
+        if (job.spec.priority() != Priority.NORMAL || lowestRuns) {
             return true;
         }
         for (Team team : settings.teams().values()) {
@@ -488,7 +508,7 @@
         }
         List<Option> options = new ArrayList<>();
         for (Machine machine : candidates) {
-            List<Placement> victims = victims(job, machine);
+            List<Placement> victims = victims(job, machine, queued.guaranteed());
             if (victims != null) {
                 options.add(new Option(machine, hasImage(machine, job), loss(victims, nowMicros)));
             }
@@ -498,7 +518,7 @@
             progress = false;
             for (Option option : options) {
                 Machine machine = option.machine();
-                List<Placement> victims = left > 0 && zoneAllows(job, machine) ? victims(job, machine) : null;
+                List<Placement> victims = left > 0 && zoneAllows(job, machine) ? victims(job, machine, queued.guaranteed()) : null;
                 if (job.waiting() == 0 || !teamAllows(job)) {
                     return;
                 }
@@ -696,6 +716,11 @@
 
     /** Lesser work that ends at once when it is stopped, so that a start in the same answer finds room; or null. */
     private List<Placement> victims(Job job, Machine machine) {
+        return victims(job, machine, true);
+    }
+
+    /** @param same whether work of the same priority beyond its team's guarantee may be among them */
+    private List<Placement> victims(Job job, Machine machine, boolean same) {
         List<Placement> victims = new ArrayList<>();
         Resources room = machine.room();
         List<Placement> lesser = new ArrayList<>();
@@ -713,7 +738,7 @@
             if (job.spec.each().fitsIn(room)) {
                 break;
             }
-            if (!placement.job.spec.priority().equals(job.spec.priority()) || overGuarantee(placement, taken)) {
+            if (!placement.job.spec.priority().equals(job.spec.priority()) || same && overGuarantee(placement, taken)) {
                 victims.add(placement);
                 room = room.plus(placement.job.spec.each());
                 taken.merge(placement.job.spec.team(), placement.job.spec.each(), Resources::plus);
--- a/src/test/java/io/micatide/core/PlannerTest.java
+++ b/src/test/java/io/micatide/core/PlannerTest.java
@@ -39,6 +39,25 @@
         assertEquals(8 + tasks, world.starts, "what yielded was started again without room");
     }
 
+    /**
+     * A guest's work of the lowest priority, long and everywhere, yields to any other after a moment; work of the same
+     * priority does not yield to a team without a guarantee.
+     */
+    @ParameterizedTest
+    @CsvSource({"LOW, 5", "NORMAL, 0"})
+    void guestsYield(Priority guest, int started) {
+        World world = new World(1, 2);
+        world.cloudOutage = true;
+        world.takeOver();
+        world.submit(World.job("wk-1", JobKind.ARRAY, "red", guest, 8, 300));
+        world.run(20 * Micros.SECOND);
+        assertEquals(8, live(world, "wk-1"));
+        world.submit(World.job("wk-2", JobKind.ARRAY, "blue", Priority.NORMAL, 5, 100));
+        world.run(12 * Micros.SECOND);
+        assertEquals(started, live(world, "wk-2"));
+        assertEquals(8 - started, live(world, "wk-1"));
+    }
+
     /**
      * Replicas gather though another machine has room and the image, since each machine with one has to be kept; but no
      * more than a few, since it may hang.
