--- a/src/main/java/io/micatide/core/Planner.java
+++ b/src/main/java/io/micatide/core/Planner.java
@@ -48,6 +48,7 @@
     private Resources least = Resources.NONE;
     /** Replicas that gather on one machine at most, as of the last plan. */
     private int mostTogether = FEWEST_TOGETHER;
+    private boolean lowestRuns;
     private int displacedByReplicas;
     private int displacedByGuarantees;
     private Map<String, Resources> unknown = Map.of();
@@ -88,6 +89,10 @@
             if (job.cancelled) {
                 continue;
             }
+            if (job.suspect) {
+                queueProbe(job, result);
+                continue;
+            }
             Team team = settings.teams().get(job.spec.team());
             Resources total = asked.merge(job.spec.team(), job.spec.each().times(job.unfinished()), Resources::plus);
             boolean guaranteed = team != null && team.cpus() > 0 && team.guarantees(total);
@@ -107,6 +112,13 @@
         return result;
     }
 
+    /** A job that fails wherever it is tried holds no guarantee and no place among what can be on time. */
+    private static void queueProbe(Job job, List<Queued> queue) {
+        if (job.placeable() > 0) {
+            queue.add(new Queued(job, job.placeable(), false, false, Long.MAX_VALUE));
+        }
+    }
+
     /**
      * What can be on time: first within each team's limit, since room beyond it helps none of the team's jobs, then
      * with all processors.
@@ -114,10 +126,16 @@
     private List<Deadlines.Entry> decide(long nowMicros) {
         double cpus = arrayCpus(nowMicros);
         Map<String, List<Deadlines.Entry>> perTeam = new LinkedHashMap<>();
+        List<Deadlines.Entry> result = new ArrayList<>();
+        List<Deadlines.Entry> lowest = new ArrayList<>();
         for (Deadlines.Entry entry : arrays(nowMicros)) {
+            if (entry.job.spec.priority() == Priority.LOW) {
+                // It gets what is left: a large job of a rare class would count for more than many of the others.
+                lowest.add(entry);
+                continue;
+            }
             perTeam.computeIfAbsent(entry.job.spec.team(), k -> new ArrayList<>()).add(entry);
         }
-        List<Deadlines.Entry> result = new ArrayList<>();
         List<Deadlines.Entry> possible = new ArrayList<>();
         perTeam.forEach((name, entries) -> {
             Team team = settings.teams().get(name);
@@ -127,6 +145,7 @@
             }
         });
         result.addAll(Deadlines.decide(possible, cpus, nowMicros));
+        result.addAll(Deadlines.decide(lowest, cpus, nowMicros));
         return result;
     }
 
@@ -134,7 +153,7 @@
     List<Deadlines.Entry> arrays(long nowMicros) {
         List<Deadlines.Entry> result = new ArrayList<>();
         for (Job job : book.jobs()) {
-            if (!job.cancelled && job.spec.kind() != JobKind.SERVICE && job.unfinished() > 0) {
+            if (!job.cancelled && !job.suspect && job.spec.kind() != JobKind.SERVICE && job.unfinished() > 0) {
                 long length = runTimes.expected(job);
                 int waiting = job.waiting();
                 double work = job.spec.each().cpus() * (double) length
@@ -196,10 +215,6 @@
     }
 
     boolean startable(Job job, long nowMicros) {
-        if (job.failedMachines.size() > 1 && job.blockedUntilMicros <= nowMicros) {
-            // It has waited for its failures: every machine may be tried again.
-            job.failedMachines.clear();
-        }
         return !job.cancelled && job.blockedUntilMicros <= nowMicros && !job.unsettled();
     }
 
@@ -208,6 +223,7 @@
         order = queue(nowMicros);
         orderMicros = nowMicros;
         unknown = unknownUse();
+        lowestRuns = lowestRuns();
         if (order.isEmpty()) {
             least = Resources.NONE;
             return;
@@ -236,6 +252,16 @@
         }
     }
 
+    /** Whether work of the lowest priority runs, which any other may displace. */
+    private boolean lowestRuns() {
+        for (Job job : book.jobs()) {
+            if (job.spec.priority() == Priority.LOW && !job.live.isEmpty()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Attempts that had to yield in this term, for the log. */
     String displaced() {
         return displacedByReplicas + "/" + displacedByGuarantees;
@@ -290,7 +316,7 @@
     }
 
     private boolean mayRefill(Job job, Machine machine, long nowMicros) {
-        return job.spec.kind() != JobKind.GANG && job.waiting() > 0 && book.get(job.id()) == job
+        return job.spec.kind() != JobKind.GANG && job.placeable() > 0 && book.get(job.id()) == job
                 && startable(job, nowMicros) && suits(job, machine, nowMicros)
                 && job.spec.each().fitsIn(machine.room()) && zoneAllows(job, machine) && teamAllows(job);
     }
@@ -314,7 +340,7 @@
      */
     List<String> likely(Job job, int most, long nowMicros) {
         List<String> names = new ArrayList<>();
-        if (job.spec.kind() == JobKind.ARRAY && job.waiting() > 0) {
+        if (job.spec.kind() == JobKind.ARRAY && job.waiting() > 0 && !job.suspect) {
             for (Machine machine : fleet.machines()) {
                 if (names.size() < most && machine.usable(nowMicros, settings) && suits(job, machine, nowMicros)) {
                     names.add(machine.name);
@@ -347,8 +373,9 @@
         // Room comes free all the time, and what is first in the queue gets it: stopping work of the same priority
         // is for a team that has waited for its guarantee.
         boolean waited = nowMicros - job.submittedMicros > guaranteePatienceMicros;
-        boolean preempts = spec.kind() == JobKind.SERVICE || queued.guaranteed() && waited
-                || spec.priority() != Priority.NORMAL;
+        boolean preempts = !job.suspect && (spec.kind() == JobKind.SERVICE
+                || (queued.guaranteed() || lowestRuns) && waited
+                || spec.priority() != Priority.NORMAL);
         if (spec.kind() == JobKind.GANG) {
             placeGang(job, queued.waiting(), suitable(job, usable, nowMicros), preempts, nowMicros);
         } else if (spec.kind() == JobKind.SERVICE) {
@@ -374,7 +401,7 @@
 
     private void placeReplicas(Queued queued, List<Machine> candidates, long nowMicros) {
         Job job = queued.job();
-        for (int left = queued.waiting(); left > 0 && job.waiting() > 0 && teamAllows(job); left--) {
+        for (int left = queued.waiting(); left > 0 && job.placeable() > 0 && teamAllows(job); left--) {
             Machine machine = besideReplicas(job, candidates, nowMicros);
             machine = machine != null ? machine : choose(job, candidates, true, nowMicros);
             if (machine == null) {
@@ -442,7 +469,7 @@
         ready.addAll(others);
         for (Machine machine : ready) {
             while (job.spec.each().fitsIn(machine.room()) && zoneAllows(job, machine)) {
-                if (job.waiting() == 0 || !teamAllows(job)) {
+                if (job.placeable() == 0 || !teamAllows(job)) {
                     open.removeIf(each -> !least.fitsIn(each.room()));
                     return;
                 }
@@ -454,7 +481,7 @@
 
     /** Whether there can be work that a task of this job may displace. */
     private boolean othersYield(Job job) {
-        if (job.spec.priority() != Priority.NORMAL) {
+        if (job.spec.priority() != Priority.NORMAL || lowestRuns) {
             return true;
         }
         for (Team team : settings.teams().values()) {
@@ -481,7 +508,7 @@
         }
         List<Option> options = new ArrayList<>();
         for (Machine machine : candidates) {
-            List<Placement> victims = victims(job, machine);
+            List<Placement> victims = victims(job, machine, queued.guaranteed());
             if (victims != null) {
                 options.add(new Option(machine, hasImage(machine, job), loss(victims, nowMicros)));
             }
@@ -491,7 +518,7 @@
             progress = false;
             for (Option option : options) {
                 Machine machine = option.machine();
-                List<Placement> victims = left > 0 && zoneAllows(job, machine) ? victims(job, machine) : null;
+                List<Placement> victims = left > 0 && zoneAllows(job, machine) ? victims(job, machine, queued.guaranteed()) : null;
                 if (job.waiting() == 0 || !teamAllows(job)) {
                     return;
                 }
@@ -689,6 +716,11 @@
 
     /** Lesser work that ends at once when it is stopped, so that a start in the same answer finds room; or null. */
     private List<Placement> victims(Job job, Machine machine) {
+        return victims(job, machine, true);
+    }
+
+    /** @param same whether work of the same priority beyond its team's guarantee may be among them */
+    private List<Placement> victims(Job job, Machine machine, boolean same) {
         List<Placement> victims = new ArrayList<>();
         Resources room = machine.room();
         List<Placement> lesser = new ArrayList<>();
@@ -706,7 +738,7 @@
             if (job.spec.each().fitsIn(room)) {
                 break;
             }
-            if (!placement.job.spec.priority().equals(job.spec.priority()) || overGuarantee(placement, taken)) {
+            if (!placement.job.spec.priority().equals(job.spec.priority()) || same && overGuarantee(placement, taken)) {
                 victims.add(placement);
                 room = room.plus(placement.job.spec.each());
                 taken.merge(placement.job.spec.team(), placement.job.spec.each(), Resources::plus);
