--- a/src/main/java/io/micatide/core/Planner.java
+++ b/src/main/java/io/micatide/core/Planner.java
@@ -252,6 +252,14 @@
         }
     }
 
+    /**
+     * Work of the lowest priority yields to what would be late otherwise, not to all that waits: hundreds of a guest's tasks
+     * of 150 s were once started over for jobs that had time.
+     */
+    private boolean displacesLowest(Queued queued, long nowMicros) {
+        return lowestRuns && queued.onTime() && queued.dueMicros() - nowMicros < PRECEDENCE_MICROS;
+    }
+
     /** Whether work of the lowest priority runs, which any other may displace. */
     private boolean lowestRuns() {
         for (Job job : book.jobs()) {
@@ -374,7 +382,7 @@
         // is for a team that has waited for its guarantee.
         boolean waited = nowMicros - job.submittedMicros > guaranteePatienceMicros;
         boolean preempts = !job.suspect && (spec.kind() == JobKind.SERVICE
-                || (queued.guaranteed() || lowestRuns) && waited
+                || (queued.guaranteed() || displacesLowest(queued, nowMicros)) && waited
                 || spec.priority() != Priority.NORMAL);
         if (spec.kind() == JobKind.GANG) {
             placeGang(job, queued.waiting(), suitable(job, usable, nowMicros), preempts, nowMicros);
--- a/src/main/java/io/micatide/core/Renter.java
+++ b/src/main/java/io/micatide/core/Renter.java
@@ -15,6 +15,8 @@
     private static final long LATE_MICROS = 60 * Micros.SECOND;
     /** The cloud's own limit: a fleet of hundreds in tens took 20 s to rent, and its boots began as late. */
     private static final int MOST_PER_CALL = 50;
+    /** Boots usually take up to one and a half times the type's time. */
+    private static final double LATE_BOOT = 1.6;
     private static final long PRICES_EVERY_MICROS = 60 * Micros.SECOND;
 
     private final Settings settings;
@@ -268,6 +270,24 @@
                 machine.deleting = true;
             }
         }
+        returnLate(nowMicros);
+    }
+
+    /**
+     * Nothing waits, and a machine that should be up by now is not: what it was rented for has been done elsewhere. Such
+     * machines came up after the burst, stood idle and went back without ever having worked (inc-3431).
+     */
+    private void returnLate(long nowMicros) {
+        if (!planner.order().stream().allMatch(queued -> queued.job().suspect)) {
+            return;
+        }
+        for (Machine machine : fleet.machines()) {
+            MachineType type = machine.type == null ? null : fleet.types().get(machine.type);
+            if (type != null && !machine.deleting && machine.lastAnsweredMicros < 0 && machine.bootStartedMicros >= 0
+                    && !machine.holdsUp && nowMicros - machine.bootStartedMicros > LATE_BOOT * type.bootMicros()) {
+                machine.deleting = true;
+            }
+        }
     }
 
     /** The calls that are due. */
--- a/src/test/java/io/micatide/core/PlannerTest.java
+++ b/src/test/java/io/micatide/core/PlannerTest.java
@@ -40,20 +40,23 @@
     }
 
     /**
-     * A guest's work of the lowest priority, long and everywhere, yields to any other after a moment; work of the same
-     * priority does not yield to a team without a guarantee.
+     * A guest's work of the lowest priority, long and everywhere, yields to what would be late otherwise, and only to that;
+     * work of the same priority does not yield to a team without a guarantee.
      */
     @ParameterizedTest
-    @CsvSource({"LOW, 5", "NORMAL, 0"})
-    void guestsYield(Priority guest, int started) {
+    @CsvSource({"LOW, 160, 5", "LOW, 500, 0", "NORMAL, 160, 0"})
+    void guestsYield(Priority guest, int deadline, int started) {
         World world = new World(1, 2);
         world.cloudOutage = true;
         world.takeOver();
         world.submit(World.job("wk-1", JobKind.ARRAY, "red", guest, 8, 300));
         world.run(20 * Micros.SECOND);
         assertEquals(8, live(world, "wk-1"));
-        world.submit(World.job("wk-2", JobKind.ARRAY, "blue", Priority.NORMAL, 5, 100));
-        world.run(12 * Micros.SECOND);
+        JobSpec job = World.job("wk-2", JobKind.ARRAY, "blue", Priority.NORMAL, 5, 100);
+        world.submit(new JobSpec(job.id(), job.jobClass(), job.team(), job.kind(), job.priority(), job.tasks(), job.each(),
+                job.image(), job.imageGb(), job.types(), job.zone(), false, false, job.spot(), job.estimateMicros(), 0, 0,
+                deadline * Micros.SECOND));
+        world.run(30 * Micros.SECOND);
         assertEquals(started, live(world, "wk-2"));
         assertEquals(8 - started, live(world, "wk-1"));
     }
@@ -99,4 +102,25 @@
         // Ten rounds of four tasks, each of 2 s and up to one report of 0.8 s.
         assertTrue(world.now - from < 31 * Micros.SECOND, Micros.toSeconds(world.now - from) + " s");
     }
+
+    /**
+     * Machines that are several times late are given back once nothing waits for them any more, before they come up to stand
+     * idle; those that are in time work.
+     */
+    @ParameterizedTest
+    @CsvSource({"1, false", "20, true"})
+    void lateMachinesAreNotWaitedFor(int bootFactor, boolean returned) {
+        World world = new World(1, 2);
+        world.bootFactor = bootFactor;
+        world.takeOver();
+        world.submit(World.job("wk-1", JobKind.ARRAY, "blue", Priority.NORMAL, 100, 6));
+        for (int second = 0; second < 120 && world.state("wk-1") == JobState.OPEN; second++) {
+            world.run(Micros.SECOND);
+        }
+        assertEquals(JobState.DONE, world.state("wk-1"));
+        world.run(3 * Micros.SECOND);
+        assertTrue(world.workers.size() > 2, "none was rented");
+        long there = world.workers.values().stream().skip(2).filter(worker -> !worker.deleted).count();
+        assertEquals(returned, there == 0);
+    }
 }
--- a/src/test/java/io/micatide/core/World.java
+++ b/src/test/java/io/micatide/core/World.java
@@ -49,6 +49,8 @@
     long zombieToken;
     long zombieUntil;
     double lostAnswers;
+    /** Boots take this many times as long as the type says. */
+    int bootFactor = 1;
     /** Jobs submitted with a mistake and machines that are faulty: what runs there fails after a second. */
     final Set<String> faultyJobs = new HashSet<>();
     final Set<String> faultyMachines = new HashSet<>();
@@ -474,7 +476,7 @@
             }
             List<String> names = new ArrayList<>();
             for (int i = 0; i < rent.count() && workers.size() < 40; i++) {
-                names.add(boot(rent.zone(), rent.spot(), now + TYPE.bootMicros()).name);
+                names.add(boot(rent.zone(), rent.spot(), now + bootFactor * TYPE.bootMicros()).name);
             }
             if (random.nextDouble() < lostAnswers) {
                 leader.rentUnanswered(rent.booking(), now);
