--- a/src/test/java/io/micatide/core/PlannerTest.java
+++ b/src/test/java/io/micatide/core/PlannerTest.java
@@ -8,6 +8,12 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 class PlannerTest {
+    private static JobSpec due(JobSpec job, int seconds) {
+        return new JobSpec(job.id(), job.jobClass(), job.team(), job.kind(), job.priority(), job.tasks(), job.each(),
+                job.image(), job.imageGb(), job.types(), job.zone(), false, false, job.spot(), job.estimateMicros(), 0, 0,
+                seconds * Micros.SECOND);
+    }
+
     private static long live(World world, String job) {
         return world.workers.values().stream().filter(worker -> !worker.deleted)
                 .flatMap(worker -> worker.tasks.values().stream())
@@ -52,10 +58,7 @@
         world.submit(World.job("wk-1", JobKind.ARRAY, "red", guest, 8, 300));
         world.run(20 * Micros.SECOND);
         assertEquals(8, live(world, "wk-1"));
-        JobSpec job = World.job("wk-2", JobKind.ARRAY, "blue", Priority.NORMAL, 5, 100);
-        world.submit(new JobSpec(job.id(), job.jobClass(), job.team(), job.kind(), job.priority(), job.tasks(), job.each(),
-                job.image(), job.imageGb(), job.types(), job.zone(), false, false, job.spot(), job.estimateMicros(), 0, 0,
-                deadline * Micros.SECOND));
+        world.submit(due(World.job("wk-2", JobKind.ARRAY, "blue", Priority.NORMAL, 5, 100), deadline));
         world.run(30 * Micros.SECOND);
         assertEquals(started, live(world, "wk-2"));
         assertEquals(8 - started, live(world, "wk-1"));
@@ -113,7 +116,7 @@
         World world = new World(1, 2);
         world.bootFactor = bootFactor;
         world.takeOver();
-        world.submit(World.job("wk-1", JobKind.ARRAY, "blue", Priority.NORMAL, 100, 6));
+        world.submit(due(World.job("wk-1", JobKind.ARRAY, "blue", Priority.NORMAL, 44, 6), 30));
         for (int second = 0; second < 120 && world.state("wk-1") == JobState.OPEN; second++) {
             world.run(Micros.SECOND);
         }
