--- a/src/main/java/io/micatide/core/Leadership.java
+++ b/src/main/java/io/micatide/core/Leadership.java
@@ -8,6 +8,8 @@
     /** What the node should do next. */
     public enum Wish { NOTHING, READ_ROW, GRANT_LEASE, CLAIM, TOUCH }
 
+    private static final long UNREACHED_WAITS_MICROS = 600 * Micros.MILLISECOND;
+
     private final String label;
     private final long ttlMicros;
     private long lease;
@@ -21,6 +23,7 @@
     private long highestToken;
     private String leader;
     private long retryAtMicros;
+    private long claimableSinceMicros = Long.MAX_VALUE;
     /** Having given the lead up, this controller leaves it to others until then. */
     private long claimsAfterMicros = Long.MIN_VALUE;
 
@@ -58,17 +61,22 @@
         return rowVersion;
     }
 
-    /** What to ask of the state service now; every wish but NOTHING must be followed by its outcome. */
-    public Wish next(long nowMicros) {
+    /**
+     * What to ask of the state service now; every wish but NOTHING must be followed by its outcome.
+     *
+     * @param reached whether workers reach this controller; one that they do not reach leaves a free row to others for a
+     *     moment, since it would lead a fleet that it cannot hear
+     */
+    public Wish next(long nowMicros, boolean reached) {
         if (waiting || nowMicros < retryAtMicros) {
             return Wish.NOTHING;
         }
-        Wish wish = choose(nowMicros);
+        Wish wish = choose(nowMicros, reached);
         waiting = wish != Wish.NOTHING;
         return wish;
     }
 
-    private Wish choose(long nowMicros) {
+    private Wish choose(long nowMicros, boolean reached) {
         boolean touchDue = lease != 0 && nowMicros - leaseTouchedMicros >= ttlMicros / 4;
         if (leads()) {
             return touchDue ? Wish.TOUCH : Wish.NOTHING;
@@ -79,7 +87,13 @@
         if (lease == 0) {
             return Wish.GRANT_LEASE;
         }
-        if (claimable() && nowMicros >= claimsAfterMicros) {
+        if (!claimable()) {
+            claimableSinceMicros = Long.MAX_VALUE;
+        } else if (claimableSinceMicros == Long.MAX_VALUE) {
+            claimableSinceMicros = nowMicros;
+        }
+        if (claimable() && nowMicros >= claimsAfterMicros
+                && (reached || nowMicros - claimableSinceMicros >= UNREACHED_WAITS_MICROS)) {
             return Wish.CLAIM;
         }
         return touchDue ? Wish.TOUCH : Wish.NOTHING;
--- a/src/main/java/io/micatide/core/Renter.java
+++ b/src/main/java/io/micatide/core/Renter.java
@@ -61,6 +61,7 @@
     private void markDead(long nowMicros, long termStartMicros) {
         int silent = 0;
         int up = 0;
+        int mute = 0;
         List<Machine> quiet = new ArrayList<>();
         List<Machine> dead = new ArrayList<>();
         for (Machine machine : fleet.machines()) {
@@ -88,11 +89,13 @@
                 }
             } else if (nowMicros - Math.max(termStartMicros, machine.knownSinceMicros)
                     > settings.goneAfterMicros() + 2 * settings.reportMicros()) {
+                mute++;
                 dead.add(machine);
             }
         }
-        // Nearly all silent at once: it is we who are cut off, and the machines may be fine.
-        if (silent * 2 > up && silent > 2) {
+        // Nearly all silent at once: it is we who are cut off, and the machines may be fine. That holds for a new leader too
+        // that no worker has reached yet: one once returned all 334 machines 15 s after its claim.
+        if ((silent + mute) * 2 > up + mute && silent + mute > 2) {
             return;
         }
         for (Machine machine : dead) {
@@ -386,7 +389,10 @@
         for (Machine machine : fleet.machines()) {
             boolean silent = machine.lastAnsweredMicros >= 0
                     && nowMicros - machine.lastAnsweredMicros > settings.goneAfterMicros();
-            if (machine.listed && silent && !names.contains(machine.name)) {
+            // A ledger names it, nobody has heard of it, and a list from well after the term began does not have it.
+            boolean neverThere = machine.lastAnsweredMicros < 0 && machine.bootStartedMicros < 0
+                    && askedMicros - machine.knownSinceMicros > 2 * settings.listLagMicros() + 5 * Micros.SECOND;
+            if ((machine.listed && silent || neverThere) && !names.contains(machine.name)) {
                 machine.deleting = true;
             }
         }
--- a/src/main/java/io/micatide/core/WorkerReach.java
+++ b/src/main/java/io/micatide/core/WorkerReach.java
@@ -16,10 +16,15 @@
     /** A worker that was sent to the leader is there by then, and one that could not reach it is back later. */
     private static final long ARRIVES_MICROS = 2 * Micros.SECOND;
 
+    /** A leader that never heard a worker most likely has none, and stops asking for them. */
+    private static final long WORRIED_MICROS = 30 * Micros.SECOND;
+
     private record Sent(long token, long atMicros) {
     }
 
     private final long silenceMicros;
+    private final long startedMicros;
+    private long cameMicros = Long.MIN_VALUE / 2;
     private final Map<String, Sent> sent = new HashMap<>();
     private final Map<String, Long> strays = new HashMap<>();
     private long lastStrayMicros = Long.MIN_VALUE / 2;
@@ -29,7 +34,8 @@
     private long heardMicros;
     private long strayedElsewhereMicros = Long.MIN_VALUE / 2;
 
-    public WorkerReach(Settings settings) {
+    public WorkerReach(Settings settings, long nowMicros) {
+        startedMicros = nowMicros;
         // Reports are up to a quarter late; a fleet of any size is never silent for longer than one of them and a pause.
         silenceMicros = settings.reportMicros() * 5 / 4 + Micros.SECOND;
     }
@@ -41,6 +47,7 @@
      * the leader, or comes back from it, has lost it.
      */
     public void cameHere(String machine, long seen, long leaderToken, long nowMicros) {
+        cameMicros = nowMicros;
         Sent before = sent.get(machine);
         boolean back = before != null && before.token() == leaderToken
                 && nowMicros - before.atMicros() > ARRIVES_MICROS;
@@ -76,6 +83,16 @@
         return ago < RECENT_MICROS ? ago : -1;
     }
 
+    /**
+     * Whether workers reach this controller, as far as it can know: of several that could lead, the one that hears them
+     * should. After a leader's end all workers look for another one, so whoever hears none for long is cut off from
+     * them, or there are none. A process that has just begun has had no time to hear any.
+     */
+    public boolean reached(long nowMicros) {
+        return nowMicros - Math.max(cameMicros, heardMicros) < RECENT_MICROS
+                || nowMicros - startedMicros < RECENT_MICROS;
+    }
+
     // ---- the leader
 
     /** A term begins: workers have yet to find this controller. */
@@ -103,7 +120,8 @@
 
     /** Whether siblings should be asked now instead of with the next regular news. */
     public boolean worried(long nowMicros) {
-        return heardAny && silentMicros(nowMicros) > silenceMicros / 2;
+        long silent = silentMicros(nowMicros);
+        return silent > silenceMicros / 2 && (heardAny || silent < WORRIED_MICROS);
     }
 
     /** A sibling's word that a worker which had lost the leader came to it that long ago; -1: none did. */
--- a/src/main/java/io/micatide/node/LeaderActor.java
+++ b/src/main/java/io/micatide/node/LeaderActor.java
@@ -144,7 +144,7 @@
         for (Settings.Sibling sibling : settings.siblings()) {
             siblings.add(new HttpClient(loop, sibling.endpoint(), 2));
         }
-        this.reach = new WorkerReach(settings);
+        this.reach = new WorkerReach(settings, Clock.now());
         this.leadership = new Leadership(settings.label(), tuning.leaderLeaseMicros());
     }
 
@@ -225,7 +225,7 @@
             state.watch(StoreKeys.LEADER, Math.max(leadership.rowVersion(), watchFrom), WATCH_MICROS,
                     answer(Watched::new));
         }
-        switch (leadership.next(now)) {
+        switch (leadership.next(now, reach.reached(now))) {
             case READ_ROW -> state.read(StoreKeys.LEADER, answer(RowRead::new));
             case GRANT_LEASE -> state.grant(leadership.ttlMicros(), answer(r -> new Granted(r, now)));
             case TOUCH -> state.touch(leadership.lease(), answer(r -> new Touched(r, now)));
--- a/src/test/java/io/micatide/core/FailureTest.java
+++ b/src/test/java/io/micatide/core/FailureTest.java
@@ -194,4 +194,29 @@
         assertEquals(leads, world.starts > before);
         assertEquals(leads, !calls.isEmpty());
     }
+
+    /**
+     * A new leader that no worker reaches returns none of their machines: one once gave back all 334. A few that are silent
+     * while the others report are given back; and so is what the cloud no longer lists, however many they are.
+     */
+    @ParameterizedTest
+    @CsvSource({"8, 8, false, 0", "8, 1, false, 1", "8, 8, true, 8"})
+    void aLeaderThatHearsNobodyReturnsNoMachines(int machines, int hang, boolean gone, int returned) {
+        World world = new World(1, machines);
+        world.takeOver();
+        world.submit(World.job("wk-3", JobKind.SERVICE, "blue", Priority.HIGH, 4 * machines, 0));
+        world.run(15 * Micros.SECOND);
+        int hung = 0;
+        for (World.Worker worker : world.workers.values()) {
+            if (hung++ < hang) {
+                worker.hungUntil = world.now + 300 * Micros.SECOND;
+                worker.deleted = gone;
+            }
+        }
+        world.takeOver();
+        world.returned = 0;
+        world.run(60 * Micros.SECOND);
+        assertEquals(returned, world.returned);
+        assertEquals(List.of(), world.broken);
+    }
 }
--- a/src/test/java/io/micatide/core/LeadershipTest.java
+++ b/src/test/java/io/micatide/core/LeadershipTest.java
@@ -61,6 +61,22 @@
         }
         assertEquals(token, leadership.token());
         assertEquals(leader, leadership.leader());
-        assertEquals(next, leadership.next(now));
+        assertEquals(next, leadership.next(now, true));
+    }
+
+    /** A controller that no worker reaches claims a free row only if nobody else does. */
+    @ParameterizedTest
+    @CsvSource({"true, 0, CLAIM", "false, 0, NOTHING", "false, 500, NOTHING", "false, 700, CLAIM"})
+    void leavesAFreeRowToThoseWhomWorkersReach(boolean reached, int afterMillis, Leadership.Wish next) {
+        Leadership leadership = new Leadership("me", TTL);
+        long now = Micros.SECOND;
+        leadership.rowRead("other", 4);
+        leadership.granted(7, now);
+        assertEquals(Leadership.Wish.NOTHING, leadership.next(now, reached));
+        leadership.row(null, 0);
+        if (afterMillis > 0) {
+            assertEquals(Leadership.Wish.NOTHING, leadership.next(now, reached));
+        }
+        assertEquals(next, leadership.next(now + afterMillis * Micros.MILLISECOND, reached));
     }
 }
--- a/src/test/java/io/micatide/core/WorkerReachTest.java
+++ b/src/test/java/io/micatide/core/WorkerReachTest.java
@@ -35,7 +35,7 @@
         "60, 20, 0.5, 0.1, false",
     })
     void givesUpOnlyForASiblingThatIsReached(double began, double heard, double strayed, double stalled, boolean deaf) {
-        WorkerReach reach = new WorkerReach(SETTINGS);
+        WorkerReach reach = new WorkerReach(SETTINGS, 0);
         reach.begin(ago(began));
         if (heard >= 0) {
             reach.heard(ago(heard));
@@ -65,7 +65,7 @@
         "0, 1, 4, 1, false, false",
     })
     void tellsWorkersThatLostTheLeader(long seen, double sentAgo, double silent, int workers, boolean stray, boolean lost) {
-        WorkerReach reach = new WorkerReach(SETTINGS);
+        WorkerReach reach = new WorkerReach(SETTINGS, 0);
         for (int i = 0; i < workers; i++) {
             if (sentAgo >= 0) {
                 reach.cameHere("i-" + i, 0, 7, ago(sentAgo));
@@ -76,4 +76,15 @@
         assertEquals(stray, reach.strayedAgoMicros(NOW) >= 0);
         assertEquals(lost, reach.leaderLost(NOW));
     }
+
+    /** Seconds ago: the process began, a worker came (-1: none). */
+    @ParameterizedTest
+    @CsvSource({"60, 0.5, true", "60, 5, false", "60, -1, false", "1, -1, true"})
+    void knowsWhetherWorkersReachIt(double began, double came, boolean reached) {
+        WorkerReach reach = new WorkerReach(SETTINGS, ago(began));
+        if (came >= 0) {
+            reach.cameHere("i-1", 0, 7, ago(came));
+        }
+        assertEquals(reached, reach.reached(NOW));
+    }
 }
--- a/src/test/java/io/micatide/core/World.java
+++ b/src/test/java/io/micatide/core/World.java
@@ -51,6 +51,7 @@
     double lostAnswers;
     /** Boots take this many times as long as the type says. */
     int bootFactor = 1;
+    int returned;
     /** Jobs submitted with a mistake and machines that are faulty: what runs there fails after a second. */
     final Set<String> faultyJobs = new HashSet<>();
     final Set<String> faultyMachines = new HashSet<>();
@@ -489,6 +490,7 @@
             if (cloudOutage) {
                 return;
             }
+            returned += delete.machines().size();
             for (String name : delete.machines()) {
                 Worker worker = workers.get(name);
                 if (worker != null) {
