--- a/src/main/java/io/micatide/core/Renter.java
+++ b/src/main/java/io/micatide/core/Renter.java
@@ -29,6 +29,7 @@
     private boolean listing;
     private long typesAskedMicros = Long.MIN_VALUE / 2;
     private boolean firstTerm;
+    private long nothingWaitsSinceMicros = Long.MAX_VALUE;
 
     Renter(Settings settings, Tuning tuning, Fleet fleet, Rentals rentals, Planner planner) {
         this.settings = settings;
@@ -277,11 +278,16 @@
     }
 
     /**
-     * Nothing waits, and a machine that should be up by now is not: what it was rented for has been done elsewhere. Such
+     * Nothing has waited for a while, and a machine that should be up by now is not: what it was rented for has been done elsewhere. Such
      * machines came up after the burst, stood idle and went back without ever having worked (inc-3431).
      */
     private void returnLate(long nowMicros) {
         if (!planner.order().stream().allMatch(queued -> queued.job().suspect)) {
+            nothingWaitsSinceMicros = Long.MAX_VALUE;
+            return;
+        }
+        nothingWaitsSinceMicros = Math.min(nothingWaitsSinceMicros, nowMicros);
+        if (nowMicros - nothingWaitsSinceMicros < tuning.idleMicros() / 4) {
             return;
         }
         for (Machine machine : fleet.machines()) {
--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -39,6 +39,7 @@
     private boolean ledgersFound;
     private final Map<String, Row.JobRow> ending = new HashMap<>();
     private final List<Job> completed = new ArrayList<>();
+    private final List<String> notices = new ArrayList<>();
 
     public Scheduler(Settings settings, Tuning tuning, long token, long nowMicros) {
         this.settings = settings;
@@ -315,10 +316,21 @@
     private void failed(Machine machine, Job job, ExitCause cause, long nowMicros) {
         switch (cause) {
             case ERROR -> {
+                boolean suspectBefore = job.suspect;
+                boolean drainingBefore = machine.draining;
                 health.failed(machine, job, fleet.machines(), nowMicros);
                 if (job.suspect) {
                     dropUnsent(job);
                 }
+                if (job.suspect && !suspectBefore) {
+                    notices.add(String.format("%s (%s) is suspected: it failed on %d machines and never succeeded; it is"
+                            + " only probed now", job.id(), job.spec.jobClass(), job.failedMachines.size()));
+                }
+                if (machine.draining && !drainingBefore) {
+                    notices.add(String.format("%s is suspected: %d failures of jobs that succeed elsewhere, %d jobs of"
+                            + " unknown worth failed on it", machine.name, machine.failures,
+                            machine.doubtfulJobs.size()));
+                }
             }
             case UNKNOWN, NO_ROOM, BUSY -> job.blockedUntilMicros = nowMicros + Micros.SECOND;
             default -> {
@@ -700,6 +712,13 @@
         return result;
     }
 
+    /** Lines for the log on jobs and machines that came under suspicion since the last call. */
+    public List<String> notices() {
+        List<String> lines = List.copyOf(notices);
+        notices.clear();
+        return lines;
+    }
+
     /** A line for the log on each job completed since the last call. */
     public List<String> completions(long nowMicros) {
         List<String> lines = new ArrayList<>();
--- a/src/main/java/io/micatide/node/LeaderActor.java
+++ b/src/main/java/io/micatide/node/LeaderActor.java
@@ -471,6 +471,7 @@
         for (CloudCall call : scheduler.cloudCalls(now)) {
             call(call, now);
         }
+        scheduler.notices().forEach(log::info);
         scheduler.completions(now).forEach(log::debug);
         news(now);
         if (now - summaryMicros >= SUMMARY_MICROS) {
