--- a/src/main/java/io/micatide/core/WorkerReach.java
+++ b/src/main/java/io/micatide/core/WorkerReach.java
@@ -133,10 +133,11 @@
 
     /**
      * Whether this leader should give up: silence on its side and, since then, a worker that looked for it at a sibling.
-     * Without such news it stays, be it that all are cut off or that there are no machines: nobody could do better.
+     * Without such news it stays, be it that all are cut off or that there are no machines: nobody could do better. Nor could
+     * anybody claim while the state service is away: the cut may be over before that.
      */
-    public boolean deaf(long nowMicros) {
-        return silentMicros(nowMicros) > silenceMicros && strayedElsewhereMicros > heardMicros
+    public boolean givesUp(boolean stateServed, long nowMicros) {
+        return stateServed && silentMicros(nowMicros) > silenceMicros && strayedElsewhereMicros > heardMicros
                 && nowMicros - strayedElsewhereMicros < RECENT_MICROS;
     }
 }
--- a/src/main/java/io/micatide/node/LeaderActor.java
+++ b/src/main/java/io/micatide/node/LeaderActor.java
@@ -682,8 +682,8 @@
      * Leaves the lead to a sibling that the workers reach. Ending the lease removes the row at once; should that request be
      * lost, the lease ends by itself.
      */
-    private void resignIfDeaf(long now) {
-        if (scheduler != null && reach.deaf(now)) {
+    private void resignIfUnreached(long now) {
+        if (scheduler != null && reach.givesUp(state.reach().reached(now), now)) {
             log.warn("gives up term {}: no worker has come for {} ms, and they come to a sibling", scheduler.token(),
                     reach.silentMicros(now) / Micros.MILLISECOND);
             long lease = leadership.resign(now, settings.leaseMicros());
@@ -724,7 +724,7 @@
                 }
                 long now = Clock.now();
                 reach.strayedElsewhere(answer.strayedAgoMicros(), now);
-                resignIfDeaf(now);
+                resignIfUnreached(now);
             } catch (MalformedException e) {
                 log.error("sibling: {}", e.getMessage());
             }
--- a/src/test/java/io/micatide/core/WorkerReachTest.java
+++ b/src/test/java/io/micatide/core/WorkerReachTest.java
@@ -14,27 +14,33 @@
         return NOW - Micros.ofSeconds(seconds);
     }
 
-    /** Seconds ago: the term began, the last report came (-1: none), a worker strayed to a sibling (-1: none); stalled. */
+    /**
+     * Seconds ago: the term began, the last report came (-1: none), a worker strayed to a sibling (-1: none), this process
+     * stood still (-1: not); whether the state service answers.
+     */
     @ParameterizedTest
     @CsvSource({
         // Cut off from the workers, which turn to a sibling.
-        "60, 2.5, 0.5, -1, true",
+        "60, 2.5, 0.5, -1, true, true",
         // Workers come.
-        "60, 0.3, 0.5, -1, false",
+        "60, 0.3, 0.5, -1, true, false",
         // All are cut, or the machines are gone: nobody could do better.
-        "60, 20, -1, -1, false",
+        "60, 20, -1, -1, true, false",
         // No machines at all.
-        "60, -1, -1, -1, false",
+        "60, -1, -1, -1, true, false",
         // What strayed before the last report, or long ago, has found back or is gone.
-        "60, 2.5, 3, -1, false",
-        "60, 20, 5, -1, false",
+        "60, 2.5, 3, -1, true, false",
+        "60, 20, 5, -1, true, false",
         // A new leader is given time to be found, also by workers that come back from it.
-        "3, -1, 0.5, -1, false",
-        "6, -1, 0.5, -1, true",
+        "3, -1, 0.5, -1, true, false",
+        "6, -1, 0.5, -1, true, true",
+        // Nobody could claim the lead.
+        "60, 2.5, 0.5, -1, false, false",
         // It was we who stood still.
-        "60, 20, 0.5, 0.1, false",
+        "60, 20, 0.5, 0.1, true, false",
     })
-    void givesUpOnlyForASiblingThatIsReached(double began, double heard, double strayed, double stalled, boolean deaf) {
+    void givesUpOnlyForASiblingThatIsReached(double began, double heard, double strayed, double stalled, boolean served,
+            boolean givesUp) {
         WorkerReach reach = new WorkerReach(SETTINGS, 0);
         reach.begin(ago(began));
         if (heard >= 0) {
@@ -44,7 +50,7 @@
         if (stalled >= 0) {
             reach.stalled(ago(stalled));
         }
-        assertEquals(deaf, reach.deaf(NOW));
+        assertEquals(givesUp, reach.givesUp(served, NOW));
     }
 
     /**
