--- a/src/test/java/io/micatide/wire/SettingsTest.java
+++ b/src/test/java/io/micatide/wire/SettingsTest.java
@@ -12,7 +12,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 class SettingsTest {
-    private static String good() throws IOException {
+    static String good() throws IOException {
         try (InputStream in = SettingsTest.class.getResourceAsStream("/warm-up-settings.toml")) {
             return new String(in.readAllBytes(), StandardCharsets.UTF_8).replaceAll("@[a-z]+@", "127.0.0.1:7000");
         }
--- /dev/null
+++ b/src/test/java/io/micatide/wire/StoredTextTest.java
@@ -0,0 +1,87 @@
+package io.micatide.wire;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.micatide.core.JobKind;
+import io.micatide.core.JobProgress;
+import io.micatide.core.JobSpec;
+import io.micatide.core.JobState;
+import io.micatide.core.Priority;
+import io.micatide.core.Resources;
+import io.micatide.core.Row;
+import io.micatide.core.Settings;
+import io.micatide.core.Transaction;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * What the version in production stores and says, as text. Old and new controllers serve side by side during an upgrade,
+ * so each of these must be read as it always was, and written so that the old one reads it.
+ */
+class StoredTextTest {
+    private static final String SPEC = "{'nameId':'wk-1','roster':'train','crew':'red','form':'batch','rank':'best_effort',"
+            + "'legs':16,'cpus':2.0,'cards':0.0,'memGb':4.5,'kit':'img','sizeGb':1.5,'builds':['g8'],'ground':'a',"
+            + "'samePlace':false,'scatter':true,'loaners':true,'runtimeS':20.0,'halftimeS':0.0,'stowS':0.0,'whistleS':90.0}";
+    private static final String PLAIN = "{'nameId':'wk-2','roster':'feed','crew':'red','form':'daemon','rank':'high',"
+            + "'legs':2,'cpus':2.0,'cards':0.0,'memGb':8.1,'kit':'img','sizeGb':1.0,'samePlace':false,'scatter':false,"
+            + "'loaners':false,'runtimeS':0.0,'halftimeS':0.0,'stowS':0.0}";
+
+    private static byte[] json(String text) {
+        return text.replace('\'', '"').getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** As production writes it; read and written again it is the same text. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '`', value = {
+        "leader|{'owner':'berth-0'}",
+        "job/wk-1|{'state':'OPEN','tasks':16,'submitted':1790000000000000,'spec':" + SPEC + "}",
+        "job/wk-2|{'state':'OPEN','tasks':2,'submitted':1790000000000000,'spec':" + PLAIN + "}",
+        "job/wk-1|{'state':'CANCELLED','tasks':16,'submitted':5,'spec':" + SPEC + "}",
+        "job/wk-1|{'state':'DONE','tasks':16,'submitted':5}",
+        "ledger/wk-1|{'machines':['i-000231','i-000007'],'gang':0,'done':'0-5,7,9-12'}",
+        "ledger/wk-1|{'machines':[],'gang':3145728007,'done':''}",
+        "ledger/wk-1/3|{'machines':[],'gang':0,'done':'2047'}",
+        "booking/r-41-7|{'state':'claimed','type':'g8','zone':'a','spot':true,'count':12}",
+        "types|{'types':[{'label':'g8','cpus':8.0,'cards':0.0,'memGb':64.0,'localGb':25.0,'pullGbPerS':0.3,"
+            + "'hourly':0.54,'marketPrice':0.19,'bootS':30.0,'grounds':['a','b']}]}",
+    })
+    void rowsOfProduction(String key, String data) throws MalformedException {
+        StateCodec.Item item = StateCodec.item(json("{'k':'" + key + "','data':" + data + ",'stamp':9}"));
+        byte[] again = StateCodec.transaction(new Transaction(List.of(new Transaction.Compare(key, 9)),
+                List.of(new Transaction.Write(key, item.row(), 0))));
+        assertEquals("{'if':[{'k':'" + key + "','stamp':9}],'writes':[{'put':'" + key + "','data':" + data + "}]}",
+                new String(again, StandardCharsets.UTF_8).replace('"', '\''));
+    }
+
+    @Test
+    void aRowOfProductionMeansWhatItMeant() throws MalformedException {
+        StateCodec.Item item = StateCodec.item(json("{'k':'job/wk-1','data':{'state':'OPEN','tasks':16,'submitted':7,"
+                + "'spec':" + SPEC + "},'stamp':9}"));
+        JobSpec spec = ((Row.JobRow) item.row()).spec();
+        assertEquals(new JobSpec("wk-1", "train", "red", JobKind.ARRAY, Priority.LOW, 16, Resources.of(2, 0, 4.5), "img", 1.5,
+                List.of("g8"), "a", false, true, true, 20_000_000, 0, 0, 90_000_000), spec);
+        assertEquals(JobState.OPEN, ((Row.JobRow) item.row()).state());
+    }
+
+    @Test
+    void newsOfProduction() throws MalformedException {
+        String text = "{'token':41,'leader':'berth-1','stateServed':true,'silentUs':1200,'first':true,"
+                + "'jobs':[['wk-1',3,13]]}";
+        PeerCodec.News news = PeerCodec.news(json(text));
+        assertEquals(new PeerCodec.News(41, "berth-1", true, 1200, true, List.of(new JobProgress("wk-1", 3, 13))), news);
+        assertEquals(text, new String(PeerCodec.news(news), StandardCharsets.UTF_8).replace('"', '\''));
+        assertEquals(41, PeerCodec.answer(json("{'token':41,'strayedUs':-1}")).token());
+    }
+
+    /** A page's number gives its tasks, so its size may not follow the limits that are to come. */
+    @ParameterizedTest
+    @CsvSource({"16, 2048", "32, 4096", "2, 256", "64, 8192"})
+    void pagesHoldAsManyTasksAsInProduction(String valueKb, int tasks) throws IOException, MalformedException {
+        Settings settings = SettingsReader.parse(SettingsTest.good().replace("value_kb = 16.0", "value_kb = " + valueKb));
+        assertEquals(tasks, settings.pageTasks());
+    }
+}
