--- a/src/main/java/io/micatide/core/Deadlines.java
+++ b/src/main/java/io/micatide/core/Deadlines.java
@@ -46,7 +46,7 @@
     static List<Entry> decide(List<Entry> entries, double cpus, long nowMicros) {
         List<Entry> sorted = new ArrayList<>(entries);
         sorted.sort(Comparator.comparingLong(Entry::latestStartMicros)
-                .thenComparingLong(e -> e.job.submittedMicros));
+                .thenComparingLong(e -> e.job.readyMicros));
         PriorityQueue<Entry> kept = new PriorityQueue<>(Comparator.comparingDouble((Entry e) -> -e.work / e.weight));
         double total = 0;
         for (Entry entry : sorted) {
@@ -78,7 +78,7 @@
         List<Demand> demands = new ArrayList<>();
         for (Entry entry : entries) {
             // Work of the lowest priority may take all the time that it has; for what has no aim nothing is rented dearly.
-            long patience = entry.job.spec.priority() == Priority.LOW ? Long.MAX_VALUE / 2 : lateMicros;
+            long patience = entry.job.priority() == Priority.LOW ? Long.MAX_VALUE / 2 : lateMicros;
             long left = Math.min(entry.dueMicros - nowMicros, Math.max(patience, entry.lengthMicros)) - startMicros;
             long rounds = Math.max(1, left / entry.lengthMicros);
             long parallel = (entry.job.unfinished() + rounds - 1) / rounds;
--- a/src/main/java/io/micatide/core/Job.java
+++ b/src/main/java/io/micatide/core/Job.java
@@ -16,6 +16,8 @@
     final long submittedWall;
     /** When this leader first saw it, on the steady clock, minus the age it had by the time of day. */
     final long submittedMicros;
+    /** From when its times count, but for its deadline: its submission, or the end of the last job that it needed. */
+    final long readyMicros;
     long version;
     boolean cancelled;
     /** Finished tasks, recorded or not; changed by {@link #finish} and {@link #adopt} only. */
@@ -64,7 +66,20 @@
     /** The present attempt is over; the next one begins when nothing of it can be on a machine. */
     boolean gangBroken;
 
-    Job(JobSpec spec, long version, long submittedWall, long submittedMicros) {
+    /** Whether jobs wait for it, and what they ask of it: see {@link Pipelines}. */
+    boolean needed;
+    private Priority priority;
+    long neededByMicros = Long.MAX_VALUE;
+    /** Its ledger cannot be written with further machines: what is held for them has to be given back. */
+    boolean ledgerFull;
+    /** Until when it is not placed on machines that its ledger does not name. */
+    long fullUntilMicros = Long.MIN_VALUE;
+    /** The state service refused to write it; tried again then. */
+    long writeAgainMicros = Long.MIN_VALUE;
+
+    Job(JobSpec spec, long version, long submittedWall, long submittedMicros, long readyMicros) {
+        this.readyMicros = readyMicros;
+        this.priority = spec.priority();
         this.spec = spec;
         this.version = version;
         this.submittedWall = submittedWall;
@@ -75,6 +90,17 @@
         return spec.id();
     }
 
+    /** Its own priority, or that of a job that needs it. */
+    Priority priority() {
+        return priority;
+    }
+
+    void demand(boolean byOthers, Priority others, long byMicros) {
+        needed = byOthers;
+        priority = others.above(spec.priority()) ? others : spec.priority();
+        neededByMicros = byMicros;
+    }
+
     /** Whether that is news. */
     boolean finish(int index) {
         if (finished.get(index)) {
--- a/src/main/java/io/micatide/core/JobBook.java
+++ b/src/main/java/io/micatide/core/JobBook.java
@@ -22,6 +22,11 @@
     /** Longest time that finished tasks of a job wait to be recorded together. */
     private static final long GATHER_MICROS = Micros.SECOND;
     private static final int MOST_BYTES = 40_000;
+    /** What a ledger value takes besides names and ranges. */
+    private static final int LEDGER_BYTES = 64;
+    /** What one name takes besides its letters. */
+    private static final int NAME_BYTES = 3;
+    private static final long REFUSED_PAUSE_MICROS = 5 * Micros.SECOND;
 
     private final Settings settings;
     private final long token;
@@ -29,6 +34,12 @@
     private final Map<String, Job> dirty = new LinkedHashMap<>();
     /** How many jobs of each class this leader has seen. */
     private final Multiset<String> seenOfClass = HashMultiset.create();
+    /** Jobs whose rows still say open although something that they need was cancelled, with the rows' versions. */
+    private final Map<String, Withdrawal> withdrawals = new LinkedHashMap<>();
+
+    /** A row to close. That the job is withdrawn follows from the others' rows, so this is for whoever reads only rows. */
+    private record Withdrawal(String id, long version, Row.JobRow row) {
+    }
 
     JobBook(Settings settings, long token) {
         this.settings = settings;
@@ -40,7 +51,7 @@
     }
 
     /** One transaction and what it means. {@code bookings} are the rentals written along with it. */
-    record Round(Transaction transaction, List<Part> parts, List<Rentals.Booking> bookings) {
+    record Round(Transaction transaction, List<Part> parts, List<Rentals.Booking> bookings, List<String> withdrawals) {
     }
 
     Collection<Job> jobs() {
@@ -55,8 +66,8 @@
         return jobs.get(id);
     }
 
-    Job add(JobSpec spec, long version, long submittedWall, long submittedMicros) {
-        Job job = new Job(spec, version, submittedWall, submittedMicros);
+    Job add(JobSpec spec, long version, long submittedWall, long submittedMicros, long readyMicros) {
+        Job job = new Job(spec, version, submittedWall, submittedMicros, readyMicros);
         seenOfClass.add(spec.jobClass());
         jobs.put(spec.id(), job);
         return job;
@@ -112,6 +123,52 @@
         }
     }
 
+    /** What is written of a job that went with one that it needs; {@code row} as it is stored now. */
+    void withdraw(String id, Row.JobRow row, long version) {
+        withdrawals.put(id, new Withdrawal(id, version, row));
+    }
+
+    void withdrawn(String id) {
+        withdrawals.remove(id);
+    }
+
+    private static int bytes(Collection<String> names) {
+        int bytes = 0;
+        for (String name : names) {
+            bytes += name.length() + NAME_BYTES;
+        }
+        return bytes;
+    }
+
+    /** The part of the first page that names machines. Finished ranges have the rest, and what the names leave. */
+    private int nameBytes() {
+        return (settings.writableBytes() - LEDGER_BYTES) * 5 / 8;
+    }
+
+    /** Machines that the ledger must name whatever else it says. */
+    private static Set<String> mustName(Job job) {
+        Set<String> machines = new HashSet<>(job.neededMachines);
+        machines.addAll(job.unsettledMachines);
+        machines.addAll(job.liveMachines.elementSet());
+        return machines;
+    }
+
+    /**
+     * Whether the job may be placed on one more machine. No name is ever dropped to make a ledger fit: take-overs rest on
+     * them. So a job uses no more machines than its ledger can name.
+     */
+    boolean mayUse(Job job, Machine machine, long nowMicros) {
+        if (job.recordedMachines.contains(machine.name) || job.neededMachines.contains(machine.name)) {
+            return true;
+        }
+        if (nowMicros < job.fullUntilMicros) {
+            return false;
+        }
+        int most = nameBytes() - machine.name.length() - NAME_BYTES;
+        int upperBound = job.neededMachines.size() + job.unsettledMachines.size() + job.liveMachines.elementSet().size();
+        return upperBound * (machine.name.length() + NAME_BYTES) <= most || bytes(mustName(job)) <= most;
+    }
+
     /** Starts wait for this: the ledger must name the machine before anything can land on it. */
     void needMachine(Job job, Machine machine, long nowMicros) {
         if (!job.recordedMachines.contains(machine.name)) {
@@ -130,7 +187,7 @@
      * The next round, or null if nothing is worth writing; {@code mostWrites} is what the rate leaves, of which
      * {@code reserve} are for what starts or ends a job: finished tasks can wait at their workers.
      */
-    Round nextRound(long nowMicros, int mostWrites, int reserve, List<Rentals.Booking> bookings,
+    Round nextRound(long nowMicros, long wallMicros, int mostWrites, int reserve, List<Rentals.Booking> bookings,
             List<Transaction.Write> extra, Likely likely) {
         List<Transaction.Compare> conditions = new ArrayList<>();
         List<Transaction.Write> writes = new ArrayList<>(extra);
@@ -138,16 +195,17 @@
         int most = Math.min(mostWrites, settings.transactionOps());
         int bytes = extra.size() * 200;
         List<Part> parts = new ArrayList<>();
-        for (int pass = 0; pass < 2; pass++) {
-            boolean urgentPass = pass == 0;
-            for (Job job : dirty.values()) {
-                boolean urgent = !job.neededMachines.isEmpty() || job.allFinished() || job.cancelled;
-                boolean due = urgent || nowMicros - job.dirtySinceMicros >= GATHER_MICROS;
-                if (job.writing || urgent != urgentPass || !due) {
+        List<Job> candidates = List.copyOf(dirty.values());
+        for (int pass = 0; pass <= LAST_PASS; pass++) {
+            for (Job job : candidates) {
+                int due = pass(job);
+                if (job.writing || due != pass || nowMicros < job.writeAgainMicros
+                        || due == LAST_PASS && nowMicros - job.dirtySinceMicros < GATHER_MICROS) {
                     continue;
                 }
                 int before = writes.size();
-                Part part = part(job, conditions, writes, urgent ? most : most - reserve, MOST_BYTES - bytes, likely);
+                Part part = part(job, conditions, writes, due == LAST_PASS ? most - reserve : most, MOST_BYTES - bytes,
+                        likely, wallMicros);
                 if (part == null) {
                     continue;
                 }
@@ -157,6 +215,7 @@
                 }
             }
         }
+        List<String> closed = closeWithdrawn(conditions, writes, most - reserve);
         if (writes.isEmpty()) {
             return null;
         }
@@ -165,7 +224,32 @@
             part.job().recordedMachines.retainAll(part.machines());
             dirty.remove(part.job().id());
         }
-        return new Round(new Transaction(conditions, writes), parts, bookings);
+        return new Round(new Transaction(conditions, writes), parts, bookings, closed);
+    }
+
+    private static final int LAST_PASS = 2;
+
+    /** Which jobs are written first: what others wait for, then what starts or ends something, then finished tasks. */
+    private static int pass(Job job) {
+        if (job.needed && job.allFinished() && !job.cancelled) {
+            return 0;
+        }
+        return !job.neededMachines.isEmpty() || job.allFinished() || job.cancelled ? 1 : LAST_PASS;
+    }
+
+    private List<String> closeWithdrawn(List<Transaction.Compare> conditions, List<Transaction.Write> writes, int most) {
+        List<String> closed = new ArrayList<>();
+        for (Withdrawal each : withdrawals.values()) {
+            if (writes.size() >= most) {
+                break;
+            }
+            conditions.add(new Transaction.Compare(StoreKeys.job(each.id()), each.version()));
+            // It never started, so nobody has to know what its tasks take.
+            writes.add(new Transaction.Write(StoreKeys.job(each.id()), new Row.JobRow(JobState.CANCELLED, null,
+                    each.row().submittedWall(), each.row().tasks()), 0));
+            closed.add(each.id());
+        }
+        return closed;
     }
 
     private static int sizeOf(Transaction.Write write) {
@@ -176,23 +260,32 @@
     }
 
     private Part part(Job job, List<Transaction.Compare> conditions, List<Transaction.Write> writes, int most,
-            int mostBytes, Likely likely) {
+            int mostBytes, Likely likely, long wallMicros) {
         if (job.allFinished() || job.cancelled) {
-            return lastPart(job, conditions, writes, most);
+            return lastPart(job, conditions, writes, most, wallMicros);
         }
-        Set<String> machines = new HashSet<>(job.neededMachines);
-        machines.addAll(job.unsettledMachines);
-        machines.addAll(job.liveMachines.elementSet());
-        machines.addAll(likely.machines(job, settings.valueBytes() / 64));
+        Set<String> machines = mustName(job);
+        int room = settings.writableBytes() - LEDGER_BYTES;
+        BitSet first = Ranges.within(job.finished, job.recorded, 0, settings.pageTasks(),
+                room - Math.max(bytes(machines), Math.min(nameBytes(), room / 4)));
         List<Integer> pages = new ArrayList<>();
-        pages.add(0);
+        if (first != null) {
+            addLikely(machines, likely.machines(job, nameBytes() / 8),
+                    Math.min(nameBytes(), room - Ranges.format(first, 0, settings.pageTasks()).length()));
+            pages.add(0);
+        } else {
+            // What an earlier leader wrote under a larger limit no longer fits. It gets smaller as machines settle and tasks
+            // end; until then further machines cannot be named.
+            machines = new HashSet<>(job.recordedMachines);
+            job.ledgerFull |= !job.neededMachines.isEmpty();
+        }
         for (int page = job.dirtyPages.nextSetBit(1); page >= 0; page = job.dirtyPages.nextSetBit(page + 1)) {
             pages.add(page);
         }
         while (pages.size() > most - writes.size() && pages.size() > 1) {
             pages.remove(pages.size() - 1);
         }
-        if (writes.size() + pages.size() > most) {
+        if (pages.isEmpty() || writes.size() + pages.size() > most) {
             return null;
         }
         int size = settings.pageTasks();
@@ -200,20 +293,25 @@
         List<Transaction.Write> own = new ArrayList<>();
         int bytes = 0;
         for (int page : List.copyOf(pages)) {
-            String text = Ranges.format(job.finished, page * size, (page + 1) * size);
-            if (page > 0 && bytes + text.length() > MOST_BYTES / 2) {
-                // A job in many pieces fills a transaction by itself; the rest of it goes with the next round.
+            BitSet bits = page == 0 ? first
+                    : Ranges.within(job.finished, job.recorded, page * size, (page + 1) * size, room);
+            String text = bits == null ? "" : Ranges.format(bits, page * size, (page + 1) * size);
+            if (bits == null || page > 0 && bytes + text.length() > MOST_BYTES / 2 || nothingNew(job, page, bits, machines)) {
+                // A job in many pieces fills a transaction by itself; the rest of it goes with the next round. What has
+                // no room in a value stays with the workers, who report it until it is recorded.
                 pages.remove(Integer.valueOf(page));
                 continue;
             }
-            BitSet bits = (BitSet) job.finished.clone();
-            bits.clear(0, page * size);
-            bits.clear((page + 1) * size, Math.max(bits.length(), (page + 1) * size));
             done.put(page, bits);
             own.add(new Transaction.Write(StoreKeys.ledger(job.id(), page), new Row.Ledger(
                     page == 0 ? List.copyOf(machines) : List.of(), page == 0 ? job.gangAttempt : 0, text), 0));
             bytes += sizeOf(own.get(own.size() - 1));
         }
+        if (pages.isEmpty()) {
+            dirty.remove(job.id());
+            job.dirtySinceMicros = -1;
+            return null;
+        }
         if (bytes > mostBytes && !writes.isEmpty()) {
             return null;
         }
@@ -227,8 +325,30 @@
         return new Part(job, false, machines, pages, done);
     }
 
+    private static void addLikely(Set<String> machines, List<String> likely, int mostBytes) {
+        int bytes = bytes(machines);
+        for (String name : likely) {
+            if (!machines.contains(name)) {
+                bytes += name.length() + NAME_BYTES;
+                if (bytes > mostBytes) {
+                    return;
+                }
+                machines.add(name);
+            }
+        }
+    }
+
+    /** Whether the page would say only what it says already; not so of the first before it was ever written. */
+    private static boolean nothingNew(Job job, int page, BitSet bits, Set<String> machines) {
+        BitSet news = (BitSet) bits.clone();
+        news.andNot(job.recorded);
+        return news.isEmpty() && (page > 0 || job.pageVersions.containsKey(0) && job.neededMachines.isEmpty()
+                && job.recordedMachines.equals(machines));
+    }
+
     /** Completion, and the end of a cancelled job once nothing of it can be on a machine. */
-    private Part lastPart(Job job, List<Transaction.Compare> conditions, List<Transaction.Write> writes, int most) {
+    private Part lastPart(Job job, List<Transaction.Compare> conditions, List<Transaction.Write> writes, int most,
+            long wallMicros) {
         List<Integer> pages = new ArrayList<>(job.pageVersions.keySet());
         while (pages.size() + 1 > settings.transactionOps()) {
             // What is left over is removed by the leader that finds it without an open job.
@@ -240,7 +360,7 @@
         if (!job.cancelled) {
             conditions.add(new Transaction.Compare(StoreKeys.job(job.id()), job.version));
             writes.add(new Transaction.Write(StoreKeys.job(job.id()),
-                    new Row.JobRow(JobState.DONE, null, job.submittedWall, job.spec.tasks()), 0));
+                    new Row.JobRow(JobState.DONE, null, job.submittedWall, job.spec.tasks(), wallMicros), 0));
         } else if (pages.isEmpty()) {
             jobs.remove(job.id());
             return null;
@@ -254,6 +374,7 @@
 
     /** The round is in the state service: machines are recorded, finishes may be forgotten, starts may go out. */
     void confirmed(Round round, long revision, long nowMicros) {
+        round.withdrawals().forEach(withdrawals::remove);
         for (Part part : round.parts()) {
             Job job = part.job();
             job.writing = false;
@@ -266,7 +387,9 @@
                 job.pageVersions.put(page, revision);
                 job.recorded.or(part.done().get(page));
             }
-            job.recordedMachines = new HashSet<>(part.machines());
+            if (part.pages().contains(0)) {
+                job.recordedMachines = new HashSet<>(part.machines());
+            }
             settleAfterWrite(job, nowMicros);
         }
     }
@@ -325,6 +448,18 @@
         }
     }
 
+    /**
+     * The state service does not take what the round writes, most likely since its limits fell: its jobs go on without
+     * being written for a while, so that neither the others nor the lead depend on them.
+     */
+    void refused(Round round, long nowMicros) {
+        for (Part part : round.parts()) {
+            part.job().writeAgainMicros = nowMicros + REFUSED_PAUSE_MICROS;
+            part.job().ledgerFull |= !part.job().neededMachines.isEmpty();
+        }
+        round.withdrawals().forEach(withdrawals::remove);
+    }
+
     /** Every value of the round was read back: its jobs may be written again. */
     void resolved(Round round, long nowMicros) {
         for (Part part : round.parts()) {
--- a/src/main/java/io/micatide/core/JobDirectory.java
+++ b/src/main/java/io/micatide/core/JobDirectory.java
@@ -15,9 +15,21 @@
     public record Entry(String id, Row.JobRow row, long version) {
     }
 
+    /**
+     * A job as it stands by its own row and by the rows of the jobs that it needs.
+     *
+     * @param state withdrawn with a job that it needs, it is cancelled although its row is open
+     * @param waits some job that it needs is not done
+     * @param readyWall from when its times count: its submission, or the end of the last job that it needs
+     */
+    public record View(String id, Row.JobRow row, long version, JobState state, boolean waits, long readyWall) {
+    }
+
     private final Map<String, Entry> entries = new HashMap<>();
     private final Map<String, Entry> open = new HashMap<>();
+    private final Dependencies dependencies = new Dependencies();
     private long revision;
+    private long layoutVersion;
 
     public long revision() {
         return revision;
@@ -41,30 +53,62 @@
         return open.values();
     }
 
-    /** Everything of which a task may be on a machine. */
-    public List<Entry> openAndCancelled() {
-        List<Entry> result = new ArrayList<>();
+    /** The version of the mark that all controllers read the present layout, or 0 while there is none. */
+    public long layoutVersion() {
+        return layoutVersion;
+    }
+
+    public void layoutMarked(long version) {
+        layoutVersion = version;
+    }
+
+    /** How a known job stands, also by what it needs. */
+    public JobState state(String id) {
+        JobState own = entries.get(id).row().state();
+        return own == JobState.OPEN && dependencies.withdrawn(id) ? JobState.CANCELLED : own;
+    }
+
+    public View view(String id) {
+        Entry entry = entries.get(id);
+        return new View(id, entry.row(), entry.version(), state(id), dependencies.waits(id),
+                dependencies.readyWall(id, entry.row().submittedWall()));
+    }
+
+    /** Everything of which a task may be on a machine, and what waits. */
+    public List<View> openAndCancelled() {
+        List<View> result = new ArrayList<>();
         for (Entry entry : entries.values()) {
             if (entry.row().state() != JobState.DONE) {
-                result.add(entry);
+                result.add(view(entry.id()));
             }
         }
         return result;
     }
 
-    /** Applies a row unless a newer one is known; returns whether it was news. */
-    public boolean apply(String id, Row.JobRow row, long version) {
+    private Row.JobRow end(String id) {
+        Entry entry = entries.get(id);
+        return entry == null || !entry.row().state().isFinal() ? null : entry.row();
+    }
+
+    /** Applies a row unless a newer one is known; returns the jobs that stand otherwise than before, itself first. */
+    public List<String> apply(String id, Row.JobRow row, long version) {
         Entry known = entries.get(id);
         if (known != null && known.version() >= version) {
-            return false;
+            return List.of();
         }
         Entry entry = new Entry(id, row, version);
         entries.put(id, entry);
+        List<String> changed = new ArrayList<>(List.of(id));
         if (row.state().isFinal()) {
             open.remove(id);
+            dependencies.ended(id);
+            changed.addAll(row.state() == JobState.DONE ? dependencies.completed(id, row) : dependencies.cancelled(id));
         } else {
             open.put(id, entry);
+            if (known == null) {
+                changed.addAll(dependencies.opened(id, row.spec().needs(), this::end));
+            }
         }
-        return true;
+        return changed;
     }
 }
--- a/src/main/java/io/micatide/core/JobSpec.java
+++ b/src/main/java/io/micatide/core/JobSpec.java
@@ -10,11 +10,32 @@
  * @param estimateMicros the owner's estimate of a task's run time; often wrong by half
  * @param checkpointMicros 0: the task never saves
  * @param deadlineMicros from submission, or -1
+ * @param needs jobs that have to be done before any task of this one starts
  */
 public record JobSpec(
         String id, String jobClass, String team, JobKind kind, Priority priority, int tasks, Resources each,
         String image, double imageGb, List<String> types, String zone, boolean oneZone, boolean spread, boolean spot,
-        long estimateMicros, long checkpointMicros, long saveMicros, long deadlineMicros) {
+        long estimateMicros, long checkpointMicros, long saveMicros, long deadlineMicros, List<String> needs) {
+
+    /** A job that needs no other. */
+    public JobSpec(
+            String id, String jobClass, String team, JobKind kind, Priority priority, int tasks, Resources each,
+            String image, double imageGb, List<String> types, String zone, boolean oneZone, boolean spread, boolean spot,
+            long estimateMicros, long checkpointMicros, long saveMicros, long deadlineMicros) {
+        this(id, jobClass, team, kind, priority, tasks, each, image, imageGb, types, zone, oneZone, spread, spot,
+                estimateMicros, checkpointMicros, saveMicros, deadlineMicros, List.of());
+    }
+
+    public JobSpec withNeeds(List<String> others) {
+        return new JobSpec(id, jobClass, team, kind, priority, tasks, each, image, imageGb, types, zone, oneZone, spread,
+                spot, estimateMicros, checkpointMicros, saveMicros, deadlineMicros, others);
+    }
+
+    /** What a leader has to know of a cancelled job: whose its tasks are and what they take. */
+    public JobSpec essentials() {
+        return new JobSpec(id, "-", team, kind, priority, tasks, each, "-", 0, List.of(), null, oneZone, spread, spot,
+                estimateMicros, checkpointMicros, saveMicros, -1, List.of());
+    }
 
     /** Most tasks that may be in one zone when the job asks to be spread. */
     public int mostInOneZone() {
--- /dev/null
+++ b/src/main/java/io/micatide/core/PipelineAdmission.java
@@ -0,0 +1,50 @@
+package io.micatide.core;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Whether a job that needs others can be accepted, as far as one copy of the job rows tells. */
+public sealed interface PipelineAdmission {
+    /** It may be stored as {@code stored} with this state. */
+    record Accepted(JobState state, JobSpec stored, int tasks) implements PipelineAdmission {
+        public Row.JobRow row(long submittedWall) {
+            return new Row.JobRow(state, stored, submittedWall, tasks);
+        }
+    }
+
+    /** It can never run, if the copy is fresh. */
+    record Refused(String reason) implements PipelineAdmission {
+    }
+
+    /** A controller of a former version may be about, which would start it at once. */
+    record NotYet() implements PipelineAdmission {
+    }
+
+    static PipelineAdmission of(JobSpec spec, JobDirectory directory) {
+        List<String> left = new ArrayList<>();
+        boolean withdrawn = false;
+        for (String need : spec.needs()) {
+            JobDirectory.Entry entry = directory.get(need);
+            if (entry == null) {
+                return new Refused("awaits: " + need + " was never accepted");
+            }
+            if (entry.row().spec() != null && entry.row().spec().kind() == JobKind.SERVICE) {
+                return new Refused("awaits: " + need + " is a service and never done");
+            }
+            JobState state = directory.state(need);
+            withdrawn |= state == JobState.CANCELLED;
+            if (state == JobState.OPEN) {
+                left.add(need);
+            }
+        }
+        if (withdrawn) {
+            // Accepted all the same, and over: it never starts, so nothing of it has to be kept.
+            return new Accepted(JobState.CANCELLED, null, spec.tasks());
+        }
+        // Done is final, so what is done already need not be kept.
+        if (left.isEmpty()) {
+            return new Accepted(JobState.OPEN, spec.withNeeds(List.of()), spec.tasks());
+        }
+        return directory.layoutVersion() == 0 ? new NotYet() : new Accepted(JobState.OPEN, spec.withNeeds(left), spec.tasks());
+    }
+}
--- /dev/null
+++ b/src/main/java/io/micatide/core/Pipelines.java
@@ -0,0 +1,98 @@
+package io.micatide.core;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Jobs that wait for others, and what they ask of those. Users set deadline and priority on the last job of a pipeline only;
+ * each job before it has to be over early enough for what follows on the longest way, and has the highest priority of what
+ * needs it. Waiting jobs are kept apart from {@link JobBook}: they take no part in queue, limits, guarantees or rounds.
+ */
+final class Pipelines {
+    /** What lies between the end of a job and the start of the next one's tasks: two writes and the fetch of an image. */
+    private static final long STEP_MICROS = 4 * Micros.SECOND;
+    /** Run times are learned meanwhile. */
+    private static final long REFRESH_MICROS = 5 * Micros.SECOND;
+
+    /** A job that waits. */
+    private record Waiting(JobSpec spec, long version, long deadlineMicros) {
+    }
+
+    /** What those after a job ask of it. */
+    private record Demand(Priority priority, long neededByMicros) {
+        private static final Demand NONE = new Demand(Priority.LOW, Long.MAX_VALUE);
+
+        Demand and(Demand other) {
+            return new Demand(priority.above(other.priority) ? priority : other.priority,
+                    Math.min(neededByMicros, other.neededByMicros));
+        }
+    }
+
+    private final JobBook book;
+    private final RunTimes runTimes;
+    private final Map<String, Waiting> waiting = new LinkedHashMap<>();
+    private final List<Job> demanded = new ArrayList<>();
+    private boolean changed;
+    private long refreshedMicros = Long.MIN_VALUE / 2;
+
+    Pipelines(JobBook book, RunTimes runTimes) {
+        this.book = book;
+        this.runTimes = runTimes;
+    }
+
+    int size() {
+        return waiting.size();
+    }
+
+    void waits(JobSpec spec, long version, long submittedMicros) {
+        long deadline = spec.deadlineMicros() < 0 ? Long.MAX_VALUE : submittedMicros + spec.deadlineMicros();
+        waiting.put(spec.id(), new Waiting(spec, version, deadline));
+        changed = true;
+    }
+
+    /** A job under way was added, of which those that wait may ask something. */
+    void changed() {
+        changed |= !waiting.isEmpty();
+    }
+
+    /** Ready, done or cancelled. */
+    void waitsNoMore(String id) {
+        changed |= waiting.remove(id) != null;
+    }
+
+    /** Tells the jobs under way what is asked of them. Linear in the edges, after a change and every few seconds. */
+    void refresh(long nowMicros) {
+        if (!changed && (waiting.isEmpty() || nowMicros - refreshedMicros < REFRESH_MICROS)) {
+            return;
+        }
+        changed = false;
+        refreshedMicros = nowMicros;
+        demanded.forEach(job -> job.demand(false, Priority.LOW, Long.MAX_VALUE));
+        demanded.clear();
+        // A job names only jobs accepted before it, so from the newest row to the oldest all after a job come before it.
+        List<Waiting> order = new ArrayList<>(waiting.values());
+        order.sort(Comparator.comparingLong(each -> -each.version()));
+        Map<String, Demand> demands = new HashMap<>();
+        for (Waiting each : order) {
+            Demand own = new Demand(each.spec().priority(), each.deadlineMicros())
+                    .and(demands.getOrDefault(each.spec().id(), Demand.NONE));
+            long by = own.neededByMicros() == Long.MAX_VALUE ? Long.MAX_VALUE
+                    : own.neededByMicros() - runTimes.slowest(each.spec()) - STEP_MICROS;
+            Demand before = new Demand(own.priority(), by);
+            for (String need : each.spec().needs()) {
+                demands.merge(need, before, Demand::and);
+            }
+        }
+        demands.forEach((id, demand) -> {
+            Job job = book.get(id);
+            if (job != null) {
+                job.demand(true, demand.priority(), demand.neededByMicros());
+                demanded.add(job);
+            }
+        });
+    }
+}
--- a/src/main/java/io/micatide/core/Planner.java
+++ b/src/main/java/io/micatide/core/Planner.java
@@ -71,7 +71,7 @@
     /** A job with tasks to place and where it stands in the queue; earlier is better. */
     record Queued(Job job, int waiting, boolean guaranteed, boolean onTime, long dueMicros) {
         boolean sameRank(Queued other) {
-            return job.spec.priority() == other.job.spec.priority()
+            return job.priority() == other.job.priority()
                     && (job.spec.kind() == JobKind.SERVICE) == (other.job.spec.kind() == JobKind.SERVICE)
                     && guaranteed == other.guaranteed && onTime == other.onTime;
         }
@@ -100,15 +100,15 @@
             if (waiting > 0) {
                 Deadlines.Entry entry = entries.get(job);
                 result.add(new Queued(job, waiting, guaranteed, entry == null || entry.onTime,
-                        entry == null ? job.submittedMicros : entry.latestStartMicros()));
+                        entry == null ? job.readyMicros : entry.latestStartMicros()));
             }
         }
-        result.sort(Comparator.comparing((Queued q) -> q.job().spec.priority())
+        result.sort(Comparator.comparing((Queued q) -> q.job().priority())
                 .thenComparing(q -> q.job().spec.kind() == JobKind.SERVICE ? 0 : 1)
                 .thenComparing(q -> !q.guaranteed())
                 .thenComparing(q -> !q.onTime())
                 .thenComparing(Queued::dueMicros)
-                .thenComparing(q -> q.job().submittedMicros));
+                .thenComparing(q -> q.job().readyMicros));
         return result;
     }
 
@@ -129,7 +129,7 @@
         List<Deadlines.Entry> result = new ArrayList<>();
         List<Deadlines.Entry> lowest = new ArrayList<>();
         for (Deadlines.Entry entry : arrays(nowMicros)) {
-            if (entry.job.spec.priority() == Priority.LOW) {
+            if (entry.job.priority() == Priority.LOW) {
                 // It gets what is left: a large job of a rare class would count for more than many of the others.
                 lowest.add(entry);
                 continue;
@@ -200,17 +200,20 @@
         if (spec.deadlineMicros() >= 0 && job.deadlineMicros() >= reachable) {
             due = job.deadlineMicros();
         }
+        if (job.neededByMicros >= reachable) {
+            due = Math.min(due, job.neededByMicros);
+        }
         for (Settings.Objective objective : settings.objectives()) {
             if (objective.withinMicros() > 0 && objective.kind().equals("finished")
                     && objective.jobClass().equals(spec.jobClass())) {
-                long candidate = job.submittedMicros + objective.withinMicros();
+                long candidate = job.readyMicros + objective.withinMicros();
                 if (candidate >= reachable) {
                     due = Math.min(due, candidate);
                 }
             }
         }
         // Without an aim, or beyond all of them: soon, but after what can still be on time.
-        return due < Long.MAX_VALUE ? due : Math.max(job.submittedMicros, nowMicros - 600 * Micros.SECOND)
+        return due < Long.MAX_VALUE ? due : Math.max(job.readyMicros, nowMicros - 600 * Micros.SECOND)
                 + 900 * Micros.SECOND;
     }
 
@@ -257,13 +260,18 @@
      * of 150 s were once started over for jobs that had time.
      */
     private boolean displacesLowest(Queued queued, long nowMicros) {
-        return lowestRuns && queued.onTime() && queued.dueMicros() - nowMicros < PRECEDENCE_MICROS;
+        return lowestRuns && isUrgent(queued, nowMicros);
+    }
+
+    /** It can be on time, but only if it starts about now. */
+    private static boolean isUrgent(Queued queued, long nowMicros) {
+        return queued.onTime() && queued.dueMicros() - nowMicros < PRECEDENCE_MICROS;
     }
 
     /** Whether work of the lowest priority runs, which any other may displace. */
     private boolean lowestRuns() {
         for (Job job : book.jobs()) {
-            if (job.spec.priority() == Priority.LOW && !job.live.isEmpty()) {
+            if (job.priority() == Priority.LOW && !job.live.isEmpty()) {
                 return true;
             }
         }
@@ -326,6 +334,7 @@
     private boolean mayRefill(Job job, Machine machine, long nowMicros) {
         return job.spec.kind() != JobKind.GANG && job.placeable() > 0 && book.get(job.id()) == job
                 && startable(job, nowMicros) && suits(job, machine, nowMicros)
+                && scheduler.mayName(job, machine, nowMicros)
                 && job.spec.each().fitsIn(machine.room()) && zoneAllows(job, machine) && teamAllows(job);
     }
 
@@ -349,11 +358,19 @@
     List<String> likely(Job job, int most, long nowMicros) {
         List<String> names = new ArrayList<>();
         if (job.spec.kind() == JobKind.ARRAY && job.waiting() > 0 && !job.suspect) {
+            List<Machine> usable = new ArrayList<>();
             for (Machine machine : fleet.machines()) {
-                if (names.size() < most && machine.usable(nowMicros, settings) && suits(job, machine, nowMicros)) {
-                    names.add(machine.name);
+                if (machine.usable(nowMicros, settings) && suits(job, machine, nowMicros)) {
+                    usable.add(machine);
                 }
             }
+            if (usable.size() > most) {
+                // A small value cannot name all: those with room, then those that the ledger names already.
+                usable.sort(MOST_ROOM.thenComparing(machine -> !job.recordedMachines.contains(machine.name)));
+            }
+            for (Machine machine : usable.subList(0, Math.min(most, usable.size()))) {
+                names.add(machine.name);
+            }
         }
         return names;
     }
@@ -380,10 +397,11 @@
         JobSpec spec = job.spec;
         // Room comes free all the time, and what is first in the queue gets it: stopping work of the same priority
         // is for a team that has waited for its guarantee.
-        boolean waited = nowMicros - job.submittedMicros > guaranteePatienceMicros;
+        boolean waited = nowMicros - job.readyMicros > guaranteePatienceMicros;
         boolean preempts = !job.suspect && (spec.kind() == JobKind.SERVICE
                 || (queued.guaranteed() || displacesLowest(queued, nowMicros)) && waited
-                || spec.priority() != Priority.NORMAL);
+                || (spec.priority() == job.priority() ? spec.priority() != Priority.NORMAL
+                        : isUrgent(queued, nowMicros)));
         if (spec.kind() == JobKind.GANG) {
             placeGang(job, queued.waiting(), suitable(job, usable, nowMicros), preempts, nowMicros);
         } else if (spec.kind() == JobKind.SERVICE) {
@@ -397,10 +415,10 @@
         }
     }
 
-    private static List<Machine> suitable(Job job, List<Machine> machines, long nowMicros) {
+    private List<Machine> suitable(Job job, List<Machine> machines, long nowMicros) {
         List<Machine> result = new ArrayList<>();
         for (Machine machine : machines) {
-            if (suits(job, machine, nowMicros)) {
+            if (suits(job, machine, nowMicros) && scheduler.mayName(job, machine, nowMicros)) {
                 result.add(machine);
             }
         }
@@ -476,7 +494,8 @@
         others.sort(MOST_ROOM);
         ready.addAll(others);
         for (Machine machine : ready) {
-            while (job.spec.each().fitsIn(machine.room()) && zoneAllows(job, machine)) {
+            while (job.spec.each().fitsIn(machine.room()) && zoneAllows(job, machine)
+                    && scheduler.mayName(job, machine, nowMicros)) {
                 if (job.placeable() == 0 || !teamAllows(job)) {
                     open.removeIf(each -> !least.fitsIn(each.room()));
                     return;
@@ -489,7 +508,7 @@
 
     /** Whether there can be work that a task of this job may displace. */
     private boolean othersYield(Job job) {
-        if (job.spec.priority() != Priority.NORMAL || lowestRuns) {
+        if (job.priority() != Priority.NORMAL || lowestRuns) {
             return true;
         }
         for (Team team : settings.teams().values()) {
@@ -508,8 +527,8 @@
     private void preempt(Queued queued, List<Machine> candidates, long nowMicros) {
         Job job = queued.job();
         int left = job.waiting();
-        if (job.spec.priority() == Priority.NORMAL) {
-            long until = job.submittedMicros + guaranteePatienceMicros * 3 / 2 - nowMicros;
+        if (job.priority() == Priority.NORMAL) {
+            long until = job.readyMicros + guaranteePatienceMicros * 3 / 2 - nowMicros;
             left = (int) Math.ceil(left * PREEMPT_EVERY_MICROS / (double) Math.max(PREEMPT_EVERY_MICROS, until));
         }
         record Option(Machine machine, boolean image, long loss) {
@@ -671,7 +690,7 @@
             for (Placement placement : machine.placements) {
                 JobSpec theirs = placement.job.spec;
                 if (!job.spec.each().fitsIn(room) && theirs.kind() != JobKind.SERVICE && !placement.stopping()
-                        && job.spec.priority().above(theirs.priority())) {
+                        && job.priority().above(placement.job.priority())) {
                     victims.add(placement);
                     room = room.plus(theirs.each());
                 }
@@ -746,7 +765,7 @@
             if (job.spec.each().fitsIn(room)) {
                 break;
             }
-            if (!placement.job.spec.priority().equals(job.spec.priority()) || same && overGuarantee(placement, taken)) {
+            if (!placement.job.priority().equals(job.priority()) || same && overGuarantee(placement, taken)) {
                 victims.add(placement);
                 room = room.plus(placement.job.spec.each());
                 taken.merge(placement.job.spec.team(), placement.job.spec.each(), Resources::plus);
@@ -760,9 +779,9 @@
         if (theirs.kind() == JobKind.GANG || theirs.checkpointMicros() > 0) {
             return false;
         }
-        return job.spec.priority().above(theirs.priority())
+        return job.priority().above(placement.job.priority())
                 || !theirs.team().equals(job.spec.team()) && theirs.kind() == JobKind.ARRAY
-                        && job.spec.priority() == theirs.priority();
+                        && job.priority() == placement.job.priority();
     }
 
     private boolean overGuarantee(Placement placement, Map<String, Resources> taken) {
--- a/src/main/java/io/micatide/core/Ranges.java
+++ b/src/main/java/io/micatide/core/Ranges.java
@@ -26,6 +26,37 @@
         return text.toString();
     }
 
+    /**
+     * The most of {@code bits} between {@code from} and {@code to} that {@link #format} tells in {@code mostChars}, or null
+     * if it cannot even tell {@code kept}, which has to stay. Whole runs are taken in order; of a run that does not fit what
+     * is kept remains.
+     */
+    static BitSet within(BitSet bits, BitSet kept, int from, int to, int mostChars) {
+        BitSet all = bits.get(0, to);
+        all.clear(0, Math.min(from, to));
+        if (format(all, from, to).length() <= mostChars) {
+            return all;
+        }
+        BitSet chosen = kept.get(0, to);
+        chosen.clear(0, Math.min(from, to));
+        int length = chosen.isEmpty() ? 0 : format(chosen, from, to).length() + 1;
+        for (int start = all.nextSetBit(from); start >= 0; ) {
+            int end = all.nextClearBit(start);
+            BitSet own = chosen.get(0, end);
+            own.clear(0, start);
+            // Each run stands for itself, with the comma before it.
+            int before = own.isEmpty() ? 0 : format(own, from, to).length() + 1;
+            int after = Integer.toString(start - from).length() + 1
+                    + (end - start > 1 ? 1 + Integer.toString(end - 1 - from).length() : 0);
+            if (length - before + after <= mostChars || after <= before) {
+                chosen.set(start, end);
+                length += after - before;
+            }
+            start = all.nextSetBit(end);
+        }
+        return length > mostChars ? null : chosen;
+    }
+
     public static void parseInto(String text, int from, BitSet bits) {
         for (String part : Splitter.on(',').omitEmptyStrings().split(text)) {
             int dash = part.indexOf('-');
--- a/src/main/java/io/micatide/core/Row.java
+++ b/src/main/java/io/micatide/core/Row.java
@@ -7,8 +7,19 @@
     record Leader(String owner) implements Row {
     }
 
-    /** {@code spec} is null once the job is done; {@code submittedWall} is the time of day. */
-    record JobRow(JobState state, JobSpec spec, long submittedWall, int tasks) implements Row {
+    /**
+     * @param spec null once the job is done, and of a job that was withdrawn before it could start
+     * @param submittedWall time of day
+     * @param endedWall time of day at which the job was done, or -1: the times of jobs that need it count from there
+     */
+    record JobRow(JobState state, JobSpec spec, long submittedWall, int tasks, long endedWall) implements Row {
+        public JobRow(JobState state, JobSpec spec, long submittedWall, int tasks) {
+            this(state, spec, submittedWall, tasks, -1);
+        }
+    }
+
+    /** The mark that all controllers read layout {@code number}; what an older one cannot read is written only after it. */
+    record Layout(int number) implements Row {
     }
 
     /**
--- a/src/main/java/io/micatide/core/RunTimes.java
+++ b/src/main/java/io/micatide/core/RunTimes.java
@@ -45,7 +45,17 @@
 
     /** How long the slowest of a job's tasks is likely to take: the job is not done before that one is. */
     long slowest(Job job) {
-        double spread = factors.getOrDefault(job.spec.jobClass(), UNKNOWN).spread();
-        return Math.round(expected(job) * (1 + Math.min(1, 2 * spread)));
+        return slowest(job.spec.jobClass(), expected(job));
+    }
+
+    /** The same of a job that has not begun. */
+    long slowest(JobSpec spec) {
+        double mean = factors.getOrDefault(spec.jobClass(), UNKNOWN).mean();
+        return slowest(spec.jobClass(), Math.max(Micros.SECOND, Math.round(spec.estimateMicros() * mean)));
+    }
+
+    private long slowest(String jobClass, long expectedMicros) {
+        double spread = factors.getOrDefault(jobClass, UNKNOWN).spread();
+        return Math.round(expectedMicros * (1 + Math.min(1, 2 * spread)));
     }
 }
--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -13,6 +13,8 @@
     /** Starts are sent only while the state service was read this recently: cancellations are found there. */
     private static final long FRESH_MICROS = 4 * Micros.SECOND;
     private static final int MOST_COMMANDS = 500;
+    /** With fewer changes a transaction could not end a job. */
+    private static final int FEWEST_OPS = 3;
 
     private final Settings settings;
     private final long token;
@@ -23,6 +25,7 @@
     private final Planner planner;
     private final Renter renter;
     private final RunTimes runTimes = new RunTimes();
+    private final Pipelines pipelines;
     private final Health health = new Health(runTimes);
     private final Map<String, Resources> teamUse = new HashMap<>();
     private final List<Transaction.Write> extraWrites = new ArrayList<>();
@@ -33,12 +36,15 @@
     private long attemptCounter;
     private JobBook.Round inFlight;
     private double writeTokens;
+    /** What one transaction may change; less once the state service has refused one. */
+    private int mostOps;
     private long writeTokensMicros;
     private int slowFound;
     private boolean loading = true;
     private boolean ledgersFound;
     private final Map<String, Row.JobRow> ending = new HashMap<>();
     private final List<Job> completed = new ArrayList<>();
+    private final List<Ended> ended = new ArrayList<>();
     private final List<String> notices = new ArrayList<>();
 
     public Scheduler(Settings settings, Tuning tuning, long token, long nowMicros) {
@@ -46,10 +52,12 @@
         this.token = token;
         this.termStartMicros = nowMicros;
         this.book = new JobBook(settings, token);
+        this.pipelines = new Pipelines(book, runTimes);
         this.rentals = new Rentals(settings, token);
         this.planner = new Planner(this, settings, fleet, book, runTimes);
         this.renter = new Renter(settings, tuning, fleet, rentals, planner);
         this.writeTokens = leaderWriteRate();
+        this.mostOps = settings.transactionOps();
         this.writeTokensMicros = nowMicros;
         this.freshMicros = nowMicros;
     }
@@ -65,14 +73,29 @@
 
     // ---- what is read from the state service
 
-    /** @param ageMicros age of the job by the time of day, used only for deadlines over a take-over */
-    public void jobSeen(String id, Row.JobRow row, long version, long ageMicros, long nowMicros) {
+    /** @param wallMicros the time of day, used only for the ages of jobs */
+    public void jobSeen(JobDirectory.View view, long wallMicros, long nowMicros) {
+        String id = view.id();
+        Row.JobRow row = view.row();
         Job job = book.get(id);
+        long submitted = nowMicros - Math.max(0, wallMicros - row.submittedWall());
+        if (view.state() == JobState.OPEN && view.waits()) {
+            pipelines.waits(row.spec(), view.version(), submitted);
+            return;
+        }
+        pipelines.waitsNoMore(id);
+        if (row.state() == JobState.OPEN && view.state() == JobState.CANCELLED) {
+            book.withdraw(id, row, view.version());
+            return;
+        }
+        book.withdrawn(id);
         if (row.state() == JobState.OPEN) {
             if (job == null) {
-                book.add(row.spec(), version, row.submittedWall(), nowMicros - Math.max(0, ageMicros));
+                book.add(row.spec(), view.version(), row.submittedWall(), submitted,
+                        nowMicros - Math.max(0, wallMicros - view.readyWall()));
+                pipelines.changed();
             } else {
-                job.version = version;
+                job.version = view.version();
             }
         } else if (job == null && loading && row.state() == JobState.CANCELLED && row.spec() != null) {
             ending.put(id, row);
@@ -114,7 +137,7 @@
         ledgersFound = true;
         Row.JobRow row = ending.get(id);
         if (book.get(id) == null && row != null) {
-            book.add(row.spec(), 0, row.submittedWall(), nowMicros).cancelled = true;
+            book.add(row.spec(), 0, row.submittedWall(), nowMicros, nowMicros).cancelled = true;
         }
         if (!book.load(key, ledger, version)) {
             extraWrites.add(new Transaction.Write(key, null, 0));
@@ -493,6 +516,11 @@
         job.attempts++;
     }
 
+    /** Whether the job may be placed on that machine as far as its ledger goes. */
+    boolean mayName(Job job, Machine machine, long nowMicros) {
+        return book.mayUse(job, machine, nowMicros);
+    }
+
     Resources teamUse(String team) {
         return teamUse.getOrDefault(team, Resources.NONE);
     }
@@ -511,12 +539,30 @@
         for (Machine machine : health.findSlow(fleet.machines(), nowMicros)) {
             leaveSlow(machine, nowMicros);
         }
+        pipelines.refresh(nowMicros);
+        for (Job job : book.jobs()) {
+            if (job.ledgerFull) {
+                giveHeldBack(job, nowMicros);
+            }
+        }
         if (mayPlan(nowMicros)) {
             planner.plan(nowMicros);
         }
         renter.plan(nowMicros, termStartMicros);
     }
 
+    /** What is held for machines that the ledger cannot name waits for others of the job's machines. */
+    private void giveHeldBack(Job job, long nowMicros) {
+        job.ledgerFull = false;
+        job.fullUntilMicros = nowMicros + Micros.SECOND;
+        for (Placement placement : allOf(job)) {
+            if (placement.phase == Placement.Phase.HELD) {
+                remove(placement);
+            }
+        }
+        job.neededMachines.clear();
+    }
+
     /** Starts over elsewhere what would take longer where it is. */
     private void leaveSlow(Machine machine, long nowMicros) {
         slowFound++;
@@ -562,15 +608,19 @@
 
     // ---- rounds
 
-    /** The next transaction to send, or null. There is one at a time; its outcome must be told. */
-    public Transaction round(long nowMicros) {
+    /**
+     * The next transaction to send, or null. There is one at a time; its outcome must be told.
+     *
+     * @param wallMicros the time of day, which the rows of completed jobs keep
+     */
+    public Transaction round(long nowMicros, long wallMicros) {
         if (inFlight != null) {
             return null;
         }
         double rate = leaderWriteRate();
         writeTokens = Math.min(rate, writeTokens + rate * Micros.toSeconds(nowMicros - writeTokensMicros));
         writeTokensMicros = nowMicros;
-        int most = (int) Math.min(writeTokens, settings.transactionOps());
+        int most = (int) Math.min(writeTokens, mostOps);
         if (most < 1) {
             return null;
         }
@@ -581,7 +631,7 @@
                     booking.state == Rentals.State.DONE ? null
                             : new Row.Booking("claimed", booking.type, booking.zone, booking.spot, booking.count), 0));
         }
-        JobBook.Round round = book.nextRound(nowMicros, most, (int) (Math.min(rate, settings.transactionOps()) / 2), bookings,
+        JobBook.Round round = book.nextRound(nowMicros, wallMicros, most, (int) (Math.min(rate, mostOps) / 2), bookings,
                 writes, (job, likely) -> planner.likely(job, likely, nowMicros));
         if (round == null) {
             return null;
@@ -605,6 +655,11 @@
                 completed.add(part.job());
             }
         }
+        for (Transaction.Write write : round.transaction().writes()) {
+            if (write.row() instanceof Row.JobRow row) {
+                ended.add(new Ended(write.key().substring(StoreKeys.JOBS.length()), row, revision));
+            }
+        }
         book.confirmed(round, revision, nowMicros);
         for (Rentals.Booking booking : round.bookings()) {
             booking.writing = false;
@@ -620,6 +675,20 @@
         return book.unresolved(inFlight);
     }
 
+    /** The service will never take this transaction; returns what was in it, for the log. */
+    public String roundRefused(long nowMicros) {
+        JobBook.Round round = inFlight;
+        StringBuilder text = new StringBuilder(round.transaction().conditions().size() + " conditions, "
+                + round.transaction().writes().size() + " writes:");
+        round.transaction().writes().forEach(write -> text.append(' ').append(write.key()));
+        if (round.transaction().writes().size() > FEWEST_OPS) {
+            mostOps = Math.max(FEWEST_OPS, round.transaction().writes().size() / 2);
+        }
+        book.refused(round, nowMicros);
+        roundResolved(nowMicros);
+        return text.toString();
+    }
+
     /** The round was certainly not executed; nothing needs to be read. */
     public void roundNotExecuted(long nowMicros) {
         roundResolved(nowMicros);
@@ -634,11 +703,27 @@
         Job job = book.get(id);
         if (job != null && row.state() == JobState.DONE) {
             book.drop(job);
+            ended.add(new Ended(id, row, version));
+        } else if (job != null && row.state() == JobState.CANCELLED && !job.cancelled) {
+            cancel(job, nowMicros);
         } else if (job != null) {
-            jobSeen(id, row, version, 0, nowMicros);
+            job.version = version;
+        } else if (row.state() == JobState.CANCELLED) {
+            book.withdrawn(id);
         }
     }
 
+    /** A job's final row that is in the state service. */
+    public record Ended(String id, Row.JobRow row, long version) {
+    }
+
+    /** Final rows that this leader knows to be stored since the last call: jobs may wait for them. */
+    public List<Ended> ended() {
+        List<Ended> result = List.copyOf(ended);
+        ended.clear();
+        return result;
+    }
+
     public void roundResolved(long nowMicros) {
         JobBook.Round round = inFlight;
         inFlight = null;
@@ -771,7 +856,7 @@
             waiting += job.waiting();
             unsettled += job.unsettled() ? 1 : 0;
         }
-        return "jobs=" + book.jobs().size() + " waiting=" + waiting + " unsettled=" + unsettled + " machines="
+        return "jobs=" + book.jobs().size() + " awaiting=" + pipelines.size() + " waiting=" + waiting + " unsettled=" + unsettled + " machines="
                 + fleet.machines().size() + " confirmed=" + confirmed + " usable=" + usable + " cpus="
                 + used.cpus() / 1000 + "/" + size.cpus() / 1000 + " running=" + running / 1000 + " spot="
                 + spotCpus / 1000 + " booting=" + booting + " replicas=" + replicas + " serving=" + serving + " displaced=" + planner.displaced() + " slow=" + slowFound + " suspect=" + suspect + " bookings=" + rentals.bookings.size();
--- a/src/main/java/io/micatide/core/Settings.java
+++ b/src/main/java/io/micatide/core/Settings.java
@@ -3,12 +3,19 @@
 import java.util.List;
 import java.util.Map;
 
-/** What the platform hands over. Everything that depends on a deployment is derived from these values. */
+/**
+ * What the platform hands over. Everything that depends on a deployment is derived from these values.
+ *
+ * @param valueBytes what a value may hold today; gives the size of ledger pages
+ * @param writableBytes what may be written into a value: the smaller of today's limit and the one to come, since a value
+ *     that cannot be rewritten later is stuck
+ * @param transactionOps the smaller of both as well, as are the rates
+ */
 public record Settings(
         String label, String zone, String bind, String peerBind, List<Sibling> siblings, String cloud, String state,
         List<String> zones, long clockOffMicros, Map<String, Team> teams, List<Objective> objectives,
         long reportMicros, long leaseMicros, long gangWaitMicros, long gangPeerMicros, long cancelMicros,
-        double stateRate, double writeRate, int valueBytes, int transactionOps,
+        double stateRate, double writeRate, int valueBytes, int writableBytes, int transactionOps,
         double cloudRate, long listLagMicros, double cores, double memoryMb, int maxConnections) {
 
     public record Sibling(String label, String zone, String endpoint) {
@@ -18,6 +25,9 @@
     public record Objective(String kind, String jobClass, long withinMicros, double share) {
     }
 
+    /** What rows, transactions and stored pages are counted in; the first that this version marks is 2. */
+    public static final int LAYOUT = 2;
+
     /**
      * When a confirmed machine's tasks are certainly gone, counted from the receipt of the last report that was
      * answered: its lease runs from the sending of that report, on a clock that may be slower than ours.
@@ -28,7 +38,8 @@
 
     /**
      * A job's tasks are recorded in pages of this many: the worst fragmentation takes five eighths of a value, and the
-     * rest is for the machines that the first page names.
+     * rest is for the machines that the first page names. A page's number tells its tasks, so its size follows the limit
+     * that was in force when the pages were first written and never the one that is to come.
      */
     public int pageTasks() {
         return Math.max(256, Integer.highestOneBit(valueBytes / 8));
--- a/src/main/java/io/micatide/core/StoreKeys.java
+++ b/src/main/java/io/micatide/core/StoreKeys.java
@@ -8,6 +8,12 @@
     public static final String TYPES = "types";
     /** A job's description and final state: put by any controller on submission, cancellation and completion. */
     public static final String JOBS = "job/";
+    /**
+     * The mark that every controller of the deployment was seen to run the present layout. It stands among the job rows on
+     * purpose: each controller reads it with them, and one of the former version, to which it is no job, cannot read past
+     * it. So a former version that is started after the mark never finishes reading, serves nobody and places nothing.
+     */
+    public static final String LAYOUT = JOBS + "layout";
     /** Progress of open jobs; written by the leader alone. */
     public static final String LEDGERS = "ledger/";
     /** Rentals under way; written by the leader alone. */
--- a/src/main/java/io/micatide/node/LeaderActor.java
+++ b/src/main/java/io/micatide/node/LeaderActor.java
@@ -28,7 +28,9 @@
 import io.micatide.wire.StateCodec;
 import io.micatide.wire.WorkerCodec;
 import io.netty.channel.EventLoop;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.List;
 
 /** Claims the lead, and while it has it runs a {@link Scheduler} and answers the workers. */
@@ -48,10 +50,10 @@
     record PeerNews(Request request) implements Message {
     }
 
-    record JobSeen(String id, Row.JobRow row, long version) implements Message {
+    record JobSeen(JobDirectory.View view) implements Message {
     }
 
-    record JobsSeen(List<JobDirectory.Entry> jobs) implements Message {
+    record JobsSeen(List<JobDirectory.View> jobs) implements Message {
     }
 
     record StateFresh(long askedMicros) implements Message {
@@ -99,7 +101,10 @@
     record ListRead(Reply reply, long token, long askedMicros, List<ListedMachine> before) implements Message {
     }
 
-    record PeerAnswered(Reply reply) implements Message {
+    record PeerAnswered(Reply reply, long token, int sibling) implements Message {
+    }
+
+    record LayoutMarked(Reply reply, long token) implements Message {
     }
 
     private static final long TICK_MICROS = 100 * Micros.MILLISECOND;
@@ -133,6 +138,9 @@
     private long urgentNewsMicros;
     private long summaryMicros;
     private boolean listing;
+    /** Siblings that were heard in this term to read the present layout. */
+    private final BitSet present = new BitSet();
+    private boolean layoutMarking;
 
     LeaderActor(EventLoop loop, Settings settings, Tuning tuning, StateClient state, CloudClient cloud, UsersActor users) {
         super(loop);
@@ -161,7 +169,7 @@
             tellLater(new LeaseTick(), LEASE_TICK_MICROS);
         } else if (message instanceof JobSeen m) {
             if (leadsAndLoaded() || scheduler != null) {
-                jobSeen(m.id(), m.row(), m.version());
+                jobSeen(m.view());
             }
         } else if (message instanceof StateFresh m) {
             if (scheduler != null) {
@@ -182,7 +190,7 @@
         } else if (message instanceof PeerNews m) {
             peerNews(m.request());
         } else if (message instanceof PeerAnswered m) {
-            peerAnswered(m.reply());
+            peerAnswered(m);
         } else if (message instanceof ReadBackDue m) {
             if (scheduler != null && scheduler.token() == m.token()) {
                 readBack();
@@ -193,6 +201,8 @@
             }
         } else if (message instanceof WatchDue) {
             watching = false;
+        } else if (message instanceof LayoutMarked m) {
+            layoutMarked(m);
         } else if (message instanceof TypesStored m) {
             if (!m.reply().ok()) {
                 storedTypes = List.of();
@@ -339,6 +349,8 @@
         loading = 4;
         unread = new ReadBack(List.of());
         listing = false;
+        present.clear();
+        layoutMarking = false;
         newsMicros = 0;
         scheduler.holdsUntil(leadership.holdsUntilMicros());
         reach.begin(now);
@@ -360,14 +372,14 @@
         return scheduler != null && loading == 0;
     }
 
-    private void jobSeen(String id, Row.JobRow row, long version) {
-        scheduler.jobSeen(id, row, version, Clock.wall() - row.submittedWall(), Clock.now());
+    private void jobSeen(JobDirectory.View view) {
+        scheduler.jobSeen(view, Clock.wall(), Clock.now());
     }
 
     /** The open and the cancelled jobs by a read that began after our claim: every start of an earlier leader belongs to one of them. */
     private void jobsSeen(JobsSeen message) {
         if (scheduler != null && loading > 0) {
-            message.jobs().forEach(entry -> jobSeen(entry.id(), entry.row(), entry.version()));
+            message.jobs().forEach(this::jobSeen);
             load(scheduler.token(), StoreKeys.LEDGERS, null);
             loadedOne();
         }
@@ -422,6 +434,7 @@
         if (--loading == 0) {
             scheduler.loaded(Clock.now());
             log.info("term {} rebuilt: {}", scheduler.token(), scheduler.summary(Clock.now()));
+            markLayout();
         }
     }
 
@@ -481,7 +494,7 @@
     }
 
     private void nextRound(long now) {
-        Transaction round = scheduler.round(now);
+        Transaction round = scheduler.round(now, Clock.wall());
         if (round != null) {
             long token = scheduler.token();
             state.transaction(round, answer(r -> new RoundAnswered(r, token)));
@@ -497,6 +510,7 @@
         try {
             if (reply.ok()) {
                 scheduler.roundConfirmed(StateCodec.revision(reply.body()), now);
+                tellEnded();
                 nextRound(now);
                 return;
             }
@@ -504,6 +518,11 @@
                 scheduler.roundNotExecuted(now);
                 return;
             }
+            if (reply.status() == 400) {
+                log.warn("the state service takes no such transaction: {}; {}", new String(reply.body(),
+                        StandardCharsets.UTF_8), scheduler.roundRefused(now));
+                return;
+            }
             if (reply.status() == 409 && StateCodec.failed(reply.body()).contains(StoreKeys.LEADER)) {
                 log.info("a write was refused: fenced");
                 leadership.depose();
@@ -519,9 +538,15 @@
         readBack();
     }
 
+    /** Jobs may wait for what a round has ended: they need not wait for the next read of the changes as well. */
+    private void tellEnded() {
+        scheduler.ended().forEach(each -> users.tell(new UsersActor.Stored(each.id(), each.row(), each.version())));
+    }
+
     private void readBack() {
         if (unread.finished()) {
             scheduler.roundResolved(Clock.now());
+            tellEnded();
             return;
         }
         String key = unread.next();
@@ -656,7 +681,7 @@
             users.tell(new UsersActor.Progress(true, jobs));
         }
         boolean served = state.reach().reached(now);
-        for (HttpClient sibling : siblings) {
+        for (int sibling = 0; sibling < siblings.size(); sibling++) {
             for (int from = 0; from == 0 || from < jobs.size(); from += NEWS_JOBS) {
                 List<JobProgress> part = jobs.subList(from, Math.min(jobs.size(), from + NEWS_JOBS));
                 tellSibling(sibling, served, from == 0, part, now);
@@ -664,9 +689,44 @@
         }
     }
 
-    private void tellSibling(HttpClient sibling, boolean served, boolean first, List<JobProgress> jobs, long now) {
-        sibling.post("/news", PeerCodec.news(new PeerCodec.News(scheduler.token(), settings.label(), served,
-                reach.silentMicros(now), first, jobs)), HttpClient.PATIENCE_MICROS, answer(PeerAnswered::new));
+    private void tellSibling(int sibling, boolean served, boolean first, List<JobProgress> jobs, long now) {
+        long token = scheduler.token();
+        siblings.get(sibling).post("/news", PeerCodec.news(new PeerCodec.News(token, settings.label(), served,
+                reach.silentMicros(now), first, jobs)), HttpClient.PATIENCE_MICROS,
+                answer(r -> new PeerAnswered(r, token, sibling)));
+    }
+
+    /**
+     * Once every sibling was heard in this term to read this layout, that is marked in the state service, and only then is
+     * anything written that a former version could not read. Who cannot be heard may be of a former version.
+     */
+    private void markLayout() {
+        if (layoutMarking || !leadsAndLoaded() || present.cardinality() < siblings.size()) {
+            return;
+        }
+        layoutMarking = true;
+        long token = scheduler.token();
+        state.transaction(new Transaction(
+                List.of(new Transaction.Compare(StoreKeys.LEADER, token), new Transaction.Compare(StoreKeys.LAYOUT, 0)),
+                List.of(new Transaction.Write(StoreKeys.LAYOUT, new Row.Layout(Settings.LAYOUT), 0))),
+                answer(r -> new LayoutMarked(r, token)));
+    }
+
+    private void layoutMarked(LayoutMarked message) {
+        try {
+            if (message.reply().ok()) {
+                log.info("all {} controllers read layout {}: marked", siblings.size() + 1, Settings.LAYOUT);
+                users.tell(new UsersActor.LayoutKnown(StateCodec.revision(message.reply().body())));
+                return;
+            }
+            if (message.reply().status() == 409 && StateCodec.failed(message.reply().body()).contains(StoreKeys.LAYOUT)) {
+                return;
+            }
+        } catch (MalformedException e) {
+            log.error("transaction answer: {}", e.getMessage());
+        }
+        // The next answers of the siblings bring the next try.
+        layoutMarking = scheduler != null && scheduler.token() != message.token();
     }
 
     /** Between two regular news, while no worker comes: do they come to a sibling? */
@@ -674,7 +734,9 @@
         if (reach.worried(now) && now - urgentNewsMicros >= URGENT_NEWS_MICROS) {
             urgentNewsMicros = now;
             boolean served = state.reach().reached(now);
-            siblings.forEach(sibling -> tellSibling(sibling, served, false, List.of(), now));
+            for (int sibling = 0; sibling < siblings.size(); sibling++) {
+                tellSibling(sibling, served, false, List.of(), now);
+            }
         }
     }
 
@@ -709,13 +771,14 @@
                 users.tell(new UsersActor.Progress(news.first(), news.jobs()));
             }
             request.answer(200, PeerCodec.answer(
-                    new PeerCodec.Answer(leadership.highestToken(), reach.strayedAgoMicros(now))));
+                    new PeerCodec.Answer(leadership.highestToken(), reach.strayedAgoMicros(now), Settings.LAYOUT)));
         } catch (MalformedException e) {
             request.answer(400, Json.error(e.field(), e.getMessage()));
         }
     }
 
-    private void peerAnswered(Reply reply) {
+    private void peerAnswered(PeerAnswered message) {
+        Reply reply = message.reply();
         if (reply.ok()) {
             try {
                 PeerCodec.Answer answer = PeerCodec.answer(reply.body());
@@ -725,6 +788,10 @@
                 long now = Clock.now();
                 reach.strayedElsewhere(answer.strayedAgoMicros(), now);
                 resignIfUnreached(now);
+                if (scheduler != null && scheduler.token() == message.token() && answer.layout() >= Settings.LAYOUT) {
+                    present.set(message.sibling());
+                    markLayout();
+                }
             } catch (MalformedException e) {
                 log.error("sibling: {}", e.getMessage());
             }
--- a/src/main/java/io/micatide/node/UsersActor.java
+++ b/src/main/java/io/micatide/node/UsersActor.java
@@ -8,6 +8,7 @@
 import io.micatide.core.JobState;
 import io.micatide.core.MachineType;
 import io.micatide.core.Micros;
+import io.micatide.core.PipelineAdmission;
 import io.micatide.core.Row;
 import io.micatide.core.Settings;
 import io.micatide.core.StoreKeys;
@@ -77,6 +78,13 @@
     record TypesAnswered(Reply reply) implements Message {
     }
 
+    /** A final row that the leader on this controller knows to be stored. */
+    record Stored(String id, Row.JobRow row, long version) implements Message {
+    }
+
+    record LayoutKnown(long version) implements Message {
+    }
+
     /** What to do with a question once the copy is fresh. */
     private interface Question {
         Request request();
@@ -90,6 +98,9 @@
     private static final byte[] STARTING = Json.error(null, "starting");
     private static final byte[] NO_SUCH_JOB = Json.error(null, "no such job");
     private static final byte[] NO_SUCH_PATH = Json.error(null, "no such path");
+    private static final byte[] UPGRADING = Json.error("awaits",
+            "awaits: not yet, a controller may still be of a version that does not know it");
+    private static final int UPGRADING_RETRY_S = 2;
     private static final byte[] WRONG_METHOD = Json.error(null, "method not allowed");
 
     private final Settings settings;
@@ -152,6 +163,10 @@
             refresh();
         } else if (message instanceof Unfollow) {
             leader = null;
+        } else if (message instanceof Stored m) {
+            apply(m.id(), m.row(), m.version());
+        } else if (message instanceof LayoutKnown m) {
+            directory.layoutMarked(m.version());
         } else if (message instanceof TypesKnown m) {
             types = m.types();
         } else if (message instanceof TypesRead m) {
@@ -228,16 +243,18 @@
     private void apply(StateCodec.Item item) {
         if (item.row() instanceof Row.JobRow row) {
             apply(item.key().substring(StoreKeys.JOBS.length()), row, item.version());
+        } else if (item.row() instanceof Row.Layout) {
+            directory.layoutMarked(item.version());
         }
     }
 
     private void apply(String id, Row.JobRow row, long version) {
-        if (directory.apply(id, row, version)) {
-            if (row.state().isFinal()) {
-                progress.remove(id);
+        for (String changed : directory.apply(id, row, version)) {
+            if (directory.state(changed).isFinal()) {
+                progress.remove(changed);
             }
             if (leader != null && !followPending) {
-                leader.tell(new LeaderActor.JobSeen(id, row, version));
+                leader.tell(new LeaderActor.JobSeen(directory.view(changed)));
             }
         }
     }
@@ -381,7 +398,7 @@
 
     private void poll(Request request, String id) {
         JobDirectory.Entry entry = directory.get(id);
-        if (entry != null && entry.row().state().isFinal()) {
+        if (entry != null && directory.state(id).isFinal()) {
             tellStatus(request, entry);
         } else if (!JobCodec.isId(id)) {
             request.answer(404, NO_SUCH_JOB);
@@ -399,15 +416,16 @@
 
     private void tellStatus(Request request, JobDirectory.Entry entry) {
         JobProgress counts = progress.get(entry.id());
-        boolean done = entry.row().state() == JobState.DONE;
+        JobState state = directory.state(entry.id());
+        boolean done = state == JobState.DONE;
         request.answer(200, JobCodec.status(entry.id(), standing(entry),
                 done ? entry.row().tasks() : counts == null ? 0 : counts.done(),
-                done || counts == null || entry.row().state() == JobState.CANCELLED ? 0 : counts.running()));
+                done || counts == null || state == JobState.CANCELLED ? 0 : counts.running()));
     }
 
     private Standing standing(JobDirectory.Entry entry) {
         JobProgress counts = progress.get(entry.id());
-        return switch (entry.row().state()) {
+        return switch (directory.state(entry.id())) {
             case DONE -> Standing.DONE;
             case CANCELLED -> Standing.CANCELLED;
             case OPEN -> counts != null && counts.running() > 0 ? Standing.RUNNING : Standing.QUEUED;
@@ -445,15 +463,56 @@
             refuse(request, id, 422, Json.error(null, refusal));
             return;
         }
-        Row.JobRow row = new Row.JobRow(JobState.OPEN, spec, Clock.wall(), spec.tasks());
-        Transaction put = new Transaction(List.of(new Transaction.Compare(StoreKeys.job(id), 0)),
-                List.of(new Transaction.Write(StoreKeys.job(id), row, 0)));
-        if (StateCodec.transaction(put).length > settings.valueBytes()) {
+        if (spec.needs().isEmpty()) {
+            put(request, new Row.JobRow(JobState.OPEN, spec, Clock.wall(), spec.tasks()), spec);
+        } else {
+            submitDependent(request, spec);
+        }
+    }
+
+    /**
+     * A job that needs others. A name that this copy does not have may have been accepted elsewhere just now, so nothing is
+     * said of it before a read that began after the submission.
+     */
+    private void submitDependent(Request request, JobSpec spec) {
+        PipelineAdmission admission = PipelineAdmission.of(spec, directory);
+        if (admission instanceof PipelineAdmission.Accepted accepted) {
+            put(request, accepted.row(Clock.wall()), spec);
+            return;
+        }
+        whenFresh(request, () -> {
+            if (directory.get(spec.id()) != null) {
+                request.answer(200, JobCodec.accepted(spec.id(), standing(directory.get(spec.id()))));
+                return;
+            }
+            PipelineAdmission now = PipelineAdmission.of(spec, directory);
+            if (now instanceof PipelineAdmission.Accepted accepted) {
+                put(request, accepted.row(Clock.wall()), spec);
+            } else if (now instanceof PipelineAdmission.Refused refused) {
+                request.answer(422, Json.error("awaits", refused.reason()));
+            } else {
+                request.answer(503, UPGRADING, UPGRADING_RETRY_S);
+            }
+        });
+    }
+
+    private void put(Request request, Row.JobRow row, JobSpec spec) {
+        String id = spec.id();
+        List<Transaction.Compare> conditions = new ArrayList<>(List.of(new Transaction.Compare(StoreKeys.job(id), 0)));
+        if (row.spec() != null && !row.spec().needs().isEmpty()) {
+            // A leader of the former version would start it at once.
+            conditions.add(new Transaction.Compare(StoreKeys.LAYOUT, directory.layoutVersion()));
+        }
+        if (StateCodec.size(row) > settings.writableBytes()) {
             // The state service would refuse it each time, and the user would try again for nothing.
-            refuse(request, id, 400, Json.error("body", "body: is too long to be kept"));
+            boolean names = StateCodec.size(new Row.JobRow(row.state(), spec.withNeeds(List.of()), row.submittedWall(),
+                    row.tasks())) <= settings.writableBytes();
+            refuse(request, id, 400, names ? Json.error("awaits", "awaits: more names than can be kept with the job")
+                    : Json.error("body", "body: is too long to be kept"));
             return;
         }
-        state.transaction(put, answer(r -> new Submitted(r, request, spec, row)));
+        state.transaction(new Transaction(conditions, List.of(new Transaction.Write(StoreKeys.job(id), row, 0))),
+                answer(r -> new Submitted(r, request, spec, row)));
     }
 
     /** A job that was accepted before gets 200 whatever this copy of it says. */
@@ -470,7 +529,7 @@
 
     private void answerKnown(Request request, String id) {
         JobDirectory.Entry known = directory.get(id);
-        if (known != null && known.row().state().isFinal()) {
+        if (known != null && directory.state(id).isFinal()) {
             request.answer(200, JobCodec.accepted(id, standing(known)));
             return;
         }
@@ -490,7 +549,7 @@
         if (reply.ok()) {
             try {
                 apply(id, message.row(), StateCodec.revision(reply.body()));
-                message.request().answer(201, JobCodec.accepted(id, Standing.QUEUED));
+                message.request().answer(201, JobCodec.accepted(id, standing(directory.get(id))));
                 return;
             } catch (MalformedException e) {
                 log.error("transaction answer: {}", e.getMessage());
@@ -509,7 +568,7 @@
             return;
         }
         JobDirectory.Entry entry = directory.get(id);
-        if (entry == null || tries > 0 && !entry.row().state().isFinal()) {
+        if (entry == null || tries > 0 && !directory.state(id).isFinal()) {
             whenFresh(request, () -> {
                 if (directory.get(id) == null) {
                     request.answer(404, NO_SUCH_JOB);
@@ -524,7 +583,7 @@
 
     private void tryCancel(Request request, String id, int tries) {
         JobDirectory.Entry entry = directory.get(id);
-        if (entry.row().state().isFinal()) {
+        if (directory.state(id).isFinal()) {
             request.answer(200, JobCodec.accepted(id, standing(entry)));
             return;
         }
@@ -534,10 +593,16 @@
         state.transaction(put, answer(r -> new Cancelled(r, request, id, tries)));
     }
 
-    /** The description stays: a leader that finds tasks of the job has to know what they take of their team's limit. */
-    private static Row.JobRow cancelledRow(JobDirectory.Entry entry) {
-        return new Row.JobRow(JobState.CANCELLED, entry.row().spec(), entry.row().submittedWall(),
-                entry.row().tasks());
+    /**
+     * The description stays: a leader that finds tasks of the job has to know what they take of their team's limit. What was
+     * accepted under a larger limit of the state service keeps only that.
+     */
+    private Row.JobRow cancelledRow(JobDirectory.Entry entry) {
+        Row.JobRow open = entry.row();
+        Row.JobRow whole = new Row.JobRow(JobState.CANCELLED, open.spec().withNeeds(List.of()), open.submittedWall(),
+                open.tasks());
+        return StateCodec.size(whole) <= settings.writableBytes() ? whole
+                : new Row.JobRow(JobState.CANCELLED, open.spec().essentials(), open.submittedWall(), open.tasks());
     }
 
     private void cancelled(Cancelled message) {
--- a/src/main/java/io/micatide/wire/Fields.java
+++ b/src/main/java/io/micatide/wire/Fields.java
@@ -26,6 +26,11 @@
         return value;
     }
 
+    /** The field as complaints name it. */
+    String path(String name) {
+        return path + name;
+    }
+
     boolean has(String name) {
         return node.hasNonNull(name);
     }
--- a/src/main/java/io/micatide/wire/JobCodec.java
+++ b/src/main/java/io/micatide/wire/JobCodec.java
@@ -8,6 +8,7 @@
 import io.micatide.core.Priority;
 import io.micatide.core.Resources;
 import java.io.IOException;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.regex.Pattern;
 
@@ -52,7 +53,21 @@
                 in.has("builds") ? in.texts("builds") : List.of(), in.textOrNull("ground"),
                 in.flag("samePlace"), in.flag("scatter"), in.flag("loaners"),
                 in.seconds("runtimeS"), in.seconds("halftimeS"), in.seconds("stowS"),
-                in.has("whistleS") ? in.seconds("whistleS") : -1);
+                in.has("whistleS") ? in.seconds("whistleS") : -1, needs(in));
+    }
+
+    /** Names of other jobs, each once. */
+    private static List<String> needs(Fields in) throws MalformedException {
+        if (!in.has("awaits")) {
+            return List.of();
+        }
+        List<String> names = List.copyOf(new LinkedHashSet<>(in.texts("awaits")));
+        for (String name : names) {
+            if (!isId(name)) {
+                throw new MalformedException("awaits", "must be a list of job ids");
+            }
+        }
+        return names;
     }
 
     /** Stored as it came in, so that the next version reads what this one wrote. */
@@ -88,6 +103,13 @@
         if (spec.deadlineMicros() >= 0) {
             out.writeNumberField("whistleS", Micros.toSeconds(spec.deadlineMicros()));
         }
+        if (!spec.needs().isEmpty()) {
+            out.writeArrayFieldStart("awaits");
+            for (String need : spec.needs()) {
+                out.writeString(need);
+            }
+            out.writeEndArray();
+        }
         out.writeEndObject();
     }
 
--- a/src/main/java/io/micatide/wire/PeerCodec.java
+++ b/src/main/java/io/micatide/wire/PeerCodec.java
@@ -20,9 +20,9 @@
 
     /**
      * What a sibling answers: the highest token that it knows of, and how long ago a worker that had lost the leader came to
-     * it, or -1.
+     * it, or -1; and the layout that it reads, 1 for the version before there was such a number.
      */
-    public record Answer(long token, long strayedAgoMicros) {
+    public record Answer(long token, long strayedAgoMicros, int layout) {
     }
 
     public static byte[] news(News news) {
@@ -63,12 +63,14 @@
             out.writeStartObject();
             out.writeNumberField("token", answer.token());
             out.writeNumberField("strayedUs", answer.strayedAgoMicros());
+            out.writeNumberField("layout", answer.layout());
             out.writeEndObject();
         });
     }
 
     public static Answer answer(byte[] body) throws MalformedException {
         JsonNode tree = Json.tree(body);
-        return new Answer(new Fields(tree, "").count("token", 0, Long.MAX_VALUE), tree.path("strayedUs").asLong(-1));
+        return new Answer(new Fields(tree, "").count("token", 0, Long.MAX_VALUE), tree.path("strayedUs").asLong(-1),
+                tree.path("layout").asInt(1));
     }
 }
--- a/src/main/java/io/micatide/wire/SettingsReader.java
+++ b/src/main/java/io/micatide/wire/SettingsReader.java
@@ -55,6 +55,7 @@
         }
         Fields workers = deployment.object("workers");
         Fields state = deployment.object("state");
+        Fields next = state.has("next") ? state.object("next") : null;
         Fields cloud = deployment.object("cloud");
         Fields limits = deployment.object("limits");
         return new Settings(in.text("label"), in.text("site"), address(in, "bind"), address(in, "peer_bind"), siblings,
@@ -62,8 +63,10 @@
                 Math.round(deployment.amount("clock_off_ms") * 1000), teams, objectives,
                 positive(workers, "report_s"), positive(workers, "lease_s"), positive(workers, "gang_wait_s"),
                 positive(workers, "gang_peer_s"), positive(workers, "cancel_s"),
-                rate(state, "rps"), rate(state, "write_rps"), (int) Math.round(state.amount("value_kb") * 1024),
-                (int) state.count("txn_ops", 3, 100_000), rate(cloud, "rps"), cloud.seconds("list_lag_s"),
+                smaller(state, next, "rps", SettingsReader::rate), smaller(state, next, "write_rps", SettingsReader::rate),
+                valueBytes(state, "value_kb"), (int) smaller(state, next, "value_kb", SettingsReader::valueBytes),
+                (int) smaller(state, next, "txn_ops", (from, name) -> from.count(name, 3, 100_000)),
+                rate(cloud, "rps"), cloud.seconds("list_lag_s"),
                 limits.amount("cores"), limits.amount("memory_mb"), (int) limits.count("max_connections", 10, 1 << 30));
     }
 
@@ -75,10 +78,30 @@
         return micros;
     }
 
+    /** Reads one limit of the state service. */
+    @FunctionalInterface
+    private interface Limit {
+        double read(Fields in, String name) throws MalformedException;
+    }
+
+    /** The smaller of a limit that is in force and the one that the service will have some day without notice. */
+    private static double smaller(Fields state, Fields next, String name, Limit limit) throws MalformedException {
+        double today = limit.read(state, name);
+        return next == null || !next.has(name) ? today : Math.min(today, limit.read(next, name));
+    }
+
+    private static int valueBytes(Fields in, String name) throws MalformedException {
+        double kilobytes = in.amount(name);
+        if (kilobytes < 1 || kilobytes > 1 << 20) {
+            throw new MalformedException(in.path(name), "must be from 1 to 1048576");
+        }
+        return (int) Math.round(kilobytes * 1024);
+    }
+
     private static double rate(Fields in, String name) throws MalformedException {
         double rate = in.amount(name);
         if (rate <= 0) {
-            throw new MalformedException(name, "must be above 0");
+            throw new MalformedException(in.path(name), "must be above 0");
         }
         return rate;
     }
--- a/src/main/java/io/micatide/wire/StateCodec.java
+++ b/src/main/java/io/micatide/wire/StateCodec.java
@@ -65,10 +65,15 @@
             out.writeStringField("state", job.state().name());
             out.writeNumberField("tasks", job.tasks());
             out.writeNumberField("submitted", job.submittedWall());
+            if (job.endedWall() >= 0) {
+                out.writeNumberField("ended", job.endedWall());
+            }
             if (job.spec() != null) {
                 out.writeFieldName("spec");
                 JobCodec.writeSpec(out, job.spec());
             }
+        } else if (row instanceof Row.Layout layout) {
+            out.writeNumberField("layout", layout.number());
         } else if (row instanceof Row.Ledger ledger) {
             out.writeArrayFieldStart("machines");
             for (String machine : ledger.machines()) {
@@ -93,15 +98,24 @@
         out.writeEndObject();
     }
 
+    /** What a row takes of the limit of a value. */
+    public static int size(Row row) {
+        return Json.bytes(out -> write(out, row)).length;
+    }
+
     private static Row row(String key, JsonNode data) throws MalformedException {
         Fields in = new Fields(data, key);
         if (key.equals(StoreKeys.LEADER)) {
             return new Row.Leader(in.text("owner"));
         }
+        if (key.equals(StoreKeys.LAYOUT)) {
+            return new Row.Layout((int) in.count("layout", 1, Integer.MAX_VALUE));
+        }
         if (key.startsWith(StoreKeys.JOBS)) {
             JobState state = JobState.valueOf(in.text("state"));
             return new Row.JobRow(state, state.isFinal() && !in.has("spec") ? null : JobCodec.spec(data.get("spec")),
-                    in.count("submitted", 0, Long.MAX_VALUE), (int) in.count("tasks", 0, Integer.MAX_VALUE));
+                    in.count("submitted", 0, Long.MAX_VALUE), (int) in.count("tasks", 0, Integer.MAX_VALUE),
+                    in.has("ended") ? in.count("ended", 0, Long.MAX_VALUE) : -1);
         }
         if (key.startsWith(StoreKeys.LEDGERS)) {
             return new Row.Ledger(in.texts("machines"), in.count("gang", 0, Long.MAX_VALUE),
--- a/src/test/java/io/micatide/core/DeadlinesTest.java
+++ b/src/test/java/io/micatide/core/DeadlinesTest.java
@@ -30,7 +30,7 @@
             String[] part = each.split("[x@]");
             int tasks = Integer.parseInt(part[0]);
             long length = Integer.parseInt(part[1]) * Micros.SECOND;
-            Job job = new Job(World.job("wk-" + each, JobKind.ARRAY, "blue", Priority.NORMAL, tasks, 1), 1, 0, 0);
+            Job job = new Job(World.job("wk-" + each, JobKind.ARRAY, "blue", Priority.NORMAL, tasks, 1), 1, 0, 0, 0);
             entries.add(new Deadlines.Entry(job, (double) tasks * length, length,
                     Integer.parseInt(part[2]) * Micros.SECOND, part.length > 3 ? Integer.parseInt(part[3]) : 1));
         }
--- a/src/test/java/io/micatide/core/FailureTest.java
+++ b/src/test/java/io/micatide/core/FailureTest.java
@@ -181,7 +181,7 @@
             }
             world.leader.stateFresh(world.now);
             world.leader.tick(world.now);
-            Transaction round = world.leader.round(world.now);
+            Transaction round = world.leader.round(world.now, world.now);
             if (round != null) {
                 world.leader.roundConfirmed(world.apply(round), world.now);
             }
--- a/src/test/java/io/micatide/core/HealthTest.java
+++ b/src/test/java/io/micatide/core/HealthTest.java
@@ -31,7 +31,7 @@
     void aMachineIsJudgedByAllItsTasks(int tasks, int outliers, int longSeconds, int usualSeconds, boolean slow) {
         RunTimes runTimes = new RunTimes();
         Health health = new Health(runTimes);
-        Job job = new Job(World.job("wk-1", JobKind.ARRAY, "blue", Priority.NORMAL, 50, 10), 1, 0, 0);
+        Job job = new Job(World.job("wk-1", JobKind.ARRAY, "blue", Priority.NORMAL, 50, 10), 1, 0, 0, 0);
         for (int i = 0; i < 10; i++) {
             runTimes.finished(job, 10 * Micros.SECOND);
         }
@@ -74,7 +74,7 @@
         for (String outcome : outcomes.split(",")) {
             String[] part = outcome.replace("+", "").split(":");
             Job job = allJobs.computeIfAbsent(part[0],
-                    k -> new Job(World.job(k, JobKind.ARRAY, "blue", Priority.NORMAL, 50, 10), 1, 0, 0));
+                    k -> new Job(World.job(k, JobKind.ARRAY, "blue", Priority.NORMAL, 50, 10), 1, 0, 0, 0));
             if (outcome.startsWith("+")) {
                 job.finish(job.nextWaiting());
                 health.succeeded(allMachines.get(part[1]), job);
--- a/src/test/java/io/micatide/core/JobBookTest.java
+++ b/src/test/java/io/micatide/core/JobBookTest.java
@@ -17,14 +17,14 @@
         Settings settings = new World(1, 0).settings;
         JobBook book = new JobBook(settings, 5);
         JobSpec spec = World.job("wk-1", JobKind.ARRAY, "blue", Priority.NORMAL, tasks, 5);
-        Job job = book.add(spec, 7, 0, 0);
+        Job job = book.add(spec, 7, 0, 0, 0);
         for (int i = 0; i < tasks - 1; i += step) {
             book.finished(job, i, 0);
         }
         Map<String, Row.Ledger> stored = new HashMap<>();
         int rounds = 0;
         for (long now = 10 * Micros.SECOND;; now += 10 * Micros.SECOND) {
-            JobBook.Round round = book.nextRound(now, settings.transactionOps(), 0, List.of(), List.of(),
+            JobBook.Round round = book.nextRound(now, now, settings.transactionOps(), 0, List.of(), List.of(),
                     (any, most) -> List.of());
             if (round == null) {
                 break;
@@ -44,7 +44,7 @@
         }
         assertEquals(job.finished, job.recorded);
         JobBook next = new JobBook(settings, 900);
-        Job found = next.add(spec, 7, 0, 0);
+        Job found = next.add(spec, 7, 0, 0, 0);
         stored.forEach((key, ledger) -> assertTrue(next.load(key, ledger, 1)));
         assertEquals(job.finished, found.finished);
     }
--- a/src/test/java/io/micatide/core/RunTimesTest.java
+++ b/src/test/java/io/micatide/core/RunTimesTest.java
@@ -14,7 +14,7 @@
     @CsvSource({"0, 0, 10", "2, 30, 20", "18, 30, 28", "18, 3, 4"})
     void aJobsOwnTasksCorrectItsEstimate(int tasks, int seconds, long expected) {
         RunTimes runTimes = new RunTimes();
-        Job job = new Job(World.job("wk-1", JobKind.ARRAY, "blue", Priority.NORMAL, 50, 10), 1, 0, 0);
+        Job job = new Job(World.job("wk-1", JobKind.ARRAY, "blue", Priority.NORMAL, 50, 10), 1, 0, 0, 0);
         for (int i = 0; i < tasks; i++) {
             runTimes.finished(job, seconds * Micros.SECOND);
         }
--- a/src/test/java/io/micatide/core/World.java
+++ b/src/test/java/io/micatide/core/World.java
@@ -67,7 +67,7 @@
         teams.put("blue", new Team("blue", 0, 0, 0, 0));
         settings = new Settings("c0", "a", "127.0.0.1:1", "127.0.0.1:2", List.of(), "127.0.0.1:3", "127.0.0.1:4",
                 List.of("a", "b"), 0, teams, List.of(), 800 * Micros.MILLISECOND, 10 * Micros.SECOND,
-                30 * Micros.SECOND, 5 * Micros.SECOND, 30 * Micros.SECOND, 80, 30, 16 * 1024, 16, 8,
+                30 * Micros.SECOND, 5 * Micros.SECOND, 30 * Micros.SECOND, 80, 30, 16 * 1024, 16 * 1024, 16, 8,
                 5 * Micros.SECOND, 0.4, 150, 700);
         for (int i = 0; i < machines; i++) {
             boot(i % 2 == 0 ? "a" : "b", false, 0);
@@ -226,6 +226,11 @@
         if (row == null) {
             broken.add("started without a row: " + taskName);
         }
+        for (String need : spec.needs()) {
+            if (state(need) != JobState.DONE) {
+                broken.add("too_early " + taskName + " before " + need);
+            }
+        }
         long red = 0;
         for (Worker other : workers.values()) {
             for (Task each : other.tasks.values()) {
@@ -243,22 +248,26 @@
 
     void submit(JobSpec spec) {
         specs.put(spec.id(), spec);
-        put(StoreKeys.job(spec.id()), new Row.JobRow(JobState.OPEN, spec, 0, spec.tasks()), ++revision);
-        tellJob(spec.id());
+        put(StoreKeys.job(spec.id()), new Row.JobRow(JobState.OPEN, spec, now, spec.tasks()), ++revision);
     }
 
     void cancel(String id) {
         Row.JobRow row = (Row.JobRow) rows.get(StoreKeys.job(id));
         if (row != null && row.state() == JobState.OPEN) {
-            put(StoreKeys.job(id), new Row.JobRow(JobState.CANCELLED, row.spec(), 0, row.tasks()), ++revision);
             cancelledAt.put(id, now);
-            tellJob(id);
+            put(StoreKeys.job(id), new Row.JobRow(JobState.CANCELLED, row.spec(), row.submittedWall(), row.tasks()),
+                    ++revision);
         }
     }
 
-    private void tellJob(String id) {
-        if (leader != null) {
-            leader.jobSeen(id, (Row.JobRow) rows.get(StoreKeys.job(id)), versions.get(StoreKeys.job(id)), 0, now);
+    /** What any controller's copy makes of the rows; a leader hears of each change. */
+    final JobDirectory directory = new JobDirectory();
+
+    private void copy(String key, Row.JobRow row, long version) {
+        for (String changed : directory.apply(key.substring(StoreKeys.JOBS.length()), row, version)) {
+            if (leader != null) {
+                leader.jobSeen(directory.view(changed), now, now);
+            }
         }
     }
 
@@ -276,6 +285,9 @@
             }
             rows.put(key, row);
             versions.put(key, at);
+            if (row instanceof Row.JobRow job) {
+                copy(key, job, at);
+            }
         }
     }
 
@@ -308,11 +320,7 @@
         leader = new Scheduler(settings, Tuning.defaults(settings), token, now);
         takeOvers++;
         leader.typesKnown(List.of(TYPE), now);
-        rows.forEach((key, row) -> {
-            if (row instanceof Row.JobRow job) {
-                leader.jobSeen(key.substring(StoreKeys.JOBS.length()), job, versions.get(key), 0, now);
-            }
-        });
+        directory.openAndCancelled().forEach(view -> leader.jobSeen(view, now, now));
         rows.forEach((key, row) -> {
             if (row instanceof Row.Ledger ledger) {
                 leader.ledgerLoaded(key, ledger, versions.get(key), now);
@@ -360,7 +368,7 @@
         }
         if (zombie != null) {
             zombie.tick(now);
-            if (zombie.round(now) != null) {
+            if (zombie.round(now, now) != null) {
                 zombie.roundNotExecuted(now);
             }
             zombie = now < zombieUntil ? zombie : null;
@@ -427,7 +435,7 @@
     }
 
     private void writeRound() {
-        Transaction round = leader.round(now);
+        Transaction round = leader.round(now, now);
         if (round == null) {
             return;
         }
