--- /dev/null
+++ b/src/test/java/io/micatide/core/DependenciesTest.java
@@ -0,0 +1,179 @@
+package io.micatide.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What follows for jobs that need others from the rows alone, in whatever order the rows are read. */
+class DependenciesTest {
+    private static JobSpec spec(String id, List<String> needs) {
+        return World.job(id, JobKind.ARRAY, "blue", Priority.NORMAL, 2, 5).withNeeds(needs);
+    }
+
+    /** Steps are {@code b<a} (a row that needs others), {@code +a} (done) and {@code -a} (cancelled), oldest first. */
+    private static void play(JobDirectory directory, List<String> steps, long from) {
+        long version = from;
+        for (String step : steps) {
+            version++;
+            if (step.startsWith("+") || step.startsWith("-")) {
+                JobState state = step.startsWith("+") ? JobState.DONE : JobState.CANCELLED;
+                directory.apply(step.substring(1), new Row.JobRow(state, null, 0, 2, state == JobState.DONE ? version : -1),
+                        version);
+            } else {
+                String[] parts = step.split("<");
+                List<String> needs = parts.length > 1 ? List.of(parts[1].split("&")) : List.of();
+                directory.apply(parts[0], new Row.JobRow(JobState.OPEN, spec(parts[0], needs), 0, 2), version);
+            }
+        }
+    }
+
+    /** How each job stands: ready, waiting, done or withdrawn, in the order of their names. */
+    private static String told(JobDirectory directory, String names) {
+        StringBuilder text = new StringBuilder();
+        for (String name : names.split("")) {
+            JobDirectory.View view = directory.view(name);
+            text.append(view.state() == JobState.DONE ? 'd' : view.state() == JobState.CANCELLED ? 'x'
+                    : view.waits() ? 'w' : 'r');
+        }
+        return text.toString();
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        // rows as they are written, jobs, how they stand
+        "a b<a, ab, rw",
+        "a b<a +a, ab, dr",
+        "a b<a -a, ab, xx",
+        "a b<a c<b -a, abc, xxx",
+        "a b<a c<b +a -b, abc, dxx",
+        "a b<a c<b -b, abc, rxx",
+        "a b c d<a&b&c +a +b, abcd, ddrw",
+        "a b c d<a&b&c +a +b -c, abcd, ddxx",
+        "a b c d<a&b&c +a +b +c, abcd, dddr",
+        "a b<a c<a d<b&c, abcd, rwww",
+        "a b<a c<a d<b&c +a +b, abcd, ddrw",
+        "a b<a c<a d<b&c +a -b, abcd, dxrx",
+        "a b<a c<a d<b&c -a, abcd, xxxx",
+        "a -a b<a c<b, abc, xxx",
+        "a +a b<a, ab, dr",
+        "a b<a -a c<b, abc, xxx",
+        "a b<a -a -b c<b, abc, xxx",
+        "a b<a c<b -c, abc, rwx",
+    })
+    void everyControllerTellsTheSame(String rows, String jobs, String told) {
+        List<String> steps = List.of(rows.split(" "));
+        JobDirectory live = new JobDirectory();
+        play(live, steps, 0);
+        assertEquals(told, told(live, jobs), "as it happened");
+        // A controller that starts later reads only the last row of each job, here by name and against it.
+        for (int order = 0; order < 2; order++) {
+            JobDirectory late = new JobDirectory();
+            List<JobDirectory.Entry> rowsNow = new ArrayList<>();
+            for (String name : jobs.split("")) {
+                rowsNow.add(order == 0 ? rowsNow.size() : 0, live.get(name));
+            }
+            rowsNow.forEach(entry -> late.apply(entry.id(), entry.row(), entry.version()));
+            assertEquals(told, told(late, jobs), "read later, order " + order);
+        }
+    }
+
+    /** One cancellation is one row however long the chain; nothing here may recurse as deep as a chain is long. */
+    @ParameterizedTest
+    @CsvSource({"50, true", "50, false", "20000, true", "20000, false"})
+    void chains(int length, boolean cancel) {
+        JobDirectory directory = new JobDirectory();
+        List<String> steps = new ArrayList<>(List.of("j0"));
+        for (int i = 1; i < length; i++) {
+            steps.add("j" + i + "<j" + (i - 1));
+        }
+        play(directory, steps, 0);
+        List<String> changed = directory.apply("j0",
+                new Row.JobRow(cancel ? JobState.CANCELLED : JobState.DONE, null, 0, 2), length + 1);
+        assertEquals(cancel ? length : 2, changed.size());
+        assertEquals(cancel ? JobState.CANCELLED : JobState.OPEN, directory.state("j" + (length - 1)));
+    }
+
+    @Test
+    void timesCountFromTheEndOfTheLastNeededJob() {
+        JobDirectory directory = new JobDirectory();
+        play(directory, List.of("a", "b", "c<a&b", "+b", "+a"), 0);
+        assertEquals(5, directory.view("c").readyWall());
+        assertEquals(0, directory.view("a").readyWall());
+    }
+
+    /** What is said to a submission that names others. */
+    @ParameterizedTest
+    @CsvSource({
+        // rows before, mark seen, needs, outcome
+        "a, true, a, OPEN 1",
+        "a, false, a, NotYet",
+        "a +a, false, a, OPEN 0",
+        "a b +a, true, a&b, OPEN 1",
+        "a b, true, a&b, OPEN 2",
+        "a -a, false, a, CANCELLED 0",
+        "a b<a -a, false, b, CANCELLED 0",
+        "a, true, a&z, Refused",
+        "a, true, z, Refused",
+        "a, true, x, Refused",
+    })
+    void submissions(String rows, boolean marked, String needs, String outcome) {
+        JobDirectory directory = new JobDirectory();
+        play(directory, List.of(rows.split(" ")), 0);
+        directory.apply("s", new Row.JobRow(JobState.OPEN,
+                World.job("s", JobKind.SERVICE, "blue", Priority.NORMAL, 2, 0), 0, 2), 50);
+        directory.layoutMarked(marked ? 7 : 0);
+        PipelineAdmission said = PipelineAdmission.of(spec("x", List.of(needs.split("&"))), directory);
+        String text = said instanceof PipelineAdmission.Accepted accepted ? accepted.state() + " "
+                + (accepted.stored() == null ? 0 : accepted.stored().needs().size()) : said.getClass().getSimpleName();
+        assertEquals(outcome, text);
+        assertInstanceOf(PipelineAdmission.Refused.class, PipelineAdmission.of(spec("x", List.of("s")), directory));
+    }
+
+    /**
+     * Deadline and priority stand on the last job only. Estimates are 5 s, so each job is wanted its own time and a step
+     * before the next one; both go again when the last job is cancelled.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        // needs of the others, first job's priority, due before the deadline of the last job (ms; 0: not asked for)
+        "b<a c<b d<c, LOW, HIGH, 3",
+        "b<a d<b, LOW, HIGH, 2",
+        "b<a c<a d<b&c, NORMAL, HIGH, 2",
+        "d<a, PRODUCTION, PRODUCTION, 1",
+        "c<a, LOW, NORMAL, 0",
+    })
+    void theLastJobAsksForThePipeline(String rows, Priority own, Priority inherited, int steps) {
+        Settings settings = new World(1, 0).settings;
+        RunTimes runTimes = new RunTimes();
+        JobBook book = new JobBook(settings, 5);
+        Pipelines pipelines = new Pipelines(book, runTimes);
+        Job first = book.add(World.job("a", JobKind.ARRAY, "blue", own, 2, 5), 1, 0, 0, 0);
+        long version = 1;
+        for (String step : rows.split(" ")) {
+            String[] parts = step.split("<");
+            JobSpec waiting = spec(parts[0], List.of(parts[1].split("&")));
+            if (parts[0].equals("d")) {
+                waiting = new JobSpec("d", "class", "blue", JobKind.ARRAY, Priority.HIGH, 2, waiting.each(), "img-1", 1,
+                        List.of(), null, false, false, true, 5 * Micros.SECOND, 0, 0, 100 * Micros.SECOND, waiting.needs());
+            }
+            pipelines.waits(waiting, ++version, 0);
+        }
+        pipelines.refresh(0);
+        assertEquals(inherited, first.priority());
+        long before = 100 * Micros.SECOND - first.neededByMicros;
+        if (steps == 0) {
+            assertEquals(Long.MAX_VALUE, first.neededByMicros);
+        } else {
+            assertTrue(before >= steps * 5 * Micros.SECOND && before <= steps * 12 * Micros.SECOND, "before: " + before);
+        }
+        pipelines.waitsNoMore("d");
+        pipelines.refresh(0);
+        assertEquals(Long.MAX_VALUE, first.neededByMicros);
+    }
+}
--- a/src/test/java/io/micatide/core/JobBookTest.java
+++ b/src/test/java/io/micatide/core/JobBookTest.java
@@ -3,9 +3,13 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.micatide.wire.StateCodec;
+import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -48,4 +52,114 @@
         stored.forEach((key, ledger) -> assertTrue(next.load(key, ledger, 1)));
         assertEquals(job.finished, found.finished);
     }
+
+    /**
+     * A take-over after the limits fell, of a job whose ledger an earlier leader wrote under the larger ones: more machines
+     * than fit now, finished tasks in pieces. No machine is dropped before it settles, no round is larger than the new limits
+     * allow, nothing is written again and again, and in the end all is recorded or over.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        // tasks, every n-th finished before, machines in the old ledger, changes in a transaction
+        "350, 2, 250, 5",
+        "3000, 2, 219, 5",
+        "100000, 3, 40, 5",
+        "3000, 2, 0, 10",
+    })
+    void ledgersOfLargerLimits(int tasks, int step, int machines, int ops) {
+        Settings settings = new World(1, 0, 2048, ops).settings;
+        JobBook book = new JobBook(settings, 900);
+        Job job = book.add(World.job("wk-1", JobKind.ARRAY, "blue", Priority.NORMAL, tasks, 5), 7, 0, 0, 0);
+        List<String> names = new ArrayList<>();
+        for (int i = 0; i < machines; i++) {
+            names.add(String.format("i-%06d", i));
+        }
+        BitSet before = new BitSet();
+        for (int i = 0; i < tasks; i += step) {
+            before.set(i);
+        }
+        int size = settings.pageTasks();
+        for (int page = 0; page * size < tasks; page++) {
+            assertTrue(book.load(StoreKeys.ledger("wk-1", page), new Row.Ledger(page == 0 ? names : List.of(), 0,
+                    Ranges.format(before, page * size, (page + 1) * size)), 5));
+        }
+        assertEquals(before, job.recorded);
+        int written = 0;
+        int idle = 0;
+        for (int second = 1; second < 400 && idle < 20; second++) {
+            long now = second * Micros.SECOND;
+            // Machines settle one after the other, and tasks end here and there.
+            if (second % 2 == 0 && !job.unsettledMachines.isEmpty()) {
+                job.unsettledMachines.remove(job.unsettledMachines.iterator().next());
+                book.touch(job, now);
+            }
+            if (second < 200) {
+                book.finished(job, (second * 7919) % tasks, now);
+            }
+            JobBook.Round round = book.nextRound(now, now, settings.transactionOps(), 2, List.of(), List.of(),
+                    (any, most) -> names);
+            idle = round == null ? idle + 1 : 0;
+            if (round == null) {
+                continue;
+            }
+            written++;
+            assertTrue(round.transaction().writes().size() <= ops);
+            assertTrue(round.transaction().conditions().size() <= 4 * ops);
+            for (Transaction.Write write : round.transaction().writes()) {
+                assertTrue(StateCodec.size(write.row()) <= 2048, write.key());
+                if (write.key().equals(StoreKeys.ledger("wk-1", 0))) {
+                    assertTrue(((Row.Ledger) write.row()).machines().containsAll(job.unsettledMachines));
+                }
+            }
+            book.confirmed(round, 1000 + second, now);
+            BitSet kept = (BitSet) before.clone();
+            kept.andNot(job.recorded);
+            assertTrue(kept.isEmpty(), "what was recorded is kept");
+        }
+        assertTrue(idle >= 20, "it is written again and again: " + written);
+        for (int i = 0; i < tasks; i++) {
+            book.finished(job, i, 500 * Micros.SECOND);
+        }
+        JobBook.Round last = book.nextRound(510 * Micros.SECOND, 510 * Micros.SECOND, ops, 2, List.of(), List.of(),
+                (any, most) -> List.of());
+        assertTrue(last.transaction().writes().get(0).row() instanceof Row.JobRow row && row.state() == JobState.DONE);
+        assertTrue(last.transaction().writes().size() <= ops);
+    }
+
+    /** A job goes to no more machines than a small ledger can name. */
+    @ParameterizedTest
+    @CsvSource({"2048, 112", "16384, 927"})
+    void namesNoMoreMachinesThanFit(int bytes, int most) {
+        JobBook book = new JobBook(new World(1, 0, bytes, 5).settings, 900);
+        Job job = book.add(World.job("wk-1", JobKind.ARRAY, "blue", Priority.NORMAL, 5000, 5), 7, 0, 0, 0);
+        int used = 0;
+        for (int i = 0; i < 1000; i++) {
+            Machine machine = new Machine(String.format("i-%06d", i), 0);
+            if (book.mayUse(job, machine, 0)) {
+                book.needMachine(job, machine, 0);
+                used++;
+            }
+        }
+        assertEquals(most, used);
+        JobBook.Round round = book.nextRound(0, 0, 5, 2, List.of(), List.of(), (any, likely) -> List.of());
+        assertTrue(StateCodec.size(round.transaction().writes().get(0).row()) <= bytes);
+    }
+
+    /** What the state service refuses holds up neither the other jobs nor, after a pause, its own. */
+    @Test
+    void aRefusedRoundHoldsUpNobodyElse() {
+        JobBook book = new JobBook(new World(1, 0).settings, 900);
+        Job first = book.add(World.job("wk-1", JobKind.ARRAY, "blue", Priority.NORMAL, 10, 5), 7, 0, 0, 0);
+        Job second = book.add(World.job("wk-2", JobKind.ARRAY, "blue", Priority.NORMAL, 10, 5), 8, 0, 0, 0);
+        book.needMachine(first, new Machine("i-1", 0), 0);
+        JobBook.Round round = book.nextRound(0, 0, 5, 2, List.of(), List.of(), (any, likely) -> List.of());
+        book.refused(round, 0);
+        book.resolved(round, 0);
+        book.needMachine(second, new Machine("i-1", 0), 0);
+        JobBook.Round next = book.nextRound(100, 100, 5, 2, List.of(), List.of(), (any, likely) -> List.of());
+        assertEquals(List.of(second), next.parts().stream().map(JobBook.Part::job).toList());
+        assertTrue(first.ledgerFull, "what waits for that write is given back");
+        JobBook.Round later = book.nextRound(20 * Micros.SECOND, 0, 5, 2, List.of(), List.of(), (any, likely) -> List.of());
+        assertEquals(List.of(first), later.parts().stream().map(JobBook.Part::job).toList());
+    }
 }
--- a/src/test/java/io/micatide/core/World.java
+++ b/src/test/java/io/micatide/core/World.java
@@ -1,5 +1,6 @@
 package io.micatide.core;
 
+import io.micatide.wire.StateCodec;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -60,14 +61,23 @@
     boolean cloudOutage;
     int takeOvers;
 
+    /** The state service's limits as they are now; {@code settings} may know smaller ones that are to come. */
+    int valueLimit = 16 * 1024;
+    int opsLimit = 16;
+    int refused;
+
     World(long seed, int machines) {
+        this(seed, machines, 16 * 1024, 16);
+    }
+
+    World(long seed, int machines, int writableBytes, int ops) {
         random = new Random(seed);
         Map<String, Team> teams = new LinkedHashMap<>();
         teams.put("red", new Team("red", 16_000, 0, 24_000, 0));
         teams.put("blue", new Team("blue", 0, 0, 0, 0));
         settings = new Settings("c0", "a", "127.0.0.1:1", "127.0.0.1:2", List.of(), "127.0.0.1:3", "127.0.0.1:4",
                 List.of("a", "b"), 0, teams, List.of(), 800 * Micros.MILLISECOND, 10 * Micros.SECOND,
-                30 * Micros.SECOND, 5 * Micros.SECOND, 30 * Micros.SECOND, 80, 30, 16 * 1024, 16 * 1024, 16, 8,
+                30 * Micros.SECOND, 5 * Micros.SECOND, 30 * Micros.SECOND, 80, 30, 16 * 1024, writableBytes, ops, 8,
                 5 * Micros.SECOND, 0.4, 150, 700);
         for (int i = 0; i < machines; i++) {
             boot(i % 2 == 0 ? "a" : "b", false, 0);
@@ -448,6 +458,11 @@
             leader.roundNotExecuted(now);
             return;
         }
+        if (breaksLimits(round)) {
+            refused++;
+            leader.roundRefused(now);
+            return;
+        }
         boolean lost = random.nextDouble() < lostAnswers;
         if (lost && random.nextBoolean()) {
             late.add(round);
@@ -465,6 +480,14 @@
         }
     }
 
+    private boolean breaksLimits(Transaction round) {
+        boolean breaks = round.writes().size() > opsLimit || round.conditions().size() > 4 * opsLimit;
+        for (Transaction.Write write : round.writes()) {
+            breaks |= write.row() != null && StateCodec.size(write.row()) > valueLimit;
+        }
+        return breaks;
+    }
+
     private void readBack() {
         for (String key : leader.roundUnresolved()) {
             Row row = rows.get(key);
--- a/src/test/java/io/micatide/wire/CodecTest.java
+++ b/src/test/java/io/micatide/wire/CodecTest.java
@@ -50,6 +50,10 @@
         "'samePlace':false|'samePlace':0|samePlace",
         "'whistleS':90.0|'whistleS':-2|whistleS",
         "'runtimeS':20.0|'runtimeS':null|runtimeS",
+        "'whistleS':90.0|'awaits':'wk-2'|awaits",
+        "'whistleS':90.0|'awaits':[7]|awaits",
+        "'whistleS':90.0|'awaits':['wk-2','job 2']|awaits",
+        "'whistleS':90.0|'awaits':{'wk-2':1}|awaits",
     })
     void namesTheFieldOfAMalformedJob(String part, String instead, String field) {
         String text = JOB.replace(part, instead == null ? "" : instead);
@@ -57,6 +61,19 @@
         assertEquals(field, e.field());
     }
 
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "'whistleS':90.0|",
+        "'awaits':null|",
+        "'awaits':[]|",
+        "'awaits':['wk-2']|wk-2",
+        "'awaits':['wk-3','wk-2','wk-3']|wk-3 wk-2",
+    })
+    void namesOfNeededJobsCountOnce(String part, String needs) throws MalformedException {
+        JobSpec spec = JobCodec.spec(Json.tree(json(JOB.replace("'whistleS':90.0", part))));
+        assertEquals(needs == null ? "" : needs, String.join(" ", spec.needs()));
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {"[]", "7", "{", "x", "''"})
     void whatIsNoObjectIsMalformed(String text) {
@@ -88,7 +105,7 @@
     /** What is stored of an accepted job is what was submitted. */
     @Test
     void aJobComesBackFromTheStore() throws MalformedException {
-        JobSpec spec = JobCodec.spec(Json.tree(json(JOB)));
+        JobSpec spec = JobCodec.spec(Json.tree(json(JOB))).withNeeds(List.of("wk-7", "wk-8"));
         Row.JobRow row = new Row.JobRow(JobState.OPEN, spec, 5, 16);
         byte[] sent = StateCodec.transaction(new Transaction(List.of(new Transaction.Compare("job/wk-1", 0)),
                 List.of(new Transaction.Write("job/wk-1", row, 0))));
--- a/src/test/java/io/micatide/wire/SettingsTest.java
+++ b/src/test/java/io/micatide/wire/SettingsTest.java
@@ -41,6 +41,37 @@
         assertEquals(field, e.field());
     }
 
+    /** Each row is a limit to come beside those of today (1000 changes a second, 16 KiB, 16 changes), and what is kept to. */
+    @ParameterizedTest
+    @CsvSource({
+        "'', 1000, 16384, 16",
+        "value_kb = 2.0, 1000, 2048, 16",
+        "txn_ops = 5, 1000, 16384, 5",
+        "write_rps = 21.0, 21, 16384, 16",
+        "value_kb = 64.0, 1000, 16384, 16",
+    })
+    void keepsToTheSmallerLimit(String next, double writeRate, int valueBytes, int ops) throws IOException, MalformedException {
+        Settings settings = SettingsReader.parse(good().replace("[deployment.cloud]",
+                "[deployment.state.next]\n" + next + "\n[deployment.cloud]"));
+        assertEquals(writeRate, settings.writeRate());
+        assertEquals(valueBytes, settings.writableBytes());
+        assertEquals(ops, settings.transactionOps());
+        assertEquals(2048, settings.pageTasks(), "stored pages stay as they are");
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "value_kb = \"x\", deployment.state.next.value_kb",
+        "value_kb = 0.0, deployment.state.next.value_kb",
+        "txn_ops = 1, deployment.state.next.txn_ops",
+        "write_rps = -1.0, deployment.state.next.write_rps",
+    })
+    void wrongLimitsToComeAreNamed(String next, String field) throws IOException {
+        String text = good().replace("[deployment.cloud]", "[deployment.state.next]\n" + next + "\n[deployment.cloud]");
+        MalformedException e = assertThrows(MalformedException.class, () -> SettingsReader.parse(text));
+        assertEquals(field, e.field());
+    }
+
     @ParameterizedTest
     @CsvSource({"leader_lease = 3, leader_lease", "leader_lease_s = 9.0, leader_lease_s", "idle_s = \"x\", idle_s"})
     void operatorsTyposAreErrors(String text, String field) throws IOException, MalformedException {
--- a/src/test/java/io/micatide/wire/StoredTextTest.java
+++ b/src/test/java/io/micatide/wire/StoredTextTest.java
@@ -74,7 +74,24 @@
         PeerCodec.News news = PeerCodec.news(json(text));
         assertEquals(new PeerCodec.News(41, "berth-1", true, 1200, true, List.of(new JobProgress("wk-1", 3, 13))), news);
         assertEquals(text, new String(PeerCodec.news(news), StandardCharsets.UTF_8).replace('"', '\''));
-        assertEquals(41, PeerCodec.answer(json("{'token':41,'strayedUs':-1}")).token());
+        // Production does not say which layout it reads.
+        assertEquals(new PeerCodec.Answer(41, -1, 1), PeerCodec.answer(json("{'token':41,'strayedUs':-1}")));
+        assertEquals("{'token':41,'strayedUs':-1,'layout':2}",
+                new String(PeerCodec.answer(new PeerCodec.Answer(41, -1, 2)), StandardCharsets.UTF_8).replace('"', '\''));
+    }
+
+    /**
+     * What this version adds. Production passes over fields that it does not know, and cannot read the mark: it asks every
+     * row beside the jobs for {@code state}.
+     */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '`', value = {
+        "job/wk-1|{'state':'DONE','tasks':16,'submitted':5,'ended':9}",
+        "job/wk-1|{'state':'CANCELLED','tasks':16,'submitted':5}",
+        "job/layout|{'layout':2}",
+    })
+    void rowsOfThisVersion(String key, String data) throws MalformedException {
+        rowsOfProduction(key, data);
     }
 
     /** A page's number gives its tasks, so its size may not follow the limits that are to come. */
