--- a/src/main/java/io/micatide/cli/Main.java
+++ b/src/main/java/io/micatide/cli/Main.java
@@ -1,5 +1,6 @@
 package io.micatide.cli;
 
+import io.micatide.core.Settings;
 import java.util.Locale;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -26,7 +27,7 @@
         public String[] getVersion() throws Exception {
             try (var in = Main.class.getResourceAsStream("/micatide-version.txt")) {
                 return new String[] {"micatide " + new String(in.readAllBytes(),
-                        java.nio.charset.StandardCharsets.UTF_8).trim()};
+                        java.nio.charset.StandardCharsets.UTF_8).trim() + ", layout " + Settings.LAYOUT};
             }
         }
     }
--- a/src/main/java/io/micatide/cli/WarmUp.java
+++ b/src/main/java/io/micatide/cli/WarmUp.java
@@ -45,6 +45,8 @@
                 for (int round = 0; round < 8; round++) {
                     ask(group, client, "/healthz", null);
                     ask(group, client, "/v1/jobs", resource("/warm-up-job.json"));
+                    ask(group, client, "/v1/jobs", resource("/warm-up-job.json").replace("wk-1", "wk-3")
+                            .replace("\"ground\"", "\"awaits\":[\"wk-1\"],\"ground\""));
                     ask(group, client, "/v1/jobs", "{\"nameId\":\"wk-2\"}");
                     ask(group, client, "/v1/jobs/wk-1", null);
                     ask(group, client, "/v1/jobs/wk-7/abort", "");
--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -675,18 +675,14 @@
         return book.unresolved(inFlight);
     }
 
-    /** The service will never take this transaction; returns what was in it, for the log. */
-    public String roundRefused(long nowMicros) {
+    /** The service will never take this transaction. */
+    public void roundRefused(long nowMicros) {
         JobBook.Round round = inFlight;
-        StringBuilder text = new StringBuilder(round.transaction().conditions().size() + " conditions, "
-                + round.transaction().writes().size() + " writes:");
-        round.transaction().writes().forEach(write -> text.append(' ').append(write.key()));
         if (round.transaction().writes().size() > FEWEST_OPS) {
             mostOps = Math.max(FEWEST_OPS, round.transaction().writes().size() / 2);
         }
         book.refused(round, nowMicros);
         roundResolved(nowMicros);
-        return text.toString();
     }
 
     /** The round was certainly not executed; nothing needs to be read. */
--- a/src/main/java/io/micatide/node/LeaderActor.java
+++ b/src/main/java/io/micatide/node/LeaderActor.java
@@ -77,7 +77,7 @@
     record Loaded(Reply reply, long token, String prefix) implements Message {
     }
 
-    record RoundAnswered(Reply reply, long token) implements Message {
+    record RoundAnswered(Reply reply, long token, Transaction round) implements Message {
     }
 
     record KeyRead(Reply reply, long token, String key) implements Message {
@@ -141,6 +141,7 @@
     /** Siblings that were heard in this term to read the present layout. */
     private final BitSet present = new BitSet();
     private boolean layoutMarking;
+    private boolean rateRefused;
 
     LeaderActor(EventLoop loop, Settings settings, Tuning tuning, StateClient state, CloudClient cloud, UsersActor users) {
         super(loop);
@@ -351,6 +352,7 @@
         listing = false;
         present.clear();
         layoutMarking = false;
+        rateRefused = false;
         newsMicros = 0;
         scheduler.holdsUntil(leadership.holdsUntilMicros());
         reach.begin(now);
@@ -497,7 +499,7 @@
         Transaction round = scheduler.round(now, Clock.wall());
         if (round != null) {
             long token = scheduler.token();
-            state.transaction(round, answer(r -> new RoundAnswered(r, token)));
+            state.transaction(round, answer(r -> new RoundAnswered(r, token, round)));
         }
     }
 
@@ -515,12 +517,16 @@
                 return;
             }
             if (reply.notExecuted()) {
+                if (reply.status() == 429 && !rateRefused) {
+                    rateRefused = true;
+                    log.info("a round was above the rate of the state service: tried again");
+                }
                 scheduler.roundNotExecuted(now);
                 return;
             }
             if (reply.status() == 400) {
-                log.warn("the state service takes no such transaction: {}; {}", new String(reply.body(),
-                        StandardCharsets.UTF_8), scheduler.roundRefused(now));
+                logRefused(reply, message.round());
+                scheduler.roundRefused(now);
                 return;
             }
             if (reply.status() == 409 && StateCodec.failed(reply.body()).contains(StoreKeys.LEADER)) {
@@ -538,6 +544,15 @@
         readBack();
     }
 
+    private void logRefused(Reply reply, Transaction round) {
+        StringBuilder text = new StringBuilder();
+        for (Transaction.Write write : round.writes()) {
+            text.append(' ').append(write.key()).append(write.row() == null ? " deleted" : " " + StateCodec.size(write.row()));
+        }
+        log.warn("the state service takes no such transaction: {}; {} conditions, {} changes, bytes of each:{}",
+                new String(reply.body(), StandardCharsets.UTF_8), round.conditions().size(), round.writes().size(), text);
+    }
+
     /** Jobs may wait for what a round has ended: they need not wait for the next read of the changes as well. */
     private void tellEnded() {
         scheduler.ended().forEach(each -> users.tell(new UsersActor.Stored(each.id(), each.row(), each.version())));
--- a/src/main/java/io/micatide/node/Node.java
+++ b/src/main/java/io/micatide/node/Node.java
@@ -50,8 +50,8 @@
             leader.tell(new LeaderActor.Tick());
             bind(new HttpServer(this::handle, most), settings.bind(), bound);
             bind(new HttpServer(this::handlePeer, most), settings.peerBind(), bound);
-            LOG.info("{} in {} serves on {}, siblings on {}", settings.label(), settings.zone(), settings.bind(),
-                    settings.peerBind());
+            LOG.info("{} in {} serves on {}, siblings on {}, reads layout {}", settings.label(), settings.zone(),
+                    settings.bind(), settings.peerBind(), Settings.LAYOUT);
         });
         bound.await();
         if (failure != null) {
