--- a/src/main/java/io/micatide/core/Job.java
+++ b/src/main/java/io/micatide/core/Job.java
@@ -72,6 +72,9 @@
     long neededByMicros = Long.MAX_VALUE;
     /** Its ledger cannot be written with further machines: what is held for them has to be given back. */
     boolean ledgerFull;
+    /** What the names of its machines took at that time, without those that a round has still to name. */
+    int nameBytes;
+    long nameBytesMicros = Long.MIN_VALUE;
     /** Until when it is not placed on machines that its ledger does not name. */
     long fullUntilMicros = Long.MIN_VALUE;
     /** The state service refused to write it; tried again then. */
--- a/src/main/java/io/micatide/core/JobBook.java
+++ b/src/main/java/io/micatide/core/JobBook.java
@@ -26,6 +26,8 @@
     private static final int LEDGER_BYTES = 64;
     /** What one name takes besides its letters. */
     private static final int NAME_BYTES = 3;
+    /** More than a name takes in short beside others, even with thousands of machines between them. */
+    private static final int DENSE_NAME_BYTES = 5;
     private static final long REFUSED_PAUSE_MICROS = 5 * Micros.SECOND;
 
     private final Settings settings;
@@ -35,6 +37,7 @@
     /** How many jobs of each class this leader has seen. */
     private final Multiset<String> seenOfClass = HashMultiset.create();
     /** Jobs whose rows still say open although something that they need was cancelled, with the rows' versions. */
+    private long layoutVersion;
     private final Map<String, Withdrawal> withdrawals = new LinkedHashMap<>();
 
     /** A row to close. That the job is withdrawn follows from the others' rows, so this is for whoever reads only rows. */
@@ -132,7 +135,19 @@
         withdrawals.remove(id);
     }
 
-    private static int bytes(Collection<String> names) {
+    /** The mark that every controller reads names in short: a condition of each round that writes them so. */
+    void layoutMarked(long version) {
+        layoutVersion = version;
+    }
+
+    private boolean dense() {
+        return layoutVersion > 0;
+    }
+
+    private int bytes(Collection<String> names) {
+        if (dense()) {
+            return MachineNames.bytes(names);
+        }
         int bytes = 0;
         for (String name : names) {
             bytes += name.length() + NAME_BYTES;
@@ -164,9 +179,23 @@
         if (nowMicros < job.fullUntilMicros) {
             return false;
         }
-        int most = nameBytes() - machine.name.length() - NAME_BYTES;
+        int each = dense() ? DENSE_NAME_BYTES : machine.name.length() + NAME_BYTES;
+        int most = nameBytes() - each;
         int upperBound = job.neededMachines.size() + job.unsettledMachines.size() + job.liveMachines.elementSet().size();
-        return upperBound * (machine.name.length() + NAME_BYTES) <= most || bytes(mustName(job)) <= most;
+        if (upperBound * each <= most) {
+            return true;
+        }
+        // Exactly, once per plan; what is added meanwhile is counted as if it stood alone.
+        if (job.nameBytesMicros != nowMicros) {
+            job.nameBytesMicros = nowMicros;
+            job.nameBytes = bytes(mustName(job)) - each * job.neededMachines.size();
+        }
+        return job.nameBytes + each * job.neededMachines.size() <= most;
+    }
+
+    /** Whether a job with waiting tasks is on as many machines as its ledger can name. */
+    boolean full(Job job) {
+        return job.waiting() > 0 && bytes(mustName(job)) > nameBytes() - 16;
     }
 
     /** Starts wait for this: the ledger must name the machine before anything can land on it. */
@@ -224,6 +253,9 @@
             part.job().recordedMachines.retainAll(part.machines());
             dirty.remove(part.job().id());
         }
+        if (dense() && writes.stream().anyMatch(write -> write.row() instanceof Row.Ledger ledger && ledger.dense())) {
+            conditions.add(new Transaction.Compare(StoreKeys.LAYOUT, layoutVersion));
+        }
         return new Round(new Transaction(conditions, writes), parts, bookings, closed);
     }
 
@@ -270,7 +302,7 @@
                 room - Math.max(bytes(machines), Math.min(nameBytes(), room / 4)));
         List<Integer> pages = new ArrayList<>();
         if (first != null) {
-            addLikely(machines, likely.machines(job, nameBytes() / 8),
+            addLikely(machines, likely.machines(job, nameBytes() / (dense() ? 2 : 8)),
                     Math.min(nameBytes(), room - Ranges.format(first, 0, settings.pageTasks()).length()));
             pages.add(0);
         } else {
@@ -304,7 +336,7 @@
             }
             done.put(page, bits);
             own.add(new Transaction.Write(StoreKeys.ledger(job.id(), page), new Row.Ledger(
-                    page == 0 ? List.copyOf(machines) : List.of(), page == 0 ? job.gangAttempt : 0, text), 0));
+                    page == 0 ? List.copyOf(machines) : List.of(), page == 0 ? job.gangAttempt : 0, text, page == 0 && dense()), 0));
             bytes += sizeOf(own.get(own.size() - 1));
         }
         if (pages.isEmpty()) {
@@ -325,11 +357,11 @@
         return new Part(job, false, machines, pages, done);
     }
 
-    private static void addLikely(Set<String> machines, List<String> likely, int mostBytes) {
+    private void addLikely(Set<String> machines, List<String> likely, int mostBytes) {
         int bytes = bytes(machines);
         for (String name : likely) {
             if (!machines.contains(name)) {
-                bytes += name.length() + NAME_BYTES;
+                bytes += dense() ? DENSE_NAME_BYTES : name.length() + NAME_BYTES;
                 if (bytes > mostBytes) {
                     return;
                 }
@@ -424,7 +456,7 @@
     List<String> unresolved(Round round) {
         List<String> keys = new ArrayList<>();
         for (Transaction.Compare compare : round.transaction().conditions()) {
-            if (!compare.key().equals(StoreKeys.LEADER)) {
+            if (!compare.key().equals(StoreKeys.LEADER) && !compare.key().equals(StoreKeys.LAYOUT)) {
                 keys.add(compare.key());
             }
         }
--- a/src/main/java/io/micatide/core/Row.java
+++ b/src/main/java/io/micatide/core/Row.java
@@ -26,8 +26,12 @@
      * @param machines every machine on which an attempt of the job may be; written before the first start there
      * @param gangAttempt attempt of the gang, shared by all its tasks; 0 for other jobs
      * @param done finished tasks of this page
+     * @param dense the names are stored in short ({@link MachineNames}); only once every controller reads that
      */
-    record Ledger(List<String> machines, long gangAttempt, String done) implements Row {
+    record Ledger(List<String> machines, long gangAttempt, String done, boolean dense) implements Row {
+        public Ledger(List<String> machines, long gangAttempt, String done) {
+            this(machines, gangAttempt, done, false);
+        }
     }
 
     record Booking(String state, String type, String zone, boolean spot, int count) implements Row {
--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -148,6 +148,11 @@
         rentals.load(name, row, nowMicros);
     }
 
+    /** Every controller reads the present layout: what an older one could not read may be written, on that condition. */
+    public void layoutMarked(long version) {
+        book.layoutMarked(version);
+    }
+
     /** All rows are read: machines that the ledgers name are known of from here on. */
     public void loaded(long nowMicros) {
         loading = false;
@@ -847,7 +852,9 @@
         int waiting = 0;
         int unsettled = 0;
         int suspect = 0;
+        int full = 0;
         for (Job job : book.jobs()) {
+            full += book.full(job) ? 1 : 0;
             suspect += job.suspect ? 1 : 0;
             waiting += job.waiting();
             unsettled += job.unsettled() ? 1 : 0;
@@ -855,6 +862,6 @@
         return "jobs=" + book.jobs().size() + " awaiting=" + pipelines.size() + " waiting=" + waiting + " unsettled=" + unsettled + " machines="
                 + fleet.machines().size() + " confirmed=" + confirmed + " usable=" + usable + " cpus="
                 + used.cpus() / 1000 + "/" + size.cpus() / 1000 + " running=" + running / 1000 + " spot="
-                + spotCpus / 1000 + " booting=" + booting + " replicas=" + replicas + " serving=" + serving + " displaced=" + planner.displaced() + " slow=" + slowFound + " suspect=" + suspect + " bookings=" + rentals.bookings.size();
+                + spotCpus / 1000 + " booting=" + booting + " replicas=" + replicas + " serving=" + serving + " displaced=" + planner.displaced() + " slow=" + slowFound + " suspect=" + suspect + " full=" + full + " bookings=" + rentals.bookings.size();
     }
 }
--- a/src/main/java/io/micatide/node/LeaderActor.java
+++ b/src/main/java/io/micatide/node/LeaderActor.java
@@ -56,6 +56,10 @@
     record JobsSeen(List<JobDirectory.View> jobs) implements Message {
     }
 
+    /** The mark that every controller reads the present layout is in the state service. */
+    record LayoutSeen(long version) implements Message {
+    }
+
     record StateFresh(long askedMicros) implements Message {
     }
 
@@ -202,6 +206,10 @@
             }
         } else if (message instanceof WatchDue) {
             watching = false;
+        } else if (message instanceof LayoutSeen m) {
+            if (scheduler != null) {
+                scheduler.layoutMarked(m.version());
+            }
         } else if (message instanceof LayoutMarked m) {
             layoutMarked(m);
         } else if (message instanceof TypesStored m) {
--- a/src/main/java/io/micatide/node/UsersActor.java
+++ b/src/main/java/io/micatide/node/UsersActor.java
@@ -166,7 +166,7 @@
         } else if (message instanceof Stored m) {
             apply(m.id(), m.row(), m.version());
         } else if (message instanceof LayoutKnown m) {
-            directory.layoutMarked(m.version());
+            layoutKnown(m.version());
         } else if (message instanceof TypesKnown m) {
             types = m.types();
         } else if (message instanceof TypesRead m) {
@@ -244,7 +244,14 @@
         if (item.row() instanceof Row.JobRow row) {
             apply(item.key().substring(StoreKeys.JOBS.length()), row, item.version());
         } else if (item.row() instanceof Row.Layout) {
-            directory.layoutMarked(item.version());
+            layoutKnown(item.version());
+        }
+    }
+
+    private void layoutKnown(long version) {
+        directory.layoutMarked(version);
+        if (leader != null) {
+            leader.tell(new LeaderActor.LayoutSeen(version));
         }
     }
 
@@ -302,6 +309,9 @@
             if (leader != null) {
                 if (followPending) {
                     followPending = false;
+                    if (directory.layoutVersion() > 0) {
+                        leader.tell(new LeaderActor.LayoutSeen(directory.layoutVersion()));
+                    }
                     leader.tell(new LeaderActor.JobsSeen(directory.openAndCancelled()));
                 }
                 leader.tell(new LeaderActor.StateFresh(message.askedMicros()));
--- a/src/main/java/io/micatide/wire/StateCodec.java
+++ b/src/main/java/io/micatide/wire/StateCodec.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.databind.JsonNode;
 import io.micatide.core.JobState;
+import io.micatide.core.MachineNames;
 import io.micatide.core.MachineType;
 import io.micatide.core.Micros;
 import io.micatide.core.Resources;
@@ -75,9 +76,9 @@
         } else if (row instanceof Row.Layout layout) {
             out.writeNumberField("layout", layout.number());
         } else if (row instanceof Row.Ledger ledger) {
-            out.writeArrayFieldStart("machines");
-            for (String machine : ledger.machines()) {
-                out.writeString(machine);
+            out.writeArrayFieldStart(ledger.dense() ? "fleet" : "machines");
+            for (String text : ledger.dense() ? MachineNames.shorten(ledger.machines()) : ledger.machines()) {
+                out.writeString(text);
             }
             out.writeEndArray();
             out.writeNumberField("gang", ledger.gangAttempt());
@@ -118,8 +119,9 @@
                     in.has("ended") ? in.count("ended", 0, Long.MAX_VALUE) : -1);
         }
         if (key.startsWith(StoreKeys.LEDGERS)) {
-            return new Row.Ledger(in.texts("machines"), in.count("gang", 0, Long.MAX_VALUE),
-                    data.path("done").asText(""));
+            boolean dense = in.has("fleet");
+            return new Row.Ledger(dense ? fleet(in) : in.texts("machines"), in.count("gang", 0, Long.MAX_VALUE),
+                    data.path("done").asText(""), dense);
         }
         if (key.startsWith(StoreKeys.BOOKINGS)) {
             return new Row.Booking(in.text("state"), in.text("type"), in.text("zone"), in.flag("spot"),
@@ -135,6 +137,14 @@
         throw new MalformedException(key, "is not a key of micatide");
     }
 
+    private static List<String> fleet(Fields in) throws MalformedException {
+        try {
+            return MachineNames.lengthen(in.texts("fleet"));
+        } catch (IllegalArgumentException e) {
+            throw new MalformedException(in.path("fleet"), "must be names in short");
+        }
+    }
+
     public static long revision(byte[] body) throws MalformedException {
         return new Fields(Json.tree(body), "").count("ledger", 0, Long.MAX_VALUE);
     }
--- a/src/test/java/io/micatide/core/JobBookTest.java
+++ b/src/test/java/io/micatide/core/JobBookTest.java
@@ -70,15 +70,19 @@
      */
     @ParameterizedTest
     @CsvSource({
-        // tasks, every n-th finished before, machines in the old ledger, changes in a transaction
-        "350, 2, 250, 5",
-        "3000, 2, 219, 5",
-        "100000, 3, 40, 5",
-        "3000, 2, 0, 10",
+        // tasks, every n-th finished before, machines in the old ledger, changes in a transaction, names in short
+        "350, 2, 250, 5, false",
+        "3000, 2, 219, 5, false",
+        "100000, 3, 40, 5, false",
+        "3000, 2, 0, 10, false",
+        "350, 2, 250, 5, true",
+        "3000, 2, 500, 5, true",
+        "100000, 3, 40, 5, true",
     })
-    void ledgersOfLargerLimits(int tasks, int step, int machines, int ops) {
+    void ledgersOfLargerLimits(int tasks, int step, int machines, int ops, boolean dense) {
         Settings settings = new World(1, 0, 2048, ops).settings;
         JobBook book = new JobBook(settings, 900);
+        book.layoutMarked(dense ? 44 : 0);
         Job job = book.add(World.job("wk-1", JobKind.ARRAY, "blue", Priority.NORMAL, tasks, 5), 7, 0, 0, 0);
         List<String> names = new ArrayList<>();
         for (int i = 0; i < machines; i++) {
@@ -119,6 +123,10 @@
                 assertTrue(StateCodec.size(write.row()) <= 2048, write.key());
                 if (write.key().equals(StoreKeys.ledger("wk-1", 0))) {
                     assertTrue(((Row.Ledger) write.row()).machines().containsAll(job.unsettledMachines));
+                    // Names in short are written on condition that everybody reads them.
+                    assertEquals(dense, ((Row.Ledger) write.row()).dense());
+                    assertEquals(dense, round.transaction().conditions()
+                            .contains(new Transaction.Compare(StoreKeys.LAYOUT, 44)));
                 }
             }
             book.confirmed(round, 1000 + second, now);
@@ -138,14 +146,16 @@
 
     /** A job goes to no more machines than a small ledger can name. */
     @ParameterizedTest
-    @CsvSource({"2048, 112", "16384, 927"})
-    void namesNoMoreMachinesThanFit(int bytes, int most) {
+    @CsvSource({"2048, 112, 1, false", "16384, 927, 1, false", "2048, 1000, 1, true", "2048, 615, 2, true",
+        "2048, 248, 1000, true"})
+    void namesNoMoreMachinesThanFit(int bytes, int most, int apart, boolean dense) {
         JobBook book = new JobBook(new World(1, 0, bytes, 5).settings, 900);
+        book.layoutMarked(dense ? 44 : 0);
         Job job = book.add(World.job("wk-1", JobKind.ARRAY, "blue", Priority.NORMAL, 5000, 5), 7, 0, 0, 0);
         int used = 0;
         for (int i = 0; i < 1000; i++) {
-            Machine machine = new Machine(String.format("i-%06d", i), 0);
-            if (book.mayUse(job, machine, 0)) {
+            Machine machine = new Machine(String.format("i-%06d", i * apart), 0);
+            if (book.mayUse(job, machine, i)) {
                 book.needMachine(job, machine, 0);
                 used++;
             }
--- /dev/null
+++ b/src/test/java/io/micatide/core/MachineNamesTest.java
@@ -0,0 +1,55 @@
+package io.micatide.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class MachineNamesTest {
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "i-000231|i-/6/231",
+        "i-000231 i-000232 i-000233 i-000240|i-/6/231+2,7",
+        "i-000000 i-000001|i-/6/0+1",
+        "i-999999 i-1000000|i-/6/999999 i-/7/1000000",
+        "a/b-7 a/b-07 a/b|a/b/0/ a/b-/1/7 a/b-/2/7",
+        "x12345678901|x12/9/345678901",
+    })
+    void shortAndBack(String names, String groups) {
+        List<String> list = List.of(names.split(" "));
+        assertEquals(List.of(groups.split(" ")), MachineNames.shorten(list));
+        assertEquals(new HashSet<>(list), new HashSet<>(MachineNames.lengthen(MachineNames.shorten(list))));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"i-000231", "i/x/3", "i/6/3+", "i/6/", "/"})
+    void whatIsNoGroupIsSaid(String text) {
+        assertThrows(IllegalArgumentException.class, () -> MachineNames.lengthen(List.of(text)));
+    }
+
+    /** Any set comes back; a fleet of 505 among 1,010 fits the smallest value that the operators named. */
+    @Test
+    void fleets() {
+        Random random = new Random(5);
+        for (int round = 0; round < 300; round++) {
+            Set<String> names = new HashSet<>();
+            for (int i = 0; i < 505; i++) {
+                names.add(String.format("i-%06d", random.nextInt(round < 100 ? 1_010 : 50_000)));
+            }
+            assertEquals(names, new HashSet<>(MachineNames.lengthen(MachineNames.shorten(names))));
+        }
+        List<String> worst = new ArrayList<>();
+        for (int i = 0; i < 505; i++) {
+            worst.add(String.format("i-%06d", 2 * i));
+        }
+        assertTrue(MachineNames.bytes(worst) < 1_240, "bytes: " + MachineNames.bytes(worst));
+    }
+}
--- a/src/test/java/io/micatide/core/PipelineFailureTest.java
+++ b/src/test/java/io/micatide/core/PipelineFailureTest.java
@@ -36,7 +36,9 @@
             world.valueLimit = 2048;
             world.lostAnswers = lostAnswers;
             world.killAfter = kill;
+            // The first leader writes as production does, the next one names in short.
             world.takeOver();
+            world.marked = true;
             submitAll(world);
             world.run(8 * Micros.SECOND);
             world.cancel("wk-f");
--- a/src/test/java/io/micatide/core/World.java
+++ b/src/test/java/io/micatide/core/World.java
@@ -65,6 +65,8 @@
     int valueLimit = 16 * 1024;
     int opsLimit = 16;
     int refused;
+    /** Every controller reads the present layout, as the next leader finds. */
+    boolean marked;
 
     World(long seed, int machines) {
         this(seed, machines, 16 * 1024, 16);
@@ -331,6 +333,10 @@
         takeOvers++;
         leader.typesKnown(List.of(TYPE), now);
         directory.openAndCancelled().forEach(view -> leader.jobSeen(view, now, now));
+        if (marked) {
+            put(StoreKeys.LAYOUT, new Row.Layout(Settings.LAYOUT), versions.getOrDefault(StoreKeys.LAYOUT, ++revision));
+            leader.layoutMarked(versions.get(StoreKeys.LAYOUT));
+        }
         rows.forEach((key, row) -> {
             if (row instanceof Row.Ledger ledger) {
                 leader.ledgerLoaded(key, ledger, versions.get(key), now);
--- a/src/test/java/io/micatide/wire/StoredTextTest.java
+++ b/src/test/java/io/micatide/wire/StoredTextTest.java
@@ -89,6 +89,8 @@
         "job/wk-1|{'state':'DONE','tasks':16,'submitted':5,'ended':9}",
         "job/wk-1|{'state':'CANCELLED','tasks':16,'submitted':5}",
         "job/layout|{'layout':2}",
+        "ledger/wk-1|{'fleet':['i-/6/231+29,2'],'gang':0,'done':'0-5'}",
+        "ledger/wk-1|{'fleet':[],'gang':0,'done':''}",
     })
     void rowsOfThisVersion(String key, String data) throws MalformedException {
         rowsOfProduction(key, data);
