Half of a second's writes are kept for what starts or ends a job, also with small transactions

What finished tasks may take was counted from the changes that a transaction may hold, and two of five is little.

--- a/src/main/java/io/micatide/core/JobBook.java
+++ b/src/main/java/io/micatide/core/JobBook.java
@@ -213,10 +213,10 @@
     }
 
     /**
-     * The next round, or null if nothing is worth writing; {@code mostWrites} is what the rate leaves, of which
-     * {@code reserve} are for what starts or ends a job: finished tasks can wait at their workers.
+     * The next round, or null if nothing is worth writing; {@code mostWrites} is what the rate leaves for what starts or ends
+     * a job, {@code mostLater} what it leaves for the rest: finished tasks can wait at their workers.
      */
-    Round nextRound(long nowMicros, long wallMicros, int mostWrites, int reserve, List<Rentals.Booking> bookings,
+    Round nextRound(long nowMicros, long wallMicros, int mostWrites, int mostLater, List<Rentals.Booking> bookings,
             List<Transaction.Write> extra, Likely likely) {
         List<Transaction.Compare> conditions = new ArrayList<>();
         List<Transaction.Write> writes = new ArrayList<>(extra);
@@ -233,7 +233,7 @@
                     continue;
                 }
                 int before = writes.size();
-                Part part = part(job, conditions, writes, due == LAST_PASS ? most - reserve : most, MOST_BYTES - bytes,
+                Part part = part(job, conditions, writes, due == LAST_PASS ? mostLater : most, MOST_BYTES - bytes,
                         likely, wallMicros);
                 if (part == null) {
                     continue;
@@ -244,7 +244,7 @@
                 }
             }
         }
-        List<String> closed = closeWithdrawn(conditions, writes, most - reserve);
+        List<String> closed = closeWithdrawn(conditions, writes, mostLater);
         if (writes.isEmpty()) {
             return null;
         }
--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -636,7 +636,10 @@
                     booking.state == Rentals.State.DONE ? null
                             : new Row.Booking("claimed", booking.type, booking.zone, booking.spot, booking.count), 0));
         }
-        JobBook.Round round = book.nextRound(nowMicros, wallMicros, most, (int) (Math.min(rate, mostOps) / 2), bookings,
+        // Half of a second's writes are kept for what starts or ends a job. Counted from the changes that a transaction may
+        // hold, as before, it came to two where that is five, and finished tasks took what starts then waited for.
+        int later = (int) Math.max(0, Math.min(mostOps, writeTokens - rate / 2));
+        JobBook.Round round = book.nextRound(nowMicros, wallMicros, most, later, bookings,
                 writes, (job, likely) -> planner.likely(job, likely, nowMicros));
         if (round == null) {
             return null;
--- a/src/test/java/io/micatide/core/JobBookTest.java
+++ b/src/test/java/io/micatide/core/JobBookTest.java
@@ -29,7 +29,7 @@
         Map<String, Row.Ledger> stored = new HashMap<>();
         int rounds = 0;
         for (long now = 10 * Micros.SECOND;; now += 10 * Micros.SECOND) {
-            JobBook.Round round = book.nextRound(now, now, settings.transactionOps(), 0, List.of(), List.of(),
+            JobBook.Round round = book.nextRound(now, now, settings.transactionOps(), settings.transactionOps(), List.of(), List.of(),
                     (any, most) -> List.of());
             if (round == null) {
                 break;
@@ -110,7 +110,7 @@
             if (second < 200) {
                 book.finished(job, (second * 7919) % tasks, now);
             }
-            JobBook.Round round = book.nextRound(now, now, settings.transactionOps(), 2, List.of(), List.of(),
+            JobBook.Round round = book.nextRound(now, now, settings.transactionOps(), settings.transactionOps() - 2, List.of(), List.of(),
                     (any, most) -> names);
             idle = round == null ? idle + 1 : 0;
             if (round == null) {
@@ -138,7 +138,7 @@
         for (int i = 0; i < tasks; i++) {
             book.finished(job, i, 500 * Micros.SECOND);
         }
-        JobBook.Round last = book.nextRound(510 * Micros.SECOND, 510 * Micros.SECOND, ops, 2, List.of(), List.of(),
+        JobBook.Round last = book.nextRound(510 * Micros.SECOND, 510 * Micros.SECOND, ops, ops, List.of(), List.of(),
                 (any, most) -> List.of());
         assertTrue(last.transaction().writes().get(0).row() instanceof Row.JobRow row && row.state() == JobState.DONE);
         assertTrue(last.transaction().writes().size() <= ops);
@@ -161,7 +161,7 @@
             }
         }
         assertEquals(most, used);
-        JobBook.Round round = book.nextRound(0, 0, 5, 2, List.of(), List.of(), (any, likely) -> List.of());
+        JobBook.Round round = book.nextRound(0, 0, 5, 5, List.of(), List.of(), (any, likely) -> List.of());
         assertTrue(StateCodec.size(round.transaction().writes().get(0).row()) <= bytes);
     }
 
@@ -172,14 +172,31 @@
         Job first = book.add(World.job("wk-1", JobKind.ARRAY, "blue", Priority.NORMAL, 10, 5), 7, 0, 0, 0);
         Job second = book.add(World.job("wk-2", JobKind.ARRAY, "blue", Priority.NORMAL, 10, 5), 8, 0, 0, 0);
         book.needMachine(first, new Machine("i-1", 0), 0);
-        JobBook.Round round = book.nextRound(0, 0, 5, 2, List.of(), List.of(), (any, likely) -> List.of());
+        JobBook.Round round = book.nextRound(0, 0, 5, 5, List.of(), List.of(), (any, likely) -> List.of());
         book.refused(round, 0);
         book.resolved(round, 0);
         book.needMachine(second, new Machine("i-1", 0), 0);
-        JobBook.Round next = book.nextRound(100, 100, 5, 2, List.of(), List.of(), (any, likely) -> List.of());
+        JobBook.Round next = book.nextRound(100, 100, 5, 5, List.of(), List.of(), (any, likely) -> List.of());
         assertEquals(List.of(second), next.parts().stream().map(JobBook.Part::job).toList());
         assertTrue(first.ledgerFull, "what waits for that write is given back");
-        JobBook.Round later = book.nextRound(20 * Micros.SECOND, 0, 5, 2, List.of(), List.of(), (any, likely) -> List.of());
+        JobBook.Round later = book.nextRound(20 * Micros.SECOND, 0, 5, 5, List.of(), List.of(), (any, likely) -> List.of());
         assertEquals(List.of(first), later.parts().stream().map(JobBook.Part::job).toList());
     }
+
+    /** Finished tasks wait at their workers while the rate is short; what starts or ends a job is written all the same. */
+    @Test
+    void finishedTasksLeaveTheRateToWhatStarts() {
+        JobBook book = new JobBook(new World(1, 0, 2048, 5).settings, 900);
+        for (int i = 0; i < 8; i++) {
+            book.finished(book.add(World.job("wk-" + i, JobKind.ARRAY, "blue", Priority.NORMAL, 10, 5), 7, 0, 0, 0), 3, 0);
+        }
+        Job starting = book.add(World.job("wk-8", JobKind.ARRAY, "blue", Priority.NORMAL, 10, 5), 7, 0, 0, 0);
+        book.needMachine(starting, new Machine("i-1", 0), 0);
+        long now = 5 * Micros.SECOND;
+        JobBook.Round round = book.nextRound(now, 0, 4, 0, List.of(), List.of(), (any, likely) -> List.of());
+        assertEquals(List.of(starting), round.parts().stream().map(JobBook.Part::job).toList());
+        book.confirmed(round, 1000, now);
+        assertEquals(null, book.nextRound(now, 0, 4, 0, List.of(), List.of(), (any, likely) -> List.of()));
+        assertEquals(3, book.nextRound(now, 0, 4, 3, List.of(), List.of(), (any, likely) -> List.of()).parts().size());
+    }
 }
