Names of needed jobs that a row has no room for go to further rows of the same transaction

A list is kept whole or refused at once with the reason; with 2 KiB and five changes some 750 names fit instead of 120. Written only under the mark. Tests: pieces in any order, lists of 0 to 5,000 names within their limits, stored text.

--- a/src/main/java/io/micatide/core/JobBook.java
+++ b/src/main/java/io/micatide/core/JobBook.java
@@ -392,7 +392,7 @@
         if (!job.cancelled) {
             conditions.add(new Transaction.Compare(StoreKeys.job(job.id()), job.version));
             writes.add(new Transaction.Write(StoreKeys.job(job.id()),
-                    new Row.JobRow(JobState.DONE, null, job.submittedWall, job.spec.tasks(), wallMicros), 0));
+                    new Row.JobRow(JobState.DONE, null, job.submittedWall, job.spec.tasks(), wallMicros, 0), 0));
         } else if (pages.isEmpty()) {
             jobs.remove(job.id());
             return null;
--- a/src/main/java/io/micatide/core/JobDirectory.java
+++ b/src/main/java/io/micatide/core/JobDirectory.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 
 /**
  * A controller's copy of all job rows, brought up to date by the changes since its revision. What a user is told must
@@ -28,6 +29,9 @@
     private final Map<String, Entry> entries = new HashMap<>();
     private final Map<String, Entry> open = new HashMap<>();
     private final Dependencies dependencies = new Dependencies();
+    /** Rows that came before all their names, and names that came before their rows; empty between two reads. */
+    private final Map<String, Entry> incomplete = new HashMap<>();
+    private final Map<String, Map<Integer, List<String>>> pieces = new HashMap<>();
     private long revision;
     private long layoutVersion;
 
@@ -90,12 +94,43 @@
         return entry == null || !entry.row().state().isFinal() ? null : entry.row();
     }
 
+    /** Applies further names of a job; returns what {@link #apply} does once its row and all of them are there. */
+    public List<String> applyNeeds(String id, int piece, List<String> names) {
+        if (entries.containsKey(id)) {
+            return List.of();
+        }
+        pieces.computeIfAbsent(id, k -> new TreeMap<>()).put(piece, names);
+        Entry row = incomplete.get(id);
+        return row == null ? List.of() : apply(id, row.row(), row.version());
+    }
+
+    /** The row with all names that belong to it, or null while some are missing. */
+    private Row.JobRow complete(String id, Row.JobRow row, long version) {
+        if (row.furtherNeeds() == 0 || row.state().isFinal()) {
+            return row;
+        }
+        Map<Integer, List<String>> further = pieces.getOrDefault(id, Map.of());
+        if (further.size() < row.furtherNeeds()) {
+            incomplete.put(id, new Entry(id, row, version));
+            return null;
+        }
+        List<String> all = new ArrayList<>(row.spec().needs());
+        further.values().forEach(all::addAll);
+        return row.withNeeds(all, 0);
+    }
+
     /** Applies a row unless a newer one is known; returns the jobs that stand otherwise than before, itself first. */
-    public List<String> apply(String id, Row.JobRow row, long version) {
+    public List<String> apply(String id, Row.JobRow stored, long version) {
         Entry known = entries.get(id);
         if (known != null && known.version() >= version) {
             return List.of();
         }
+        Row.JobRow row = complete(id, stored, version);
+        if (row == null) {
+            return List.of();
+        }
+        incomplete.remove(id);
+        pieces.remove(id);
         Entry entry = new Entry(id, row, version);
         entries.put(id, entry);
         List<String> changed = new ArrayList<>(List.of(id));
--- a/src/main/java/io/micatide/core/Row.java
+++ b/src/main/java/io/micatide/core/Row.java
@@ -11,11 +11,22 @@
      * @param spec null once the job is done, and of a job that was withdrawn before it could start
      * @param submittedWall time of day
      * @param endedWall time of day at which the job was done, or -1: the times of jobs that need it count from there
+     * @param furtherNeeds how many rows of {@link Needs} belong to this one
      */
-    record JobRow(JobState state, JobSpec spec, long submittedWall, int tasks, long endedWall) implements Row {
+    record JobRow(JobState state, JobSpec spec, long submittedWall, int tasks, long endedWall, int furtherNeeds)
+            implements Row {
         public JobRow(JobState state, JobSpec spec, long submittedWall, int tasks) {
-            this(state, spec, submittedWall, tasks, -1);
+            this(state, spec, submittedWall, tasks, -1, 0);
         }
+
+        /** The same with these needs in its description and so many rows with further ones. */
+        public JobRow withNeeds(List<String> needs, int further) {
+            return new JobRow(state, spec.withNeeds(needs), submittedWall, tasks, endedWall, further);
+        }
+    }
+
+    /** Names that a job's row has no room for; written in the same transaction. */
+    record Needs(List<String> names) implements Row {
     }
 
     /** The mark that all controllers read layout {@code number}; what an older one cannot read is written only after it. */
--- a/src/main/java/io/micatide/core/StoreKeys.java
+++ b/src/main/java/io/micatide/core/StoreKeys.java
@@ -26,6 +26,11 @@
         return JOBS + id;
     }
 
+    /** Piece 1 and on of the names that a job needs and its own row has no room for. */
+    public static String needs(String id, int piece) {
+        return JOBS + id + "/needs/" + piece;
+    }
+
     /** Page 0 is the ledger itself; further pages hold only finished ranges. */
     public static String ledger(String id, int page) {
         return page == 0 ? LEDGERS + id : LEDGERS + id + "/" + page;
--- a/src/main/java/io/micatide/node/UsersActor.java
+++ b/src/main/java/io/micatide/node/UsersActor.java
@@ -241,8 +241,13 @@
     }
 
     private void apply(StateCodec.Item item) {
+        String name = item.key().substring(StoreKeys.JOBS.length());
         if (item.row() instanceof Row.JobRow row) {
-            apply(item.key().substring(StoreKeys.JOBS.length()), row, item.version());
+            apply(name, row, item.version());
+        } else if (item.row() instanceof Row.Needs needs) {
+            int slash = name.indexOf('/');
+            changed(directory.applyNeeds(name.substring(0, slash), Integer.parseInt(
+                    name.substring(name.lastIndexOf('/') + 1)), needs.names()));
         } else if (item.row() instanceof Row.Layout) {
             layoutKnown(item.version());
         }
@@ -256,7 +261,11 @@
     }
 
     private void apply(String id, Row.JobRow row, long version) {
-        for (String changed : directory.apply(id, row, version)) {
+        changed(directory.apply(id, row, version));
+    }
+
+    private void changed(List<String> ids) {
+        for (String changed : ids) {
             if (directory.state(changed).isFinal()) {
                 progress.remove(changed);
             }
@@ -513,16 +522,15 @@
             // A leader of the former version would start it at once.
             conditions.add(new Transaction.Compare(StoreKeys.LAYOUT, directory.layoutVersion()));
         }
-        if (StateCodec.size(row) > settings.writableBytes()) {
-            // The state service would refuse it each time, and the user would try again for nothing.
-            boolean names = StateCodec.size(new Row.JobRow(row.state(), spec.withNeeds(List.of()), row.submittedWall(),
-                    row.tasks())) <= settings.writableBytes();
-            refuse(request, id, 400, names ? Json.error("awaits", "awaits: more names than can be kept with the job")
-                    : Json.error("body", "body: is too long to be kept"));
-            return;
+        // What the state service would refuse each time is refused here, or the user would try again for nothing.
+        List<Transaction.Write> rows = StateCodec.jobRows(id, row, settings.writableBytes());
+        if (rows == null) {
+            refuse(request, id, 400, Json.error("body", "body: is too long to be kept"));
+        } else if (rows.size() > settings.transactionOps()) {
+            refuse(request, id, 400, Json.error("awaits", "awaits: more names than can be kept with the job"));
+        } else {
+            state.transaction(new Transaction(conditions, rows), answer(r -> new Submitted(r, request, spec, row)));
         }
-        state.transaction(new Transaction(conditions, List.of(new Transaction.Write(StoreKeys.job(id), row, 0))),
-                answer(r -> new Submitted(r, request, spec, row)));
     }
 
     /** A job that was accepted before gets 200 whatever this copy of it says. */
--- a/src/main/java/io/micatide/wire/StateCodec.java
+++ b/src/main/java/io/micatide/wire/StateCodec.java
@@ -16,6 +16,9 @@
 
 /** The state service's messages, and the rows that micatide keeps there. */
 public final class StateCodec {
+    /** What the frame of a list of names and the number of further rows take at most. */
+    private static final int FURTHER_BYTES = 48;
+
     private StateCodec() {
     }
 
@@ -69,10 +72,19 @@
             if (job.endedWall() >= 0) {
                 out.writeNumberField("ended", job.endedWall());
             }
+            if (job.furtherNeeds() > 0) {
+                out.writeNumberField("furtherNeeds", job.furtherNeeds());
+            }
             if (job.spec() != null) {
                 out.writeFieldName("spec");
                 JobCodec.writeSpec(out, job.spec());
             }
+        } else if (row instanceof Row.Needs needs) {
+            out.writeArrayFieldStart("awaits");
+            for (String name : needs.names()) {
+                out.writeString(name);
+            }
+            out.writeEndArray();
         } else if (row instanceof Row.Layout layout) {
             out.writeNumberField("layout", layout.number());
         } else if (row instanceof Row.Ledger ledger) {
@@ -99,6 +111,35 @@
         out.writeEndObject();
     }
 
+    /**
+     * A new job's rows: its own and, for names that it has no room for, further ones. Null if the job itself does not fit.
+     */
+    public static List<Transaction.Write> jobRows(String id, Row.JobRow row, int mostBytes) {
+        List<Transaction.Write> rows = new ArrayList<>();
+        if (size(row) <= mostBytes) {
+            rows.add(new Transaction.Write(StoreKeys.job(id), row, 0));
+            return rows;
+        }
+        int left = row.spec() == null ? -1 : mostBytes - FURTHER_BYTES - size(row.withNeeds(List.of(), 0));
+        if (left < 0) {
+            return null;
+        }
+        List<List<String>> pieces = new ArrayList<>(List.of(new ArrayList<>()));
+        for (String name : row.spec().needs()) {
+            left -= name.length() + 3;
+            if (left < 0) {
+                pieces.add(new ArrayList<>());
+                left = mostBytes - FURTHER_BYTES - name.length() - 3;
+            }
+            pieces.get(pieces.size() - 1).add(name);
+        }
+        rows.add(new Transaction.Write(StoreKeys.job(id), row.withNeeds(pieces.get(0), pieces.size() - 1), 0));
+        for (int piece = 1; piece < pieces.size(); piece++) {
+            rows.add(new Transaction.Write(StoreKeys.needs(id, piece), new Row.Needs(pieces.get(piece)), 0));
+        }
+        return rows;
+    }
+
     /** What a row takes of the limit of a value. */
     public static int size(Row row) {
         return Json.bytes(out -> write(out, row)).length;
@@ -112,11 +153,15 @@
         if (key.equals(StoreKeys.LAYOUT)) {
             return new Row.Layout((int) in.count("layout", 1, Integer.MAX_VALUE));
         }
+        if (key.startsWith(StoreKeys.JOBS) && key.indexOf('/', StoreKeys.JOBS.length()) > 0) {
+            return new Row.Needs(in.texts("awaits"));
+        }
         if (key.startsWith(StoreKeys.JOBS)) {
             JobState state = JobState.valueOf(in.text("state"));
             return new Row.JobRow(state, state.isFinal() && !in.has("spec") ? null : JobCodec.spec(data.get("spec")),
                     in.count("submitted", 0, Long.MAX_VALUE), (int) in.count("tasks", 0, Integer.MAX_VALUE),
-                    in.has("ended") ? in.count("ended", 0, Long.MAX_VALUE) : -1);
+                    in.has("ended") ? in.count("ended", 0, Long.MAX_VALUE) : -1,
+                    in.has("furtherNeeds") ? (int) in.count("furtherNeeds", 0, Integer.MAX_VALUE) : 0);
         }
         if (key.startsWith(StoreKeys.LEDGERS)) {
             boolean dense = in.has("fleet");
--- a/src/test/java/io/micatide/core/DependenciesTest.java
+++ b/src/test/java/io/micatide/core/DependenciesTest.java
@@ -23,7 +23,7 @@
             version++;
             if (step.startsWith("+") || step.startsWith("-")) {
                 JobState state = step.startsWith("+") ? JobState.DONE : JobState.CANCELLED;
-                directory.apply(step.substring(1), new Row.JobRow(state, null, 0, 2, state == JobState.DONE ? version : -1),
+                directory.apply(step.substring(1), new Row.JobRow(state, null, 0, 2, state == JobState.DONE ? version : -1, 0),
                         version);
             } else {
                 String[] parts = step.split("<");
@@ -176,4 +176,28 @@
         pipelines.refresh(0);
         assertEquals(Long.MAX_VALUE, first.neededByMicros);
     }
+
+    /** Names that a row has no room for come in rows of their own, before it or after it: nothing is told of half a list. */
+    @ParameterizedTest
+    @CsvSource({"r12, true", "12r, true", "1r2, true", "r1, false", "12, false", "r, false"})
+    void furtherNamesBelongToTheRow(String order, boolean known) {
+        JobDirectory directory = new JobDirectory();
+        play(directory, List.of("a", "b", "c"), 0);
+        Row.JobRow row = new Row.JobRow(JobState.OPEN, spec("d", List.of("a")), 0, 2).withNeeds(List.of("a"), 2);
+        for (char part : order.toCharArray()) {
+            if (part == 'r') {
+                directory.apply("d", row, 9);
+            } else {
+                directory.applyNeeds("d", part - '0', List.of(part == '1' ? "b" : "c"));
+            }
+        }
+        assertEquals(known, directory.get("d") != null);
+        if (known) {
+            assertEquals(List.of("a", "b", "c"), directory.get("d").row().spec().needs());
+            play(directory, List.of("+a", "+b"), 20);
+            assertTrue(directory.view("d").waits());
+            play(directory, List.of("-c"), 30);
+            assertEquals(JobState.CANCELLED, directory.state("d"));
+        }
+    }
 }
--- a/src/test/java/io/micatide/wire/StoredTextTest.java
+++ b/src/test/java/io/micatide/wire/StoredTextTest.java
@@ -1,7 +1,10 @@
 package io.micatide.wire;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.micatide.core.JobDirectory;
 import io.micatide.core.JobKind;
 import io.micatide.core.JobProgress;
 import io.micatide.core.JobSpec;
@@ -13,6 +16,7 @@
 import io.micatide.core.Transaction;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -67,6 +71,32 @@
         assertEquals(JobState.OPEN, ((Row.JobRow) item.row()).state());
     }
 
+    /** A list of any length is kept whole, in as many rows as it takes, none above the limit. */
+    @ParameterizedTest
+    @CsvSource({"0, 2048, 1", "10, 2048, 1", "100, 2048, 1", "200, 2048, 2", "500, 2048, 4", "5000, 2048, 31", "5000, 16384, 4"})
+    void longListsAreKeptWhole(int names, int limit, int rows) throws MalformedException {
+        List<String> needs = new ArrayList<>();
+        for (int i = 0; i < names; i++) {
+            needs.add(String.format("wk-%06d", i));
+        }
+        Row.JobRow row = new Row.JobRow(JobState.OPEN, new JobSpec("wk-x", "train", "red", JobKind.ARRAY, Priority.LOW, 16,
+                Resources.of(2, 0, 4.5), "img", 1.5, List.of(), null, false, false, true, 1, 0, 0, -1, needs), 7, 16);
+        List<Transaction.Write> writes = StateCodec.jobRows("wk-x", row, limit);
+        assertEquals(rows, writes.size());
+        JobDirectory directory = new JobDirectory();
+        for (Transaction.Write write : writes) {
+            assertTrue(StateCodec.size(write.row()) <= limit, write.key());
+            if (write.row() instanceof Row.Needs further) {
+                directory.applyNeeds("wk-x", Integer.parseInt(write.key().substring("job/wk-x/needs/".length())),
+                        further.names());
+            } else {
+                directory.apply("wk-x", (Row.JobRow) write.row(), 5);
+            }
+        }
+        assertEquals(row, directory.get("wk-x").row());
+        assertNull(StateCodec.jobRows("wk-x", row, 200), "the job itself has to fit");
+    }
+
     @Test
     void newsOfProduction() throws MalformedException {
         String text = "{'token':41,'leader':'berth-1','stateServed':true,'silentUs':1200,'first':true,"
@@ -89,6 +119,7 @@
         "job/wk-1|{'state':'DONE','tasks':16,'submitted':5,'ended':9}",
         "job/wk-1|{'state':'CANCELLED','tasks':16,'submitted':5}",
         "job/layout|{'layout':2}",
+        "job/wk-3/needs/1|{'awaits':['wk-1','wk-2']}",
         "ledger/wk-1|{'fleet':['i-/6/231+29,2'],'gang':0,'done':'0-5'}",
         "ledger/wk-1|{'fleet':[],'gang':0,'done':''}",
     })
