--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -812,12 +812,14 @@
     public List<String> completions(long nowMicros) {
         List<String> lines = new ArrayList<>();
         for (Job job : completed) {
-            lines.add(String.format("%s (%s) done %.1f s after its submission: %d tasks, %d starts, first after %.1f s,"
-                    + " last after %.1f s, %.1f s expected", job.id(), job.spec.jobClass(),
-                    Micros.toSeconds(nowMicros - job.submittedMicros), job.spec.tasks(), job.attempts,
-                    Micros.toSeconds(job.firstStartMicros - job.submittedMicros),
-                    Micros.toSeconds(job.lastStartMicros - job.submittedMicros),
-                    Micros.toSeconds(runTimes.expected(job))));
+            String starts = job.attempts == 0 ? "all started before this term" : String.format(
+                    "%d starts, first after %.1f s, last after %.1f s", job.attempts,
+                    Micros.toSeconds(job.firstStartMicros - job.readyMicros),
+                    Micros.toSeconds(job.lastStartMicros - job.readyMicros));
+            lines.add(String.format("%s (%s) done %.1f s after its submission, %.1f s after it was ready: %d tasks, %s,"
+                    + " %.1f s expected", job.id(), job.spec.jobClass(),
+                    Micros.toSeconds(nowMicros - job.submittedMicros), Micros.toSeconds(nowMicros - job.readyMicros),
+                    job.spec.tasks(), starts, Micros.toSeconds(runTimes.expected(job))));
         }
         completed.clear();
         return lines;
--- a/src/main/java/io/micatide/node/LeaderActor.java
+++ b/src/main/java/io/micatide/node/LeaderActor.java
@@ -3,6 +3,7 @@
 import io.micatide.core.CloudCall;
 import io.micatide.core.JobDirectory;
 import io.micatide.core.JobProgress;
+import io.micatide.core.LayoutWatch;
 import io.micatide.core.Leadership;
 import io.micatide.core.ListedMachine;
 import io.micatide.core.MachineReport;
@@ -30,7 +31,6 @@
 import io.netty.channel.EventLoop;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.BitSet;
 import java.util.List;
 
 /** Claims the lead, and while it has it runs a {@link Scheduler} and answers the workers. */
@@ -142,9 +142,7 @@
     private long urgentNewsMicros;
     private long summaryMicros;
     private boolean listing;
-    /** Siblings that were heard in this term to read the present layout. */
-    private final BitSet present = new BitSet();
-    private boolean layoutMarking;
+    private final LayoutWatch layout;
     private boolean rateRefused;
 
     LeaderActor(EventLoop loop, Settings settings, Tuning tuning, StateClient state, CloudClient cloud, UsersActor users) {
@@ -157,6 +155,7 @@
         for (Settings.Sibling sibling : settings.siblings()) {
             siblings.add(new HttpClient(loop, sibling.endpoint(), 2));
         }
+        this.layout = new LayoutWatch(siblings.size());
         this.reach = new WorkerReach(settings, Clock.now());
         this.leadership = new Leadership(settings.label(), tuning.leaderLeaseMicros());
     }
@@ -358,8 +357,7 @@
         loading = 4;
         unread = new ReadBack(List.of());
         listing = false;
-        present.clear();
-        layoutMarking = false;
+        layout.begin();
         rateRefused = false;
         newsMicros = 0;
         scheduler.holdsUntil(leadership.holdsUntilMicros());
@@ -719,15 +717,11 @@
                 answer(r -> new PeerAnswered(r, token, sibling)));
     }
 
-    /**
-     * Once every sibling was heard in this term to read this layout, that is marked in the state service, and only then is
-     * anything written that a former version could not read. Who cannot be heard may be of a former version.
-     */
+    /** From the mark on, and only then, what a former version could not read is written. */
     private void markLayout() {
-        if (layoutMarking || !leadsAndLoaded() || present.cardinality() < siblings.size()) {
+        if (!leadsAndLoaded() || !layout.mark()) {
             return;
         }
-        layoutMarking = true;
         long token = scheduler.token();
         state.transaction(new Transaction(
                 List.of(new Transaction.Compare(StoreKeys.LEADER, token), new Transaction.Compare(StoreKeys.LAYOUT, 0)),
@@ -749,7 +743,9 @@
             log.error("transaction answer: {}", e.getMessage());
         }
         // The next answers of the siblings bring the next try.
-        layoutMarking = scheduler != null && scheduler.token() != message.token();
+        if (scheduler != null && scheduler.token() == message.token()) {
+            layout.failed();
+        }
     }
 
     /** Between two regular news, while no worker comes: do they come to a sibling? */
@@ -811,8 +807,8 @@
                 long now = Clock.now();
                 reach.strayedElsewhere(answer.strayedAgoMicros(), now);
                 resignIfUnreached(now);
-                if (scheduler != null && scheduler.token() == message.token() && answer.layout() >= Settings.LAYOUT) {
-                    present.set(message.sibling());
+                if (scheduler != null && scheduler.token() == message.token()) {
+                    layout.heard(message.sibling(), answer.layout());
                     markLayout();
                 }
             } catch (MalformedException e) {
