The mark keeps the size of ledger pages, whatever value_kb is handed over later

Found by reading: a page's number gives its tasks, and the size came from today's value_kb. An operator who hands over the lower limit as value_kb once it is in force would have pages of 2,048 tasks read as pages of 256, and tasks taken for finished that never ran. The mark is written by the first leader that hears all controllers, with the size in force. A test reads and writes such pages.

--- a/src/main/java/io/micatide/core/JobBook.java
+++ b/src/main/java/io/micatide/core/JobBook.java
@@ -38,6 +38,8 @@
     private final Multiset<String> seenOfClass = HashMultiset.create();
     /** Jobs whose rows still say open although something that they need was cancelled, with the rows' versions. */
     private long layoutVersion;
+    /** By the settings, until the mark says with what size the stored pages were written. */
+    private int pageTasks;
     private final Map<String, Withdrawal> withdrawals = new LinkedHashMap<>();
 
     /** A row to close. That the job is withdrawn follows from the others' rows, so this is for whoever reads only rows. */
@@ -47,6 +49,7 @@
     JobBook(Settings settings, long token) {
         this.settings = settings;
         this.token = token;
+        this.pageTasks = settings.pageTasks();
     }
 
     /** What a round writes of one job; {@code machines} is the set that the new ledger names. */
@@ -104,7 +107,7 @@
     private void adopt(Job job, int page, Row.Ledger ledger, long version) {
         job.pageVersions.put(page, version);
         BitSet done = new BitSet();
-        Ranges.parseInto(ledger.done(), page * settings.pageTasks(), done);
+        Ranges.parseInto(ledger.done(), page * pageTasks, done);
         job.adopt(done);
         if (page == 0) {
             job.recordedMachines = new HashSet<>(ledger.machines());
@@ -121,7 +124,7 @@
 
     void finished(Job job, int index, long nowMicros) {
         if (job.finish(index)) {
-            job.dirtyPages.set(index / settings.pageTasks());
+            job.dirtyPages.set(index / pageTasks);
             touch(job, nowMicros);
         }
     }
@@ -136,8 +139,13 @@
     }
 
     /** The mark that every controller reads names in short: a condition of each round that writes them so. */
-    void layoutMarked(long version) {
+    void layoutMarked(long version, int tasksOfAPage) {
         layoutVersion = version;
+        pageTasks = tasksOfAPage;
+    }
+
+    int pageTasks() {
+        return pageTasks;
     }
 
     private boolean dense() {
@@ -298,12 +306,12 @@
         }
         Set<String> machines = mustName(job);
         int room = settings.writableBytes() - LEDGER_BYTES;
-        BitSet first = Ranges.within(job.finished, job.recorded, 0, settings.pageTasks(),
+        BitSet first = Ranges.within(job.finished, job.recorded, 0, pageTasks,
                 room - Math.max(bytes(machines), Math.min(nameBytes(), room / 4)));
         List<Integer> pages = new ArrayList<>();
         if (first != null) {
             addLikely(machines, likely.machines(job, nameBytes() / (dense() ? 2 : 8)),
-                    Math.min(nameBytes(), room - Ranges.format(first, 0, settings.pageTasks()).length()));
+                    Math.min(nameBytes(), room - Ranges.format(first, 0, pageTasks).length()));
             pages.add(0);
         } else {
             // What an earlier leader wrote under a larger limit no longer fits. It gets smaller as machines settle and tasks
@@ -320,7 +328,7 @@
         if (pages.isEmpty() || writes.size() + pages.size() > most) {
             return null;
         }
-        int size = settings.pageTasks();
+        int size = pageTasks;
         Map<Integer, BitSet> done = new HashMap<>();
         List<Transaction.Write> own = new ArrayList<>();
         int bytes = 0;
@@ -441,7 +449,7 @@
         }
         job.dirtyPages.clear();
         job.dirtySinceMicros = -1;
-        int size = settings.pageTasks();
+        int size = pageTasks;
         BitSet unrecorded = (BitSet) job.finished.clone();
         unrecorded.andNot(job.recorded);
         for (int i = unrecorded.nextSetBit(0); i >= 0; i = unrecorded.nextSetBit((i / size + 1) * size)) {
--- a/src/main/java/io/micatide/core/JobDirectory.java
+++ b/src/main/java/io/micatide/core/JobDirectory.java
@@ -34,6 +34,7 @@
     private final Map<String, Map<Integer, List<String>>> pieces = new HashMap<>();
     private long revision;
     private long layoutVersion;
+    private Row.Layout layout;
 
     public long revision() {
         return revision;
@@ -62,8 +63,14 @@
         return layoutVersion;
     }
 
-    public void layoutMarked(long version) {
+    /** The mark, or null while there is none. */
+    public Row.Layout layout() {
+        return layout;
+    }
+
+    public void layoutMarked(long version, Row.Layout mark) {
         layoutVersion = version;
+        layout = mark;
     }
 
     /** How a known job stands, also by what it needs. */
--- a/src/main/java/io/micatide/core/Row.java
+++ b/src/main/java/io/micatide/core/Row.java
@@ -29,8 +29,12 @@
     record Needs(List<String> names) implements Row {
     }
 
-    /** The mark that all controllers read layout {@code number}; what an older one cannot read is written only after it. */
-    record Layout(int number) implements Row {
+    /**
+     * The mark that all controllers read layout {@code number}; what an older one cannot read is written only after it.
+     *
+     * @param pageTasks how many tasks a ledger page holds from then on, whatever the settings say later
+     */
+    record Layout(int number, int pageTasks) implements Row {
     }
 
     /**
--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -149,8 +149,8 @@
     }
 
     /** Every controller reads the present layout: what an older one could not read may be written, on that condition. */
-    public void layoutMarked(long version) {
-        book.layoutMarked(version);
+    public void layoutMarked(long version, Row.Layout layout) {
+        book.layoutMarked(version, layout.pageTasks());
     }
 
     /** All rows are read: machines that the ledgers name are known of from here on. */
--- a/src/main/java/io/micatide/node/LeaderActor.java
+++ b/src/main/java/io/micatide/node/LeaderActor.java
@@ -57,7 +57,7 @@
     }
 
     /** The mark that every controller reads the present layout is in the state service. */
-    record LayoutSeen(long version) implements Message {
+    record LayoutSeen(long version, Row.Layout layout) implements Message {
     }
 
     record StateFresh(long askedMicros) implements Message {
@@ -108,7 +108,7 @@
     record PeerAnswered(Reply reply, long token, int sibling) implements Message {
     }
 
-    record LayoutMarked(Reply reply, long token) implements Message {
+    record LayoutMarked(Reply reply, long token, Row.Layout layout) implements Message {
     }
 
     private static final long TICK_MICROS = 100 * Micros.MILLISECOND;
@@ -207,7 +207,7 @@
             watching = false;
         } else if (message instanceof LayoutSeen m) {
             if (scheduler != null) {
-                scheduler.layoutMarked(m.version());
+                scheduler.layoutMarked(m.version(), m.layout());
             }
         } else if (message instanceof LayoutMarked m) {
             layoutMarked(m);
@@ -723,17 +723,18 @@
             return;
         }
         long token = scheduler.token();
+        Row.Layout mark = new Row.Layout(Settings.LAYOUT, settings.pageTasks());
         state.transaction(new Transaction(
                 List.of(new Transaction.Compare(StoreKeys.LEADER, token), new Transaction.Compare(StoreKeys.LAYOUT, 0)),
-                List.of(new Transaction.Write(StoreKeys.LAYOUT, new Row.Layout(Settings.LAYOUT), 0))),
-                answer(r -> new LayoutMarked(r, token)));
+                List.of(new Transaction.Write(StoreKeys.LAYOUT, mark, 0))),
+                answer(r -> new LayoutMarked(r, token, mark)));
     }
 
     private void layoutMarked(LayoutMarked message) {
         try {
             if (message.reply().ok()) {
                 log.info("all {} controllers read layout {}: marked", siblings.size() + 1, Settings.LAYOUT);
-                users.tell(new UsersActor.LayoutKnown(StateCodec.revision(message.reply().body())));
+                users.tell(new UsersActor.LayoutKnown(StateCodec.revision(message.reply().body()), message.layout()));
                 return;
             }
             if (message.reply().status() == 409 && StateCodec.failed(message.reply().body()).contains(StoreKeys.LAYOUT)) {
--- a/src/main/java/io/micatide/node/UsersActor.java
+++ b/src/main/java/io/micatide/node/UsersActor.java
@@ -82,7 +82,7 @@
     record Stored(String id, Row.JobRow row, long version) implements Message {
     }
 
-    record LayoutKnown(long version) implements Message {
+    record LayoutKnown(long version, Row.Layout layout) implements Message {
     }
 
     /** What to do with a question once the copy is fresh. */
@@ -166,7 +166,7 @@
         } else if (message instanceof Stored m) {
             apply(m.id(), m.row(), m.version());
         } else if (message instanceof LayoutKnown m) {
-            layoutKnown(m.version());
+            layoutKnown(m.version(), m.layout());
         } else if (message instanceof TypesKnown m) {
             types = m.types();
         } else if (message instanceof TypesRead m) {
@@ -248,15 +248,15 @@
             int slash = name.indexOf('/');
             changed(directory.applyNeeds(name.substring(0, slash), Integer.parseInt(
                     name.substring(name.lastIndexOf('/') + 1)), needs.names()));
-        } else if (item.row() instanceof Row.Layout) {
-            layoutKnown(item.version());
+        } else if (item.row() instanceof Row.Layout layout) {
+            layoutKnown(item.version(), layout);
         }
     }
 
-    private void layoutKnown(long version) {
-        directory.layoutMarked(version);
+    private void layoutKnown(long version, Row.Layout layout) {
+        directory.layoutMarked(version, layout);
         if (leader != null) {
-            leader.tell(new LeaderActor.LayoutSeen(version));
+            leader.tell(new LeaderActor.LayoutSeen(version, layout));
         }
     }
 
@@ -319,7 +319,7 @@
                 if (followPending) {
                     followPending = false;
                     if (directory.layoutVersion() > 0) {
-                        leader.tell(new LeaderActor.LayoutSeen(directory.layoutVersion()));
+                        leader.tell(new LeaderActor.LayoutSeen(directory.layoutVersion(), directory.layout()));
                     }
                     leader.tell(new LeaderActor.JobsSeen(directory.openAndCancelled()));
                 }
--- a/src/main/java/io/micatide/wire/StateCodec.java
+++ b/src/main/java/io/micatide/wire/StateCodec.java
@@ -87,6 +87,7 @@
             out.writeEndArray();
         } else if (row instanceof Row.Layout layout) {
             out.writeNumberField("layout", layout.number());
+            out.writeNumberField("pageTasks", layout.pageTasks());
         } else if (row instanceof Row.Ledger ledger) {
             out.writeArrayFieldStart(ledger.dense() ? "fleet" : "machines");
             for (String text : ledger.dense() ? MachineNames.shorten(ledger.machines()) : ledger.machines()) {
@@ -151,7 +152,8 @@
             return new Row.Leader(in.text("owner"));
         }
         if (key.equals(StoreKeys.LAYOUT)) {
-            return new Row.Layout((int) in.count("layout", 1, Integer.MAX_VALUE));
+            return new Row.Layout((int) in.count("layout", 1, Integer.MAX_VALUE),
+                    (int) in.count("pageTasks", 1, Integer.MAX_VALUE));
         }
         if (key.startsWith(StoreKeys.JOBS) && key.indexOf('/', StoreKeys.JOBS.length()) > 0) {
             return new Row.Needs(in.texts("awaits"));
--- a/src/test/java/io/micatide/core/DependenciesTest.java
+++ b/src/test/java/io/micatide/core/DependenciesTest.java
@@ -127,7 +127,7 @@
         play(directory, List.of(rows.split(" ")), 0);
         directory.apply("s", new Row.JobRow(JobState.OPEN,
                 World.job("s", JobKind.SERVICE, "blue", Priority.NORMAL, 2, 0), 0, 2), 50);
-        directory.layoutMarked(marked ? 7 : 0);
+        directory.layoutMarked(marked ? 7 : 0, new Row.Layout(2, 2048));
         PipelineAdmission said = PipelineAdmission.of(spec("x", List.of(needs.split("&"))), directory);
         String text = said instanceof PipelineAdmission.Accepted accepted ? accepted.state() + " "
                 + (accepted.stored() == null ? 0 : accepted.stored().needs().size()) : said.getClass().getSimpleName();
--- a/src/test/java/io/micatide/core/JobBookTest.java
+++ b/src/test/java/io/micatide/core/JobBookTest.java
@@ -82,7 +82,7 @@
     void ledgersOfLargerLimits(int tasks, int step, int machines, int ops, boolean dense) {
         Settings settings = new World(1, 0, 2048, ops).settings;
         JobBook book = new JobBook(settings, 900);
-        book.layoutMarked(dense ? 44 : 0);
+        book.layoutMarked(dense ? 44 : 0, book.pageTasks());
         Job job = book.add(World.job("wk-1", JobKind.ARRAY, "blue", Priority.NORMAL, tasks, 5), 7, 0, 0, 0);
         List<String> names = new ArrayList<>();
         for (int i = 0; i < machines; i++) {
@@ -150,7 +150,7 @@
         "2048, 248, 1000, true"})
     void namesNoMoreMachinesThanFit(int bytes, int most, int apart, boolean dense) {
         JobBook book = new JobBook(new World(1, 0, bytes, 5).settings, 900);
-        book.layoutMarked(dense ? 44 : 0);
+        book.layoutMarked(dense ? 44 : 0, book.pageTasks());
         Job job = book.add(World.job("wk-1", JobKind.ARRAY, "blue", Priority.NORMAL, 5000, 5), 7, 0, 0, 0);
         int used = 0;
         for (int i = 0; i < 1000; i++) {
@@ -199,4 +199,17 @@
         assertEquals(null, book.nextRound(now, 0, 4, 0, List.of(), List.of(), (any, likely) -> List.of()));
         assertEquals(3, book.nextRound(now, 0, 4, 3, List.of(), List.of(), (any, likely) -> List.of()).parts().size());
     }
+
+    /** Pages that were written under one limit are read with their own size, also where the settings name another since. */
+    @Test
+    void theMarkKeepsTheSizeOfPages() {
+        JobBook book = new JobBook(new World(1, 0).settings, 900);
+        book.layoutMarked(44, 256);
+        Job job = book.add(World.job("wk-1", JobKind.ARRAY, "blue", Priority.NORMAL, 1000, 5), 7, 0, 0, 0);
+        book.load(StoreKeys.ledger("wk-1", 2), new Row.Ledger(List.of(), 0, "0-9", true), 5);
+        assertEquals("512-521", Ranges.format(job.finished, 0, 1000));
+        book.finished(job, 600, 0);
+        JobBook.Round round = book.nextRound(5 * Micros.SECOND, 0, 5, 5, List.of(), List.of(), (any, likely) -> List.of());
+        assertEquals("0-9,88", ((Row.Ledger) round.transaction().writes().get(1).row()).done());
+    }
 }
--- a/src/test/java/io/micatide/core/World.java
+++ b/src/test/java/io/micatide/core/World.java
@@ -334,8 +334,8 @@
         leader.typesKnown(List.of(TYPE), now);
         directory.openAndCancelled().forEach(view -> leader.jobSeen(view, now, now));
         if (marked) {
-            put(StoreKeys.LAYOUT, new Row.Layout(Settings.LAYOUT), versions.getOrDefault(StoreKeys.LAYOUT, ++revision));
-            leader.layoutMarked(versions.get(StoreKeys.LAYOUT));
+            put(StoreKeys.LAYOUT, new Row.Layout(Settings.LAYOUT, settings.pageTasks()), versions.getOrDefault(StoreKeys.LAYOUT, ++revision));
+            leader.layoutMarked(versions.get(StoreKeys.LAYOUT), (Row.Layout) rows.get(StoreKeys.LAYOUT));
         }
         rows.forEach((key, row) -> {
             if (row instanceof Row.Ledger ledger) {
--- a/src/test/java/io/micatide/wire/StoredTextTest.java
+++ b/src/test/java/io/micatide/wire/StoredTextTest.java
@@ -118,7 +118,7 @@
     @CsvSource(delimiter = '|', quoteCharacter = '`', value = {
         "job/wk-1|{'state':'DONE','tasks':16,'submitted':5,'ended':9}",
         "job/wk-1|{'state':'CANCELLED','tasks':16,'submitted':5}",
-        "job/layout|{'layout':2}",
+        "job/layout|{'layout':2,'pageTasks':2048}",
         "job/wk-3/needs/1|{'awaits':['wk-1','wk-2']}",
         "ledger/wk-1|{'fleet':['i-/6/231+29,2'],'gang':0,'done':'0-5'}",
         "ledger/wk-1|{'fleet':[],'gang':0,'done':''}",
