--- a/src/test/java/io/micatide/core/World.java
+++ b/src/test/java/io/micatide/core/World.java
@@ -1,6 +1,10 @@
 package io.micatide.core;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import io.micatide.wire.Json;
+import io.micatide.wire.MalformedException;
 import io.micatide.wire.StateCodec;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -287,7 +291,20 @@
         return ((Row.JobRow) rows.get(StoreKeys.job(id))).state();
     }
 
-    private void put(String key, Row row, long at) {
+    /** What is stored is text: a leader reads what the one before it wrote, not its objects. */
+    private static Row throughText(String key, Row row, long at) {
+        try {
+            JsonNode data = Json.tree(StateCodec.transaction(new Transaction(List.of(),
+                    List.of(new Transaction.Write(key, row, 0))))).path("writes").get(0).path("data");
+            return StateCodec.item(("{\"k\":\"" + key + "\",\"data\":" + data + ",\"stamp\":" + at + "}")
+                    .getBytes(StandardCharsets.UTF_8)).row();
+        } catch (MalformedException e) {
+            throw new IllegalStateException(key + ": " + e.getMessage(), e);
+        }
+    }
+
+    private void put(String key, Row given, long at) {
+        Row row = given == null ? null : throughText(key, given, at);
         if (row == null) {
             rows.remove(key);
             versions.remove(key);
