--- a/src/main/java/io/micatide/node/TakeOver.java
+++ b/src/main/java/io/micatide/node/TakeOver.java
@@ -21,7 +21,7 @@
     record Read(String prefix, String after) implements Message {
     }
 
-    record Answered(Reply reply, String prefix) implements Message {
+    record Answered(Reply reply, Read asked) implements Message {
     }
 
     private static final long RETRY_MICROS = 300 * Micros.MILLISECOND;
@@ -46,50 +46,46 @@
     protected void receive(Message message) {
         if (message instanceof Read m) {
             if (m.prefix().equals(StoreKeys.TYPES)) {
-                state.read(m.prefix(), answer(r -> new Answered(r, m.prefix())));
+                state.read(m.prefix(), answer(r -> new Answered(r, m)));
             } else {
-                state.list(m.prefix(), m.after(), answer(r -> new Answered(r, m.prefix())));
+                state.list(m.prefix(), m.after(), answer(r -> new Answered(r, m)));
             }
         } else if (message instanceof Answered m) {
             try {
-                if (m.prefix().equals(StoreKeys.TYPES)) {
-                    types(m.reply());
+                if (m.asked().prefix().equals(StoreKeys.TYPES)) {
+                    types(m.asked(), m.reply());
                 } else {
-                    page(m.prefix(), m.reply());
+                    page(m.asked(), m.reply());
                 }
             } catch (MalformedException e) {
                 log.error("stored rows: {}", e.getMessage());
-                again(m.prefix());
+                tellLater(m.asked(), RETRY_MICROS);
             }
         }
     }
 
-    private void types(Reply reply) throws MalformedException {
+    private void types(Read asked, Reply reply) throws MalformedException {
         if (reply.ok()) {
             List<MachineType> types = ((Row.Types) StateCodec.item(reply.body()).row()).types();
             leader.tell(new LeaderActor.TypesLoaded(token, types));
         } else if (reply.status() != 404) {
-            again(StoreKeys.TYPES);
+            tellLater(asked, RETRY_MICROS);
             return;
         }
         leader.tell(new LeaderActor.PartLoaded(token));
     }
 
-    private void page(String prefix, Reply reply) throws MalformedException {
+    private void page(Read asked, Reply reply) throws MalformedException {
         if (!reply.ok()) {
-            again(prefix);
+            tellLater(asked, RETRY_MICROS);
             return;
         }
         StateCodec.Items page = StateCodec.page(reply.body());
         leader.tell(new LeaderActor.RowsLoaded(token, page.items()));
         if (page.more() && !page.items().isEmpty()) {
-            tell(new Read(prefix, page.items().get(page.items().size() - 1).key()));
+            tell(new Read(asked.prefix(), page.items().get(page.items().size() - 1).key()));
         } else {
             leader.tell(new LeaderActor.PartLoaded(token));
         }
     }
-
-    private void again(String prefix) {
-        tellLater(new Read(prefix, null), RETRY_MICROS);
-    }
 }
--- a/src/main/java/io/micatide/node/UsersActor.java
+++ b/src/main/java/io/micatide/node/UsersActor.java
@@ -51,7 +51,11 @@
     record RefreshDue() implements Message {
     }
 
-    record PageRead(Reply reply, boolean first) implements Message {
+    /** A page of the full read; {@code after} null for the first. */
+    record PageRead(Reply reply, String after) implements Message {
+    }
+
+    record PageDue(String after) implements Message {
     }
 
     record ChangesRead(Reply reply, long askedMicros) implements Message {
@@ -209,7 +213,7 @@
         } else if (message instanceof DoubtsDue) {
             settleDoubts();
         } else if (message instanceof Load) {
-            state.list(StoreKeys.JOBS, null, answer(r -> new PageRead(r, true)));
+            readPage(null);
             if (!typesAsked) {
                 // Once: it repeats by itself until the types are known.
                 typesAsked = true;
@@ -217,6 +221,8 @@
             }
         } else if (message instanceof PageRead m) {
             pageRead(m);
+        } else if (message instanceof PageDue m) {
+            readPage(m.after());
         } else if (message instanceof Progress m) {
             if (m.first()) {
                 progress = new HashMap<>();
@@ -276,15 +282,20 @@
 
     // ---- the copy
 
+    private void readPage(String after) {
+        state.list(StoreKeys.JOBS, after, answer(r -> new PageRead(r, after)));
+    }
+
     private void pageRead(PageRead message) {
         Reply reply = message.reply();
         if (!reply.ok()) {
-            tellLater(new Load(), 300 * Micros.MILLISECOND);
+            // The same page: with as many rows as use up the rate, a read that began anew would never end.
+            tellLater(new PageDue(message.after()), 300 * Micros.MILLISECOND);
             return;
         }
         try {
             StateCodec.Items page = StateCodec.page(reply.body());
-            if (message.first()) {
+            if (message.after() == null) {
                 directory.restartAt(page.revision());
             }
             String last = null;
@@ -293,7 +304,7 @@
                 last = item.key();
             }
             if (page.more()) {
-                state.list(StoreKeys.JOBS, last, answer(r -> new PageRead(r, false)));
+                readPage(last);
             } else {
                 loaded = true;
                 directory.readWhole();
--- /dev/null
+++ b/src/main/java/io/micatide/snapshot/Image.java
@@ -0,0 +1,28 @@
+package io.micatide.snapshot;
+
+import io.micatide.core.StoreKeys;
+import io.micatide.wire.RawState;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/**
+ * Everything that micatide keeps in a state service at one revision, but for who leads: that is bound to a lease.
+ *
+ * @param values by key
+ */
+public record Image(long revision, SortedMap<String, RawState.Value> values) {
+    /** One for each owner of the writes; {@link StoreKeys#LEADER} is left out. */
+    static final List<String> PREFIXES = List.of(StoreKeys.BOOKINGS, StoreKeys.SEGMENTS, StoreKeys.JOBS, StoreKeys.LEDGERS,
+            StoreKeys.TYPES);
+
+    /** How many values there are of each prefix. */
+    public Map<String, Integer> counts() {
+        Map<String, Integer> counts = new TreeMap<>();
+        for (String prefix : PREFIXES) {
+            counts.put(prefix, (int) values.keySet().stream().filter(key -> key.startsWith(prefix)).count());
+        }
+        return counts;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/micatide/snapshot/SnapshotFile.java
@@ -0,0 +1,233 @@
+package io.micatide.snapshot;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.micatide.wire.Json;
+import io.micatide.wire.MalformedException;
+import io.micatide.wire.RawState;
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.AtomicMoveNotSupportedException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.security.MessageDigest;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.apache.commons.codec.digest.DigestUtils;
+import org.apache.commons.codec.digest.HmacAlgorithms;
+import org.apache.commons.codec.digest.HmacUtils;
+import org.apache.commons.compress.archivers.tar.TarArchiveEntry;
+import org.apache.commons.compress.archivers.tar.TarArchiveInputStream;
+import org.apache.commons.compress.archivers.tar.TarArchiveOutputStream;
+import org.apache.commons.compress.compressors.gzip.GzipCompressorInputStream;
+import org.apache.commons.compress.compressors.gzip.GzipCompressorOutputStream;
+
+/**
+ * An image in a file: a compressed tar of parts with one value a line, then a manifest with the counts and the digest of each part, and
+ * under an operator's key the manifest's MAC. Any tar reads it. Written beside its name and moved there when it is whole.
+ */
+public final class SnapshotFile {
+    /** What a file says of itself. */
+    public record Summary(long revision, String taken, Map<String, Integer> counts, int parts, boolean signed) {
+    }
+
+    /** A file that was read whole and found sound. */
+    public record Content(Summary summary, Image image, String digest) {
+    }
+
+    private record Part(String name, int lines, String sha256) {
+    }
+
+    private static final int FORMAT = 1;
+    private static final int LINES_A_PART = 10_000;
+    private static final long MOST_PART_BYTES = 256L << 20;
+    private static final String MANIFEST = "manifest.json";
+    private static final String MAC = "manifest.mac";
+
+    private SnapshotFile() {
+    }
+
+    // ---- writing
+
+    /**
+     * @param key of the MAC, null for none
+     * @param taken the time of day, as it is to be shown
+     * @throws SnapshotException the file is there already
+     */
+    public static void write(Path file, Image image, byte[] key, String taken) throws IOException, SnapshotException {
+        if (Files.exists(file)) {
+            throw new SnapshotException(file + ": is there already");
+        }
+        Path half = file.resolveSibling(file.getFileName() + ".part");
+        try (OutputStream raw = Files.newOutputStream(half);
+                TarArchiveOutputStream tar = new TarArchiveOutputStream(new GzipCompressorOutputStream(raw), "UTF-8")) {
+            List<Part> parts = new ArrayList<>();
+            StringBuilder lines = new StringBuilder();
+            int count = 0;
+            for (RawState.Value value : image.values().values()) {
+                lines.append(RawState.line(value)).append('\n');
+                if (++count == LINES_A_PART) {
+                    parts.add(part(tar, parts.size(), lines, count));
+                    lines.setLength(0);
+                    count = 0;
+                }
+            }
+            if (count > 0) {
+                parts.add(part(tar, parts.size(), lines, count));
+            }
+            byte[] manifest = manifest(image, parts, key != null, taken);
+            entry(tar, MANIFEST, manifest);
+            if (key != null) {
+                entry(tar, MAC, mac(key, manifest).getBytes(StandardCharsets.US_ASCII));
+            }
+        }
+        try {
+            Files.move(half, file, StandardCopyOption.ATOMIC_MOVE);
+        } catch (AtomicMoveNotSupportedException e) {
+            Files.move(half, file);
+        }
+    }
+
+    private static Part part(TarArchiveOutputStream tar, int number, StringBuilder lines, int count) throws IOException {
+        byte[] bytes = lines.toString().getBytes(StandardCharsets.UTF_8);
+        String name = String.format("values/%06d.jsonl", number);
+        entry(tar, name, bytes);
+        return new Part(name, count, DigestUtils.sha256Hex(bytes));
+    }
+
+    private static void entry(TarArchiveOutputStream tar, String name, byte[] bytes) throws IOException {
+        TarArchiveEntry entry = new TarArchiveEntry(name);
+        entry.setSize(bytes.length);
+        tar.putArchiveEntry(entry);
+        tar.write(bytes);
+        tar.closeArchiveEntry();
+    }
+
+    private static byte[] manifest(Image image, List<Part> parts, boolean signed, String taken) {
+        return Json.bytes(out -> {
+            out.writeStartObject();
+            out.writeNumberField("format", FORMAT);
+            out.writeNumberField("revision", image.revision());
+            out.writeStringField("taken", taken);
+            out.writeBooleanField("signed", signed);
+            out.writeObjectFieldStart("counts");
+            for (Map.Entry<String, Integer> each : image.counts().entrySet()) {
+                out.writeNumberField(each.getKey(), each.getValue());
+            }
+            out.writeEndObject();
+            out.writeArrayFieldStart("parts");
+            for (Part part : parts) {
+                out.writeStartObject();
+                out.writeStringField("name", part.name());
+                out.writeNumberField("lines", part.lines());
+                out.writeStringField("sha256", part.sha256());
+                out.writeEndObject();
+            }
+            out.writeEndArray();
+            out.writeEndObject();
+        });
+    }
+
+    private static String mac(byte[] key, byte[] manifest) {
+        return new HmacUtils(HmacAlgorithms.HMAC_SHA_256, key).hmacHex(manifest);
+    }
+
+    // ---- reading
+
+    /**
+     * Reads all of it and checks every digest and count.
+     *
+     * @param key of the MAC; null where none is asked for: a signed file is then read by its digests alone
+     * @throws SnapshotException what is wrong, and in which part
+     */
+    public static Content read(Path file, byte[] key) throws SnapshotException {
+        Map<String, byte[]> entries = entries(file);
+        byte[] manifest = entries.get(MANIFEST);
+        if (manifest == null) {
+            throw new SnapshotException(file + ": is cut off, " + MANIFEST + " is missing");
+        }
+        byte[] mac = entries.get(MAC);
+        if (key != null && mac == null) {
+            throw new SnapshotException(file + ": is not signed, " + MAC + " is missing");
+        }
+        if (key != null && !MessageDigest.isEqual(mac(key, manifest).getBytes(StandardCharsets.US_ASCII), mac)) {
+            throw new SnapshotException(file + ": " + MAC + " does not fit the key: another key, or a changed " + MANIFEST);
+        }
+        try {
+            return content(file, entries, manifest, mac != null);
+        } catch (MalformedException e) {
+            throw new SnapshotException(file + ": " + MANIFEST + ": " + e.getMessage());
+        }
+    }
+
+    private static Map<String, byte[]> entries(Path file) throws SnapshotException {
+        Map<String, byte[]> entries = new TreeMap<>();
+        String at = "its beginning";
+        try (InputStream raw = new BufferedInputStream(Files.newInputStream(file));
+                TarArchiveInputStream tar = new TarArchiveInputStream(new GzipCompressorInputStream(raw), "UTF-8")) {
+            for (TarArchiveEntry entry = tar.getNextEntry(); entry != null; entry = tar.getNextEntry()) {
+                at = entry.getName();
+                if (entry.getSize() > MOST_PART_BYTES) {
+                    throw new SnapshotException(file + ": " + at + " is larger than a part may be");
+                }
+                ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+                tar.transferTo(bytes);
+                if (bytes.size() != entry.getSize()) {
+                    throw new SnapshotException(file + ": is cut off in " + at);
+                }
+                entries.put(at, bytes.toByteArray());
+            }
+            // To the end of the compressed stream, which has a sum of its own.
+            raw.transferTo(OutputStream.nullOutputStream());
+            return entries;
+        } catch (java.nio.file.NoSuchFileException e) {
+            throw new SnapshotException(file + ": is not there");
+        } catch (IOException | IllegalArgumentException e) {
+            throw new SnapshotException(file + ": cannot be read after " + at + ": " + e.getMessage());
+        }
+    }
+
+    private static Content content(Path file, Map<String, byte[]> entries, byte[] manifest, boolean signed)
+            throws MalformedException, SnapshotException {
+        JsonNode tree = Json.tree(manifest);
+        if (tree.path("format").asInt() != FORMAT) {
+            throw new SnapshotException(file + ": format is " + tree.path("format") + ", this version reads " + FORMAT);
+        }
+        if (tree.path("signed").asBoolean() != signed) {
+            throw new SnapshotException(file + ": " + MAC + (signed ? " is there though nothing was signed" : " is missing"));
+        }
+        TreeMap<String, RawState.Value> values = new TreeMap<>();
+        for (JsonNode part : tree.path("parts")) {
+            String name = part.path("name").asText();
+            byte[] bytes = entries.get(name);
+            if (bytes == null) {
+                throw new SnapshotException(file + ": " + name + " is missing");
+            }
+            if (!DigestUtils.sha256Hex(bytes).equals(part.path("sha256").asText())) {
+                throw new SnapshotException(file + ": " + name + " is not what was written, its digest is wrong");
+            }
+            String[] lines = new String(bytes, StandardCharsets.UTF_8).split("\n");
+            if (lines.length != part.path("lines").asInt()) {
+                throw new SnapshotException(file + ": " + name + " has " + lines.length + " values and not " + part.path("lines"));
+            }
+            for (String line : lines) {
+                RawState.Value value = RawState.value(line.getBytes(StandardCharsets.UTF_8));
+                values.put(value.key(), value);
+            }
+        }
+        Map<String, Integer> counts = new TreeMap<>();
+        tree.path("counts").fields().forEachRemaining(each -> counts.put(each.getKey(), each.getValue().asInt()));
+        Image image = new Image(tree.path("revision").asLong(), values);
+        if (!counts.equals(image.counts())) {
+            throw new SnapshotException(file + ": holds " + image.counts() + " and not " + counts);
+        }
+        return new Content(new Summary(image.revision(), tree.path("taken").asText(), counts, tree.path("parts").size(), signed),
+                image, DigestUtils.sha256Hex(manifest));
+    }
+}
--- /dev/null
+++ b/src/main/java/io/micatide/wire/RawState.java
@@ -0,0 +1,81 @@
+package io.micatide.wire;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/** The state service's messages with values as they are stored, whatever they mean: for copies that have to be exact. */
+public final class RawState {
+    private RawState() {
+    }
+
+    /** A value as compact JSON; {@code json} null of a deletion. */
+    public record Value(String key, String json, long stamp) {
+    }
+
+    /** A page of keys, or the changes since a revision in the order in which they were made. */
+    public record Values(List<Value> values, boolean more, long revision) {
+    }
+
+    public static Values page(byte[] body) throws MalformedException {
+        JsonNode tree = Json.tree(body);
+        List<Value> values = new ArrayList<>();
+        for (JsonNode each : tree.path("items")) {
+            values.add(new Value(each.path("k").asText(), each.path("data").toString(), each.path("stamp").asLong()));
+        }
+        return new Values(values, tree.path("truncated").asBoolean(), StateCodec.revision(body));
+    }
+
+    public static Values changes(byte[] body) throws MalformedException {
+        List<Value> values = new ArrayList<>();
+        for (JsonNode each : Json.tree(body).path("events")) {
+            boolean put = each.hasNonNull("put");
+            values.add(new Value(each.path(put ? "put" : "delete").asText(), put ? each.path("data").toString() : null,
+                    each.path("stamp").asLong()));
+        }
+        values.sort(Comparator.comparingLong(Value::stamp));
+        return new Values(values, false, StateCodec.revision(body));
+    }
+
+    /** A value read by its key. */
+    public static Value value(byte[] body) throws MalformedException {
+        JsonNode tree = Json.tree(body);
+        return new Value(tree.path("k").asText(), tree.path("data").toString(), tree.path("stamp").asLong());
+    }
+
+    /** Puts values that must not exist yet; {@code marker} must have its version, 0 for no such condition. */
+    public static byte[] putNew(List<Value> values, String marker, long markerVersion) {
+        StringBuilder out = new StringBuilder("{\"if\":[");
+        String comma = "";
+        if (marker != null) {
+            out.append("{\"k\":\"").append(marker).append("\",\"stamp\":").append(markerVersion).append('}');
+            comma = ",";
+        }
+        for (Value value : values) {
+            if (!value.key().equals(marker)) {
+                out.append(comma).append("{\"k\":\"").append(value.key()).append("\",\"stamp\":0}");
+                comma = ",";
+            }
+        }
+        out.append("],\"writes\":[");
+        comma = "";
+        for (Value value : values) {
+            out.append(comma).append("{\"put\":\"").append(value.key()).append("\",\"data\":").append(value.json()).append('}');
+            comma = ",";
+        }
+        return out.append("]}").toString().getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** Deletes a key that has this version. */
+    public static byte[] delete(String key, long version) {
+        return ("{\"if\":[{\"k\":\"" + key + "\",\"stamp\":" + version + "}],\"writes\":[{\"delete\":\"" + key + "\"}]}")
+                .getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** A line of a file of values. */
+    public static String line(Value value) {
+        return "{\"k\":\"" + value.key() + "\",\"data\":" + value.json() + ",\"stamp\":" + value.stamp() + "}";
+    }
+}
