--- a/src/main/java/io/micatide/rehearsal/StartMeasure.java
+++ b/src/main/java/io/micatide/rehearsal/StartMeasure.java
@@ -21,6 +21,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.File;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.HttpURLConnection;
 import java.net.ServerSocket;
 import java.net.URI;
@@ -30,7 +31,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * How long a controller takes to start, what it reads and what it holds, with so many finished jobs in rows or in the archive. A real
@@ -41,6 +44,10 @@
     private static final MachineType TYPE = new MachineType("g8", Resources.of(8, 0, 64), 25, 0.3, 0.5, 0.2, 30 * Micros.SECOND,
             List.of("a"));
     private static final int PATIENCE_S = 60;
+    /** Until filters are built: a segment every 50 ms and more. */
+    private static final int SETTLES_S = 25;
+    private static final int POLLS_S = 5;
+    private static final int USERS = 8;
 
     private StartMeasure() {
     }
@@ -48,8 +55,9 @@
     /** @param args the service's command without its settings file, as one word; {@code rows} or {@code archive}; numbers of jobs */
     public static void main(String[] args) throws Exception {
         List<String> command = List.of(args[0].split(" "));
-        System.out.println("finished jobs | in | start until healthy (s) | resident 5 s later (MB) | requests until then"
-                + " | values of the archive | take-over, claim to rebuilt (s)");
+        System.out.println("finished jobs | in | start until healthy (s) | resident 25 s later (MB) | requests until then"
+                + " | values of the archive | changes for a job | polls answered a second, and with 503 | resident then"
+                + " | take-over, claim to rebuilt (s)");
         for (int i = 2; i < args.length; i++) {
             System.out.println(measure(command, args[1].equals("archive"), Integer.parseInt(args[i])));
         }
@@ -60,9 +68,10 @@
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         EventLoop loop = group.next();
         StateStandIn[] state = new StateStandIn[1];
+        long[] changes = new long[1];
         loop.submit(() -> {
             state[0] = new StateStandIn(new NettyLoop(loop), LIMITS);
-            fill(state[0], archived, jobs);
+            changes[0] = fill(state[0], archived, jobs);
         }).get();
         int[] ports = new int[6];
         for (int i = 0; i < ports.length; i++) {
@@ -80,15 +89,19 @@
         double healthy = -1;
         double resident = -1;
         double takeOver = -1;
+        double afterwards = -1;
+        double[] polls = new double[2];
         try {
             long began = System.nanoTime();
             requests[0] = state[0].requestCount();
             processes.add(start(command, ports, 0, null));
             healthy = healthy(ports[2], processes.get(0), began);
             if (healthy >= 0) {
-                TimeUnit.SECONDS.sleep(5);
+                TimeUnit.SECONDS.sleep(SETTLES_S);
                 requests[0] = state[0].requestCount() - requests[0];
                 resident = resident(processes.get(0));
+                polls = polls(ports[2], jobs);
+                afterwards = resident(processes.get(0));
                 File second = File.createTempFile("micatide", ".log");
                 processes.add(start(command, ports, 1, second));
                 healthy(ports[4], processes.get(1), System.nanoTime());
@@ -104,8 +117,9 @@
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
         }
         long values = state[0].values().tailMap(StoreKeys.SEGMENTS).headMap(StoreKeys.SEGMENTS + "~").size();
-        return String.format(Locale.ROOT, "%d | %s | %.2f | %.1f | %d | %d | %.2f", jobs, archived ? "archive" : "rows", healthy,
-                resident, requests[0], values, takeOver);
+        return String.format(Locale.ROOT, "%d | %s | %.2f | %.1f | %d | %d | %.3f | %.0f, %.0f | %.1f | %.2f", jobs,
+                archived ? "archive" : "rows", healthy, resident, requests[0], values,
+                archived && jobs > 0 ? 1 + (double) changes[0] / jobs : 0, polls[0], polls[1], afterwards, takeOver);
     }
 
     // ---- what is stored at the beginning
@@ -115,26 +129,29 @@
         return String.format("wk-%07d", (int) (number * 7_368_787L % 10_000_000));
     }
 
-    private static void fill(StateStandIn state, boolean archived, int jobs) {
+    /** Returns the changes that the archive took, without one for each row that goes. */
+    private static long fill(StateStandIn state, boolean archived, int jobs) {
         if (!archived) {
             for (int i = 0; i < jobs; i++) {
                 state.preset(StoreKeys.job(id(i)), json(new Row.JobRow(JobState.DONE, null, 1_790_000_000_000_000L + i, 16,
                         1_790_000_060_000_000L + i, 0)));
             }
-            return;
+            return 0;
         }
         Row.History manifest = Archivist.first(17, 4711);
         long version = 1;
+        long changes = 0;
         Archivist archivist = new Archivist(1, LIMITS.valueBytes(), LIMITS.transactionChanges(), 256, manifest, version);
         int next = 0;
         for (Archivist.Step step = archivist.next(LIMITS.transactionChanges()); step != null || next < jobs; step = archivist.next(LIMITS.transactionChanges())) {
             if (step == null) {
                 List<Archivist.Ended> some = new ArrayList<>();
-                for (int end = Math.min(jobs, next + 4_000); next < end; next++) {
+                for (int end = Math.min(jobs, next + 256); next < end; next++) {
                     some.add(new Archivist.Ended(id(next), 1, new Outcome(JobState.DONE, false, 16), 0));
                 }
                 archivist.offer(some, 0, true);
             } else if (step instanceof Archivist.Write write) {
+                changes += write.transaction().writes().size();
                 for (Transaction.Write each : write.transaction().writes()) {
                     if (each.row() == null) {
                         state.values().remove(each.key());
@@ -151,6 +168,7 @@
         }
         state.preset(StoreKeys.LAYOUT, json(new Row.Layout(3, 2048)));
         state.preset(StoreKeys.HISTORY, json(archivist.manifest()));
+        return changes;
     }
 
     private static void segment(StateStandIn state, Archivist archivist, String key) {
@@ -245,6 +263,45 @@
         return -1;
     }
 
+    /** Polls of archived jobs as fast as eight users get answers, one after the other each: answers a second, and of them 503. */
+    private static double[] polls(int port, int jobs) throws InterruptedException {
+        AtomicInteger answered = new AtomicInteger();
+        AtomicInteger unavailable = new AtomicInteger();
+        List<Thread> users = new ArrayList<>();
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(POLLS_S);
+        for (int user = 0; user < USERS; user++) {
+            Random random = new Random(user);
+            Thread thread = new Thread(() -> {
+                while (System.nanoTime() < end) {
+                    int status = ask(port, "/v1/jobs/" + id(random.nextInt(Math.max(1, jobs))));
+                    answered.addAndGet(status == 200 || status == 404 ? 1 : 0);
+                    unavailable.addAndGet(status == 503 || status == 429 ? 1 : 0);
+                }
+            });
+            users.add(thread);
+            thread.start();
+        }
+        for (Thread user : users) {
+            user.join();
+        }
+        return new double[] {(double) answered.get() / POLLS_S, (double) unavailable.get() / POLLS_S};
+    }
+
+    private static int ask(int port, String path) {
+        try {
+            HttpURLConnection ask = (HttpURLConnection) URI.create("http://127.0.0.1:" + port + path).toURL().openConnection();
+            ask.setConnectTimeout(500);
+            ask.setReadTimeout(2000);
+            int status = ask.getResponseCode();
+            try (InputStream in = status < 400 ? ask.getInputStream() : ask.getErrorStream()) {
+                in.readAllBytes();
+            }
+            return status;
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
     private static double resident(Process process) throws IOException {
         for (String line : Files.readAllLines(Path.of("/proc/" + process.pid() + "/status"))) {
             if (line.startsWith("VmRSS:")) {
--- a/src/main/java/io/micatide/rehearsal/StateStandIn.java
+++ b/src/main/java/io/micatide/rehearsal/StateStandIn.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.function.LongConsumer;
 
 /** The state service: a consistent store with leases, conditions, watches and its limits. Used from its loop only. */
 public final class StateStandIn {
@@ -66,6 +67,7 @@
     private long requestCount;
     private long changeCount;
     private boolean away;
+    private LongConsumer witness = revision -> { };
 
     public StateStandIn(Loop loop, Limits limits) {
         this.loop = loop;
@@ -101,6 +103,15 @@
         return changeCount;
     }
 
+    public long revision() {
+        return revision;
+    }
+
+    /** Is told each revision as soon as what changed with it is stored. */
+    public void afterEachChange(LongConsumer each) {
+        witness = each;
+    }
+
     /** Stores a value beside the protocol, for what a rehearsal begins with. */
     public void preset(String key, byte[] json) {
         values.put(key, new Value(json, ++revision, 0));
@@ -285,6 +296,7 @@
         if (!writes.isEmpty()) {
             revision++;
             writes.forEach(this::apply);
+            witness.accept(revision);
             notifyWatches();
         }
         ok(request, "{\"ledger\":" + revision + "}");
@@ -383,6 +395,7 @@
                 values.remove(key);
                 note(new Event(key, null, revision));
             });
+            witness.accept(revision);
             notifyWatches();
         }
     }
--- a/src/main/java/io/micatide/snapshot/Restorer.java
+++ b/src/main/java/io/micatide/snapshot/Restorer.java
@@ -19,6 +19,8 @@
 public final class Restorer {
     /** Rows of jobs begin with {@code state}; this one does not, so it stops whoever reads. */
     static final String MARKER = StoreKeys.JOBS + "being-restored";
+    /** Stays behind, so that a restore which ended without an answer may be repeated as well. */
+    static final String RESTORED = "restored";
     private static final int MOST_TRIES = 50;
     private static final int MOST_BYTES = 40_000;
     private static final int NO_ANSWER = 0;
@@ -50,6 +52,10 @@
                 throw new SnapshotException(value.key() + ": is larger than a value of this service may be, nothing was written");
             }
         }
+        if (restored(digest)) {
+            progress.accept("this snapshot was restored here before, nothing is left to do");
+            return;
+        }
         long marker = begin(digest);
         if (advance) {
             marker = advance(digest, marker, image.revision());
@@ -74,7 +80,7 @@
             bytes += size;
         }
         write(some, marker);
-        end(marker);
+        end(digest, marker);
         progress.accept(inOrder.size() + " values restored");
     }
 
@@ -82,6 +88,11 @@
         return new RawState.Value(MARKER, "{\"restoring\":\"" + digest + "\"}", 0);
     }
 
+    private boolean restored(String digest) throws SnapshotException {
+        RawState.Value there = read(RESTORED);
+        return there != null && there.json().equals(marker(digest).json()) && read(MARKER) == null;
+    }
+
     /** The marker's version: written now, or left by an earlier try with the same image. */
     private long begin(String digest) throws SnapshotException {
         RawState.Value there = read(MARKER);
@@ -167,8 +178,8 @@
         }
     }
 
-    private void end(long marker) throws SnapshotException {
-        Reply reply = post(RawState.delete(MARKER, marker));
+    private void end(String digest, long marker) throws SnapshotException {
+        Reply reply = post(RawState.replace(MARKER, marker, new RawState.Value(RESTORED, marker(digest).json(), 0)));
         if (!reply.ok() && read(MARKER) != null) {
             throw new SnapshotException(MARKER + ": could not be removed, " + reply.status());
         }
--- a/src/main/java/io/micatide/snapshot/SnapshotFile.java
+++ b/src/main/java/io/micatide/snapshot/SnapshotFile.java
@@ -12,6 +12,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.AtomicMoveNotSupportedException;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.security.MessageDigest;
@@ -147,7 +148,22 @@
      * @throws SnapshotException what is wrong, and in which part
      */
     public static Content read(Path file, byte[] key) throws SnapshotException {
-        Map<String, byte[]> entries = entries(file);
+        try (InputStream in = Files.newInputStream(file)) {
+            return read(file.toString(), in, key);
+        } catch (NoSuchFileException e) {
+            throw new SnapshotException(file + ": is not there");
+        } catch (IOException e) {
+            throw new SnapshotException(file + ": cannot be read: " + e.getMessage());
+        }
+    }
+
+    /**
+     * As {@link #read(Path, byte[])}, from a stream.
+     *
+     * @param file what complaints call it
+     */
+    public static Content read(String file, InputStream in, byte[] key) throws SnapshotException {
+        Map<String, byte[]> entries = entries(file, in);
         byte[] manifest = entries.get(MANIFEST);
         if (manifest == null) {
             throw new SnapshotException(file + ": is cut off, " + MANIFEST + " is missing");
@@ -166,11 +182,11 @@
         }
     }
 
-    private static Map<String, byte[]> entries(Path file) throws SnapshotException {
+    private static Map<String, byte[]> entries(String file, InputStream in) throws SnapshotException {
         Map<String, byte[]> entries = new TreeMap<>();
         String at = "its beginning";
-        try (InputStream raw = new BufferedInputStream(Files.newInputStream(file));
-                TarArchiveInputStream tar = new TarArchiveInputStream(new GzipCompressorInputStream(raw), "UTF-8")) {
+        try (GzipCompressorInputStream plain = new GzipCompressorInputStream(new BufferedInputStream(in));
+                TarArchiveInputStream tar = new TarArchiveInputStream(plain, "UTF-8")) {
             for (TarArchiveEntry entry = tar.getNextEntry(); entry != null; entry = tar.getNextEntry()) {
                 at = entry.getName();
                 if (entry.getSize() > MOST_PART_BYTES) {
@@ -183,17 +199,15 @@
                 }
                 entries.put(at, bytes.toByteArray());
             }
-            // To the end of the compressed stream, which has a sum of its own.
-            raw.transferTo(OutputStream.nullOutputStream());
+            // To the end of the compressed stream, whose sum is looked at only there.
+            plain.transferTo(OutputStream.nullOutputStream());
             return entries;
-        } catch (java.nio.file.NoSuchFileException e) {
-            throw new SnapshotException(file + ": is not there");
         } catch (IOException | IllegalArgumentException e) {
             throw new SnapshotException(file + ": cannot be read after " + at + ": " + e.getMessage());
         }
     }
 
-    private static Content content(Path file, Map<String, byte[]> entries, byte[] manifest, boolean signed)
+    private static Content content(String file, Map<String, byte[]> entries, byte[] manifest, boolean signed)
             throws MalformedException, SnapshotException {
         JsonNode tree = Json.tree(manifest);
         if (tree.path("format").asInt() != FORMAT) {
--- a/src/main/java/io/micatide/wire/RawState.java
+++ b/src/main/java/io/micatide/wire/RawState.java
@@ -74,6 +74,12 @@
                 .getBytes(StandardCharsets.UTF_8);
     }
 
+    /** Deletes a key that has this version and puts another. */
+    public static byte[] replace(String key, long version, Value other) {
+        return ("{\"if\":[{\"k\":\"" + key + "\",\"stamp\":" + version + "}],\"writes\":[{\"delete\":\"" + key + "\"},{\"put\":\""
+                + other.key() + "\",\"data\":" + other.json() + "}]}").getBytes(StandardCharsets.UTF_8);
+    }
+
     /** A line of a file of values. */
     public static String line(Value value) {
         return "{\"k\":\"" + value.key() + "\",\"data\":" + value.json() + ",\"stamp\":" + value.stamp() + "}";
--- a/src/test/java/io/micatide/history/HistoryDay.java
+++ b/src/test/java/io/micatide/history/HistoryDay.java
@@ -87,6 +87,42 @@
     }
 
     HistoryDay(long seed, int valueBytes, int changes, Archivist.Maker maker) {
+        this(seed, valueBytes, changes, maker, true);
+    }
+
+    /** A state service, a cloud and a network, and nobody there yet. */
+    static HistoryDay withoutControllers(long seed, int valueBytes, int changes) {
+        return new HistoryDay(seed, valueBytes, changes, Archivist::new, false);
+    }
+
+    /** The controllers start with what is stored; users know what they were told by another service. */
+    void goesOnAs(HistoryDay other) {
+        jobs.putAll(other.jobs);
+        submitted.putAll(other.submitted);
+        finished.addAll(other.finished);
+        unknownAsked.addAll(other.unknownAsked);
+        for (int i = 0; i < CONTROLLERS; i++) {
+            boot(i);
+        }
+        time.run(5 * Micros.SECOND);
+    }
+
+    /** Users submit, cancel and poll for so many seconds while somebody else lets time pass. */
+    void later(int seconds) {
+        for (int second = 0; second < seconds; second++) {
+            user.later(() -> {
+                Job job = submit(1, 1 + random.nextInt(12), List.of());
+                if (random.nextInt(4) == 0) {
+                    user.later(() -> cancel(job), random.nextInt(3_000) * Micros.MILLISECOND);
+                }
+                submit(1, 2, List.of(job.id));
+                List<Job> all = List.copyOf(jobs.values());
+                poll(all.get(random.nextInt(all.size())));
+            }, second * Micros.SECOND);
+        }
+    }
+
+    private HistoryDay(long seed, int valueBytes, int changes, Archivist.Maker maker, boolean controllers) {
         this.random = new Random(seed);
         this.valueBytes = valueBytes;
         this.changes = changes;
@@ -117,7 +153,9 @@
         });
         for (int i = 0; i < CONTROLLERS; i++) {
             processes.add(null);
-            boot(i);
+            if (controllers) {
+                boot(i);
+            }
         }
     }
 
@@ -310,11 +348,12 @@
 
     void cancel(Job job) {
         job.cancelAsked = true;
+        boolean accepted = job.accepted;
         String end = job.end;
         anyController().post("/v1/jobs/" + job.id + "/abort", new byte[0], 5 * Micros.SECOND, reply -> {
             if (reply.ok()) {
                 told(job, end, reply);
-            } else if (reply.status() == 404 && job.accepted) {
+            } else if (reply.status() == 404 && accepted) {
                 broken.add("forgotten by abort " + job.id);
             } else if (reply.status() != 404) {
                 user.later(() -> cancel(job), Micros.SECOND);
@@ -415,6 +454,7 @@
     /** Until every job is over and told, then once more by every controller. */
     void settle() {
         network.losses(0, 0);
+        killAt = 0;
         for (int i = 0; i < 60 && jobs.values().stream().anyMatch(job -> job.end == null); i++) {
             jobs.values().stream().filter(job -> job.end == null).forEach(this::poll);
             time.run(Micros.SECOND);
