--- /dev/null
+++ b/src/main/java/io/micatide/cli/LocalCommand.java
@@ -0,0 +1,67 @@
+package io.micatide.cli;
+
+import io.micatide.rehearsal.LocalService;
+import java.io.IOException;
+import java.net.HttpURLConnection;
+import java.net.URI;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** A deployment to try out: controllers and stand-ins of everything they need, until it is interrupted. */
+@Command(name = "local", mixinStandardHelpOptions = true,
+        description = "Run a deployment on this machine to try out, with stand-ins of state service, cloud and workers.")
+final class LocalCommand implements Callable<Integer> {
+    private static final int PATIENCE_S = 20;
+
+    @Option(names = "--controllers", defaultValue = "1", paramLabel = "N", description = "how many controllers, 1 to 9")
+    private int controllers;
+
+    @Option(names = "--port", defaultValue = "8080", paramLabel = "PORT",
+            description = "of the first controller, by default 8080; 0 for any that is free")
+    private int port;
+
+    @Override
+    public Integer call() throws InterruptedException {
+        if (controllers < 1 || controllers > 9 || port < 0 || port > 65_535) {
+            System.err.println(controllers < 1 || controllers > 9 ? "--controllers: must be from 1 to 9" : "--port: must be from 0 to 65535");
+            return Main.EXIT_SETTINGS;
+        }
+        try (LocalService service = LocalService.start(controllers, port, true)) {
+            for (String endpoint : service.endpoints()) {
+                if (!healthy(endpoint)) {
+                    System.err.println(endpoint + ": does not serve within " + PATIENCE_S + " s");
+                    return 1;
+                }
+                System.out.println("http://" + endpoint);
+            }
+            System.out.println("team: " + LocalService.TEAM);
+            System.out.flush();
+            new CountDownLatch(1).await();
+            return 0;
+        } catch (IOException e) {
+            System.err.println("--port: " + port + " cannot be had: " + e.getMessage());
+            return Main.EXIT_SETTINGS;
+        }
+    }
+
+    private static boolean healthy(String endpoint) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
+        while (System.nanoTime() < end) {
+            try {
+                HttpURLConnection ask = (HttpURLConnection) URI.create("http://" + endpoint + "/healthz").toURL().openConnection();
+                ask.setConnectTimeout(500);
+                ask.setReadTimeout(1_000);
+                if (ask.getResponseCode() == 200) {
+                    return true;
+                }
+            } catch (IOException e) {
+                // Not up yet.
+            }
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+        return false;
+    }
+}
--- a/src/main/java/io/micatide/node/Controller.java
+++ b/src/main/java/io/micatide/node/Controller.java
@@ -7,6 +7,7 @@
 import io.micatide.net.Http;
 import io.micatide.net.Request;
 import io.micatide.net.StateClient;
+import io.micatide.wire.Description;
 import io.micatide.wire.Json;
 
 /** The actors of one controller on one loop, whatever carries their requests. */
@@ -25,7 +26,7 @@
     public Controller(Settings settings, Tuning tuning, Loop loop, Http.Connector connector, Archivist.Maker maker) {
         StateClient state = new StateClient(settings, connector, loop::now);
         CloudClient cloud = new CloudClient(settings, connector, loop::now);
-        this.users = new UsersActor(loop, settings, state, cloud);
+        this.users = new UsersActor(loop, settings, state, cloud, tuning.description() ? new Description() : null);
         this.leader = new LeaderActor(loop, settings, tuning, state, cloud, users, connector, maker);
     }
 
--- a/src/main/java/io/micatide/node/UsersActor.java
+++ b/src/main/java/io/micatide/node/UsersActor.java
@@ -20,6 +20,7 @@
 import io.micatide.net.Reply;
 import io.micatide.net.StateClient;
 import io.micatide.wire.CloudCodec;
+import io.micatide.wire.Description;
 import io.micatide.wire.JobCodec;
 import io.micatide.wire.JobCodec.Standing;
 import io.micatide.wire.Json;
@@ -168,6 +169,7 @@
     private List<Question> asking = List.of();
     private Map<String, JobProgress> progress = new HashMap<>();
     private List<MachineType> types = List.of();
+    private final Description description;
     private final HistoryReader history;
     private final Set<String> doubts = new HashSet<>();
     private LeaderActor leader;
@@ -178,11 +180,13 @@
     private boolean refreshTimer;
     private long refreshedMicros;
 
-    UsersActor(Loop loop, Settings settings, StateClient state, CloudClient cloud) {
+    /** @param description what is served of the interface itself, null for nothing */
+    UsersActor(Loop loop, Settings settings, StateClient state, CloudClient cloud, Description description) {
         super(loop);
         this.settings = settings;
         this.state = state;
         this.cloud = cloud;
+        this.description = description;
         this.history = new HistoryReader(loop, state);
         // All controllers together take about a third of the requests for this.
         this.refreshEveryMicros = Math.max(50 * Micros.MILLISECOND,
@@ -486,7 +490,13 @@
             }
             return;
         }
-        if (path.equals("/v1/jobs")) {
+        if (path.equals(Description.PATH) && description != null) {
+            if (request.method().equals("GET")) {
+                request.answer(200, description.bytes());
+            } else {
+                request.answer(405, WRONG_METHOD);
+            }
+        } else if (path.equals("/v1/jobs")) {
             route(request, "POST", () -> submit(request));
         } else if (path.startsWith("/v1/jobs/")) {
             String rest = path.substring("/v1/jobs/".length());
--- /dev/null
+++ b/src/main/java/io/micatide/wire/Description.java
@@ -0,0 +1,25 @@
+package io.micatide.wire;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+
+/** The users' interface as it is described for those who write or generate clients: OpenAPI, read when it is first asked for. */
+public final class Description {
+    /** Where controllers serve it, if they do. */
+    public static final String PATH = "/v1/openapi.json";
+    private static final String RESOURCE = "/openapi/micatide-v1.json";
+
+    private byte[] bytes;
+
+    public byte[] bytes() {
+        if (bytes == null) {
+            try (InputStream in = Description.class.getResourceAsStream(RESOURCE)) {
+                bytes = in.readAllBytes();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+        return bytes;
+    }
+}
