A leader that is cut off with a zone stops answering before a cancellation could be late

Change: a leader that has not read the state service answers no worker once a cancellation could be overdue by the time that their leases end (cancel_s less a lease and a second after its last read; 19 s here), unless every sibling tells it that nobody is served, as in an outage for all. Siblings say in their answers whether they are served; former versions do not, and count as unserved while they know no later leader.

--- a/src/main/java/io/micatide/node/LeaderActor.java
+++ b/src/main/java/io/micatide/node/LeaderActor.java
@@ -1,5 +1,6 @@
 package io.micatide.node;
 
+import io.micatide.core.CancelReach;
 import io.micatide.core.CloudCall;
 import io.micatide.core.JobDirectory;
 import io.micatide.core.JobProgress;
@@ -135,6 +136,7 @@
     private static final long LEASE_TICK_MICROS = 50 * Micros.MILLISECOND;
     private static final long RETRY_MICROS = 300 * Micros.MILLISECOND;
     private static final long WATCH_MICROS = 20 * Micros.SECOND;
+    private static final byte[] TOO_LONG = Json.error(null, "cut off");
     /** No message for so long, with a timer every 50 ms, means that the process stood still. */
     private static final long STALL_MICROS = Micros.SECOND;
     private static final long NEWS_MICROS = Micros.SECOND;
@@ -154,6 +156,8 @@
     private final List<Http> siblings = new ArrayList<>();
     private final Leadership leadership;
     private final WorkerReach reach;
+    private final CancelReach cancelReach;
+    private boolean tooLong;
     private boolean watching;
     private Scheduler scheduler;
     /** What still has to be read before the scheduler may act: jobs, ledgers, bookings. */
@@ -196,6 +200,7 @@
         this.fewSinceMicros = now();
         this.archivist = new ArchivistActor(loop, settings, tuning.historyBatch(), maker, state, this);
         this.reach = new WorkerReach(settings, now());
+        this.cancelReach = new CancelReach(settings);
         this.leadership = new Leadership(settings.label(), tuning.leaderLeaseMicros());
     }
 
@@ -216,6 +221,7 @@
             }
         } else if (message instanceof StateFresh m) {
             if (scheduler != null) {
+                cancelReach.fresh(m.askedMicros());
                 scheduler.stateFresh(m.askedMicros());
             }
         } else if (message instanceof RoundAnswered m) {
@@ -420,6 +426,8 @@
         newsMicros = 0;
         scheduler.holdsUntil(leadership.holdsUntilMicros());
         reach.begin(now);
+        cancelReach.begin(now);
+        tooLong = false;
         storedTypes = List.of();
         markVersion = 0;
         mark = null;
@@ -570,6 +578,15 @@
             return;
         }
         reach.heard(now());
+        if (!cancelReach.mayAnswer(now())) {
+            if (!tooLong) {
+                tooLong = true;
+                log.warn("has read no cancellations for too long, and not all siblings are heard: workers are not answered any more");
+            }
+            request.answer(503, TOO_LONG);
+            return;
+        }
+        tooLong = false;
         if (loading > 0) {
             // Renews the worker's lease; what the report says is taken from the next one.
             request.answer(200, WorkerCodec.answer(scheduler.token(), List.of()));
@@ -901,7 +918,8 @@
                 users.tell(new UsersActor.Progress(news.first(), news.jobs()));
             }
             request.answer(200, PeerCodec.answer(
-                    new PeerCodec.Answer(leadership.highestToken(), reach.strayedAgoMicros(now), Settings.LAYOUT)));
+                    new PeerCodec.Answer(leadership.highestToken(), reach.strayedAgoMicros(now), Settings.LAYOUT,
+                            state.reach().reached(now))));
         } catch (MalformedException e) {
             request.answer(400, Json.error(e.field(), e.getMessage()));
         }
@@ -919,6 +937,7 @@
                 reach.strayedElsewhere(answer.strayedAgoMicros(), now);
                 resignIfUnreached(now);
                 if (scheduler != null && scheduler.token() == message.token()) {
+                    cancelReach.heard(message.sibling(), answer.served(), now);
                     layout.heard(message.sibling(), answer.layout());
                     markLayout();
                 }
--- a/src/main/java/io/micatide/rehearsal/VirtualNetwork.java
+++ b/src/main/java/io/micatide/rehearsal/VirtualNetwork.java
@@ -21,6 +21,12 @@
         void answers(VirtualTime.Process from, String endpoint, String path);
     }
 
+    /** Who does not reach whom. */
+    @FunctionalInterface
+    public interface Cut {
+        boolean between(VirtualTime.Process from, String endpoint);
+    }
+
     /** What listens at an endpoint. */
     private record Host(VirtualTime.Process process, Consumer<Request> handler) {
     }
@@ -36,6 +42,7 @@
     private double lost;
     private double late;
     private Observer observer;
+    private Cut cut = (from, endpoint) -> false;
 
     public VirtualNetwork(VirtualTime time, Random random) {
         this.time = time;
@@ -51,6 +58,11 @@
         late = lateRequests;
     }
 
+    /** From now on what crosses it is lost, requests and answers alike. */
+    public void cut(Cut now) {
+        cut = now;
+    }
+
     public void observe(Observer each) {
         observer = each;
     }
@@ -122,6 +134,9 @@
         }
 
         private void arrive() {
+            if (cut.between(from, endpoint)) {
+                return;
+            }
             Host host = hosts.get(endpoint);
             if (host == null || host.process().ended()) {
                 time.at(time.now() + delay(), () -> reply(Reply.NOT_SENT));
@@ -161,7 +176,7 @@
             if (observer != null) {
                 observer.answers(from, endpoint, path);
             }
-            if (random.nextDouble() >= lost) {
+            if (random.nextDouble() >= lost && !cut.between(from, endpoint)) {
                 time.at(time.now() + delay(), () -> reply(new Reply(status, json, true)));
             }
         }
--- a/src/main/java/io/micatide/wire/PeerCodec.java
+++ b/src/main/java/io/micatide/wire/PeerCodec.java
@@ -20,9 +20,10 @@
 
     /**
      * What a sibling answers: the highest token that it knows of, and how long ago a worker that had lost the leader came to
-     * it, or -1; and the layout that it reads, 1 for the version before there was such a number.
+     * it, or -1; the layout that it reads, 1 for the version before there was such a number; and whether the state service answers
+     * it, which versions before layout 3 do not say.
      */
-    public record Answer(long token, long strayedAgoMicros, int layout) {
+    public record Answer(long token, long strayedAgoMicros, int layout, boolean served) {
     }
 
     public static byte[] news(News news) {
@@ -64,6 +65,9 @@
             out.writeNumberField("token", answer.token());
             out.writeNumberField("strayedUs", answer.strayedAgoMicros());
             out.writeNumberField("layout", answer.layout());
+            if (answer.served()) {
+                out.writeBooleanField("served", true);
+            }
             out.writeEndObject();
         });
     }
@@ -71,6 +75,6 @@
     public static Answer answer(byte[] body) throws MalformedException {
         JsonNode tree = Json.tree(body);
         return new Answer(new Fields(tree, "").count("token", 0, Long.MAX_VALUE), tree.path("strayedUs").asLong(-1),
-                tree.path("layout").asInt(1));
+                tree.path("layout").asInt(1), tree.path("served").asBoolean(false));
     }
 }
--- a/src/test/java/io/micatide/wire/StoredTextTest.java
+++ b/src/test/java/io/micatide/wire/StoredTextTest.java
@@ -105,9 +105,9 @@
         assertEquals(new PeerCodec.News(41, "berth-1", true, 1200, true, List.of(new JobProgress("wk-1", 3, 13))), news);
         assertEquals(text, new String(PeerCodec.news(news), StandardCharsets.UTF_8).replace('"', '\''));
         // Production does not say which layout it reads.
-        assertEquals(new PeerCodec.Answer(41, -1, 1), PeerCodec.answer(json("{'token':41,'strayedUs':-1}")));
+        assertEquals(new PeerCodec.Answer(41, -1, 1, false), PeerCodec.answer(json("{'token':41,'strayedUs':-1}")));
         assertEquals("{'token':41,'strayedUs':-1,'layout':2}",
-                new String(PeerCodec.answer(new PeerCodec.Answer(41, -1, 2)), StandardCharsets.UTF_8).replace('"', '\''));
+                new String(PeerCodec.answer(new PeerCodec.Answer(41, -1, 2, false)), StandardCharsets.UTF_8).replace('"', '\''));
     }
 
     /**
