--- a/src/main/java/io/micatide/rehearsal/LocalService.java
+++ b/src/main/java/io/micatide/rehearsal/LocalService.java
@@ -28,6 +28,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * A whole deployment in one process on loopback: controllers that run the ordinary code over sockets, and stand-ins of the state
@@ -42,6 +43,9 @@
     private static final StateStandIn.Limits LIMITS = new StateStandIn.Limits(400, 200, 16 * 1024, 16);
     private static final int MOST_CONNECTIONS = 1_000;
     private static final int CONNECTIONS_A_WORKER = 1;
+    private static final int FIRST_PORT = 20_000;
+    private static final int PORTS = 10_000;
+    private static final AtomicInteger NEXT_PORT = new AtomicInteger();
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
@@ -108,7 +112,18 @@
         return "127.0.0.1:" + port;
     }
 
+    /**
+     * Below the ports that systems give to outgoing connections: one of those would take a controller's port between its end and
+     * its restart.
+     */
     private static int free(int wanted) throws IOException {
+        for (int tries = 0; wanted == 0 && tries < PORTS; tries++) {
+            try {
+                return free(FIRST_PORT + (int) ((ProcessHandle.current().pid() * 64 + NEXT_PORT.getAndIncrement()) % PORTS));
+            } catch (IOException e) {
+                // Somebody else's.
+            }
+        }
         try (ServerSocket socket = new ServerSocket(wanted, 1, InetAddress.getLoopbackAddress())) {
             return socket.getLocalPort();
         }
