A restart in the library's test asks for its port again while the former listener closes

Cause: in a clean checkout the rolling restart once found 127.0.0.1:22755 in use; the former controller's loop had ended, its listener not yet. Change: the test repeats the restart, at most 60 times.

--- a/src/clients/java/io/micatide/clients/LibraryTest.java
+++ b/src/clients/java/io/micatide/clients/LibraryTest.java
@@ -43,6 +43,7 @@
 class LibraryTest {
     private static final int FASTER = 10;
     private static final int CALLS = 300;
+    private static final int MOST_RESTARTS = 60;
     private static final Map<String, Integer> RUNS = new ConcurrentHashMap<>();
     private static final ScheduledExecutorService TIMERS = Executors.newSingleThreadScheduledExecutor();
 
@@ -187,6 +188,20 @@
         }
     }
 
+    /** The former listener may be closed a little after its loop has ended: the port is asked for again then. */
+    private static void restart(int controller) throws InterruptedException {
+        for (int tries = 1; ; tries++) {
+            try {
+                service.restart(controller);
+                return;
+            } catch (IllegalStateException e) {
+                if (tries == MOST_RESTARTS) {
+                    throw e;
+                }
+            }
+        }
+    }
+
     /** Controllers are restarted one after the other while jobs are submitted and waited for: no call fails that had time left. */
     @Test
     @Order(2)
@@ -201,7 +216,7 @@
                 ends.add(client.submit(job, Duration.ofSeconds(900))
                         .thenCompose(standing -> client.await(job.getNameId(), Duration.ofSeconds(1_800))));
             }
-            service.restart(controller);
+            restart(controller);
             ends.get(ends.size() - 1).get(120, TimeUnit.SECONDS);
         }
         for (int i = 0; i < ends.size(); i++) {
