The leader's actor becomes a term and its parts: rounds, cloud, marks, claims, siblings

A Term lasts from claim to fence and takes what concerns it only (TermMessage); Rounds, CloudDesk and Marks are its parts; Claims carries what Leadership wishes; Siblings sends the news.

--- a/src/main/java/io/micatide/node/ArchivistActor.java
+++ b/src/main/java/io/micatide/node/ArchivistActor.java
@@ -92,7 +92,7 @@
         }
         Archivist.Step step = archivist.next(writes);
         if (step instanceof Archivist.Write write) {
-            leader.tell(new LeaderActor.Spent(token, write.transaction().writes().size()));
+            leader.tell(new TermMessage.Spent(token, write.transaction().writes().size()));
             state.transaction(write.transaction(), then(step));
         } else if (step instanceof Archivist.ReadSegment read) {
             state.read(read.key(), then(step));
--- /dev/null
+++ b/src/main/java/io/micatide/node/Claims.java
@@ -0,0 +1,150 @@
+package io.micatide.node;
+
+import io.micatide.core.Leadership;
+import io.micatide.core.Micros;
+import io.micatide.core.Row;
+import io.micatide.core.StoreKeys;
+import io.micatide.core.Transaction;
+import io.micatide.net.Reply;
+import io.micatide.net.StateClient;
+import io.micatide.wire.MalformedException;
+import io.micatide.wire.StateCodec;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** What {@link Leadership} wishes of the state service, and what becomes of it. Part of the leader's actor. */
+final class Claims {
+    private static final Logger LOG = LoggerFactory.getLogger(LeaderActor.class);
+    private static final long RETRY_MICROS = 300 * Micros.MILLISECOND;
+    private static final long PAUSE_MICROS = 200 * Micros.MILLISECOND;
+    private static final long WATCH_MICROS = 20 * Micros.SECOND;
+
+    private final LeaderActor owner;
+    private final String label;
+    private final StateClient state;
+    private final Leadership leadership;
+    private boolean watching;
+    private long watchFrom;
+
+    Claims(LeaderActor owner, String label, StateClient state, Leadership leadership) {
+        this.owner = owner;
+        this.label = label;
+        this.state = state;
+        this.leadership = leadership;
+    }
+
+    /** The watch may be opened again. */
+    void watchDue() {
+        watching = false;
+    }
+
+    /** @param reached whether workers reach this controller */
+    void advance(long now, boolean reached) {
+        if (!watching && leadership.leader() != null) {
+            watching = true;
+            state.watch(StoreKeys.LEADER, Math.max(leadership.rowVersion(), watchFrom), WATCH_MICROS,
+                    owner.answer(LeaderActor.Watched::new));
+        }
+        switch (leadership.next(now, reached)) {
+            case READ_ROW -> state.read(StoreKeys.LEADER, owner.answer(LeaderActor.RowRead::new));
+            case GRANT_LEASE -> state.grant(leadership.ttlMicros(), owner.answer(r -> new LeaderActor.Granted(r, now)));
+            case TOUCH -> state.touch(leadership.lease(), owner.answer(r -> new LeaderActor.Touched(r, now)));
+            case CLAIM -> {
+                Row row = new Row.Leader(label);
+                state.transaction(new Transaction(
+                        List.of(new Transaction.Compare(StoreKeys.LEADER, leadership.rowVersion())),
+                        List.of(new Transaction.Write(StoreKeys.LEADER, row, leadership.lease()))),
+                        owner.answer(LeaderActor.Claimed::new));
+            }
+            case NOTHING -> {
+            }
+        }
+    }
+
+    /** An answer to one of the above. */
+    void answered(LeaderActor.Message message) {
+        long now = owner.now();
+        try {
+            if (message instanceof LeaderActor.RowRead m) {
+                rowRead(m.reply(), now);
+            } else if (message instanceof LeaderActor.Granted m) {
+                if (m.reply().ok()) {
+                    leadership.granted(StateCodec.granted(m.reply().body()), m.askedMicros());
+                } else {
+                    leadership.failed(now, PAUSE_MICROS);
+                }
+            } else if (message instanceof LeaderActor.Touched m) {
+                touched(m.reply(), m.askedMicros(), now);
+            } else if (message instanceof LeaderActor.Claimed m) {
+                claimed(m.reply(), now);
+            } else if (message instanceof LeaderActor.Watched m) {
+                watched(m.reply());
+            }
+        } catch (MalformedException e) {
+            LOG.error("leader row: {}", e.getMessage());
+            leadership.failed(now, Micros.SECOND);
+        }
+    }
+
+    private void rowRead(Reply reply, long now) throws MalformedException {
+        if (reply.ok()) {
+            StateCodec.Item item = StateCodec.item(reply.body());
+            watchFrom = Math.max(watchFrom, item.version());
+            leadership.rowRead(((Row.Leader) item.row()).owner(), item.version());
+        } else if (reply.status() == 404) {
+            leadership.rowRead(null, 0);
+        } else {
+            leadership.failed(now, PAUSE_MICROS);
+        }
+    }
+
+    private void touched(Reply reply, long askedMicros, long now) {
+        if (reply.ok()) {
+            leadership.touched(askedMicros);
+            owner.leaseRenewed();
+        } else if (reply.status() == 404) {
+            leadership.leaseGone();
+        } else {
+            leadership.failed(now, PAUSE_MICROS);
+        }
+    }
+
+    private void claimed(Reply reply, long now) throws MalformedException {
+        if (reply.ok()) {
+            long token = StateCodec.revision(reply.body());
+            watchFrom = Math.max(watchFrom, token);
+            leadership.claimed(token);
+            owner.begin(token, now);
+        } else if (reply.status() == 409) {
+            leadership.claimRefused();
+        } else if (reply.status() == 400) {
+            leadership.leaseGone();
+        } else if (reply.notExecuted()) {
+            leadership.failed(now, 100 * Micros.MILLISECOND);
+        } else {
+            leadership.claimUnknown(now);
+        }
+    }
+
+    private void watched(Reply reply) throws MalformedException {
+        watching = false;
+        if (reply.ok()) {
+            StateCodec.Items changes = StateCodec.changes(reply.body());
+            for (StateCodec.Item item : changes.items()) {
+                if (item.version() >= leadership.rowVersion()) {
+                    leadership.row(item.row() instanceof Row.Leader row ? row.owner() : null,
+                            item.row() == null ? 0 : item.version());
+                }
+            }
+            watchFrom = Math.max(watchFrom, changes.revision());
+        } else {
+            watching = true;
+            if (reply.status() == 410) {
+                watchFrom = 0;
+            }
+            leadership.forgetRow();
+            owner.tellLater(new LeaderActor.WatchDue(), RETRY_MICROS);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/micatide/node/CloudDesk.java
@@ -0,0 +1,124 @@
+package io.micatide.node;
+
+import io.micatide.core.CloudCall;
+import io.micatide.core.ListedMachine;
+import io.micatide.core.MachineType;
+import io.micatide.core.Row;
+import io.micatide.core.Scheduler;
+import io.micatide.core.StoreKeys;
+import io.micatide.core.Transaction;
+import io.micatide.net.CloudClient;
+import io.micatide.net.Reply;
+import io.micatide.net.StateClient;
+import io.micatide.wire.CloudCodec;
+import io.micatide.wire.MalformedException;
+import java.util.ArrayList;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A term's calls to the cloud, and the machine types that it tells. */
+final class CloudDesk {
+    private static final Logger LOG = LoggerFactory.getLogger(LeaderActor.class);
+
+    private final LeaderActor owner;
+    private final Scheduler scheduler;
+    private final CloudClient cloud;
+    private final StateClient state;
+    private final UsersActor users;
+    private List<MachineType> storedTypes = List.of();
+
+    CloudDesk(LeaderActor owner, Scheduler scheduler, CloudClient cloud, StateClient state, UsersActor users) {
+        this.owner = owner;
+        this.scheduler = scheduler;
+        this.cloud = cloud;
+        this.state = state;
+        this.users = users;
+    }
+
+    void call(CloudCall call, long now) {
+        long token = scheduler.token();
+        if (call instanceof CloudCall.Rent rent) {
+            LOG.info("rents {} {} {} {}", rent.count(), rent.type(), rent.zone(), rent.spot() ? "spot" : "ordinary");
+            cloud.rent(rent, owner.answer(r -> new TermMessage.CloudAnswered(r, token, call)));
+        } else if (call instanceof CloudCall.Delete delete) {
+            LOG.info("returns {}", delete.machines());
+            cloud.delete(delete.machines(), owner.answer(r -> new TermMessage.CloudAnswered(r, token, call)));
+        } else if (call instanceof CloudCall.ListTypes) {
+            cloud.types(owner.answer(r -> new TermMessage.CloudAnswered(r, token, call)));
+        } else {
+            cloud.list(null, owner.answer(r -> new TermMessage.ListRead(r, token, now, List.of())));
+        }
+    }
+
+    void answered(TermMessage.CloudAnswered message) {
+        long now = owner.now();
+        Reply reply = message.reply();
+        try {
+            if (message.call() instanceof CloudCall.Rent rent) {
+                if (reply.ok()) {
+                    scheduler.rented(rent.booking(), CloudCodec.rented(reply.body()), now);
+                } else if (reply.status() == 503 && CloudCodec.isNoCapacity(reply.body())) {
+                    scheduler.noCapacity(rent.booking(), now);
+                } else if (reply.notExecuted()) {
+                    scheduler.rentNotExecuted(rent.booking());
+                } else {
+                    scheduler.rentUnanswered(rent.booking(), now);
+                }
+            } else if (message.call() instanceof CloudCall.Delete delete) {
+                if (reply.ok()) {
+                    scheduler.deleted(delete.machines(), now);
+                }
+            } else if (message.call() instanceof CloudCall.ListTypes && reply.ok()) {
+                typesKnown(CloudCodec.types(reply.body()), now);
+            }
+        } catch (MalformedException e) {
+            LOG.error("cloud: {}", e.getMessage());
+        }
+    }
+
+    /** As the state service has them. */
+    void typesLoaded(List<MachineType> types, long now) {
+        storedTypes = types;
+        scheduler.typesKnown(types, now);
+    }
+
+    private void typesKnown(List<MachineType> types, long now) {
+        scheduler.typesKnown(types, now);
+        users.tell(new UsersActor.TypesKnown(types));
+        if (!types.equals(storedTypes)) {
+            storedTypes = types;
+            long token = scheduler.token();
+            state.transaction(new Transaction(List.of(new Transaction.Compare(StoreKeys.LEADER, token)),
+                    List.of(new Transaction.Write(StoreKeys.TYPES, new Row.Types(types), 0))),
+                    owner.answer(r -> new TermMessage.TypesStored(r, token)));
+        }
+    }
+
+    void typesStored(Reply reply) {
+        if (!reply.ok()) {
+            storedTypes = List.of();
+        }
+    }
+
+    void listRead(TermMessage.ListRead message) {
+        long now = owner.now();
+        List<ListedMachine> machines = new ArrayList<>(message.before());
+        if (message.reply().ok()) {
+            try {
+                CloudCodec.Page page = CloudCodec.page(message.reply().body());
+                machines.addAll(page.machines());
+                if (page.more() && !page.machines().isEmpty()) {
+                    cloud.list(machines.get(machines.size() - 1).name(), owner.answer(
+                            r -> new TermMessage.ListRead(r, message.token(), message.askedMicros(), machines)));
+                } else {
+                    scheduler.listed(machines, message.askedMicros(), now);
+                }
+                return;
+            } catch (MalformedException e) {
+                LOG.error("cloud: {}", e.getMessage());
+            }
+        }
+        scheduler.listed(null, message.askedMicros(), now);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/micatide/node/Rounds.java
@@ -0,0 +1,134 @@
+package io.micatide.node;
+
+import io.micatide.core.Micros;
+import io.micatide.core.ReadBack;
+import io.micatide.core.Row;
+import io.micatide.core.Scheduler;
+import io.micatide.core.StoreKeys;
+import io.micatide.core.Transaction;
+import io.micatide.net.Reply;
+import io.micatide.net.StateClient;
+import io.micatide.wire.MalformedException;
+import io.micatide.wire.StateCodec;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A term's writes: one transaction at a time, and what is read back after one whose outcome is unknown. */
+final class Rounds {
+    private static final Logger LOG = LoggerFactory.getLogger(LeaderActor.class);
+    private static final long RETRY_MICROS = 300 * Micros.MILLISECOND;
+
+    private final LeaderActor owner;
+    private final Scheduler scheduler;
+    private final StateClient state;
+    private final UsersActor users;
+    private ReadBack unread = new ReadBack(List.of());
+    private boolean rateRefused;
+
+    Rounds(LeaderActor owner, Scheduler scheduler, StateClient state, UsersActor users) {
+        this.owner = owner;
+        this.scheduler = scheduler;
+        this.state = state;
+        this.users = users;
+    }
+
+    void next(long now) {
+        Transaction round = scheduler.round(now, owner.wall());
+        if (round != null) {
+            long token = scheduler.token();
+            state.transaction(round, owner.answer(r -> new TermMessage.RoundAnswered(r, token, round)));
+        }
+    }
+
+    void answered(TermMessage.RoundAnswered message) {
+        long now = owner.now();
+        Reply reply = message.reply();
+        try {
+            if (reply.ok()) {
+                scheduler.roundConfirmed(StateCodec.revision(reply.body()), now);
+                tellEnded();
+                next(now);
+                return;
+            }
+            if (reply.notExecuted()) {
+                if (reply.status() == 429 && !rateRefused) {
+                    rateRefused = true;
+                    LOG.info("a round was above the rate of the state service: tried again");
+                }
+                scheduler.roundNotExecuted(now);
+                return;
+            }
+            if (reply.status() == 400) {
+                logRefused(reply, message.round());
+                scheduler.roundRefused(now);
+                return;
+            }
+            if (reply.status() == 409 && StateCodec.failed(reply.body()).contains(StoreKeys.LEADER)) {
+                LOG.info("a write was refused: fenced");
+                owner.fenced();
+                return;
+            }
+        } catch (MalformedException e) {
+            LOG.error("transaction answer: {}", e.getMessage());
+        }
+        LOG.warn("round of unknown outcome or refused ({}): reading back", reply.status());
+        unread = new ReadBack(scheduler.roundUnresolved());
+        readBack();
+    }
+
+    private void logRefused(Reply reply, Transaction round) {
+        StringBuilder text = new StringBuilder();
+        for (Transaction.Write write : round.writes()) {
+            text.append(' ').append(write.key()).append(write.row() == null ? " deleted" : " " + StateCodec.size(write.row()));
+        }
+        LOG.warn("the state service takes no such transaction: {}; {} conditions, {} changes, bytes of each:{}",
+                new String(reply.body(), StandardCharsets.UTF_8), round.conditions().size(), round.writes().size(), text);
+    }
+
+    /** Jobs may wait for what a round has ended: they need not wait for the next read of the changes as well. */
+    private void tellEnded() {
+        scheduler.ended().forEach(each -> users.tell(new UsersActor.Stored(each.id(), each.row(), each.version())));
+    }
+
+    void readBack() {
+        if (unread.finished()) {
+            scheduler.roundResolved(owner.now());
+            tellEnded();
+            return;
+        }
+        String key = unread.next();
+        if (key != null) {
+            long token = scheduler.token();
+            state.read(key, owner.answer(r -> new TermMessage.KeyRead(r, token, key)));
+        }
+    }
+
+    void keyRead(TermMessage.KeyRead message) {
+        Reply reply = message.reply();
+        try {
+            if (reply.ok()) {
+                StateCodec.Item item = StateCodec.item(reply.body());
+                if (item.row() instanceof Row.Ledger ledger) {
+                    scheduler.ledgerReadBack(item.key(), ledger, item.version());
+                } else if (item.row() instanceof Row.JobRow row) {
+                    scheduler.jobReadBack(item.key().substring(StoreKeys.JOBS.length()), row, item.version(),
+                            owner.now());
+                }
+            } else if (reply.status() == 404) {
+                if (message.key().startsWith(StoreKeys.LEDGERS)) {
+                    scheduler.ledgerReadBack(message.key(), null, 0);
+                }
+            } else {
+                unread.failed();
+                owner.tellLater(new TermMessage.ReadBackDue(message.token()), RETRY_MICROS);
+                return;
+            }
+        } catch (MalformedException e) {
+            LOG.error("{}: {}", message.key(), e.getMessage());
+        }
+        unread.read();
+        readBack();
+    }
+}
--- /dev/null
+++ b/src/main/java/io/micatide/node/Siblings.java
@@ -0,0 +1,70 @@
+package io.micatide.node;
+
+import io.micatide.core.JobProgress;
+import io.micatide.core.Micros;
+import io.micatide.core.Settings;
+import io.micatide.net.Http;
+import io.micatide.wire.PeerCodec;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A leader's news to the other controllers: who leads, and the counts that users are shown. Part of the leader's actor. */
+final class Siblings {
+    private static final long NEWS_MICROS = Micros.SECOND;
+    private static final long URGENT_NEWS_MICROS = 250 * Micros.MILLISECOND;
+    /** What fits a peer's request body. */
+    private static final int NEWS_JOBS = 1_000;
+
+    /** What the news of this moment say beside the counts. */
+    record Now(long token, boolean stateServed, long silentMicros) {
+    }
+
+    private final LeaderActor owner;
+    private final Settings settings;
+    private final List<Http> siblings = new ArrayList<>();
+    private long newsMicros;
+    private long urgentNewsMicros;
+
+    Siblings(LeaderActor owner, Settings settings, Http.Connector connector) {
+        this.owner = owner;
+        this.settings = settings;
+        for (Settings.Sibling sibling : settings.siblings()) {
+            siblings.add(connector.to(sibling.endpoint(), 2));
+        }
+    }
+
+    /** A new term: its news go out at once. */
+    void begin() {
+        newsMicros = 0;
+    }
+
+    boolean newsDue(long now) {
+        return newsMicros == 0 || now - newsMicros >= NEWS_MICROS;
+    }
+
+    void news(Now what, List<JobProgress> jobs, long now) {
+        newsMicros = now;
+        urgentNewsMicros = now;
+        for (int sibling = 0; sibling < siblings.size(); sibling++) {
+            for (int from = 0; from == 0 || from < jobs.size(); from += NEWS_JOBS) {
+                tell(sibling, what, from == 0, jobs.subList(from, Math.min(jobs.size(), from + NEWS_JOBS)));
+            }
+        }
+    }
+
+    /** Between two regular news, while no worker comes: do they come to a sibling? */
+    void askAfterWorkers(Now what, long now) {
+        if (now - urgentNewsMicros >= URGENT_NEWS_MICROS) {
+            urgentNewsMicros = now;
+            for (int sibling = 0; sibling < siblings.size(); sibling++) {
+                tell(sibling, what, false, List.of());
+            }
+        }
+    }
+
+    private void tell(int sibling, Now what, boolean first, List<JobProgress> jobs) {
+        siblings.get(sibling).post("/news", PeerCodec.news(new PeerCodec.News(what.token(), settings.label(),
+                what.stateServed(), what.silentMicros(), first, jobs)), Http.PATIENCE_MICROS,
+                owner.answer(r -> new LeaderActor.PeerAnswered(r, what.token(), sibling)));
+    }
+}
--- a/src/main/java/io/micatide/node/TakeOver.java
+++ b/src/main/java/io/micatide/node/TakeOver.java
@@ -67,12 +67,12 @@
     private void types(Read asked, Reply reply) throws MalformedException {
         if (reply.ok()) {
             List<MachineType> types = ((Row.Types) StateCodec.item(reply.body()).row()).types();
-            leader.tell(new LeaderActor.TypesLoaded(token, types));
+            leader.tell(new TermMessage.TypesLoaded(token, types));
         } else if (reply.status() != 404) {
             tellLater(asked, RETRY_MICROS);
             return;
         }
-        leader.tell(new LeaderActor.PartLoaded(token));
+        leader.tell(new TermMessage.PartLoaded(token));
     }
 
     private void page(Read asked, Reply reply) throws MalformedException {
@@ -81,11 +81,11 @@
             return;
         }
         StateCodec.Items page = StateCodec.page(reply.body());
-        leader.tell(new LeaderActor.RowsLoaded(token, page.items()));
+        leader.tell(new TermMessage.RowsLoaded(token, page.items()));
         if (page.more() && !page.items().isEmpty()) {
             tell(new Read(asked.prefix(), page.items().get(page.items().size() - 1).key()));
         } else {
-            leader.tell(new LeaderActor.PartLoaded(token));
+            leader.tell(new TermMessage.PartLoaded(token));
         }
     }
 }
--- /dev/null
+++ b/src/main/java/io/micatide/node/Term.java
@@ -0,0 +1,176 @@
+package io.micatide.node;
+
+import io.micatide.core.CloudCall;
+import io.micatide.core.Command;
+import io.micatide.core.JobDirectory;
+import io.micatide.core.JobProgress;
+import io.micatide.core.MachineReport;
+import io.micatide.core.Micros;
+import io.micatide.core.Row;
+import io.micatide.core.Scheduler;
+import io.micatide.core.StoreKeys;
+import io.micatide.wire.StateCodec;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** What a controller does from its claim until it is fenced: reads, confirms, decides, writes. Part of the leader's actor. */
+final class Term {
+    private static final Logger LOG = LoggerFactory.getLogger(LeaderActor.class);
+    private static final long SUMMARY_MICROS = 5 * Micros.SECOND;
+    /** Jobs, ledgers, bookings, types. */
+    private static final int PARTS = 4;
+
+    private final LeaderActor owner;
+    private final UsersActor users;
+    private final Scheduler scheduler;
+    private final TakeOver takeOver;
+    private final Rounds rounds;
+    private final CloudDesk cloud;
+    private final Marks marks;
+    /** What still has to be read before the scheduler may act. */
+    private int loading = PARTS;
+    private long summaryMicros;
+
+    Term(LeaderActor owner, UsersActor users, Scheduler scheduler, TakeOver takeOver, Rounds rounds, CloudDesk cloud,
+            Marks marks) {
+        this.owner = owner;
+        this.users = users;
+        this.scheduler = scheduler;
+        this.takeOver = takeOver;
+        this.rounds = rounds;
+        this.cloud = cloud;
+        this.marks = marks;
+    }
+
+    void begin() {
+        users.tell(new UsersActor.Follow(owner));
+        takeOver.read(StoreKeys.BOOKINGS);
+        takeOver.read(StoreKeys.TYPES);
+    }
+
+    void end() {
+        marks.end();
+        users.tell(new UsersActor.Unfollow());
+    }
+
+    long token() {
+        return scheduler.token();
+    }
+
+    boolean loaded() {
+        return loading == 0;
+    }
+
+    void holdsUntil(long untilMicros) {
+        scheduler.holdsUntil(untilMicros);
+    }
+
+    void resumed(long now) {
+        scheduler.resumed(now);
+    }
+
+    void stateFresh(long askedMicros) {
+        scheduler.stateFresh(askedMicros);
+    }
+
+    Marks marks() {
+        return marks;
+    }
+
+    /** What siblings show to users; empty until all is read. */
+    List<JobProgress> progress() {
+        return loaded() ? scheduler.progress() : List.of();
+    }
+
+    /** While something is still to be read a report only renews the worker's lease; what it says is taken from the next one. */
+    List<Command> report(MachineReport report) {
+        return loaded() ? scheduler.report(report, owner.now()) : List.of();
+    }
+
+    void receive(TermMessage message) {
+        if (message instanceof TermMessage.RoundAnswered m) {
+            rounds.answered(m);
+        } else if (message instanceof TermMessage.KeyRead m) {
+            rounds.keyRead(m);
+        } else if (message instanceof TermMessage.ReadBackDue) {
+            rounds.readBack();
+        } else if (message instanceof TermMessage.CloudAnswered m) {
+            cloud.answered(m);
+        } else if (message instanceof TermMessage.ListRead m) {
+            cloud.listRead(m);
+        } else if (message instanceof TermMessage.TypesStored m) {
+            cloud.typesStored(m.reply());
+        } else if (message instanceof TermMessage.TypesLoaded m) {
+            cloud.typesLoaded(m.types(), owner.now());
+        } else if (message instanceof TermMessage.RowsLoaded m) {
+            rowsLoaded(m.rows());
+        } else if (message instanceof TermMessage.PartLoaded) {
+            loadedOne();
+        } else if (message instanceof TermMessage.EndedFound m) {
+            marks.endedFound(m);
+        } else if (message instanceof TermMessage.Spent m) {
+            scheduler.spent(m.writes());
+        } else if (message instanceof TermMessage.HistoryBegun m) {
+            marks.historyBegun(m);
+        } else if (message instanceof TermMessage.LayoutMarked m) {
+            marks.layoutMarked(m);
+        }
+    }
+
+    // ---- what is read first
+
+    void jobSeen(JobDirectory.View view) {
+        scheduler.jobSeen(view, owner.wall(), owner.now());
+    }
+
+    /** The open and the cancelled jobs by a read that began after our claim: every start of an earlier leader belongs to one of them. */
+    void jobsSeen(List<JobDirectory.View> jobs) {
+        if (loading > 0) {
+            jobs.forEach(this::jobSeen);
+            takeOver.read(StoreKeys.LEDGERS);
+            loadedOne();
+        }
+    }
+
+    private void rowsLoaded(List<StateCodec.Item> rows) {
+        long now = owner.now();
+        for (StateCodec.Item item : rows) {
+            if (item.row() instanceof Row.Ledger ledger) {
+                scheduler.ledgerLoaded(item.key(), ledger, item.version(), now);
+            } else if (item.row() instanceof Row.Booking booking) {
+                scheduler.bookingLoaded(item.key().substring(StoreKeys.BOOKINGS.length()), booking, now);
+            }
+        }
+    }
+
+    private void loadedOne() {
+        if (--loading == 0) {
+            long now = owner.now();
+            scheduler.loaded(now);
+            LOG.info("term {} rebuilt: {}", token(), scheduler.summary(now));
+            marks.loaded();
+        }
+    }
+
+    // ---- time
+
+    /** Called every so often once all is read. */
+    void tick(long now) {
+        scheduler.tick(now);
+        rounds.next(now);
+        marks.keepArchive(now);
+        for (CloudCall call : scheduler.cloudCalls(now)) {
+            cloud.call(call, now);
+        }
+        scheduler.notices().forEach(LOG::info);
+        scheduler.completions(now).forEach(LOG::debug);
+    }
+
+    void summary(long now) {
+        if (now - summaryMicros >= SUMMARY_MICROS) {
+            summaryMicros = now;
+            LOG.info("{}", scheduler.summary(now));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/micatide/node/TermMessage.java
@@ -0,0 +1,60 @@
+package io.micatide.node;
+
+import io.micatide.core.CloudCall;
+import io.micatide.core.ListedMachine;
+import io.micatide.core.MachineType;
+import io.micatide.core.Row;
+import io.micatide.core.Transaction;
+import io.micatide.history.Archivist;
+import io.micatide.net.Reply;
+import io.micatide.wire.StateCodec;
+import java.util.List;
+
+/** What concerns one term only: dropped once that term is over. */
+sealed interface TermMessage extends LeaderActor.Message {
+    /** The term's token. */
+    long token();
+
+    /** Ledgers or bookings that a new leader has read. */
+    record RowsLoaded(long token, List<StateCodec.Item> rows) implements TermMessage {
+    }
+
+    record TypesLoaded(long token, List<MachineType> types) implements TermMessage {
+    }
+
+    /** One of the things that a new leader reads is whole. */
+    record PartLoaded(long token) implements TermMessage {
+    }
+
+    /** Jobs that are over and that no open job needs, by a copy of the rows with this manifest. */
+    record EndedFound(long token, List<Archivist.Ended> ended, long copyOfVersion) implements TermMessage {
+    }
+
+    /** The archive has used so many changes. */
+    record Spent(long token, int writes) implements TermMessage {
+    }
+
+    record HistoryBegun(Reply reply, long token) implements TermMessage {
+    }
+
+    record LayoutMarked(Reply reply, long token, Row.Layout layout) implements TermMessage {
+    }
+
+    record RoundAnswered(Reply reply, long token, Transaction round) implements TermMessage {
+    }
+
+    record KeyRead(Reply reply, long token, String key) implements TermMessage {
+    }
+
+    record ReadBackDue(long token) implements TermMessage {
+    }
+
+    record TypesStored(Reply reply, long token) implements TermMessage {
+    }
+
+    record CloudAnswered(Reply reply, long token, CloudCall call) implements TermMessage {
+    }
+
+    record ListRead(Reply reply, long token, long askedMicros, List<ListedMachine> before) implements TermMessage {
+    }
+}
--- a/src/main/java/io/micatide/node/UsersActor.java
+++ b/src/main/java/io/micatide/node/UsersActor.java
@@ -622,7 +622,7 @@
             }
         }
         directory.ghosts().forEach((id, version) -> result.add(new Archivist.Ended(id, version, null, 0)));
-        leader.tell(new LeaderActor.EndedFound(token, result, directory.historyVersion()));
+        leader.tell(new TermMessage.EndedFound(token, result, directory.historyVersion()));
     }
 
     private void tellStatus(Request request, JobDirectory.Entry entry) {
--- /dev/null
+++ b/src/main/java/io/micatide/standby/Succession.java
@@ -0,0 +1,110 @@
+package io.micatide.standby;
+
+import io.micatide.core.Micros;
+import java.util.List;
+
+/**
+ * How long a controller leaves a free leader row to others that would lead better. This is courtesy and no part of safety: the row's
+ * condition decides, and whoever waits for nothing loses half a second at most. Times in microseconds on the process's steady clock.
+ */
+public final class Succession {
+    /** One that workers do not reach would lead a fleet that it cannot hear. */
+    static final long UNREACHED_WAITS_MICROS = 600 * Micros.MILLISECOND;
+    /** A claim takes two ways to the state service, and the watch of its outcome one more. */
+    static final long STEP_MICROS = 150 * Micros.MILLISECOND;
+    /** What a cold process leaves to a warm one at most. */
+    static final long COLD_WAITS_MICROS = 600 * Micros.MILLISECOND;
+    /** Siblings that are there answer within this; nobody waits longer for one that may not be there. */
+    static final long ANSWER_MICROS = 200 * Micros.MILLISECOND;
+    /** A process is no longer cold after so long, whether it has heard of a leader or not. */
+    static final long COLD_FOR_MICROS = 5 * Micros.SECOND;
+    /** Heirs told longer ago than this may all be gone. */
+    static final long HEIRS_LAST_MICROS = 20 * Micros.SECOND;
+    /** A sibling's word on its own warmth holds for so long. */
+    static final long WORD_LASTS_MICROS = 2 * Micros.SECOND;
+
+    private final String label;
+    private final long startedMicros;
+    private boolean heard;
+    private List<String> heirs = List.of();
+    private long heirsMicros = Long.MIN_VALUE / 2;
+    private final long[] wordMicros;
+    private final boolean[] warmer;
+    private boolean copyWhole;
+
+    /** @param siblings how many other controllers the deployment has */
+    public Succession(String label, int siblings, long nowMicros) {
+        this.label = label;
+        this.startedMicros = nowMicros;
+        this.wordMicros = new long[siblings];
+        this.warmer = new boolean[siblings];
+        java.util.Arrays.fill(wordMicros, Long.MIN_VALUE / 2);
+    }
+
+    /** The leader's news: who is to take over, the first one first; empty from a leader of a former version. */
+    public void told(List<String> newHeirs, long nowMicros) {
+        heard = true;
+        heirs = List.copyOf(newHeirs);
+        heirsMicros = nowMicros;
+    }
+
+    /** Whether this controller has been told to follow what a leader reads. */
+    public boolean appointed() {
+        return heirs.contains(label);
+    }
+
+    /** This controller has led: it knows the deployment. */
+    public void led() {
+        heard = true;
+    }
+
+    /** Whether the copy of what a leader reads is whole. */
+    public void copyIs(boolean whole) {
+        copyWhole = whole;
+    }
+
+    public Warmth warmth(long nowMicros) {
+        if (!heard && nowMicros - startedMicros < COLD_FOR_MICROS) {
+            return Warmth.COLD;
+        }
+        return copyWhole && appointed() ? Warmth.WARM : Warmth.SEASONED;
+    }
+
+    /** A sibling's own word; one of a former version that answers at all is taken for seasoned. */
+    public void word(int sibling, Warmth said, long nowMicros) {
+        wordMicros[sibling] = nowMicros;
+        warmer[sibling] = said != Warmth.COLD;
+    }
+
+    /**
+     * How long a row that became claimable may be left to others, counted from then.
+     *
+     * @param claimableMicros for how long it has been claimable already
+     * @param reached whether workers come to this controller
+     */
+    public long waits(long claimableMicros, boolean reached, long nowMicros) {
+        long waits = reached ? 0 : UNREACHED_WAITS_MICROS;
+        Warmth own = warmth(nowMicros);
+        if (own == Warmth.COLD) {
+            return waits + coldWaits(claimableMicros, nowMicros);
+        }
+        if (heirs.isEmpty() || nowMicros - heirsMicros > HEIRS_LAST_MICROS) {
+            return waits;
+        }
+        int place = own == Warmth.WARM ? heirs.indexOf(label) : heirs.size();
+        return waits + place * STEP_MICROS;
+    }
+
+    /** Alone, or among others as cold, nobody waits. */
+    private long coldWaits(long claimableMicros, long nowMicros) {
+        boolean all = true;
+        for (int sibling = 0; sibling < wordMicros.length; sibling++) {
+            boolean answered = nowMicros - wordMicros[sibling] <= WORD_LASTS_MICROS;
+            if (answered && warmer[sibling]) {
+                return COLD_WAITS_MICROS;
+            }
+            all &= answered;
+        }
+        return all || claimableMicros >= ANSWER_MICROS ? 0 : ANSWER_MICROS;
+    }
+}
