An heir is told what no row holds, as hints that speed up and never allow

Need: after a take-over images, slow and faulty machines, suspected jobs and run times were learned anew, in full. The leader sends its heirs a numbered picture each second as a difference to the one before, whole when one was missed (HintSender, HintsHeld, HintCodec); a new leader adds what it was told to machines that have confirmed and to jobs that the rows hold (Hints).

--- /dev/null
+++ b/src/main/java/io/micatide/core/Hint.java
@@ -0,0 +1,34 @@
+package io.micatide.core;
+
+import java.util.List;
+
+/**
+ * Something that a leader has learned and no row holds. A successor that knows it places better at once; it may be old or wrong, so it
+ * speeds up and never allows: no start, no record and no settling of an earlier start rests on one.
+ */
+public sealed interface Hint {
+    /** What it is about; a later hint of the same name replaces it. */
+    String name();
+
+    /**
+     * @param images names of images that the machine most likely has, the one used longest ago first
+     * @param gigabytes their sizes, in the same order
+     * @param slow its tasks took much longer than others of their jobs, not long ago
+     * @param faulty jobs failed on it that succeed elsewhere: it was to be returned
+     */
+    record OfMachine(String name, List<String> images, List<Double> gigabytes, boolean slow, boolean faulty) implements Hint {
+    }
+
+    /**
+     * @param ranMicros how long its tasks took on average, 0 if none is over
+     * @param ranTasks how many that tells of, roughly
+     * @param suspect it failed on several machines and never succeeded
+     * @param failedProbes how often it was tried since
+     */
+    record OfJob(String name, long ranMicros, int ranTasks, boolean suspect, int failedProbes) implements Hint {
+    }
+
+    /** How long tasks of a class take by their owners' estimate, and how far a single one is usually from it. */
+    record OfClass(String name, double factor, double spread) implements Hint {
+    }
+}
--- /dev/null
+++ b/src/main/java/io/micatide/core/Hints.java
@@ -0,0 +1,93 @@
+package io.micatide.core;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Takes hints from what a leader knows, and gives a new leader what an earlier one hinted at, each once its subject is there. */
+final class Hints {
+    /** More than the largest fleets planned for: what is beyond is learned anew. */
+    private static final int MOST = 8_000;
+    /** Of a large cache the images used last. */
+    private static final int MOST_IMAGES = 24;
+    /** Small changes are not worth a message. */
+    private static final double STEPS = 20;
+    private static final long SLOW_FOR_MICROS = 30 * Micros.SECOND;
+
+    private final Map<String, Hint.OfMachine> machines = new HashMap<>();
+    private final Map<String, Hint.OfJob> jobs = new HashMap<>();
+
+    static List<Hint> of(Collection<Machine> fleet, Collection<Job> open, RunTimes runTimes, long nowMicros) {
+        List<Hint> result = new ArrayList<>(runTimes.hints());
+        for (Job job : open) {
+            if (result.size() < MOST && (job.suspect || job.ranTasks > 0)) {
+                long mean = job.ranTasks == 0 ? 0 : job.ranMicros / job.ranTasks;
+                result.add(new Hint.OfJob(job.id(), Math.round(rounded(mean)), Integer.highestOneBit(job.ranTasks), job.suspect,
+                        job.failedProbes));
+            }
+        }
+        for (Machine machine : fleet) {
+            boolean slow = machine.slowUntilMicros >= nowMicros;
+            if (result.size() < MOST && !machine.deleting && (slow || machine.draining || !machine.images.isEmpty())) {
+                int older = Math.max(0, machine.images.size() - MOST_IMAGES);
+                result.add(new Hint.OfMachine(machine.name, machine.images.keySet().stream().skip(older).toList(),
+                        machine.images.values().stream().skip(older).toList(), slow, machine.draining));
+            }
+        }
+        return result;
+    }
+
+    /** To the nearest twentieth of its size. */
+    static double rounded(double value) {
+        return value <= 0 ? 0 : Math.exp(Math.round(Math.log(value) * STEPS) / STEPS);
+    }
+
+    /** What the leader before knew; later hints replace earlier ones. */
+    void take(List<Hint> hints, RunTimes runTimes) {
+        for (Hint hint : hints) {
+            if (hint instanceof Hint.OfMachine each) {
+                machines.put(each.name(), each);
+            } else if (hint instanceof Hint.OfJob each) {
+                jobs.put(each.name(), each);
+            } else if (hint instanceof Hint.OfClass each) {
+                runTimes.hinted(each);
+            }
+        }
+    }
+
+    /** The job was read from the rows. What this leader has seen of it itself counts more. */
+    void apply(Job job) {
+        Hint.OfJob hint = jobs.remove(job.id());
+        if (hint == null || job.ranTasks > 0 || job.suspect || job.attempts > 0) {
+            return;
+        }
+        job.ranMicros = hint.ranMicros() * hint.ranTasks();
+        job.ranTasks = hint.ranTasks();
+        // Something of it may have succeeded since that the rows tell of.
+        if (hint.suspect() && job.finishedCount() == 0) {
+            job.suspect = true;
+            job.failedProbes = hint.failedProbes();
+        }
+    }
+
+    /** The machine is confirmed by its own report. */
+    void apply(Machine machine, double cacheGb, long nowMicros) {
+        Hint.OfMachine hint = machines.remove(machine.name);
+        if (hint == null) {
+            return;
+        }
+        Map<String, Double> seen = new LinkedHashMap<>(machine.images);
+        machine.images.clear();
+        for (int i = 0; i < hint.images().size(); i++) {
+            machine.touchImage(hint.images().get(i), hint.gigabytes().get(i), cacheGb);
+        }
+        seen.forEach((image, gb) -> machine.touchImage(image, gb, cacheGb));
+        if (hint.slow()) {
+            machine.slowUntilMicros = nowMicros + SLOW_FOR_MICROS;
+        }
+        machine.draining |= hint.faulty();
+    }
+}
--- a/src/main/java/io/micatide/core/RunTimes.java
+++ b/src/main/java/io/micatide/core/RunTimes.java
@@ -1,6 +1,8 @@
 package io.micatide.core;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -21,6 +23,18 @@
 
     private final Map<String, Factor> factors = new HashMap<>();
 
+    /** What is known of classes of which something has completed. */
+    List<Hint> hints() {
+        List<Hint> result = new ArrayList<>();
+        factors.forEach((name, factor) -> result.add(new Hint.OfClass(name, Hints.rounded(factor.mean()), Hints.rounded(factor.spread()))));
+        return result;
+    }
+
+    /** As an earlier leader saw it; what this one has seen counts more. */
+    void hinted(Hint.OfClass hint) {
+        factors.putIfAbsent(hint.name(), new Factor(Math.max(0.1, Math.min(10, hint.factor())), Math.max(0, Math.min(10, hint.spread()))));
+    }
+
     void finished(Job job, long ranMicros) {
         JobSpec spec = job.spec;
         job.ranMicros += ranMicros;
--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -29,6 +29,7 @@
     private final RunTimes runTimes = new RunTimes();
     private final Pipelines pipelines;
     private final Health health = new Health(runTimes);
+    private final Hints hints = new Hints();
     private final Map<String, Resources> teamUse = new HashMap<>();
     private final List<Transaction.Write> extraWrites = new ArrayList<>();
     private long freshMicros;
@@ -189,6 +190,7 @@
             for (String name : job.unsettledMachines) {
                 fleet.obtain(name, nowMicros).holdsUp = true;
             }
+            hints.apply(job);
             settleCancelled(job, nowMicros);
         }
         recovery.rebuilt((int) fleet.machines().stream().filter(machine -> machine.holdsUp).count(), nowMicros);
@@ -264,6 +266,10 @@
             machine.holdsUp = false;
             recovery.settled(nowMicros);
         }
+        MachineType type = machine.type == null ? null : fleet.types().get(machine.type);
+        if (type != null) {
+            hints.apply(machine, type.cacheGb(), nowMicros);
+        }
         settle(machine.name, nowMicros);
     }
 
@@ -821,6 +827,16 @@
 
     // ---- what others show
 
+    /** What this leader has learned and no row holds, for those who may follow it. */
+    public List<Hint> hints(long nowMicros) {
+        return Hints.of(fleet.machines(), book.jobs(), runTimes, nowMicros);
+    }
+
+    /** What the leader before had learned; to be told before {@link #loaded}. */
+    public void hinted(List<Hint> earlier) {
+        hints.take(earlier, runTimes);
+    }
+
     /** Tasks done and running of every open job, for display. */
     public List<JobProgress> progress() {
         List<JobProgress> result = new ArrayList<>();
--- a/src/main/java/io/micatide/node/Controller.java
+++ b/src/main/java/io/micatide/node/Controller.java
@@ -73,6 +73,8 @@
     public void handlePeer(Request request) {
         if (request.path().equals("/news") && request.method().equals("POST")) {
             leader.tell(new LeaderActor.PeerNews(request));
+        } else if (request.path().equals("/hints") && request.method().equals("POST")) {
+            leader.tell(new LeaderActor.TakeHints(request));
         } else if (request.path().equals("/standby")) {
             leader.tell(new LeaderActor.AskWarmth(request));
         } else if (request.path().equals("/handover") && request.method().equals("POST")) {
--- a/src/main/java/io/micatide/node/LeaderActor.java
+++ b/src/main/java/io/micatide/node/LeaderActor.java
@@ -19,8 +19,10 @@
 import io.micatide.net.StateClient;
 import io.micatide.standby.Copy;
 import io.micatide.standby.Heirs;
+import io.micatide.standby.HintSender;
 import io.micatide.standby.Succession;
 import io.micatide.standby.Warmth;
+import io.micatide.wire.HintCodec;
 import io.micatide.wire.Json;
 import io.micatide.wire.MalformedException;
 import io.micatide.wire.PeerCodec;
@@ -35,7 +37,8 @@
  */
 final class LeaderActor extends Actor<LeaderActor.Message> {
     sealed interface Message permits Tick, LeaseTick, Report, PeerNews, JobSeen, JobsSeen, LayoutSeen, HistorySeen, StateFresh, RowRead,
-            Granted, Claimed, Touched, Watched, WatchDue, PeerAnswered, CopyIs, AskWarmth, WarmthTold, TakeHandOver, HandedOver, End,
+            Granted, Claimed, Touched, Watched, WatchDue, PeerAnswered, CopyIs, TakeHints, AskWarmth, WarmthTold, TakeHandOver, HandedOver, HintsAnswered,
+            End,
             TermMessage {
     }
 
@@ -104,9 +107,16 @@
     record TakeHandOver(Request request) implements Message {
     }
 
+    /** The leader's hints for this controller. */
+    record TakeHints(Request request) implements Message {
+    }
+
     record HandedOver(Reply reply) implements Message {
     }
 
+    record HintsAnswered(Reply reply, long token, int sibling) implements Message {
+    }
+
     /** This process is to end in order; {@code done} once others can go on without it. */
     record End(Runnable done) implements Message {
     }
@@ -131,6 +141,8 @@
     private final CancelReach cancelReach;
     private final Succession succession;
     private final Heirs heirs;
+    /** Of the present term. */
+    private HintSender hints;
     /** Null where the operator wants none. */
     private final StandbyActor standby;
     /** Null until this process is told to end. */
@@ -200,8 +212,18 @@
             warmthTold(m.reply(), m.sibling());
         } else if (message instanceof TakeHandOver m) {
             takeHandOver(m.request());
+        } else if (message instanceof TakeHints m) {
+            if (standby == null) {
+                m.request().answer(404, Json.error(null, "follows nothing"));
+            } else {
+                standby.tell(new StandbyActor.Hinted(m.request()));
+            }
         } else if (message instanceof HandedOver m) {
             handOver.heirAnswered(m.reply().ok());
+        } else if (message instanceof HintsAnswered m) {
+            if (term != null && term.token() == m.token()) {
+                hints.holds(m.sibling(), held(m.reply()));
+            }
         } else if (message instanceof End m) {
             end(m.done());
         } else {
@@ -291,6 +313,7 @@
         siblings.begin();
         succession.led();
         heirs.begin(now);
+        hints = new HintSender(token, settings.siblings().size());
         reach.begin(now);
         cancelReach.begin(now);
         tooLong = false;
@@ -327,6 +350,10 @@
                 users.tell(new UsersActor.Progress(true, jobs));
             }
             siblings.news(newsOf(now), jobs, now);
+            if (term.loaded() && !heirs.appointed().isEmpty()) {
+                hints.picture(term.hints(now));
+                siblings.hints(heirs.appointed(), hints, term.token());
+            }
         }
         if (term.loaded()) {
             term.summary(now);
@@ -418,6 +445,15 @@
         }
     }
 
+    private long held(Reply reply) {
+        try {
+            return reply.ok() ? HintCodec.held(reply.body()) : -1;
+        } catch (MalformedException e) {
+            log.error("sibling: {}", e.getMessage());
+            return -1;
+        }
+    }
+
     private PeerCodec.Answer ownAnswer(long now) {
         boolean leaves = !tuning.standby() || handOver != null;
         return new PeerCodec.Answer(leadership.highestToken(), reach.strayedAgoMicros(now), Settings.LAYOUT,
--- a/src/main/java/io/micatide/node/Siblings.java
+++ b/src/main/java/io/micatide/node/Siblings.java
@@ -4,6 +4,8 @@
 import io.micatide.core.Micros;
 import io.micatide.core.Settings;
 import io.micatide.net.Http;
+import io.micatide.standby.HintSender;
+import io.micatide.wire.HintCodec;
 import io.micatide.wire.PeerCodec;
 import java.util.ArrayList;
 import java.util.List;
@@ -81,6 +83,16 @@
         }
     }
 
+    /** To the heirs that do not hold the newest picture. */
+    void hints(List<Integer> heirs, HintSender hints, long token) {
+        for (int heir : heirs) {
+            for (HintSender.Part part : hints.parts(heir)) {
+                siblings.get(heir).post("/hints", HintCodec.part(part), Http.PATIENCE_MICROS,
+                        owner.answer(r -> new LeaderActor.HintsAnswered(r, token, heir)));
+            }
+        }
+    }
+
     void handOver(int sibling, long token, long revision) {
         siblings.get(sibling).post("/handover", PeerCodec.handOver(token, revision), HAND_OVER_MICROS,
                 owner.answer(LeaderActor.HandedOver::new));
--- a/src/main/java/io/micatide/node/StandbyActor.java
+++ b/src/main/java/io/micatide/node/StandbyActor.java
@@ -7,6 +7,8 @@
 import io.micatide.net.Request;
 import io.micatide.net.StateClient;
 import io.micatide.standby.Copy;
+import io.micatide.standby.HintsHeld;
+import io.micatide.wire.HintCodec;
 import io.micatide.wire.Json;
 import io.micatide.wire.MalformedException;
 import io.micatide.wire.StateCodec;
@@ -52,6 +54,10 @@
     record CatchUp(Request request, long revision) implements Message {
     }
 
+    /** The leader's hints. */
+    record Hinted(Request request) implements Message {
+    }
+
     record CaughtUp(Reply reply, long life, Copy copy, Request request, long revision) implements Message {
     }
 
@@ -73,6 +79,7 @@
     private final LeaderActor leader;
     private final long everyMicros;
     private final List<Copy> copies;
+    private final HintsHeld hints = new HintsHeld();
     private boolean following;
     /** Answers to what an earlier following asked are dropped. */
     private long life;
@@ -123,6 +130,8 @@
             broughtUp(m);
         } else if (message instanceof CatchUp m) {
             catchUp(m.request(), m.revision());
+        } else if (message instanceof Hinted m) {
+            hinted(m.request());
         } else if (message instanceof CaughtUp m) {
             caughtUp(m);
         }
@@ -135,6 +144,7 @@
         following = now;
         life++;
         copies.forEach(Copy::clear);
+        hints.clear();
         tellWhole();
         if (now) {
             log.info("follows the leader's rows, every {} ms", everyMicros / Micros.MILLISECOND);
@@ -173,8 +183,8 @@
         users.tell(new UsersActor.KeepUp());
         if (now - saidMicros >= SAID_MICROS) {
             saidMicros = now;
-            log.info("standby: {} rows, {} KB, as of {} ms ago at revision {}{}", copies.stream().mapToInt(Copy::size).sum(),
-                    copies.stream().mapToLong(Copy::bytes).sum() >> 10, (now - freshMicros) / Micros.MILLISECOND,
+            log.info("standby: {} rows, {} KB, {} hints, as of {} ms ago at revision {}{}", copies.stream().mapToInt(Copy::size).sum(),
+                    copies.stream().mapToLong(Copy::bytes).sum() >> 10, hints.size(), (now - freshMicros) / Micros.MILLISECOND,
                     copies.get(0).revision(), whole() ? "" : ", not whole");
         }
         tellLater(new Due(life), everyMicros);
@@ -269,9 +279,20 @@
                 copy.clear();
             }
         }
+        leader.tell(new TermMessage.HintsKept(message.token(), hints.all()));
+        hints.clear();
         leader.tell(new LeaderActor.CopyIs(false));
     }
 
+    /** Whoever leads by the latest token tells; an heir that was not told of its appointment yet holds nothing. */
+    private void hinted(Request request) {
+        try {
+            request.answer(200, HintCodec.held(following ? hints.take(HintCodec.part(request.body())) : 0));
+        } catch (MalformedException e) {
+            request.answer(400, Json.error(e.field(), e.getMessage()));
+        }
+    }
+
     private void bringUp(Copy copy, long token, TakeOver to, int tries) {
         state.changes(copy.prefix(), copy.revision(), answer(r -> new BroughtUp(r, copy, token, to, tries)));
     }
--- a/src/main/java/io/micatide/node/Term.java
+++ b/src/main/java/io/micatide/node/Term.java
@@ -2,6 +2,7 @@
 
 import io.micatide.core.CloudCall;
 import io.micatide.core.Command;
+import io.micatide.core.Hint;
 import io.micatide.core.JobDirectory;
 import io.micatide.core.JobProgress;
 import io.micatide.core.MachineReport;
@@ -87,6 +88,10 @@
         return marks;
     }
 
+    List<Hint> hints(long now) {
+        return scheduler.hints(now);
+    }
+
     /** What siblings show to users; empty until all is read. */
     List<JobProgress> progress() {
         return loaded() ? scheduler.progress() : List.of();
@@ -114,6 +119,8 @@
             cloud.typesLoaded(m.types(), owner.now());
         } else if (message instanceof TermMessage.RowsLoaded m) {
             rowsLoaded(m.rows());
+        } else if (message instanceof TermMessage.HintsKept m) {
+            scheduler.hinted(m.hints());
         } else if (message instanceof TermMessage.PartLoaded) {
             loadedOne();
         } else if (message instanceof TermMessage.EndedFound m) {
--- a/src/main/java/io/micatide/node/TermMessage.java
+++ b/src/main/java/io/micatide/node/TermMessage.java
@@ -1,6 +1,7 @@
 package io.micatide.node;
 
 import io.micatide.core.CloudCall;
+import io.micatide.core.Hint;
 import io.micatide.core.ListedMachine;
 import io.micatide.core.MachineType;
 import io.micatide.core.Row;
@@ -22,6 +23,10 @@
     record TypesLoaded(long token, List<MachineType> types) implements TermMessage {
     }
 
+    /** What the leader before told this controller when it followed. */
+    record HintsKept(long token, List<Hint> hints) implements TermMessage {
+    }
+
     /** One of the things that a new leader reads is whole. */
     record PartLoaded(long token) implements TermMessage {
     }
--- a/src/main/java/io/micatide/standby/Heirs.java
+++ b/src/main/java/io/micatide/standby/Heirs.java
@@ -90,6 +90,11 @@
         return heirs.stream().map(each -> settings.siblings().get(each).label()).toList();
     }
 
+    /** Those appointed, by their places among the siblings. */
+    public List<Integer> appointed() {
+        return heirs;
+    }
+
     /** The first heir that is warm and heard, or -1. */
     public int first(long nowMicros) {
         for (int each : heirs) {
--- /dev/null
+++ b/src/main/java/io/micatide/standby/HintSender.java
@@ -0,0 +1,80 @@
+package io.micatide.standby;
+
+import io.micatide.core.Hint;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A leader's side of the hints: each picture has a number, and an heir that holds the one before gets the difference, any other the
+ * whole. Only the last difference is kept, so that who misses one costs a picture and no memory.
+ */
+public final class HintSender {
+    /** A number of hints that a request to a sibling has room for. */
+    static final int PART = 100;
+
+    /**
+     * @param base number of the picture that it is a difference to, 0 for a whole one
+     * @param gone names that hold no more; with a whole one empty
+     */
+    public record Part(long token, long number, long base, int index, int parts, List<Hint> hints, List<String> gone) {
+    }
+
+    private final long token;
+    private final long[] held;
+    private Map<String, Hint> picture = new HashMap<>();
+    private List<Hint> changed = List.of();
+    private List<String> gone = List.of();
+    private long number;
+
+    public HintSender(long token, int siblings) {
+        this.token = token;
+        this.held = new long[siblings];
+        Arrays.fill(held, -1);
+    }
+
+    /** A new picture, with the next number. */
+    public void picture(List<Hint> now) {
+        Map<String, Hint> next = new HashMap<>(2 * now.size());
+        List<Hint> differs = new ArrayList<>();
+        for (Hint hint : now) {
+            next.put(key(hint), hint);
+            if (!hint.equals(picture.remove(key(hint)))) {
+                differs.add(hint);
+            }
+        }
+        gone = List.copyOf(picture.keySet());
+        changed = differs;
+        picture = next;
+        number++;
+    }
+
+    /** A job and a machine may have the same name. */
+    static String key(Hint hint) {
+        return (hint instanceof Hint.OfMachine ? "m/" : hint instanceof Hint.OfJob ? "j/" : "c/") + hint.name();
+    }
+
+    /** What an heir is to be told now; empty if it holds this picture already. */
+    public List<Part> parts(int sibling) {
+        if (held[sibling] == number || number == 0) {
+            return List.of();
+        }
+        boolean difference = held[sibling] == number - 1 && held[sibling] > 0;
+        List<Hint> all = difference ? changed : List.copyOf(picture.values());
+        List<String> away = difference ? gone : List.of();
+        List<Part> result = new ArrayList<>();
+        int parts = Math.max(1, (all.size() + PART - 1) / PART);
+        for (int index = 0; index < parts; index++) {
+            result.add(new Part(token, number, difference ? number - 1 : 0, index, parts,
+                    all.subList(index * PART, Math.min(all.size(), (index + 1) * PART)), index == 0 ? away : List.of()));
+        }
+        return result;
+    }
+
+    /** What a sibling says that it holds of this term's pictures; -1 without an answer. */
+    public void holds(int sibling, long itsNumber) {
+        held[sibling] = itsNumber;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/micatide/standby/HintsHeld.java
@@ -0,0 +1,65 @@
+package io.micatide.standby;
+
+import io.micatide.core.Hint;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * An heir's side of the hints. A part that comes late or alone does no harm: what it says was true of some moment, and the number
+ * that is answered tells the leader what to send next.
+ */
+public final class HintsHeld {
+    private final Map<String, Hint> hints = new HashMap<>();
+    private final BitSet parts = new BitSet();
+    private long token;
+    private long number;
+    private long arriving;
+
+    /** @return number of the picture that is held whole, 0 for none */
+    public long take(HintSender.Part part) {
+        if (part.token() < token) {
+            return 0;
+        }
+        if (part.token() > token) {
+            token = part.token();
+            number = 0;
+            arriving = 0;
+        }
+        if (part.base() != 0 && part.base() != number || part.number() < arriving) {
+            return number;
+        }
+        if (part.number() > arriving) {
+            arriving = part.number();
+            parts.clear();
+            if (part.base() == 0) {
+                hints.clear();
+            }
+        }
+        part.gone().forEach(hints::remove);
+        part.hints().forEach(hint -> hints.put(HintSender.key(hint), hint));
+        parts.set(part.index());
+        if (parts.cardinality() == part.parts()) {
+            number = part.number();
+        }
+        return number;
+    }
+
+    public List<Hint> all() {
+        return List.copyOf(hints.values());
+    }
+
+    public int size() {
+        return hints.size();
+    }
+
+    /** Followed no more. */
+    public void clear() {
+        hints.clear();
+        parts.clear();
+        token = 0;
+        number = 0;
+        arriving = 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/micatide/wire/HintCodec.java
@@ -0,0 +1,115 @@
+package io.micatide.wire;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.databind.JsonNode;
+import io.micatide.core.Hint;
+import io.micatide.standby.HintSender.Part;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * A leader's hints to an heir. Compact, since hundreds change in a second: a machine is {@code ["m", name, flags, image, size, …]}, a
+ * job {@code ["j", name, mean, tasks, probes]} with -1 probes if it is not suspected, a class {@code ["c", name, factor, spread]}; what
+ * begins with another word is passed over.
+ */
+public final class HintCodec {
+    private static final int SLOW = 1;
+    private static final int FAULTY = 2;
+
+    private HintCodec() {
+    }
+
+    public static byte[] part(Part part) {
+        return Json.bytes(out -> {
+            out.writeStartObject();
+            out.writeNumberField("token", part.token());
+            out.writeNumberField("number", part.number());
+            out.writeNumberField("base", part.base());
+            out.writeNumberField("index", part.index());
+            out.writeNumberField("parts", part.parts());
+            out.writeArrayFieldStart("gone");
+            for (String name : part.gone()) {
+                out.writeString(name);
+            }
+            out.writeEndArray();
+            out.writeArrayFieldStart("hints");
+            for (Hint hint : part.hints()) {
+                out.writeStartArray();
+                write(out, hint);
+                out.writeEndArray();
+            }
+            out.writeEndArray();
+            out.writeEndObject();
+        });
+    }
+
+    private static void write(JsonGenerator out, Hint hint) throws IOException {
+        if (hint instanceof Hint.OfMachine each) {
+            out.writeString("m");
+            out.writeString(each.name());
+            out.writeNumber((each.slow() ? SLOW : 0) + (each.faulty() ? FAULTY : 0));
+            for (int i = 0; i < each.images().size(); i++) {
+                out.writeString(each.images().get(i));
+                out.writeNumber(each.gigabytes().get(i));
+            }
+        } else if (hint instanceof Hint.OfJob each) {
+            out.writeString("j");
+            out.writeString(each.name());
+            out.writeNumber(each.ranMicros());
+            out.writeNumber(each.ranTasks());
+            out.writeNumber(each.suspect() ? each.failedProbes() : -1);
+        } else if (hint instanceof Hint.OfClass each) {
+            out.writeString("c");
+            out.writeString(each.name());
+            out.writeNumber(each.factor());
+            out.writeNumber(each.spread());
+        }
+    }
+
+    public static Part part(byte[] body) throws MalformedException {
+        JsonNode tree = Json.tree(body);
+        Fields in = new Fields(tree, "");
+        List<Hint> hints = new ArrayList<>();
+        for (JsonNode each : tree.path("hints")) {
+            String name = each.path(1).asText();
+            switch (each.path(0).asText()) {
+                case "m" -> hints.add(machine(name, each));
+                case "j" -> hints.add(new Hint.OfJob(name, Math.max(0, each.path(2).asLong()), Math.max(0, each.path(3).asInt()),
+                        each.path(4).asInt(-1) >= 0, Math.max(0, each.path(4).asInt(-1))));
+                case "c" -> hints.add(new Hint.OfClass(name, each.path(2).asDouble(1), each.path(3).asDouble()));
+                default -> {
+                    // Of a later version.
+                }
+            }
+        }
+        return new Part(in.count("token", 1, Long.MAX_VALUE), in.count("number", 1, Long.MAX_VALUE),
+                in.count("base", 0, Long.MAX_VALUE), (int) in.count("index", 0, 10_000), (int) in.count("parts", 1, 10_000), hints,
+                in.texts("gone"));
+    }
+
+    private static Hint machine(String name, JsonNode each) {
+        List<String> images = new ArrayList<>();
+        List<Double> sizes = new ArrayList<>();
+        for (int i = 3; i + 1 < each.size(); i += 2) {
+            images.add(each.path(i).asText());
+            sizes.add(each.path(i + 1).asDouble());
+        }
+        int flags = each.path(2).asInt();
+        return new Hint.OfMachine(name, images, sizes, (flags & SLOW) != 0, (flags & FAULTY) != 0);
+    }
+
+    /** The picture that an heir holds. */
+    public static byte[] held(long number) {
+        return Json.bytes(out -> {
+            out.writeStartObject();
+            out.writeNumberField("held", number);
+            out.writeEndObject();
+        });
+    }
+
+    /** What an heir answered with {@link #held}. */
+    public static long held(byte[] body) throws MalformedException {
+        return new Fields(Json.tree(body), "").count("held", 0, Long.MAX_VALUE);
+    }
+}
--- a/src/test/java/io/micatide/core/FailureTest.java
+++ b/src/test/java/io/micatide/core/FailureTest.java
@@ -53,6 +53,31 @@
         assertEquals(0, duplicates);
     }
 
+    /** Hints speed up and never allow: whatever they say, nothing runs twice and everything is done, if later. */
+    @Test
+    void hintsThatLieBreakNothing() {
+        for (int seed = 1; seed <= 40; seed++) {
+            World world = new World(seed, 3);
+            world.lostAnswers = 0.02;
+            world.killAfter = 20 + 7 * seed;
+            List<Hint> lies = new ArrayList<>(List.of(new Hint.OfClass("class", 9, 3), new Hint.OfClass("x", -4, -1)));
+            for (int job = 0; job <= 6; job++) {
+                lies.add(new Hint.OfJob("wk-" + job, world.random.nextInt(90) * Micros.SECOND, world.random.nextInt(50), job % 2 == 0, job));
+            }
+            for (int machine = 0; machine < 12; machine++) {
+                lies.add(new Hint.OfMachine(String.format("i-%06d", machine), List.of("img-1", "img-9", "img-1"), List.of(2.0, 90.0, 5.0),
+                        world.random.nextBoolean(), world.random.nextInt(4) == 0));
+            }
+            world.hints = lies;
+            world.takeOver();
+            submitAll(world);
+            world.run(12 * Micros.SECOND);
+            world.cancel("wk-4");
+            world.run(240 * Micros.SECOND);
+            assertSound(world, "seed " + seed);
+        }
+    }
+
     /**
      * Each row is a failure around a take-over. A machine that hangs over it may go on within its lease, so what was
      * on it stays unknown until it reports to the new leader or its deletion is answered.
--- a/src/test/java/io/micatide/core/World.java
+++ b/src/test/java/io/micatide/core/World.java
@@ -57,6 +57,8 @@
     /** Boots take this many times as long as the type says. */
     int bootFactor = 1;
     int returned;
+    /** What each new leader is told by way of hints. */
+    List<Hint> hints = List.of();
     /** Jobs submitted with a mistake and machines that are faulty: what runs there fails after a second. */
     final Set<String> faultyJobs = new HashSet<>();
     final Set<String> faultyMachines = new HashSet<>();
@@ -347,6 +349,7 @@
         token = ++revision;
         put(StoreKeys.LEADER, new Row.Leader("c0"), token);
         leader = new Scheduler(settings, Tuning.defaults(settings), token, now);
+        leader.hinted(hints);
         takeOvers++;
         leader.typesKnown(List.of(TYPE), now);
         directory.openAndCancelled().forEach(view -> leader.jobSeen(view, now, now));
--- /dev/null
+++ b/src/test/java/io/micatide/standby/HintsTest.java
@@ -0,0 +1,73 @@
+package io.micatide.standby;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.micatide.core.Hint;
+import io.micatide.wire.HintCodec;
+import io.micatide.wire.MalformedException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class HintsTest {
+    private static Hint hint(Random random) {
+        String name = "n-" + random.nextInt(400);
+        return switch (random.nextInt(3)) {
+            case 0 -> new Hint.OfMachine(name, List.of("img-" + random.nextInt(9)), List.of(random.nextInt(30) / 10.0), random.nextBoolean(),
+                    random.nextBoolean());
+            case 1 -> new Hint.OfJob(name, random.nextInt(1_000_000), random.nextInt(64), random.nextBoolean(), 0);
+            default -> new Hint.OfClass(name, random.nextInt(20) / 10.0, 0.5);
+        };
+    }
+
+    /** Parts get lost, come late and twice, leaders change: once all goes through again an heir holds the leader's picture. */
+    @Test
+    void anHeirHoldsThePictureInTheEnd() throws MalformedException {
+        long bytes = 0;
+        int differences = 0;
+        for (int seed = 0; seed < 300; seed++) {
+            Random random = new Random(seed);
+            HintsHeld held = new HintsHeld();
+            List<HintSender.Part> late = new ArrayList<>();
+            for (long token = 5; token <= 7; token++) {
+                HintSender sender = new HintSender(token, 1);
+                List<Hint> picture = new ArrayList<>();
+                for (int second = 0; second < 12; second++) {
+                    for (int change = random.nextInt(150); change > 0; change--) {
+                        Hint hint = hint(random);
+                        picture.removeIf(each -> HintSender.key(each).equals(HintSender.key(hint)));
+                        if (random.nextInt(4) > 0) {
+                            picture.add(hint);
+                        }
+                    }
+                    sender.picture(picture);
+                    for (HintSender.Part part : sender.parts(0)) {
+                        differences += part.base() > 0 ? 1 : 0;
+                        byte[] body = HintCodec.part(part);
+                        bytes = Math.max(bytes, body.length);
+                        HintSender.Part read = HintCodec.part(body);
+                        assertEquals(part, read);
+                        int fate = second >= 10 ? 9 : random.nextInt(12);
+                        if (fate == 0) {
+                            sender.holds(0, -1);
+                        } else if (fate == 1) {
+                            late.add(read);
+                        } else {
+                            sender.holds(0, held.take(read));
+                        }
+                        if (!late.isEmpty() && fate == 2) {
+                            held.take(late.remove(0));
+                        }
+                    }
+                }
+                assertEquals(new HashSet<>(picture), new HashSet<>(held.all()), "seed " + seed + " term " + token);
+                assertTrue(sender.parts(0).isEmpty(), "nothing is told twice");
+            }
+        }
+        assertTrue(differences > 1_000, "differences are what usually goes out");
+        assertTrue(bytes < 64 * 1024, "a part fits a request");
+    }
+}
