--- a/src/main/java/io/micatide/core/Recovery.java
+++ b/src/main/java/io/micatide/core/Recovery.java
@@ -6,7 +6,7 @@
  * How a term got back what the one before knew: when half, nine tenths and 99% of the machines that the ledgers name were confirmed, and
  * when the first task was started. One line for the log, once; operators see from it what a take-over cost them.
  */
-final class Recovery {
+final class Recovery implements TakeOverTimes {
     private static final double[] SHARES = {0.5, 0.9, 0.99};
 
     private final long beganMicros;
@@ -40,6 +40,25 @@
         }
     }
 
+    @Override
+    public long rebuiltMicros() {
+        return since(rebuiltMicros);
+    }
+
+    @Override
+    public long confirmedMicros(int share) {
+        return since(reached[share]);
+    }
+
+    @Override
+    public long firstStartMicros() {
+        return since(firstStartMicros);
+    }
+
+    private long since(long atMicros) {
+        return atMicros < 0 ? -1 : atMicros - beganMicros;
+    }
+
     private void count(long nowMicros) {
         for (int each = 0; each < SHARES.length; each++) {
             if (reached[each] < 0 && confirmed >= Math.ceil(expected * SHARES[each])) {
--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -829,6 +829,11 @@
 
     // ---- what others show
 
+    /** How this term got back what the one before knew. */
+    public TakeOverTimes takeOver() {
+        return recovery;
+    }
+
     /** What this leader has learned and no row holds, for those who may follow it. */
     public List<Hint> hints(long nowMicros) {
         return Hints.of(fleet, book.jobs(), runTimes, nowMicros);
--- /dev/null
+++ b/src/main/java/io/micatide/core/TakeOverTimes.java
@@ -0,0 +1,17 @@
+package io.micatide.core;
+
+/** How a term got back what the one before knew. Times in microseconds since the claim, -1 for what has not happened. */
+public interface TakeOverTimes {
+    /** Until all rows were read. */
+    long rebuiltMicros();
+
+    /**
+     * Until so many of the machines that the ledgers name had settled.
+     *
+     * @param share 0: half of them, 1: nine tenths, 2: 99%
+     */
+    long confirmedMicros(int share);
+
+    /** Until the first task was started. */
+    long firstStartMicros();
+}
--- /dev/null
+++ b/src/main/java/io/micatide/node/Cancellations.java
@@ -0,0 +1,104 @@
+package io.micatide.node;
+
+import io.micatide.core.JobDirectory;
+import io.micatide.core.JobState;
+import io.micatide.core.Row;
+import io.micatide.core.Settings;
+import io.micatide.core.StoreKeys;
+import io.micatide.core.Transaction;
+import io.micatide.net.Reply;
+import io.micatide.net.Request;
+import io.micatide.net.StateClient;
+import io.micatide.wire.JobCodec;
+import io.micatide.wire.MalformedException;
+import io.micatide.wire.StateCodec;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Cancels jobs: one conditional put on the job's own row. Part of the users' actor. */
+final class Cancellations {
+    private static final Logger LOG = LoggerFactory.getLogger(UsersActor.class);
+
+    private final UsersActor owner;
+    private final Settings settings;
+    private final StateClient state;
+    private final JobDirectory directory;
+    private final JobRows rows;
+
+    Cancellations(UsersActor owner, Settings settings, StateClient state, JobDirectory directory, JobRows rows) {
+        this.owner = owner;
+        this.settings = settings;
+        this.state = state;
+        this.directory = directory;
+        this.rows = rows;
+    }
+
+    void cancel(Request request, String id, int tries) {
+        if (!JobCodec.isId(id)) {
+            request.answer(404, UsersActor.NO_SUCH_JOB);
+            return;
+        }
+        JobDirectory.Entry entry = directory.get(id);
+        if (entry == null || tries > 0 && !directory.state(id).isFinal()) {
+            rows.whenFresh(request, () -> owner.locate(request, id, 0, new Accepted(owner, request, id) {
+                @Override
+                public void inCopy() {
+                    tryCancel(request, id, tries);
+                }
+
+                @Override
+                public void nowhere() {
+                    request.answer(404, UsersActor.NO_SUCH_JOB);
+                }
+            }));
+        } else {
+            tryCancel(request, id, tries);
+        }
+    }
+
+    private void tryCancel(Request request, String id, int tries) {
+        JobDirectory.Entry entry = directory.get(id);
+        if (directory.state(id).isFinal()) {
+            request.answer(200, JobCodec.accepted(id, owner.standing(entry)));
+            return;
+        }
+        Row.JobRow row = cancelledRow(entry);
+        Transaction put = new Transaction(List.of(new Transaction.Compare(StoreKeys.job(id), entry.version())),
+                List.of(new Transaction.Write(StoreKeys.job(id), row, 0)));
+        state.transaction(put, owner.answer(r -> new UsersActor.Cancelled(r, request, row, id, tries)));
+    }
+
+    /**
+     * The description stays: a leader that finds tasks of the job has to know what they take of their team's limit. What was
+     * accepted under a larger limit of the state service keeps only that.
+     */
+    private Row.JobRow cancelledRow(JobDirectory.Entry entry) {
+        Row.JobRow open = entry.row();
+        boolean checked = directory.history() != null;
+        Row.JobRow whole = new Row.JobRow(JobState.CANCELLED, open.spec().withNeeds(List.of()), open.submittedWall(),
+                open.tasks()).asChecked(checked);
+        return StateCodec.size(whole) <= settings.writableBytes() ? whole
+                : new Row.JobRow(JobState.CANCELLED, open.spec().essentials(), open.submittedWall(), open.tasks())
+                        .asChecked(checked);
+    }
+
+    void cancelled(UsersActor.Cancelled message) {
+        Reply reply = message.reply();
+        String id = message.id();
+        if (reply.ok()) {
+            try {
+                rows.apply(id, message.row(), StateCodec.revision(reply.body()));
+                message.request().answer(200, JobCodec.accepted(id, JobCodec.Standing.CANCELLED));
+                return;
+            } catch (MalformedException e) {
+                LOG.error("transaction answer: {}", e.getMessage());
+            }
+        }
+        if (reply.status() == 409 && message.tries() < 3) {
+            cancel(message.request(), id, message.tries() + 1);
+        } else {
+            owner.notWritten(message.request(), reply);
+        }
+    }
+}
--- a/src/main/java/io/micatide/node/Controller.java
+++ b/src/main/java/io/micatide/node/Controller.java
@@ -1,6 +1,7 @@
 package io.micatide.node;
 
 import io.micatide.core.Settings;
+import io.micatide.core.TakeOverTimes;
 import io.micatide.core.Tuning;
 import io.micatide.history.Archivist;
 import io.micatide.net.CloudClient;
@@ -32,15 +33,25 @@
     }
 
     /** With another copy for the standby too. */
-    Controller(Settings settings, Tuning tuning, Loop loop, Http.Connector connector, Archivist.Maker maker, Copy.Maker copies) {
+    public Controller(Settings settings, Tuning tuning, Loop loop, Http.Connector connector, Archivist.Maker maker, Copy.Maker copies) {
         StateClient state = new StateClient(settings, connector, loop::now);
         CloudClient cloud = new CloudClient(settings, connector, loop::now);
         this.users = new UsersActor(loop, settings, state, cloud, tuning.description() ? new Description() : null);
         this.leader = new LeaderActor(loop, settings, tuning, state, cloud, users, connector, maker, copies);
     }
 
+    /** How this controller's term began, null if it does not lead. For rehearsals; on the loop. */
+    public TakeOverTimes takeOver() {
+        return leader.takeOver();
+    }
+
+    /** Whether it is appointed to take over. For rehearsals; on the loop. */
+    public boolean follows() {
+        return leader.follows();
+    }
+
     /** Sees what a standby's copies bring to each take-over on this controller. */
-    void witness(BiConsumer<String, List<StateCodec.Item>> each) {
+    public void witness(BiConsumer<String, List<StateCodec.Item>> each) {
         leader.witness(each);
     }
 
@@ -74,11 +85,11 @@
         if (request.path().equals("/news") && request.method().equals("POST")) {
             leader.tell(new LeaderActor.PeerNews(request));
         } else if (request.path().equals("/hints") && request.method().equals("POST")) {
-            leader.tell(new LeaderActor.TakeHints(request));
+            leader.tell(new FollowMessage.TakeHints(request));
         } else if (request.path().equals("/standby")) {
             leader.tell(new LeaderActor.AskWarmth(request));
         } else if (request.path().equals("/handover") && request.method().equals("POST")) {
-            leader.tell(new LeaderActor.TakeHandOver(request));
+            leader.tell(new FollowMessage.TakeHandOver(request));
         } else {
             request.answer(404, NO_SUCH_PATH);
         }
--- /dev/null
+++ b/src/main/java/io/micatide/node/Following.java
@@ -0,0 +1,182 @@
+package io.micatide.node;
+
+import io.micatide.core.Settings;
+import io.micatide.net.Reply;
+import io.micatide.net.Request;
+import io.micatide.standby.Heirs;
+import io.micatide.standby.HintSender;
+import io.micatide.standby.Succession;
+import io.micatide.standby.Warmth;
+import io.micatide.wire.HintCodec;
+import io.micatide.wire.Json;
+import io.micatide.wire.MalformedException;
+import io.micatide.wire.PeerCodec;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Who follows whom: a leader's heirs and what it tells them, a follower's place among them and its standby. Part of the leader's actor.
+ * Without a standby it appoints nobody, says nothing of its warmth and waits as every version did.
+ */
+final class Following {
+    private static final Logger LOG = LoggerFactory.getLogger(LeaderActor.class);
+    private static final byte[] FOLLOWS_NOTHING = Json.error(null, "follows nothing");
+
+    private final LeaderActor owner;
+    private final Settings settings;
+    private final Siblings siblings;
+    private final Claims claims;
+    /** Null where the operator wants none. */
+    private final StandbyActor standby;
+    private final Succession succession;
+    private final Heirs heirs;
+    /** Of the present term. */
+    private HintSender hints;
+
+    Following(LeaderActor owner, Settings settings, Siblings siblings, Claims claims, StandbyActor standby, long now) {
+        this.owner = owner;
+        this.settings = settings;
+        this.siblings = siblings;
+        this.claims = claims;
+        this.standby = standby;
+        this.succession = new Succession(settings.label(), settings.siblings().size(), now);
+        this.heirs = new Heirs(settings);
+    }
+
+    /** Null where the operator wants none. */
+    StandbyActor standby() {
+        return standby;
+    }
+
+    /** @param token of this controller's term, 0 if it does not lead */
+    void receive(FollowMessage message, long token) {
+        long now = owner.now();
+        if (message instanceof FollowMessage.CopyIs m) {
+            succession.copyIs(m.whole());
+        } else if (message instanceof FollowMessage.WarmthTold m) {
+            warmthTold(m.reply(), m.sibling(), now);
+        } else if (message instanceof FollowMessage.TakeHandOver m) {
+            takeHandOver(m.request(), token != 0, now);
+        } else if (message instanceof FollowMessage.TakeHints m) {
+            takeHints(m.request());
+        } else if (message instanceof FollowMessage.HintsAnswered m && m.token() == token) {
+            hintsAnswered(m.sibling(), m.reply());
+        }
+    }
+
+    // ---- a follower
+
+    /** For how long a free row is left to others; asks them if this process is cold. */
+    long waits(boolean reached, long now) {
+        if (standby == null) {
+            return Succession.waitsOfAnyone(reached);
+        }
+        long claimable = claims.claimableFor(now);
+        if (claimable >= 0 && succession.warmth(now) == Warmth.COLD) {
+            siblings.askWarmth(now);
+            if (succession.warmerThere(now)) {
+                claims.leaveFormerRow();
+            }
+        }
+        return succession.waits(Math.max(0, claimable), reached, now);
+    }
+
+    /** News of who leads by the highest token. */
+    void told(PeerCodec.News news, long now) {
+        succession.told(news.heirs(), now);
+        if (standby != null) {
+            standby.tell(new StandbyActor.Appointed(succession.appointed()));
+        }
+    }
+
+    /** Whether this controller is appointed to take over. */
+    boolean appointed() {
+        return succession.appointed();
+    }
+
+    /** What it says of its warmth, null for nothing. */
+    Warmth warmth(long now) {
+        return standby == null ? null : succession.warmth(now);
+    }
+
+    /** A sibling that answers, of whatever version, has been there for longer than this process. */
+    private void warmthTold(Reply reply, int sibling, long now) {
+        if (reply.status() == 404) {
+            succession.word(sibling, Warmth.SEASONED, now);
+        } else if (reply.ok()) {
+            try {
+                Warmth said = PeerCodec.answer(reply.body()).warmth();
+                succession.word(sibling, said == null ? Warmth.COLD : said, now);
+            } catch (MalformedException e) {
+                LOG.error("sibling: {}", e.getMessage());
+            }
+        }
+    }
+
+    private void takeHints(Request request) {
+        if (standby == null) {
+            request.answer(404, FOLLOWS_NOTHING);
+        } else {
+            standby.tell(new StandbyActor.Hinted(request));
+        }
+    }
+
+    /** A leader that ends wants this controller to catch up. */
+    private void takeHandOver(Request request, boolean leads, long now) {
+        try {
+            long revision = PeerCodec.handedRevision(request.body());
+            if (standby == null || leads) {
+                request.answer(409, FOLLOWS_NOTHING);
+            } else {
+                succession.handedOver(now);
+                standby.tell(new StandbyActor.CatchUp(request, revision));
+            }
+        } catch (MalformedException e) {
+            request.answer(400, Json.error(e.field(), e.getMessage()));
+        }
+    }
+
+    // ---- a leader
+
+    /** A term of this controller begins. */
+    void begin(long token, long now) {
+        succession.led();
+        heirs.begin(now);
+        hints = new HintSender(token, settings.siblings().size());
+    }
+
+    /** A sibling answered this term's news. */
+    void heard(int sibling, PeerCodec.Answer answer, long now) {
+        heirs.heard(sibling, answer.warmth(), answer.served(), now);
+    }
+
+    /** Whom this term's news appoint, null for nobody yet or ever. */
+    List<String> appoint(long now) {
+        return standby == null ? null : heirs.appoint(now);
+    }
+
+    /** Place among the siblings of the heir that could lead at once, or -1. */
+    int firstHeir(long now) {
+        return heirs.first(now);
+    }
+
+    /** Tells the heirs what no row holds. */
+    void tellHints(Term term, long now) {
+        if (!heirs.appointed().isEmpty()) {
+            hints.picture(term.hints(now));
+            siblings.hints(heirs.appointed(), hints, term.token());
+        }
+    }
+
+    /** An heir's answer to a part of this term's hints. */
+    private void hintsAnswered(int sibling, Reply reply) {
+        long held = -1;
+        try {
+            held = reply.ok() ? HintCodec.held(reply.body()) : -1;
+        } catch (MalformedException e) {
+            LOG.error("sibling: {}", e.getMessage());
+        }
+        hints.holds(sibling, held);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/micatide/node/JobRows.java
@@ -0,0 +1,289 @@
+package io.micatide.node;
+
+import io.micatide.core.JobDirectory;
+import io.micatide.core.Micros;
+import io.micatide.core.Outcome;
+import io.micatide.core.Row;
+import io.micatide.core.Settings;
+import io.micatide.core.StoreKeys;
+import io.micatide.history.Archivist;
+import io.micatide.net.Reply;
+import io.micatide.net.Request;
+import io.micatide.net.StateClient;
+import io.micatide.wire.MalformedException;
+import io.micatide.wire.StateCodec;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Keeps the copy of the job rows: reads it whole, brings it up to date by the changes, and tells a leader on this controller what it
+ * shows. Questions that came in before a read of the changes began are answered after it, all of them by the same read. Part of the
+ * users' actor.
+ */
+final class JobRows {
+    /** What to do with a question once the copy is fresh. */
+    private record Question(Request request, Runnable fresh) {
+    }
+
+    private static final Logger LOG = LoggerFactory.getLogger(UsersActor.class);
+    private static final long DOUBTS_MICROS = Micros.SECOND;
+    /** What one look at what may be archived gives at most. */
+    private static final int MOST_ENDED = 5_000;
+    private static final int MOST_WAITING = 400;
+
+    private final UsersActor owner;
+    private final StateClient state;
+    private final HistoryReader history;
+    private final JobDirectory directory;
+    private final long refreshEveryMicros;
+    private final List<Question> arriving = new ArrayList<>();
+    private List<Question> asking = List.of();
+    private final Set<String> doubts = new HashSet<>();
+    private LeaderActor leader;
+    private boolean followPending;
+    private boolean loaded;
+    private boolean refreshing;
+    private boolean refreshTimer;
+    private boolean keepUp;
+    private long refreshedMicros;
+
+    JobRows(UsersActor owner, Settings settings, StateClient state, HistoryReader history, JobDirectory directory) {
+        this.owner = owner;
+        this.state = state;
+        this.history = history;
+        this.directory = directory;
+        // All controllers together take about a third of the requests for this.
+        this.refreshEveryMicros = Math.max(50 * Micros.MILLISECOND,
+                Math.round(settings.siblings().size() + 1) * Micros.ofSeconds(3 / settings.stateRate()));
+    }
+
+    /** Whether the copy has been read whole. */
+    boolean loaded() {
+        return loaded;
+    }
+
+    /** The leader on this controller wants every change from now on. */
+    void follow(LeaderActor newLeader) {
+        leader = newLeader;
+        followPending = true;
+        refresh();
+    }
+
+    void unfollow() {
+        leader = null;
+    }
+
+    /** A standby on this controller wants the copy fresh though nobody asks. */
+    void keepUp() {
+        keepUp = true;
+        refresh();
+    }
+
+    void refreshDue() {
+        refreshTimer = false;
+        refresh();
+    }
+
+    void readPage(String after) {
+        state.list(StoreKeys.JOBS, after, owner.answer(r -> new UsersActor.PageRead(r, after)));
+    }
+
+    void pageRead(UsersActor.PageRead message) {
+        Reply reply = message.reply();
+        if (!reply.ok()) {
+            // The same page: with as many rows as use up the rate, a read that began anew would never end.
+            owner.tellLater(new UsersActor.PageDue(message.after()), 300 * Micros.MILLISECOND);
+            return;
+        }
+        try {
+            StateCodec.Items page = StateCodec.page(reply.body());
+            if (message.after() == null) {
+                directory.restartAt(page.revision());
+            }
+            String last = null;
+            for (StateCodec.Item item : page.items()) {
+                apply(item);
+                last = item.key();
+            }
+            if (page.more()) {
+                readPage(last);
+            } else {
+                loaded = true;
+                directory.readWhole();
+                settleDoubts();
+                LOG.info("job rows loaded, {} open", directory.open().size());
+                refresh();
+            }
+        } catch (MalformedException e) {
+            LOG.error("job rows: {}", e.getMessage());
+            owner.tellLater(new UsersActor.Load(), Micros.SECOND);
+        }
+    }
+
+    private void apply(StateCodec.Item item) {
+        String name = item.key().substring(StoreKeys.JOBS.length());
+        if (item.row() == null) {
+            if (name.indexOf('/') < 0) {
+                directory.removed(name, item.version());
+                owner.over(name);
+            }
+        } else if (item.row() instanceof Row.History manifest) {
+            historyKnown(item.version(), manifest);
+        } else if (item.row() instanceof Row.JobRow row) {
+            apply(name, row, item.version());
+        } else if (item.row() instanceof Row.Needs needs) {
+            int slash = name.indexOf('/');
+            changed(directory.applyNeeds(name.substring(0, slash), Integer.parseInt(
+                    name.substring(name.lastIndexOf('/') + 1)), needs.names()));
+        } else if (item.row() instanceof Row.Layout layout) {
+            layoutKnown(item.version(), layout);
+        }
+    }
+
+    private void historyKnown(long version, Row.History manifest) {
+        directory.historyKnown(version, manifest);
+        history.tell(new HistoryReader.Manifest(manifest));
+        if (leader != null) {
+            leader.tell(new LeaderActor.HistorySeen(version, manifest));
+        }
+    }
+
+    void layoutKnown(long version, Row.Layout layout) {
+        directory.layoutMarked(version, layout);
+        if (leader != null) {
+            leader.tell(new LeaderActor.LayoutSeen(version, layout));
+        }
+    }
+
+    void apply(String id, Row.JobRow row, long version) {
+        changed(directory.apply(id, row, version));
+    }
+
+    private void changed(List<String> ids) {
+        for (String changed : ids) {
+            if (directory.state(changed).isFinal()) {
+                owner.over(changed);
+            }
+            if (leader != null && !followPending) {
+                leader.tell(new LeaderActor.JobSeen(directory.view(changed)));
+            }
+        }
+    }
+
+    void refresh() {
+        if (!loaded || refreshing || arriving.isEmpty() && leader == null && !keepUp) {
+            return;
+        }
+        long now = owner.now();
+        long wait = refreshedMicros + refreshEveryMicros - now;
+        if (wait > 0 && !followPending) {
+            if (!refreshTimer) {
+                refreshTimer = true;
+                owner.tellLater(new UsersActor.RefreshDue(), wait);
+            }
+            return;
+        }
+        refreshedMicros = now;
+        refreshing = true;
+        keepUp = false;
+        asking = new ArrayList<>(arriving);
+        arriving.clear();
+        state.changes(StoreKeys.JOBS, directory.revision(), owner.answer(r -> new UsersActor.ChangesRead(r, now)));
+    }
+
+    void changesRead(UsersActor.ChangesRead message) {
+        refreshing = false;
+        List<Question> asked = asking;
+        asking = List.of();
+        Reply reply = message.reply();
+        boolean fresh = false;
+        if (reply.ok()) {
+            try {
+                StateCodec.Items changes = StateCodec.changes(reply.body());
+                // In the order in which they were made: a row may come and go between two reads.
+                changes.items().stream().sorted(Comparator.comparingLong(StateCodec.Item::version)).forEach(this::apply);
+                directory.upTo(changes.revision());
+                settleDoubts();
+                fresh = true;
+            } catch (MalformedException e) {
+                LOG.error("changes of jobs: {}", e.getMessage());
+            }
+        } else if (reply.status() == 410) {
+            loaded = false;
+            owner.tell(new UsersActor.Load());
+        }
+        if (fresh) {
+            if (leader != null) {
+                if (followPending) {
+                    followPending = false;
+                    if (directory.layoutVersion() > 0) {
+                        leader.tell(new LeaderActor.LayoutSeen(directory.layoutVersion(), directory.layout()));
+                    }
+                    if (directory.history() != null) {
+                        leader.tell(new LeaderActor.HistorySeen(directory.historyVersion(), directory.history()));
+                    }
+                    leader.tell(new LeaderActor.JobsSeen(directory.openAndCancelled()));
+                }
+                leader.tell(new LeaderActor.StateFresh(message.askedMicros()));
+            }
+            asked.forEach(question -> question.fresh().run());
+        } else {
+            asked.forEach(question -> owner.unavailable(question.request()));
+        }
+        refresh();
+    }
+
+    void whenFresh(Request request, Runnable then) {
+        if (arriving.size() >= MOST_WAITING) {
+            request.answer(429, UsersActor.BUSY, 2);
+            return;
+        }
+        arriving.add(new Question(request, then));
+        refresh();
+    }
+
+    /** Rows of a former version may be of jobs that were archived long ago: nothing of them is told or started before that is known. */
+    void settleDoubts() {
+        for (JobDirectory.Entry entry : directory.doubtful()) {
+            if (doubts.add(entry.id())) {
+                history.tell(new HistoryReader.Find(entry.id(), found -> owner.tell(new UsersActor.DoubtSettled(entry.id(), found))));
+            }
+        }
+    }
+
+    void doubtSettled(UsersActor.DoubtSettled message) {
+        doubts.remove(message.id());
+        if (message.found() instanceof HistoryReader.Archived) {
+            LOG.warn("{} has a row again although it is archived: a former version wrote it; it will go", message.id());
+            directory.ghost(message.id());
+        } else if (message.found() instanceof HistoryReader.Nowhere) {
+            changed(directory.sound(message.id()));
+        } else {
+            owner.tellLater(new UsersActor.DoubtsDue(), DOUBTS_MICROS);
+        }
+    }
+
+    void findEnded(long token) {
+        if (leader == null || !loaded || directory.ended().isEmpty() && directory.ghosts().isEmpty()) {
+            return;
+        }
+        Set<String> needed = directory.needed();
+        List<Archivist.Ended> result = new ArrayList<>();
+        for (JobDirectory.Entry entry : directory.ended()) {
+            if (result.size() >= MOST_ENDED) {
+                break;
+            }
+            if (!needed.contains(entry.id())) {
+                result.add(new Archivist.Ended(entry.id(), entry.version(), Outcome.of(entry.row()),
+                        directory.furtherRows(entry.id())));
+            }
+        }
+        directory.ghosts().forEach((id, version) -> result.add(new Archivist.Ended(id, version, null, 0)));
+        leader.tell(new TermMessage.EndedFound(token, result, directory.historyVersion()));
+    }
+}
--- a/src/main/java/io/micatide/node/LeaderActor.java
+++ b/src/main/java/io/micatide/node/LeaderActor.java
@@ -9,6 +9,7 @@
 import io.micatide.core.Row;
 import io.micatide.core.Scheduler;
 import io.micatide.core.Settings;
+import io.micatide.core.TakeOverTimes;
 import io.micatide.core.Tuning;
 import io.micatide.core.WorkerReach;
 import io.micatide.history.Archivist;
@@ -18,11 +19,6 @@
 import io.micatide.net.Reply;
 import io.micatide.net.StateClient;
 import io.micatide.standby.Copy;
-import io.micatide.standby.Heirs;
-import io.micatide.standby.HintSender;
-import io.micatide.standby.Succession;
-import io.micatide.standby.Warmth;
-import io.micatide.wire.HintCodec;
 import io.micatide.wire.Json;
 import io.micatide.wire.MalformedException;
 import io.micatide.wire.PeerCodec;
@@ -37,9 +33,7 @@
  */
 final class LeaderActor extends Actor<LeaderActor.Message> {
     sealed interface Message permits Tick, LeaseTick, Report, PeerNews, JobSeen, JobsSeen, LayoutSeen, HistorySeen, StateFresh, RowRead,
-            Granted, Claimed, Touched, Watched, WatchDue, PeerAnswered, CopyIs, TakeHints, AskWarmth, WarmthTold, TakeHandOver, HandedOver, HintsAnswered,
-            End,
-            TermMessage {
+            Granted, Claimed, Touched, Watched, WatchDue, PeerAnswered, AskWarmth, HandedOver, End, FollowMessage, TermMessage {
     }
 
     record Tick() implements Message {
@@ -92,31 +86,13 @@
     record PeerAnswered(Reply reply, long token, int sibling) implements Message {
     }
 
-    /** Whether this controller's copy of what a leader reads is whole. */
-    record CopyIs(boolean whole) implements Message {
-    }
-
     /** A cold sibling wants to know who would lead better. */
     record AskWarmth(Request request) implements Message {
     }
 
-    record WarmthTold(Reply reply, int sibling) implements Message {
-    }
-
-    /** A leader that ends wants this controller to catch up. */
-    record TakeHandOver(Request request) implements Message {
-    }
-
-    /** The leader's hints for this controller. */
-    record TakeHints(Request request) implements Message {
-    }
-
     record HandedOver(Reply reply) implements Message {
     }
 
-    record HintsAnswered(Reply reply, long token, int sibling) implements Message {
-    }
-
     /** This process is to end in order; {@code done} once others can go on without it. */
     record End(Runnable done) implements Message {
     }
@@ -139,12 +115,7 @@
     private final Claims claims;
     private final WorkerReach reach;
     private final CancelReach cancelReach;
-    private final Succession succession;
-    private final Heirs heirs;
-    /** Of the present term. */
-    private HintSender hints;
-    /** Null where the operator wants none. */
-    private final StandbyActor standby;
+    private final Following following;
     /** Null until this process is told to end. */
     private HandOver handOver;
     private boolean tooLong;
@@ -168,14 +139,23 @@
         this.cancelReach = new CancelReach(settings);
         this.leadership = new Leadership(settings.label(), tuning.leaderLeaseMicros());
         this.claims = new Claims(this, settings.label(), state, leadership);
-        this.succession = new Succession(settings.label(), settings.siblings().size(), now());
-        this.heirs = new Heirs(settings);
-        this.standby = tuning.standby() ? new StandbyActor(loop, settings, state, users, this, copies) : null;
+        StandbyActor standby = tuning.standby() ? new StandbyActor(loop, settings, state, users, this, copies) : null;
+        this.following = new Following(this, settings, siblings, claims, standby, now());
+    }
+
+    /** How this controller's term began, null if it does not lead. */
+    TakeOverTimes takeOver() {
+        return term == null ? null : term.takeOver();
+    }
+
+    /** Whether it is appointed to take over. */
+    boolean follows() {
+        return following.appointed();
     }
 
     /** Sees what is brought to each take-over on this controller. */
     void witness(BiConsumer<String, List<StateCodec.Item>> each) {
-        standby.witness(each);
+        following.standby().witness(each);
     }
 
     @Override
@@ -204,26 +184,13 @@
             if (term != null) {
                 rowsSeen(message);
             }
-        } else if (message instanceof CopyIs m) {
-            succession.copyIs(m.whole());
+        } else if (message instanceof FollowMessage m) {
+            following.receive(m, term == null ? 0 : term.token());
+            advance();
         } else if (message instanceof AskWarmth m) {
             m.request().answer(200, PeerCodec.answer(ownAnswer(now())));
-        } else if (message instanceof WarmthTold m) {
-            warmthTold(m.reply(), m.sibling());
-        } else if (message instanceof TakeHandOver m) {
-            takeHandOver(m.request());
-        } else if (message instanceof TakeHints m) {
-            if (standby == null) {
-                m.request().answer(404, Json.error(null, "follows nothing"));
-            } else {
-                standby.tell(new StandbyActor.Hinted(m.request()));
-            }
         } else if (message instanceof HandedOver m) {
             handOver.heirAnswered(m.reply().ok());
-        } else if (message instanceof HintsAnswered m) {
-            if (term != null && term.token() == m.token()) {
-                hints.holds(m.sibling(), held(m.reply()));
-            }
         } else if (message instanceof End m) {
             end(m.done());
         } else {
@@ -240,19 +207,7 @@
             handOver.advance(now);
             return;
         }
-        boolean reached = reach.reached(now);
-        if (!tuning.standby()) {
-            claims.advance(now, Succession.waitsOfAnyone(reached));
-            return;
-        }
-        long claimable = claims.claimableFor(now);
-        if (claimable >= 0 && succession.warmth(now) == Warmth.COLD) {
-            siblings.askWarmth(now);
-            if (succession.warmerThere(now)) {
-                claims.leaveFormerRow();
-            }
-        }
-        claims.advance(now, succession.waits(Math.max(0, claimable), reached, now));
+        claims.advance(now, following.waits(reach.reached(now), now));
     }
 
     /** What the copy of the job rows tells a leader. */
@@ -311,13 +266,11 @@
         Scheduler scheduler = new Scheduler(settings, tuning, token, now);
         scheduler.holdsUntil(leadership.holdsUntilMicros());
         siblings.begin();
-        succession.led();
-        heirs.begin(now);
-        hints = new HintSender(token, settings.siblings().size());
+        following.begin(token, now);
         reach.begin(now);
         cancelReach.begin(now);
         tooLong = false;
-        term = new Term(this, users, scheduler, new TakeOver(loop, state, this, standby, token),
+        term = new Term(this, users, scheduler, new TakeOver(loop, state, this, following.standby(), token),
                 new Rounds(this, scheduler, state, users), new CloudDesk(this, scheduler, cloud, state, users),
                 new Marks(this, settings, tuning, scheduler, state, users, archivist));
         term.begin();
@@ -350,9 +303,8 @@
                 users.tell(new UsersActor.Progress(true, jobs));
             }
             siblings.news(newsOf(now), jobs, now);
-            if (term.loaded() && !heirs.appointed().isEmpty()) {
-                hints.picture(term.hints(now));
-                siblings.hints(heirs.appointed(), hints, term.token());
+            if (term.loaded()) {
+                following.tellHints(term, now);
             }
         }
         if (term.loaded()) {
@@ -361,8 +313,7 @@
     }
 
     private Siblings.Now newsOf(long now) {
-        return new Siblings.Now(term.token(), state.reach().reached(now), reach.silentMicros(now),
-                tuning.standby() ? heirs.appoint(now) : null);
+        return new Siblings.Now(term.token(), state.reach().reached(now), reach.silentMicros(now), following.appoint(now));
     }
 
     // ---- workers
@@ -434,10 +385,7 @@
             }
             if (term == null && news.token() == leadership.highestToken()) {
                 users.tell(new UsersActor.Progress(news.first(), news.jobs()));
-                succession.told(news.heirs(), now);
-                if (standby != null) {
-                    standby.tell(new StandbyActor.Appointed(succession.appointed()));
-                }
+                following.told(news, now);
             }
             request.answer(200, PeerCodec.answer(ownAnswer(now)));
         } catch (MalformedException e) {
@@ -445,48 +393,9 @@
         }
     }
 
-    private long held(Reply reply) {
-        try {
-            return reply.ok() ? HintCodec.held(reply.body()) : -1;
-        } catch (MalformedException e) {
-            log.error("sibling: {}", e.getMessage());
-            return -1;
-        }
-    }
-
     private PeerCodec.Answer ownAnswer(long now) {
-        boolean leaves = !tuning.standby() || handOver != null;
         return new PeerCodec.Answer(leadership.highestToken(), reach.strayedAgoMicros(now), Settings.LAYOUT,
-                state.reach().reached(now), leaves ? null : succession.warmth(now));
-    }
-
-    /** A sibling that answers, of whatever version, has been there for longer than this process. */
-    private void warmthTold(Reply reply, int sibling) {
-        if (reply.status() == 404) {
-            succession.word(sibling, Warmth.SEASONED, now());
-        } else if (reply.ok()) {
-            try {
-                Warmth said = PeerCodec.answer(reply.body()).warmth();
-                succession.word(sibling, said == null ? Warmth.COLD : said, now());
-            } catch (MalformedException e) {
-                log.error("sibling: {}", e.getMessage());
-            }
-        }
-        advance();
-    }
-
-    private void takeHandOver(Request request) {
-        try {
-            long revision = PeerCodec.handedRevision(request.body());
-            if (standby == null || term != null) {
-                request.answer(409, Json.error(null, "follows nothing"));
-            } else {
-                succession.handedOver(now());
-                standby.tell(new StandbyActor.CatchUp(request, revision));
-            }
-        } catch (MalformedException e) {
-            request.answer(400, Json.error(e.field(), e.getMessage()));
-        }
+                state.reach().reached(now), handOver != null ? null : following.warmth(now));
     }
 
     /** Told to end: what is under way is finished or left, an heir is told, and the lease goes back. */
@@ -495,7 +404,7 @@
             return;
         }
         long now = now();
-        int heir = term == null ? -1 : heirs.first(now);
+        int heir = term == null ? -1 : following.firstHeir(now);
         log.info("told to end{}", term == null ? "" : ", hands term " + term.token() + " over"
                 + (heir < 0 ? ", to nobody in particular" : " to " + settings.siblings().get(heir).label()));
         users.tell(new UsersActor.Closing());
@@ -532,7 +441,7 @@
             resignIfUnreached(now);
             if (term != null && term.token() == message.token()) {
                 cancelReach.heard(message.sibling(), answer.served(), now);
-                heirs.heard(message.sibling(), answer.warmth(), answer.served(), now);
+                following.heard(message.sibling(), answer, now);
                 term.marks().heard(message.sibling(), answer.layout());
             }
         } catch (MalformedException e) {
--- /dev/null
+++ b/src/main/java/io/micatide/node/Place.java
@@ -0,0 +1,14 @@
+package io.micatide.node;
+
+import io.micatide.core.Outcome;
+
+/** Where a job is. */
+interface Place {
+    /** The copy holds it. */
+    void inCopy();
+
+    void archived(Outcome outcome);
+
+    /** It was never accepted, as far as the copy is fresh. */
+    void nowhere();
+}
--- a/src/main/java/io/micatide/node/Siblings.java
+++ b/src/main/java/io/micatide/node/Siblings.java
@@ -79,7 +79,7 @@
         askedWarmthMicros = now;
         for (int each = 0; each < siblings.size(); each++) {
             int sibling = each;
-            siblings.get(sibling).get("/standby", Http.PATIENCE_MICROS, owner.answer(r -> new LeaderActor.WarmthTold(r, sibling)));
+            siblings.get(sibling).get("/standby", Http.PATIENCE_MICROS, owner.answer(r -> new FollowMessage.WarmthTold(r, sibling)));
         }
     }
 
@@ -88,7 +88,7 @@
         for (int heir : heirs) {
             for (HintSender.Part part : hints.parts(heir)) {
                 siblings.get(heir).post("/hints", HintCodec.part(part), Http.PATIENCE_MICROS,
-                        owner.answer(r -> new LeaderActor.HintsAnswered(r, token, heir)));
+                        owner.answer(r -> new FollowMessage.HintsAnswered(r, token, heir)));
             }
         }
     }
--- a/src/main/java/io/micatide/node/StandbyActor.java
+++ b/src/main/java/io/micatide/node/StandbyActor.java
@@ -162,7 +162,7 @@
     }
 
     private void tellWhole() {
-        leader.tell(new LeaderActor.CopyIs(whole()));
+        leader.tell(new FollowMessage.CopyIs(whole()));
     }
 
     // ---- following
@@ -281,7 +281,7 @@
         }
         leader.tell(new TermMessage.HintsKept(message.token(), hints.all()));
         hints.clear();
-        leader.tell(new LeaderActor.CopyIs(false));
+        leader.tell(new FollowMessage.CopyIs(false));
     }
 
     /** Whoever leads by the latest token tells; an heir that was not told of its appointment yet holds nothing. */
--- /dev/null
+++ b/src/main/java/io/micatide/node/Submissions.java
@@ -0,0 +1,265 @@
+package io.micatide.node;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.micatide.core.Admission;
+import io.micatide.core.JobDirectory;
+import io.micatide.core.JobSpec;
+import io.micatide.core.JobState;
+import io.micatide.core.Outcome;
+import io.micatide.core.PipelineAdmission;
+import io.micatide.core.Row;
+import io.micatide.core.Settings;
+import io.micatide.core.StoreKeys;
+import io.micatide.core.Transaction;
+import io.micatide.net.Reply;
+import io.micatide.net.Request;
+import io.micatide.net.StateClient;
+import io.micatide.wire.JobCodec;
+import io.micatide.wire.Json;
+import io.micatide.wire.MalformedException;
+import io.micatide.wire.StateCodec;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Takes jobs in: checks what is asked, looks for the job and what it needs, and writes its rows. Part of the users' actor. */
+final class Submissions {
+    /**
+     * A submission of a job that was neither in the copy nor in the archive.
+     *
+     * @param historyVersion the manifest by which it was not archived, 0 for none
+     * @param tries how often it was refused for a change of the archive or of the mark
+     */
+    record Submission(Request request, JobSpec spec, long historyVersion, int tries) {
+    }
+
+    /** A submission whose needs are looked up in the archive, one after the other. */
+    record Needs(Submission submission, List<String> left, Map<String, Outcome> archived) {
+    }
+
+    private static final Logger LOG = LoggerFactory.getLogger(UsersActor.class);
+    private static final byte[] UPGRADING = Json.error("awaits",
+            "awaits: not yet, a controller may still be of a version that does not know it");
+    private static final int UPGRADING_RETRY_S = 2;
+
+    private final UsersActor owner;
+    private final Settings settings;
+    private final StateClient state;
+    private final HistoryReader history;
+    private final JobDirectory directory;
+    private final JobRows rows;
+
+    Submissions(UsersActor owner, Settings settings, StateClient state, HistoryReader history, JobDirectory directory, JobRows rows) {
+        this.owner = owner;
+        this.settings = settings;
+        this.state = state;
+        this.history = history;
+        this.directory = directory;
+        this.rows = rows;
+    }
+
+    void submit(Request request) {
+        JsonNode body;
+        String id;
+        try {
+            body = Json.tree(request.body());
+            id = JobCodec.id(body);
+        } catch (MalformedException e) {
+            request.answer(400, Json.error(e.field(), e.getMessage()));
+            return;
+        }
+        submit(request, body, id, 0);
+    }
+
+    private void submit(Request request, JsonNode body, String id, int tries) {
+        if (directory.get(id) != null) {
+            answerKnown(request, id);
+            return;
+        }
+        JobSpec spec;
+        try {
+            spec = JobCodec.spec(body);
+        } catch (MalformedException e) {
+            refuse(request, id, 400, Json.error(e.field(), e.getMessage()));
+            return;
+        }
+        if (owner.types().isEmpty()) {
+            refuse(request, id, 503, Json.error(null, "the machine types are not known yet"));
+            return;
+        }
+        String refusal = Admission.refusal(spec, settings.teams(), settings.zones(), owner.types());
+        if (refusal != null) {
+            refuse(request, id, 422, Json.error(null, refusal));
+            return;
+        }
+        // The copy may be old, and may get newer while the archive is asked: what is written holds only by the manifest that was asked.
+        long version = directory.historyVersion();
+        owner.locate(request, id, 0, new Accepted(owner, request, id) {
+            @Override
+            public void nowhere() {
+                Submission submission = new Submission(request, spec, version, tries);
+                if (spec.needs().isEmpty()) {
+                    put(submission, new Row.JobRow(JobState.OPEN, spec, owner.wall(), spec.tasks()));
+                } else {
+                    submitDependent(submission);
+                }
+            }
+        });
+    }
+
+    /**
+     * A job that needs others. A name that this copy does not have may have been accepted elsewhere just now, so nothing is
+     * said of it before a read that began after the submission.
+     */
+    private void submitDependent(Submission submission) {
+        Request request = submission.request();
+        JobSpec spec = submission.spec();
+        PipelineAdmission admission = PipelineAdmission.of(spec, directory);
+        if (admission instanceof PipelineAdmission.Accepted accepted) {
+            put(submission, accepted.row(owner.wall()));
+            return;
+        }
+        rows.whenFresh(request, () -> {
+            if (directory.get(spec.id()) != null) {
+                request.answer(200, JobCodec.accepted(spec.id(), owner.standing(directory.get(spec.id()))));
+                return;
+            }
+            List<String> left = new ArrayList<>();
+            for (String need : spec.needs()) {
+                if (directory.history() != null && directory.get(need) == null) {
+                    left.add(need);
+                }
+            }
+            lookUpNeeds(new Needs(submission, left, new HashMap<>()));
+        });
+    }
+
+    private void lookUpNeeds(Needs needs) {
+        if (!needs.left().isEmpty()) {
+            String next = needs.left().remove(needs.left().size() - 1);
+            history.tell(new HistoryReader.Find(next, found -> owner.tell(new UsersActor.NeedLocated(needs, next, found))));
+            return;
+        }
+        Request request = needs.submission().request();
+        PipelineAdmission now = PipelineAdmission.of(needs.submission().spec(), directory, needs.archived());
+        if (now instanceof PipelineAdmission.Accepted accepted) {
+            put(needs.submission(), accepted.row(owner.wall()));
+        } else if (now instanceof PipelineAdmission.Refused refused) {
+            request.answer(422, Json.error("awaits", refused.reason()));
+        } else {
+            request.answer(503, UPGRADING, UPGRADING_RETRY_S);
+        }
+    }
+
+    void needLocated(UsersActor.NeedLocated message) {
+        Needs needs = message.needs();
+        if (message.found() instanceof HistoryReader.Archived archived) {
+            needs.archived().put(message.id(), archived.outcome());
+            lookUpNeeds(needs);
+        } else if (message.found() instanceof HistoryReader.Nowhere) {
+            lookUpNeeds(needs);
+        } else if (message.found() instanceof HistoryReader.Moved) {
+            again(needs.submission());
+        } else {
+            needs.submission().request().answer(503, UsersActor.UNAVAILABLE, 1);
+        }
+    }
+
+    private void put(Submission submission, Row.JobRow unchecked) {
+        Request request = submission.request();
+        String id = submission.spec().id();
+        Row.JobRow row = unchecked.asChecked(submission.historyVersion() > 0);
+        // Should the archive change meanwhile, or should this arrive minutes late, it is refused.
+        List<Transaction.Compare> conditions = new ArrayList<>(List.of(new Transaction.Compare(StoreKeys.job(id), 0),
+                new Transaction.Compare(StoreKeys.HISTORY, submission.historyVersion())));
+        if (row.spec() != null && !row.spec().needs().isEmpty()) {
+            // A leader of the former version would start it at once.
+            conditions.add(new Transaction.Compare(StoreKeys.LAYOUT, directory.layoutVersion()));
+        }
+        // What the state service would refuse each time is refused here, or the user would try again for nothing.
+        List<Transaction.Write> rows = StateCodec.jobRows(id, row, settings.writableBytes());
+        if (rows == null) {
+            refuse(request, id, 400, Json.error("body", "body: is too long to be kept"));
+        } else if (rows.size() > settings.transactionOps()) {
+            refuse(request, id, 400, Json.error("awaits", "awaits: more names than can be kept with the job"));
+        } else {
+            state.transaction(new Transaction(conditions, rows), owner.answer(r -> new UsersActor.Submitted(r, submission, row)));
+        }
+    }
+
+    /** A job that was accepted before gets 200 whatever this copy of it says. */
+    private void refuse(Request request, String id, int status, byte[] json) {
+        rows.whenFresh(request, () -> owner.locate(request, id, 0, new Accepted(owner, request, id) {
+            @Override
+            public void nowhere() {
+                request.answer(status, json, status == 503 ? 1 : 0);
+            }
+        }));
+    }
+
+    void submitted(UsersActor.Submitted message) {
+        String id = message.submission().spec().id();
+        Request request = message.submission().request();
+        Reply reply = message.reply();
+        if (reply.ok()) {
+            try {
+                rows.apply(id, message.row(), StateCodec.revision(reply.body()));
+                request.answer(201, JobCodec.accepted(id, owner.standing(directory.get(id))));
+                return;
+            } catch (MalformedException e) {
+                LOG.error("transaction answer: {}", e.getMessage());
+            }
+        }
+        if (reply.status() == 409) {
+            refusedPut(message);
+        } else {
+            owner.notWritten(request, reply);
+        }
+    }
+
+    /** It is known by now, or the archive or the mark changed since the copy was read: then it is looked at again. */
+    private void refusedPut(UsersActor.Submitted message) {
+        Submission submission = message.submission();
+        String id = submission.spec().id();
+        try {
+            if (!StateCodec.failed(message.reply().body()).contains(StoreKeys.job(id))) {
+                again(submission);
+                return;
+            }
+        } catch (MalformedException e) {
+            LOG.error("transaction answer: {}", e.getMessage());
+        }
+        answerKnown(submission.request(), id);
+    }
+
+    private void again(Submission submission) {
+        Request request = submission.request();
+        if (submission.tries() >= UsersActor.MOST_TRIES) {
+            request.answer(503, UsersActor.UNAVAILABLE, 1);
+            return;
+        }
+        try {
+            JsonNode body = Json.tree(request.body());
+            rows.whenFresh(request, () -> submit(request, body, submission.spec().id(), submission.tries() + 1));
+        } catch (MalformedException e) {
+            request.answer(400, Json.error(e.field(), e.getMessage()));
+        }
+    }
+
+    private void answerKnown(Request request, String id) {
+        JobDirectory.Entry known = directory.get(id);
+        if (known != null && directory.state(id).isFinal()) {
+            request.answer(200, JobCodec.accepted(id, owner.standing(known)));
+            return;
+        }
+        rows.whenFresh(request, () -> owner.locate(request, id, 0, new Accepted(owner, request, id) {
+            @Override
+            public void nowhere() {
+                request.answer(503, UsersActor.UNAVAILABLE, 1);
+            }
+        }));
+    }
+}
--- a/src/main/java/io/micatide/node/Term.java
+++ b/src/main/java/io/micatide/node/Term.java
@@ -10,6 +10,7 @@
 import io.micatide.core.Row;
 import io.micatide.core.Scheduler;
 import io.micatide.core.StoreKeys;
+import io.micatide.core.TakeOverTimes;
 import io.micatide.wire.StateCodec;
 import java.util.List;
 import org.slf4j.Logger;
@@ -88,6 +89,10 @@
         return marks;
     }
 
+    TakeOverTimes takeOver() {
+        return scheduler.takeOver();
+    }
+
     List<Hint> hints(long now) {
         return scheduler.hints(now);
     }
--- /dev/null
+++ b/src/main/java/io/micatide/rehearsal/Deployment.java
@@ -0,0 +1,249 @@
+package io.micatide.rehearsal;
+
+import io.micatide.core.JobSpec;
+import io.micatide.core.MachineType;
+import io.micatide.core.Micros;
+import io.micatide.core.Row;
+import io.micatide.core.Settings;
+import io.micatide.core.StoreKeys;
+import io.micatide.core.Tuning;
+import io.micatide.history.Archivist;
+import io.micatide.net.Http;
+import io.micatide.node.Controller;
+import io.micatide.standby.Copy;
+import io.micatide.wire.CloudSide;
+import io.micatide.wire.MalformedException;
+import io.micatide.wire.StateCodec;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+/**
+ * A whole deployment in virtual time: controllers with the real actors, a state service, a cloud, workers, and what can happen to the
+ * controllers. Controller i listens as {@code c<i>}, to siblings as {@code p<i>}; settings have to name them so, and the services
+ * {@code state} and {@code cloud}. Times in seconds where the name does not say otherwise.
+ */
+public final class Deployment {
+    /** What an orderly end may take before the process is gone all the same. */
+    private static final long END_MICROS = 2 * Micros.SECOND;
+
+    /** How a controller is made: what differs from one rehearsal to another. */
+    public interface Plan {
+        Settings settings(int controller);
+
+        Tuning tuning(int controller);
+
+        /** The copy that its standby keeps of a prefix. */
+        default Copy copy(String prefix, long mostBytes) {
+            return new Copy(prefix, mostBytes);
+        }
+
+        /** A controller was started, at the beginning or again. */
+        default void started(int number, Controller controller) {
+        }
+    }
+
+    public final VirtualTime time = new VirtualTime();
+    public final VirtualNetwork network;
+    public final StateStandIn state;
+    public final VirtualTime.Process user = time.new Process();
+    private final VirtualTime.Process world = time.new Process();
+    private final Plan plan;
+    private final int count;
+    private final WorkerStandIn.Witness witness;
+    private final List<VirtualTime.Process> processes = new ArrayList<>();
+    private final List<Controller> controllers = new ArrayList<>();
+    private final Map<String, WorkerStandIn> workers = new HashMap<>();
+    private final Map<String, byte[]> described = new HashMap<>();
+    private final List<String> log = new ArrayList<>();
+    private final Gangs gangs;
+
+    /** @param machines how many the cloud has */
+    public Deployment(Random random, int controllers, Plan plan, List<MachineType> types, int machines, StateStandIn.Limits limits,
+            WorkerStandIn.Witness witness) {
+        this.plan = plan;
+        this.count = controllers;
+        this.network = new VirtualNetwork(time, random);
+        this.state = new StateStandIn(world, limits);
+        this.gangs = new Gangs(world, plan.settings(0));
+        this.witness = witness;
+        CloudStandIn cloud = new CloudStandIn(world, types, machines, this::up, name -> {
+            if (workers.containsKey(name)) {
+                workers.remove(name).delete();
+            }
+        });
+        network.listen("state", world, state::handle);
+        network.listen("cloud", world, cloud::handle);
+        for (int i = 0; i < controllers; i++) {
+            processes.add(null);
+            this.controllers.add(null);
+        }
+    }
+
+    /** Starts all controllers. */
+    public void start() {
+        for (int i = 0; i < count; i++) {
+            boot(i);
+        }
+    }
+
+    private void boot(int number) {
+        VirtualTime.Process process = time.new Process();
+        processes.set(number, process);
+        Controller controller = new Controller(plan.settings(number), plan.tuning(number), process,
+                (endpoint, most) -> network.from(process, endpoint), Archivist::new, plan::copy);
+        controllers.set(number, controller);
+        network.listen("c" + number, process, controller::handle);
+        network.listen("p" + number, process, controller::handlePeer);
+        plan.started(number, controller);
+        process.execute(controller::start);
+    }
+
+    // ---- what is known of it
+
+    /** What happened to it so far, with the millisecond at which it did. */
+    public List<String> log() {
+        return log;
+    }
+
+    public int controllers() {
+        return count;
+    }
+
+    public Controller controller(int number) {
+        return controllers.get(number);
+    }
+
+    public VirtualTime.Process process(int number) {
+        return processes.get(number);
+    }
+
+    public int machines() {
+        return workers.size();
+    }
+
+    /** Label of the controller that holds the leader row, or "". */
+    public String owner() {
+        StateStandIn.Value row = state.values().get(StoreKeys.LEADER);
+        return row == null ? "" : ((Row.Leader) row(StoreKeys.LEADER, row)).owner();
+    }
+
+    /** Number of that controller, 0 if there is none. */
+    public int leader() {
+        String owner = owner();
+        return owner.isEmpty() ? 0 : Integer.parseInt(owner.substring(1));
+    }
+
+    /** A stored value as the service reads it. */
+    public static Row row(String key, StateStandIn.Value value) {
+        try {
+            return StateCodec.item(("{\"k\":\"" + key + "\",\"stamp\":" + value.stamp() + ",\"data\":"
+                    + new String(value.json(), StandardCharsets.UTF_8) + "}").getBytes(StandardCharsets.UTF_8)).row();
+        } catch (MalformedException e) {
+            throw new IllegalStateException(key, e);
+        }
+    }
+
+    // ---- what happens to it
+
+    private void note(String what) {
+        log.add(time.now() / Micros.MILLISECOND + " " + what);
+    }
+
+    /** A process is gone without a word, and comes back. */
+    public void kill(int number, int backAfter) {
+        if (!processes.get(number).ended()) {
+            note("kill c" + number);
+            gone(processes.get(number), number, backAfter);
+        }
+    }
+
+    /** As SIGTERM does: an orderly end, then the process is gone. */
+    public void stop(int number, int backAfter) {
+        VirtualTime.Process process = processes.get(number);
+        if (!process.ended()) {
+            note("stop c" + number);
+            process.execute(() -> controllers.get(number).end(() -> gone(process, number, backAfter)));
+            time.at(time.now() + END_MICROS, () -> gone(process, number, backAfter));
+        }
+    }
+
+    private void gone(VirtualTime.Process process, int number, int backAfter) {
+        if (!process.ended()) {
+            process.end();
+            network.ended(process);
+            time.at(time.now() + backAfter * Micros.SECOND, () -> boot(number));
+        }
+    }
+
+    public void stall(int number, int millis) {
+        note("stall c" + number + " " + millis);
+        processes.get(number).stall(millis * Micros.MILLISECOND);
+    }
+
+    /** Cuts a controller off from some of: the state service, the workers, its siblings. Ends any cut before. */
+    public void cut(int number, boolean fromState, boolean fromWorkers, boolean fromPeers, int seconds) {
+        note("cut c" + number + (fromState ? " state" : "") + (fromWorkers ? " workers" : "") + (fromPeers ? " peers" : "") + " "
+                + seconds);
+        network.cut((from, endpoint) -> {
+            boolean own = from == processes.get(number);
+            return fromState && own && endpoint.equals("state")
+                    || fromWorkers && endpoint.equals("c" + number) && !processes.contains(from) && from != user
+                    || fromPeers && (own && endpoint.startsWith("p") || endpoint.equals("p" + number));
+        });
+        time.at(time.now() + seconds * Micros.SECOND, () -> network.cut((from, endpoint) -> false));
+    }
+
+    public void stateAway(int seconds) {
+        note("state away " + seconds);
+        state.away(true);
+        time.at(time.now() + seconds * Micros.SECOND, () -> state.away(false));
+    }
+
+    // ---- workers
+
+    private void up(CloudStandIn.Rented machine) {
+        VirtualTime.Process process = time.new Process();
+        Map<String, Http> known = new LinkedHashMap<>();
+        for (int i = 0; i < count; i++) {
+            known.put("c" + i, network.from(process, "c" + i));
+        }
+        WorkerStandIn worker = new WorkerStandIn(process, plan.settings(0), machine, known, this::spec, gangs, witness);
+        workers.put(machine.name(), worker);
+        worker.start();
+    }
+
+    private JobSpec spec(String id) {
+        byte[] body = described.get(id);
+        try {
+            return body == null ? null : CloudSide.described(("{\"spec\":" + new String(body, StandardCharsets.UTF_8) + "}")
+                    .getBytes(StandardCharsets.UTF_8));
+        } catch (MalformedException e) {
+            throw new IllegalStateException(id, e);
+        }
+    }
+
+    // ---- users
+
+    /**
+     * A job's body on the wire, which workers know from now on as its user's description.
+     *
+     * @param form the wire's word
+     */
+    public byte[] describe(String id, String form, int tasks, double cpus, double seconds) {
+        byte[] body = ("{\"nameId\":\"" + id + "\",\"roster\":\"x\",\"crew\":\"blue\",\"form\":\"" + form + "\",\"rank\":\""
+                + (form.equals("daemon") ? "high" : "normal") + "\",\"legs\":" + tasks + ",\"cpus\":" + cpus
+                + ",\"cards\":0.0,\"memGb\":1.0,\"kit\":\"i\",\"sizeGb\":0.1,\"samePlace\":false,\"scatter\":false,\"loaners\":true,"
+                + "\"runtimeS\":" + seconds + ",\"halftimeS\":0.0,\"stowS\":0.0}").getBytes(StandardCharsets.UTF_8);
+        described.put(id, body);
+        return body;
+    }
+
+    public Http toController(int number) {
+        return network.from(user, "c" + number);
+    }
+}
--- a/src/main/java/io/micatide/rehearsal/VirtualTime.java
+++ b/src/main/java/io/micatide/rehearsal/VirtualTime.java
@@ -43,6 +43,20 @@
     public final class Process implements Loop {
         private boolean ended;
         private long standsUntil;
+        private long busyNanos;
+        private long longestNanos;
+
+        /** What one piece of its work took at most since the last call. */
+        public long longestNanos() {
+            long longest = longestNanos;
+            longestNanos = 0;
+            return longest;
+        }
+
+        /** What it has taken of this machine's time so far. */
+        public long busyNanos() {
+            return busyNanos;
+        }
 
         /** Stands still for so long while its clocks run on; what would have happened to it meanwhile happens after it. */
         public void stall(long micros) {
@@ -74,7 +88,11 @@
             if (now < standsUntil) {
                 at(standsUntil, () -> run(what));
             } else {
+                long began = System.nanoTime();
                 what.run();
+                long took = System.nanoTime() - began;
+                busyNanos += took;
+                longestNanos = Math.max(longestNanos, took);
             }
         }
 
--- /dev/null
+++ b/src/test/java/io/micatide/rehearsal/TakeOverDay.java
@@ -0,0 +1,272 @@
+package io.micatide.rehearsal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.micatide.core.MachineType;
+import io.micatide.core.Micros;
+import io.micatide.core.Resources;
+import io.micatide.core.Settings;
+import io.micatide.core.Team;
+import io.micatide.core.Tuning;
+import io.micatide.net.Http;
+import io.micatide.net.Reply;
+import io.micatide.node.Controller;
+import io.micatide.standby.Copy;
+import io.micatide.wire.Json;
+import io.micatide.wire.MalformedException;
+import io.micatide.wire.StateCodec;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+
+/**
+ * A short day of the whole service in virtual time: jobs of all forms, and controllers that are killed, stopped, stalled and cut off,
+ * drawn from a seed. The rules are held against what workers and users saw, and each picture that a standby brings to a take-over
+ * against the store.
+ */
+final class TakeOverDay implements Deployment.Plan {
+    static final long LEASE = 10 * Micros.SECOND;
+    static final long CANCEL = 30 * Micros.SECOND;
+    private static final int MACHINES = 24;
+    private static final MachineType TYPE = new MachineType("small", Resources.of(8, 0, 64), 25, 0.5, 0.5, 0.2, Micros.SECOND,
+            List.of("a", "b"));
+
+    final Random random;
+    final int count;
+    final Deployment deployment;
+    final VirtualTime time;
+    final RuleChecker checker;
+    final List<String> wrong = new ArrayList<>();
+    int brought;
+    private final Map<String, byte[]> submitted = new LinkedHashMap<>();
+    private final Map<String, String> standing = new LinkedHashMap<>();
+    private final Map<String, Integer> replicas = new LinkedHashMap<>();
+    private final Copy.Maker copies;
+    /** Controllers that run without a standby, as those of a former version do. */
+    private final int former;
+    private int interactions;
+    private int killAt;
+
+    TakeOverDay(long seed, int controllers, int former, Copy.Maker copies) {
+        this.random = new Random(seed);
+        this.count = controllers;
+        this.former = former;
+        this.copies = copies;
+        RuleChecker[] rules = new RuleChecker[1];
+        this.deployment = new Deployment(random, controllers, this, List.of(TYPE), MACHINES,
+                new StateStandIn.Limits(400, 120, 16 * 1024, 16), new WorkerStandIn.Witness() {
+                    @Override
+                    public void started(String task, long attempt, String machine) {
+                        rules[0].started(task, attempt, machine);
+                    }
+
+                    @Override
+                    public void over(String task, long attempt, String machine, io.micatide.core.ExitCause cause) {
+                        rules[0].over(task, attempt, machine, cause);
+                    }
+                });
+        this.time = deployment.time;
+        this.checker = new RuleChecker(time, CANCEL + Micros.SECOND);
+        rules[0] = checker;
+        deployment.network.observe(new VirtualNetwork.Observer() {
+            @Override
+            public void leaves(VirtualTime.Process from, String endpoint, String path) {
+                if (killAt > 0 && controller(from) >= 0 && ++interactions == killAt) {
+                    deployment.kill(controller(from), 3);
+                }
+            }
+
+            @Override
+            public void answers(VirtualTime.Process from, String endpoint, String path) {
+                // What is answered was asked before.
+            }
+        });
+        deployment.start();
+        looks();
+    }
+
+    private int controller(VirtualTime.Process process) {
+        for (int i = 0; i < count; i++) {
+            if (deployment.process(i) == process) {
+                return i;
+            }
+        }
+        return -1;
+    }
+
+    private void looks() {
+        time.at(time.now() + Micros.SECOND, () -> {
+            checker.look();
+            looks();
+        });
+    }
+
+    @Override
+    public Settings settings(int number) {
+        List<Settings.Sibling> siblings = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            if (i != number) {
+                siblings.add(new Settings.Sibling("c" + i, i % 2 == 0 ? "a" : "b", "p" + i));
+            }
+        }
+        return new Settings("c" + number, number % 2 == 0 ? "a" : "b", "c" + number, "p" + number, siblings, "cloud", "state",
+                List.of("a", "b"), 0, Map.of("blue", new Team("blue", 0, 0, 0, 0)), List.of(), 800 * Micros.MILLISECOND, LEASE,
+                30 * Micros.SECOND, 5 * Micros.SECOND, CANCEL, 400, 120, 16 * 1024, 16 * 1024, 16, 20, Micros.SECOND, 0.4, 150, 700);
+    }
+
+    @Override
+    public Tuning tuning(int number) {
+        boolean standby = number >= former;
+        Settings settings = settings(number);
+        return new Tuning(standby ? Tuning.leaseWithStandby(settings) : Tuning.defaults(settings).leaderLeaseMicros(),
+                60 * Micros.SECOND, true, 4, standby, false);
+    }
+
+    @Override
+    public Copy copy(String prefix, long mostBytes) {
+        return copies.make(prefix, mostBytes);
+    }
+
+    @Override
+    public void started(int number, Controller controller) {
+        if (number >= former) {
+            controller.witness((prefix, rows) -> compare(number, prefix, rows));
+        }
+    }
+
+    /** Rows that only leaders write stand still between a claim and the new leader's first round. */
+    private void compare(int number, String prefix, List<StateCodec.Item> rows) {
+        brought++;
+        Map<String, String> stored = new TreeMap<>();
+        deployment.state.values().subMap(prefix, prefix + Character.MAX_VALUE)
+                .forEach((key, value) -> stored.put(key, value.stamp() + " " + Deployment.row(key, value)));
+        Map<String, String> copied = new TreeMap<>();
+        rows.forEach(row -> copied.put(row.key(), row.version() + " " + row.row()));
+        if (!stored.equals(copied) && deployment.owner().equals("c" + number)) {
+            wrong.add("the copy of " + prefix + " on c" + number + " is " + copied + " and the store has " + stored);
+        }
+    }
+
+    // ---- failures
+
+    /** One of the failures that the operators have met, of a controller that leads more often than not. */
+    void fail() {
+        int number = random.nextInt(3) > 0 ? deployment.leader() : random.nextInt(count);
+        switch (random.nextInt(10)) {
+            case 0, 1, 2 -> deployment.kill(number, 1 + random.nextInt(5));
+            case 3, 4 -> deployment.stop(number, 1 + random.nextInt(4));
+            case 5 -> deployment.stall(number, 500 + random.nextInt(8_000));
+            case 6 -> deployment.cut(number, true, false, random.nextBoolean(), 2 + random.nextInt(10));
+            case 7 -> deployment.cut(number, false, true, random.nextBoolean(), 2 + random.nextInt(10));
+            case 8 -> deployment.cut(number, false, false, true, 2 + random.nextInt(10));
+            default -> deployment.stateAway(1 + random.nextInt(6));
+        }
+    }
+
+    /** The controller that makes the so-manieth request from now on is killed with it on its way. */
+    void killAtInteraction(int number) {
+        interactions = 0;
+        killAt = number;
+    }
+
+    // ---- users
+
+    private Http anyController() {
+        return deployment.toController(random.nextInt(count));
+    }
+
+    /** Submits a job, again until it is answered. {@code form} as on the wire. */
+    void submit(String form, int tasks, double seconds) {
+        String id = "wk-" + (1 + submitted.size());
+        submitted.put(id, deployment.describe(id, form, tasks, 2.0, seconds));
+        checker.submits(id, tasks, form.equals("daemon"));
+        if (form.equals("daemon")) {
+            replicas.put(id, tasks);
+        }
+        trySubmit(id);
+    }
+
+    private void trySubmit(String id) {
+        long asked = time.now();
+        anyController().post("/v1/jobs", submitted.get(id), 5 * Micros.SECOND, reply -> {
+            hear(id, asked, reply);
+            if (reply.status() == 200 || reply.status() == 201) {
+                deployment.user.later(() -> poll(id), 2 * Micros.SECOND);
+            } else {
+                deployment.user.later(() -> trySubmit(id), Micros.SECOND);
+            }
+        });
+    }
+
+    void cancel(String id) {
+        checker.cancels(id);
+        long asked = time.now();
+        anyController().post("/v1/jobs/" + id + "/abort", new byte[0], 5 * Micros.SECOND, reply -> {
+            if (reply.status() == 200) {
+                hear(id, asked, reply);
+                replicas.remove(id);
+            } else if (reply.status() != 404) {
+                deployment.user.later(() -> cancel(id), Micros.SECOND);
+            }
+        });
+    }
+
+    private void poll(String id) {
+        long asked = time.now();
+        anyController().get("/v1/jobs/" + id, 2 * Micros.SECOND, reply -> {
+            hear(id, asked, reply);
+            if (!"done".equals(standing.get(id)) && !"withdrawn".equals(standing.get(id))) {
+                deployment.user.later(() -> poll(id), 2 * Micros.SECOND);
+            }
+        });
+    }
+
+    private void hear(String id, long asked, Reply reply) {
+        String word = null;
+        if (reply.status() == 200 || reply.status() == 201) {
+            try {
+                JsonNode tree = Json.tree(reply.body());
+                word = tree.path("standing").asText(null);
+            } catch (MalformedException e) {
+                wrong.add(id + " was answered with " + e.getMessage());
+            }
+        }
+        if (word != null && !"done".equals(standing.get(id)) && !"withdrawn".equals(standing.get(id))) {
+            standing.put(id, word);
+        }
+        checker.heard(id, asked, reply.status(), word);
+    }
+
+    /** Jobs of all forms, and some cancellations. */
+    void traffic() {
+        switch (random.nextInt(6)) {
+            case 0 -> submit("daemon", 1 + random.nextInt(4), 0);
+            case 1 -> submit("group", 2 + random.nextInt(3), 2 + random.nextInt(4));
+            case 2 -> {
+                if (!submitted.isEmpty() && random.nextBoolean()) {
+                    cancel(List.copyOf(submitted.keySet()).get(random.nextInt(submitted.size())));
+                }
+            }
+            default -> submit("batch", 1 + random.nextInt(12), 1 + random.nextInt(5));
+        }
+    }
+
+    /** Everything is well again and has had its time: what is left undone? */
+    List<String> verdict() {
+        List<String> all = new ArrayList<>(checker.broken());
+        all.addAll(wrong);
+        standing.forEach((id, word) -> {
+            if (!replicas.containsKey(id) && !word.equals("done") && !word.equals("withdrawn")) {
+                all.add(id + " is still " + word);
+            }
+        });
+        replicas.forEach((id, tasks) -> {
+            if (checker.running(id) != tasks) {
+                all.add(id + " has " + checker.running(id) + " of " + tasks + " replicas");
+            }
+        });
+        return all;
+    }
+}
--- a/src/test/java/io/micatide/node/TakeOverTest.java
+++ b/src/test/java/io/micatide/rehearsal/TakeOverTest.java
@@ -1,4 +1,4 @@
-package io.micatide.node;
+package io.micatide.rehearsal;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -18,7 +18,7 @@
 
     private static TakeOverDay play(long seed, int controllers, int former, Copy.Maker copies) {
         TakeOverDay day = new TakeOverDay(seed, controllers, former, copies);
-        day.network.losses(0.01, 0.005);
+        day.deployment.network.losses(0.01, 0.005);
         for (int second = 0; second < 24; second++) {
             if (second > 1) {
                 day.traffic();
@@ -28,7 +28,7 @@
             }
             day.time.run(Micros.SECOND);
         }
-        day.network.losses(0, 0);
+        day.deployment.network.losses(0, 0);
         day.time.run(70 * Micros.SECOND);
         return day;
     }
@@ -38,7 +38,7 @@
         int brought = 0;
         for (int seed = 0; seed < DAYS; seed++) {
             TakeOverDay day = play(seed, seed % 2 == 0 ? 3 : 5, seed % 7 == 0 ? 1 : 0, Copy::new);
-            assertEquals(List.of(), day.verdict(), "seed " + seed + " " + day.log);
+            assertEquals(List.of(), day.verdict(), "seed " + seed + " " + day.deployment.log());
             brought += day.brought;
         }
         assertTrue(brought > DAYS, "take-overs by a warm standby are what this is about: " + brought);
@@ -79,11 +79,11 @@
                 day.submit(job % 3 == 0 ? "daemon" : job % 3 == 1 ? "batch" : "group", 3, 4);
             }
             day.time.run(8 * Micros.SECOND);
-            int leader = day.leader();
-            day.stop(leader, 2);
+            int leader = day.deployment.leader();
+            day.deployment.stop(leader, 2);
             day.killAtInteraction(at);
             day.time.run(40 * Micros.SECOND);
-            assertEquals(List.of(), day.verdict(), "at " + at + " " + day.log);
+            assertEquals(List.of(), day.verdict(), "at " + at + " " + day.deployment.log());
         }
     }
 
@@ -96,11 +96,11 @@
         day.submit("batch", 12, 30);
         day.submit("daemon", 4, 0);
         day.time.run(10 * Micros.SECOND);
-        int leader = day.leader();
+        int leader = day.deployment.leader();
         int brought = day.brought;
         long began = day.time.now();
-        day.stop(leader, 3);
-        while (day.leader() == leader || day.brought < brought + 2) {
+        day.deployment.stop(leader, 3);
+        while (day.deployment.leader() == leader || day.brought < brought + 2) {
             day.time.run(10 * Micros.MILLISECOND);
             assertTrue(day.time.now() - began < 500 * Micros.MILLISECOND, "until the new leader has the rows");
         }
@@ -116,11 +116,11 @@
         day.time.run(2 * Micros.SECOND);
         day.submit("batch", 12, 30);
         day.time.run(10 * Micros.SECOND);
-        int leader = day.leader();
+        int leader = day.deployment.leader();
         int brought = day.brought;
-        day.kill(leader, back);
+        day.deployment.kill(leader, back);
         day.time.run(3_500 * Micros.MILLISECOND);
-        assertFalse(day.leader() == leader, "the one that was killed leads again");
+        assertFalse(day.deployment.leader() == leader, "the one that was killed leads again");
         assertEquals(brought + 2, day.brought, "both copies were as new as the claim");
         day.time.run(60 * Micros.SECOND);
         assertEquals(List.of(), day.verdict());
@@ -133,9 +133,9 @@
         TakeOverDay day = new TakeOverDay(controllers, controllers, 0, Copy::new);
         day.time.run(8 * Micros.SECOND);
         for (int i = 0; i < controllers; i++) {
-            day.kill(i, 5);
+            day.deployment.kill(i, 5);
         }
         day.time.run(5_500 * Micros.MILLISECOND);
-        assertFalse(day.owner().isEmpty());
+        assertFalse(day.deployment.owner().isEmpty());
     }
 }
