--- a/src/test/java/io/micatide/core/FailureTest.java
+++ b/src/test/java/io/micatide/core/FailureTest.java
@@ -53,6 +53,22 @@
         assertEquals(0, duplicates);
     }
 
+    /** The leader before claimed a rental and ended: whether it was made is settled by a list, and nothing more is rented there before. */
+    @Test
+    void rentalsOfAFormerTermAreSettled() {
+        World world = new World(7, 3);
+        world.takeOver();
+        world.submit(World.job("wk-1", JobKind.ARRAY, "red", Priority.NORMAL, 4, 6));
+        String key = StoreKeys.booking("r-99-1");
+        world.rows.put(key, new Row.Booking("claimed", World.TYPE.name(), "a", true, 2));
+        world.versions.put(key, ++world.revision);
+        world.takeOver();
+        assertTrue(world.leader.summary(world.now).contains("bookings=1"), world.leader.summary(world.now));
+        world.run(120 * Micros.SECOND);
+        assertEquals(false, world.rows.containsKey(key), "its row goes once it is settled");
+        assertEquals(JobState.DONE, world.state("wk-1"));
+    }
+
     /** A ledger names a machine that the leader before has returned: who was told so does not wait for the cloud's list. */
     @ParameterizedTest
     @CsvSource({"true, 3", "false, 5"})
