A new leader greets the machines that jobs wait for instead of waiting until they come

Cause: a worker finds a new leader at its next report and shows the new token in the one after that; jobs wait for every machine that their ledgers name.

Change: an heir is told where machines take commands; as leader it posts its token to them, at a quarter of its processor, and takes the answered report as the confirmation that it is (Greeter). A greeting holds no command, so it may land at any later time. A stand-in's gang that was stopped before anybody arrived threw; mended.

--- /dev/null
+++ b/src/main/java/io/micatide/core/Greeting.java
@@ -0,0 +1,10 @@
+package io.micatide.core;
+
+/**
+ * A machine that a new leader does not wait for: told the new token it answers with its report, which confirms it.
+ *
+ * @param address where its worker takes commands
+ * @param session of its worker, as far as is known; another one is refused and tells its own
+ */
+public record Greeting(String machine, String address, long session) {
+}
--- a/src/main/java/io/micatide/core/Hint.java
+++ b/src/main/java/io/micatide/core/Hint.java
@@ -11,16 +11,18 @@
     String name();
 
     /**
+     * @param address where its worker takes commands, empty if that is not known
+     * @param session of its worker, by its last report
      * @param images names of images that the machine most likely has, the one used longest ago first
      * @param gigabytes their sizes, in the same order
      * @param slow its tasks took much longer than others of their jobs, not long ago
      * @param faulty jobs failed on it that succeed elsewhere: it was to be returned
      * @param gone its deletion was answered; ledgers may name it still
      */
-    record OfMachine(String name, List<String> images, List<Double> gigabytes, boolean slow, boolean faulty, boolean gone)
-            implements Hint {
+    record OfMachine(String name, String address, long session, List<String> images, List<Double> gigabytes, boolean slow,
+            boolean faulty, boolean gone) implements Hint {
         public static OfMachine gone(String name) {
-            return new OfMachine(name, List.of(), List.of(), false, false, true);
+            return new OfMachine(name, "", 0, List.of(), List.of(), false, false, true);
         }
     }
 
--- a/src/main/java/io/micatide/core/Hints.java
+++ b/src/main/java/io/micatide/core/Hints.java
@@ -31,9 +31,9 @@
         }
         for (Machine machine : fleet.machines()) {
             boolean slow = machine.slowUntilMicros >= nowMicros;
-            if (result.size() < MOST && !machine.deleting && (slow || machine.draining || !machine.images.isEmpty())) {
+            if (result.size() < MOST && !machine.deleting && machine.address != null) {
                 int older = Math.max(0, machine.images.size() - MOST_IMAGES);
-                result.add(new Hint.OfMachine(machine.name, machine.images.keySet().stream().skip(older).toList(),
+                result.add(new Hint.OfMachine(machine.name, machine.address, machine.session, machine.images.keySet().stream().skip(older).toList(),
                         machine.images.values().stream().skip(older).toList(), slow, machine.draining, false));
             }
         }
@@ -88,6 +88,12 @@
         return hint != null && hint.gone();
     }
 
+    /** Where a machine that has not reported is to be greeted, null if that is not known. */
+    Greeting greeting(String machine) {
+        Hint.OfMachine hint = machines.get(machine);
+        return hint == null || hint.gone() || hint.address().isEmpty() ? null : new Greeting(machine, hint.address(), hint.session());
+    }
+
     /** The machine is confirmed by its own report. */
     void apply(Machine machine, double cacheGb, long nowMicros) {
         Hint.OfMachine hint = machines.remove(machine.name);
--- a/src/main/java/io/micatide/core/Machine.java
+++ b/src/main/java/io/micatide/core/Machine.java
@@ -27,6 +27,8 @@
     boolean deleting;
     long deleteAskedMicros = -1;
     boolean listed;
+    /** It was told of this term. */
+    boolean greeted;
     /** A ledger names it: until it reports to this leader or is gone, those jobs' missing tasks may be on it. */
     boolean holdsUp;
     long bootStartedMicros = -1;
--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -230,12 +230,54 @@
 
     /** Takes a report in and answers it; a report with a higher token must not get here. */
     public List<Command> report(MachineReport report, long nowMicros) {
+        List<Command> commands = new ArrayList<>();
+        Machine machine = takeIn(report, commands, nowMicros);
+        if (machine != null) {
+            if (machine.confirmed && mayPlan(nowMicros)) {
+                planner.refill(machine, nowMicros);
+            }
+            addStopsAndStarts(machine, report, nowMicros, commands);
+        }
+        return commands;
+    }
+
+    /**
+     * A report that came as the answer to a greeting. It proves as much as any other, but nothing can be told in answer to it, and the
+     * worker's lease runs on from the last answer that it had: what is taken for gone from then on is taken for so too late.
+     */
+    public void greeted(MachineReport report, long nowMicros) {
+        takeIn(report, new ArrayList<>(), nowMicros);
+    }
+
+    /**
+     * Machines that jobs wait for and that have not reported to this leader, each once. The leader before told where they are; the
+     * others come by themselves, and are not waited for here.
+     */
+    public List<Greeting> greetings(int most) {
+        List<Greeting> result = new ArrayList<>();
+        for (Machine machine : fleet.machines()) {
+            if (result.size() >= most) {
+                break;
+            }
+            if (machine.holdsUp && !machine.greeted && !machine.deleting && machine.lastAnsweredMicros < 0) {
+                machine.greeted = true;
+                Greeting greeting = hints.greeting(machine.name);
+                if (greeting != null) {
+                    result.add(greeting);
+                }
+            }
+        }
+        return result;
+    }
+
+    /** The machine as the report shows it, null if the report is older than what is known. */
+    private Machine takeIn(MachineReport report, List<Command> commands, long nowMicros) {
         if (fleet.isGone(report.machine())) {
-            return List.of();
+            return null;
         }
         Machine machine = fleet.obtain(report.machine(), nowMicros);
         if (!report.newerThan(machine.session, machine.sequence)) {
-            return List.of();
+            return null;
         }
         machine.session = report.session();
         machine.sequence = report.sequence();
@@ -248,18 +290,14 @@
             machine.noticeAtMicros = nowMicros + report.noticeMicros();
             noticed(machine, nowMicros);
         }
-        List<Command> commands = readBack(machine, report, nowMicros);
+        commands.addAll(readBack(machine, report, nowMicros));
         if (report.token() == token && !machine.confirmed) {
             confirm(machine, nowMicros);
         }
         if (machine.placements.isEmpty() && machine.idleSinceMicros < 0) {
             machine.idleSinceMicros = nowMicros;
         }
-        if (machine.confirmed && mayPlan(nowMicros)) {
-            planner.refill(machine, nowMicros);
-        }
-        addStopsAndStarts(machine, report, nowMicros, commands);
-        return commands;
+        return machine;
     }
 
     private void confirm(Machine machine, long nowMicros) {
--- a/src/main/java/io/micatide/net/HttpClient.java
+++ b/src/main/java/io/micatide/net/HttpClient.java
@@ -84,6 +84,11 @@
         send(HttpMethod.DELETE, path, NO_BODY, timeoutMicros, then);
     }
 
+    @Override
+    public void close() {
+        idle.forEach(connection -> connection.channel.close());
+    }
+
     private void send(HttpMethod method, String path, byte[] body, long timeoutMicros, Consumer<Reply> then) {
         Call call = new Call(method, path, body, then);
         if (queue.size() >= MOST_QUEUED) {
--- a/src/main/java/io/micatide/node/LeaderActor.java
+++ b/src/main/java/io/micatide/node/LeaderActor.java
@@ -110,6 +110,7 @@
     private final CloudClient cloud;
     private final UsersActor users;
     private final ArchivistActor archivist;
+    private final Http.Connector connector;
     private final Siblings siblings;
     private final Leadership leadership;
     private final Claims claims;
@@ -132,6 +133,7 @@
         this.state = state;
         this.cloud = cloud;
         this.users = users;
+        this.connector = connector;
         this.siblings = new Siblings(this, settings, connector);
         this.activeMicros = now();
         this.archivist = new ArchivistActor(loop, settings, tuning.historyBatch(), maker, state, this);
@@ -260,6 +262,13 @@
         checkDeposed();
     }
 
+    /** The highest token that a worker has seen: a higher one than ours means that another controller leads. */
+    void tokenSeen(long token) {
+        if (token > 0 && leadership.higherToken(token, null)) {
+            checkDeposed();
+        }
+    }
+
     /** The claim with this token was answered. */
     void begin(long token, long now) {
         log.info("leads with token {}", token);
@@ -272,7 +281,8 @@
         tooLong = false;
         term = new Term(this, users, scheduler, new TakeOver(loop, state, this, following.standby(), token),
                 new Rounds(this, scheduler, state, users), new CloudDesk(this, scheduler, cloud, state, users),
-                new Marks(this, settings, tuning, scheduler, state, users, archivist));
+                new Marks(this, settings, tuning, scheduler, state, users, archivist),
+                new Greeter(this, settings, scheduler, connector));
         term.begin();
     }
 
@@ -326,9 +336,7 @@
             request.answer(400, Json.error(e.field(), e.getMessage()));
             return;
         }
-        if (report.token() > 0 && leadership.higherToken(report.token(), null)) {
-            checkDeposed();
-        }
+        tokenSeen(report.token());
         if (handOver != null && handOver.over()) {
             request.answer(421, WorkerCodec.elsewhere(handOver.heir()));
             return;
--- a/src/main/java/io/micatide/node/Term.java
+++ b/src/main/java/io/micatide/node/Term.java
@@ -30,12 +30,13 @@
     private final Rounds rounds;
     private final CloudDesk cloud;
     private final Marks marks;
+    private final Greeter greeter;
     /** What still has to be read before the scheduler may act. */
     private int loading = PARTS;
     private long summaryMicros;
 
     Term(LeaderActor owner, UsersActor users, Scheduler scheduler, TakeOver takeOver, Rounds rounds, CloudDesk cloud,
-            Marks marks) {
+            Marks marks, Greeter greeter) {
         this.owner = owner;
         this.users = users;
         this.scheduler = scheduler;
@@ -43,6 +44,7 @@
         this.rounds = rounds;
         this.cloud = cloud;
         this.marks = marks;
+        this.greeter = greeter;
     }
 
     void begin() {
@@ -118,6 +120,8 @@
             cloud.answered(m);
         } else if (message instanceof TermMessage.ListRead m) {
             cloud.listRead(m);
+        } else if (message instanceof TermMessage.Greeted m) {
+            greeter.answered(m);
         } else if (message instanceof TermMessage.TypesStored m) {
             cloud.typesStored(m.reply());
         } else if (message instanceof TermMessage.TypesLoaded m) {
@@ -178,6 +182,7 @@
 
     /** Called every so often once all is read. */
     void tick(long now) {
+        greeter.next(now);
         scheduler.tick(now);
         rounds.next(now);
         marks.keepArchive(now);
--- a/src/main/java/io/micatide/node/TermMessage.java
+++ b/src/main/java/io/micatide/node/TermMessage.java
@@ -1,12 +1,14 @@
 package io.micatide.node;
 
 import io.micatide.core.CloudCall;
+import io.micatide.core.Greeting;
 import io.micatide.core.Hint;
 import io.micatide.core.ListedMachine;
 import io.micatide.core.MachineType;
 import io.micatide.core.Row;
 import io.micatide.core.Transaction;
 import io.micatide.history.Archivist;
+import io.micatide.net.Http;
 import io.micatide.net.Reply;
 import io.micatide.wire.StateCodec;
 import java.util.List;
@@ -45,6 +47,10 @@
     record LayoutMarked(Reply reply, long token, Row.Layout layout) implements TermMessage {
     }
 
+    /** A worker's answer to a greeting. */
+    record Greeted(Reply reply, long token, Greeting greeting, Http worker) implements TermMessage {
+    }
+
     record RoundAnswered(Reply reply, long token, Transaction round) implements TermMessage {
     }
 
--- a/src/main/java/io/micatide/rehearsal/Deployment.java
+++ b/src/main/java/io/micatide/rehearsal/Deployment.java
@@ -213,6 +213,7 @@
             known.put("c" + i, network.from(process, "c" + i));
         }
         WorkerStandIn worker = new WorkerStandIn(process, plan.settings(0), machine, known, this::spec, gangs, witness);
+        network.listen(machine.name() + ":9000", process, worker::handle);
         workers.put(machine.name(), worker);
         worker.start();
     }
--- a/src/main/java/io/micatide/rehearsal/Gangs.java
+++ b/src/main/java/io/micatide/rehearsal/Gangs.java
@@ -47,9 +47,10 @@
 
     /** All complete together; the others of a running gang that lost a task end soon after. */
     void left(WorkerStandIn.Task task, ExitCause cause) {
-        Map<WorkerStandIn.Task, WorkerStandIn> peers = present.getOrDefault(attempt(task), Map.of());
+        // Nobody of an attempt has arrived if its first task is stopped while it fetches.
+        Map<WorkerStandIn.Task, WorkerStandIn> peers = present.get(attempt(task));
         boolean ran = task.state == io.micatide.core.TaskState.RUNNING;
-        if (peers.remove(task) == null || !ran) {
+        if (peers == null || peers.remove(task) == null || !ran) {
             return;
         }
         List<Map.Entry<WorkerStandIn.Task, WorkerStandIn>> others = List.copyOf(peers.entrySet());
--- a/src/main/java/io/micatide/rehearsal/WorkerStandIn.java
+++ b/src/main/java/io/micatide/rehearsal/WorkerStandIn.java
@@ -12,6 +12,7 @@
 import io.micatide.core.TaskState;
 import io.micatide.net.Http;
 import io.micatide.net.Reply;
+import io.micatide.net.Request;
 import io.micatide.node.Loop;
 import io.micatide.wire.MalformedException;
 import io.micatide.wire.WorkerSide;
@@ -166,15 +167,18 @@
         long sent = loop.now();
         long ofSession = session;
         sentMicros = sent;
+        controllers.get(labels.get(at)).post("/v1/report", WorkerSide.report(newReport()), PATIENCE_MICROS,
+                reply -> answered(reply, sent, ofSession));
+    }
+
+    private MachineReport newReport() {
         List<TaskReport> lines = new ArrayList<>();
         for (Task task : tasks.values()) {
             lines.add(new TaskReport(task.job, task.index, task.attempt, task.over() ? TaskState.EXITED : task.state,
                     task.cause, task.saved));
         }
-        MachineReport report = new MachineReport(machine.name(), machine.name() + ":9000", machine.type().name(), machine.zone(),
+        return new MachineReport(machine.name(), machine.name() + ":9000", machine.type().name(), machine.zone(),
                 machine.spot(), session, ++sequence, highestToken, -1, lines);
-        controllers.get(labels.get(at)).post("/v1/report", WorkerSide.report(report), PATIENCE_MICROS,
-                reply -> answered(reply, sent, ofSession));
     }
 
     private void answered(Reply reply, long sent, long ofSession) {
@@ -211,6 +215,28 @@
         }
     }
 
+    /** Commands outside an answer to a report. */
+    public void handle(Request request) {
+        if (deleted) {
+            return;
+        }
+        try {
+            WorkerSide.Answer direct = WorkerSide.answer(request.body());
+            boolean executed = request.path().equals("/commands") && direct.token() >= highestToken
+                    && WorkerSide.session(request.body()) == session;
+            if (executed) {
+                if (direct.token() > highestToken) {
+                    highestToken = direct.token();
+                    changed();
+                }
+                direct.commands().forEach(this::execute);
+            }
+            request.answer(executed ? 200 : 409, WorkerSide.report(newReport()));
+        } catch (MalformedException e) {
+            request.answer(400, new byte[0]);
+        }
+    }
+
     // ---- tasks
 
     private void execute(Command command) {
--- a/src/main/java/io/micatide/wire/HintCodec.java
+++ b/src/main/java/io/micatide/wire/HintCodec.java
@@ -9,7 +9,8 @@
 import java.util.List;
 
 /**
- * A leader's hints to an heir. Compact, since hundreds change in a second: a machine is {@code ["m", name, flags, image, size, …]}, a
+ * A leader's hints to an heir. Compact, since hundreds change in a second: a machine is {@code ["m", name, address, session, flags, image,
+ * size, …]}, a
  * job {@code ["j", name, mean, tasks, probes]} with -1 probes if it is not suspected, a class {@code ["c", name, factor, spread]}; what
  * begins with another word is passed over.
  */
@@ -49,6 +50,8 @@
         if (hint instanceof Hint.OfMachine each) {
             out.writeString("m");
             out.writeString(each.name());
+            out.writeString(each.address());
+            out.writeNumber(each.session());
             out.writeNumber((each.slow() ? SLOW : 0) + (each.faulty() ? FAULTY : 0) + (each.gone() ? GONE : 0));
             for (int i = 0; i < each.images().size(); i++) {
                 out.writeString(each.images().get(i));
@@ -92,12 +95,12 @@
     private static Hint machine(String name, JsonNode each) {
         List<String> images = new ArrayList<>();
         List<Double> sizes = new ArrayList<>();
-        for (int i = 3; i + 1 < each.size(); i += 2) {
+        for (int i = 5; i + 1 < each.size(); i += 2) {
             images.add(each.path(i).asText());
             sizes.add(each.path(i + 1).asDouble());
         }
-        int flags = each.path(2).asInt();
-        return new Hint.OfMachine(name, images, sizes, (flags & SLOW) != 0, (flags & FAULTY) != 0, (flags & GONE) != 0);
+        int flags = each.path(4).asInt();
+        return new Hint.OfMachine(name, each.path(2).asText(), Math.max(0, each.path(3).asLong()), images, sizes, (flags & SLOW) != 0, (flags & FAULTY) != 0, (flags & GONE) != 0);
     }
 
     /** The picture that an heir holds. */
--- a/src/main/java/io/micatide/wire/WorkerCodec.java
+++ b/src/main/java/io/micatide/wire/WorkerCodec.java
@@ -167,6 +167,18 @@
         return command instanceof Command.Stop ? "halt" : "reap";
     }
 
+    /** Tells a worker of a token and nothing else, outside an answer to its report. */
+    public static byte[] greeting(long token, long session) {
+        return Json.bytes(out -> {
+            out.writeStartObject();
+            out.writeNumberField("armband", token);
+            out.writeNumberField("stint", session);
+            out.writeArrayFieldStart("calls");
+            out.writeEndArray();
+            out.writeEndObject();
+        });
+    }
+
     /** Sends a worker to the leader; without a label it tries the next node. */
     public static byte[] elsewhere(String leader) {
         return Json.bytes(out -> {
--- a/src/main/java/io/micatide/wire/WorkerSide.java
+++ b/src/main/java/io/micatide/wire/WorkerSide.java
@@ -93,6 +93,11 @@
         return new Answer(tree.path("armband").asLong(-1), commands);
     }
 
+    /** The session that direct commands are for, -1 if they do not say. */
+    public static long session(byte[] body) throws MalformedException {
+        return Json.tree(body).path("stint").asLong(-1);
+    }
+
     /** The controller that a refusal names, or null. */
     public static String steward(byte[] body) {
         try {
--- a/src/test/java/io/micatide/core/FailureTest.java
+++ b/src/test/java/io/micatide/core/FailureTest.java
@@ -102,7 +102,7 @@
                 lies.add(new Hint.OfJob("wk-" + job, world.random.nextInt(90) * Micros.SECOND, world.random.nextInt(50), job % 2 == 0, job));
             }
             for (int machine = 0; machine < 12; machine++) {
-                lies.add(new Hint.OfMachine(String.format("i-%06d", machine), List.of("img-1", "img-9", "img-1"), List.of(2.0, 90.0, 5.0),
+                lies.add(new Hint.OfMachine(String.format("i-%06d", machine), "x:1", 3, List.of("img-1", "img-9", "img-1"), List.of(2.0, 90.0, 5.0),
                         world.random.nextBoolean(), world.random.nextInt(4) == 0, world.random.nextInt(6) == 0));
             }
             world.hints = lies;
--- a/src/test/java/io/micatide/rehearsal/TakeOverTest.java
+++ b/src/test/java/io/micatide/rehearsal/TakeOverTest.java
@@ -13,8 +13,9 @@
 
 /** Take-overs under drawn failures: no rule is broken, and every picture that a standby brings is the store's. */
 class TakeOverTest {
-    /** Long runs outside CI: {@code -Dmicatide.days=100000}. */
+    /** Long runs outside CI: {@code -Dmicatide.days=20000 -Dmicatide.first=40000}. */
     private static final int DAYS = Integer.getInteger("micatide.days", 1_000);
+    private static final int FIRST = Integer.getInteger("micatide.first", 0);
 
     private static TakeOverDay play(long seed, int controllers, int former, Copy.Maker copies) {
         TakeOverDay day = new TakeOverDay(seed, controllers, former, copies);
@@ -36,7 +37,7 @@
     @Test
     void drawnFailuresBreakNoRule() {
         int brought = 0;
-        for (int seed = 0; seed < DAYS; seed++) {
+        for (int seed = FIRST; seed < FIRST + DAYS; seed++) {
             TakeOverDay day = play(seed, seed % 2 == 0 ? 3 : 5, seed % 7 == 0 ? 1 : 0, Copy::new);
             assertEquals(List.of(), day.verdict(), "seed " + seed + " " + day.deployment.log());
             brought += day.brought;
