Greetings only where they reach all machines within a report's interval, or nobody looks

Change: none where they cannot reach all machines within a report's interval, except after an orderly end.

--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -163,6 +163,11 @@
         book.historyKept();
     }
 
+    /** How many machines are known of. */
+    public int machines() {
+        return fleet.machines().size();
+    }
+
     /** Whether a job that is over may be archived as far as this leader's own work goes; only once all rows are read. */
     public boolean settled(String id) {
         return !loading && book.settled(id);
--- a/src/main/java/io/micatide/node/Following.java
+++ b/src/main/java/io/micatide/node/Following.java
@@ -95,6 +95,11 @@
         return succession.appointed();
     }
 
+    /** Whether the leader before has just handed over to this controller. */
+    boolean handedOver(long now) {
+        return succession.handedOverAt(now);
+    }
+
     /** What it says of its warmth, null for nothing. */
     Warmth warmth(long now) {
         return standby == null ? null : succession.warmth(now);
--- a/src/main/java/io/micatide/node/Greeter.java
+++ b/src/main/java/io/micatide/node/Greeter.java
@@ -14,13 +14,18 @@
 /**
  * Tells workers of a new term instead of waiting until they come: they find a new leader only at their next report, and jobs wait for
  * every machine that their ledgers name. A greeting carries the token and no command, so it may arrive at any later time: a worker that
- * knows a higher one refuses it. Workers are met at a rate that leaves most of the processor to the reports that come meanwhile. Part of
- * the leader's actor.
+ * knows a higher one refuses it. Part of the leader's actor.
+ *
+ * <p>Greetings take a quarter of what the workers' reports leave of the processor, and where that does not reach all machines within a
+ * report's interval there are none: workers that have lost a leader look for another one by themselves in about that time, and slower
+ * greetings only made their reports wait (90% of 640 machines confirmed after 3.1 s instead of 2.2). Only after an orderly end does
+ * nobody look, and all are greeted at whatever rate.
  */
 final class Greeter {
     private static final Logger LOG = LoggerFactory.getLogger(LeaderActor.class);
-    /** A connection and its answer take about a millisecond of a core: a quarter of one. */
-    private static final double A_SECOND_AND_CORE = 250;
+    /** What a greeting with its connection takes of a core, and about as much as a report with all that follows from it. */
+    private static final double CORE_SECONDS = 0.001;
+    private static final double SHARE = 0.25;
     private static final int MOST_WAITING = 48;
     /** In a cut a connection hangs; the machine comes by itself, or not at all. */
     private static final long PATIENCE_MICROS = Micros.SECOND;
@@ -28,22 +33,25 @@
     private final LeaderActor owner;
     private final Scheduler scheduler;
     private final Http.Connector connector;
-    private final double aSecond;
+    private final Settings settings;
+    private final boolean handedOver;
     private double due;
     private long paidMicros;
     private int waiting;
 
-    Greeter(LeaderActor owner, Settings settings, Scheduler scheduler, Http.Connector connector) {
+    /** @param handedOver whether the leader before ended in order, so that no worker looks for another one yet */
+    Greeter(LeaderActor owner, Settings settings, Scheduler scheduler, Http.Connector connector, boolean handedOver) {
         this.owner = owner;
         this.scheduler = scheduler;
         this.connector = connector;
-        this.aSecond = A_SECOND_AND_CORE * Math.max(0.1, settings.cores());
+        this.settings = settings;
+        this.handedOver = handedOver;
         this.paidMicros = owner.now();
     }
 
     /** Called every so often once all is read. */
     void next(long now) {
-        due = Math.min(MOST_WAITING, due + aSecond * Micros.toSeconds(now - paidMicros));
+        due = Math.min(MOST_WAITING, due + aSecond() * Micros.toSeconds(now - paidMicros));
         paidMicros = now;
         int most = (int) Math.min(due, MOST_WAITING - waiting);
         if (most < 1) {
@@ -55,6 +63,16 @@
         }
     }
 
+    private double aSecond() {
+        if (handedOver) {
+            return settings.cores() * SHARE / CORE_SECONDS;
+        }
+        double interval = Micros.toSeconds(settings.reportMicros());
+        double reports = scheduler.machines() / interval * CORE_SECONDS;
+        double most = Math.max(0, settings.cores() - reports) * SHARE / CORE_SECONDS;
+        return most * interval < scheduler.machines() ? 0 : most;
+    }
+
     private void greet(Greeting greeting, Http worker) {
         waiting++;
         long token = scheduler.token();
--- a/src/main/java/io/micatide/node/LeaderActor.java
+++ b/src/main/java/io/micatide/node/LeaderActor.java
@@ -282,7 +282,7 @@
         term = new Term(this, users, scheduler, new TakeOver(loop, state, this, following.standby(), token),
                 new Rounds(this, scheduler, state, users), new CloudDesk(this, scheduler, cloud, state, users),
                 new Marks(this, settings, tuning, scheduler, state, users, archivist),
-                new Greeter(this, settings, scheduler, connector));
+                new Greeter(this, settings, scheduler, connector, following.handedOver(now)));
         term.begin();
     }
 
--- a/src/main/java/io/micatide/standby/Succession.java
+++ b/src/main/java/io/micatide/standby/Succession.java
@@ -91,6 +91,11 @@
         handedMicros = nowMicros;
     }
 
+    /** Whether the leader has told this controller just now to go on. */
+    public boolean handedOverAt(long nowMicros) {
+        return nowMicros - handedMicros <= HANDED_LASTS_MICROS;
+    }
+
     /** Whether the copy of what a leader reads is whole. */
     public void copyIs(boolean whole) {
         copyWhole = whole;
@@ -116,7 +121,7 @@
      * @param reached whether workers come to this controller
      */
     public long waits(long claimableMicros, boolean reached, long nowMicros) {
-        if (nowMicros - handedMicros <= HANDED_LASTS_MICROS) {
+        if (handedOverAt(nowMicros)) {
             return 0;
         }
         long waits = waitsOfAnyone(reached);
