A controller that no worker has come to asks whether they come to another before it waits for one

No worker had come to the heir yet, since their reports are 3 s apart, and it left the row to others for 0.6 s, which no worker had come to either. Change: it asks its siblings, as a cold process does; it waits 0.6 s only for one that workers have come to, and 0.2 s at most for answers. The step between two heirs is 0.1 s instead of 0.15.

--- a/src/main/java/io/micatide/node/Following.java
+++ b/src/main/java/io/micatide/node/Following.java
@@ -73,9 +73,10 @@
             return Succession.waitsOfAnyone(reached);
         }
         long claimable = claims.claimableFor(now);
-        if (claimable >= 0 && succession.warmth(now) == Warmth.COLD) {
+        boolean cold = succession.warmth(now) == Warmth.COLD;
+        if (claimable >= 0 && (cold || !reached)) {
             siblings.askWarmth(now);
-            if (succession.warmerThere(now)) {
+            if (cold && succession.warmerThere(now)) {
                 claims.leaveFormerRow();
             }
         }
@@ -108,11 +109,14 @@
     /** A sibling that answers, of whatever version, has been there for longer than this process. */
     private void warmthTold(Reply reply, int sibling, long now) {
         if (reply.status() == 404) {
-            succession.word(sibling, Warmth.SEASONED, now);
+            succession.word(sibling, Warmth.SEASONED, false, now);
+        } else if (reply.status() == 0 && !reply.sent()) {
+            // Refused: most likely it has ended. It may only be out of sockets, but this is courtesy.
+            succession.word(sibling, Warmth.COLD, false, now);
         } else if (reply.ok()) {
             try {
-                Warmth said = PeerCodec.answer(reply.body()).warmth();
-                succession.word(sibling, said == null ? Warmth.COLD : said, now);
+                PeerCodec.Answer answer = PeerCodec.answer(reply.body());
+                succession.word(sibling, answer.warmth() == null ? Warmth.COLD : answer.warmth(), answer.strayedAgoMicros() >= 0, now);
             } catch (MalformedException e) {
                 LOG.error("sibling: {}", e.getMessage());
             }
--- a/src/main/java/io/micatide/standby/Succession.java
+++ b/src/main/java/io/micatide/standby/Succession.java
@@ -11,7 +11,7 @@
     /** One that workers do not reach would lead a fleet that it cannot hear. */
     static final long UNREACHED_WAITS_MICROS = 600 * Micros.MILLISECOND;
     /** A claim takes two ways to the state service, and the watch of its outcome one more. */
-    static final long STEP_MICROS = 150 * Micros.MILLISECOND;
+    static final long STEP_MICROS = 100 * Micros.MILLISECOND;
     /** What a cold process leaves to a warm one at most. */
     static final long COLD_WAITS_MICROS = 600 * Micros.MILLISECOND;
     /** Siblings that are there answer within this; nobody waits longer for one that may not be there. */
@@ -32,6 +32,7 @@
     private long heirsMicros = Long.MIN_VALUE / 2;
     private final long[] wordMicros;
     private final boolean[] warmer;
+    private final boolean[] hearsWorkers;
     private boolean copyWhole;
     private long handedMicros = Long.MIN_VALUE / 2;
 
@@ -41,6 +42,7 @@
         this.startedMicros = nowMicros;
         this.wordMicros = new long[siblings];
         this.warmer = new boolean[siblings];
+        this.hearsWorkers = new boolean[siblings];
         java.util.Arrays.fill(wordMicros, Long.MIN_VALUE / 2);
     }
 
@@ -108,10 +110,20 @@
         return copyWhole && appointed() ? Warmth.WARM : Warmth.SEASONED;
     }
 
-    /** A sibling's own word; one of a former version that answers at all is taken for seasoned. */
-    public void word(int sibling, Warmth said, long nowMicros) {
+    /**
+     * A sibling's own word; one of a former version that answers at all is taken for seasoned, one that nothing listens for any more for
+     * cold and unreached.
+     *
+     * @param reached whether workers that have lost the leader came to it just now
+     */
+    public void word(int sibling, Warmth said, boolean reached, long nowMicros) {
         wordMicros[sibling] = nowMicros;
         warmer[sibling] = said != Warmth.COLD;
+        hearsWorkers[sibling] = reached;
+    }
+
+    private boolean allHaveSaid(long nowMicros) {
+        return java.util.Arrays.stream(wordMicros).allMatch(at -> nowMicros - at <= WORD_LASTS_MICROS);
     }
 
     /**
@@ -124,7 +136,7 @@
         if (handedOverAt(nowMicros)) {
             return 0;
         }
-        long waits = waitsOfAnyone(reached);
+        long waits = reached ? 0 : unreachedWaits(claimableMicros, nowMicros);
         Warmth own = warmth(nowMicros);
         if (own == Warmth.COLD) {
             return waits + coldWaits(claimableMicros, nowMicros);
@@ -136,12 +148,24 @@
         return waits + place * STEP_MICROS;
     }
 
+    /**
+     * One that no worker has come to leaves the lead to one that they come to. Where they come to nobody, since the leader was there a
+     * moment ago, it would wait for nothing: with processes that are back at once this was most of the time without a leader.
+     */
+    private long unreachedWaits(long claimableMicros, long nowMicros) {
+        for (int sibling = 0; sibling < wordMicros.length; sibling++) {
+            if (hearsWorkers[sibling] && nowMicros - wordMicros[sibling] <= WORD_LASTS_MICROS) {
+                return UNREACHED_WAITS_MICROS;
+            }
+        }
+        return allHaveSaid(nowMicros) || claimableMicros >= ANSWER_MICROS ? 0 : ANSWER_MICROS;
+    }
+
     /** Alone, or among others as cold, nobody waits. */
     private long coldWaits(long claimableMicros, long nowMicros) {
         if (warmerThere(nowMicros)) {
             return COLD_WAITS_MICROS;
         }
-        boolean all = java.util.Arrays.stream(wordMicros).allMatch(at -> nowMicros - at <= WORD_LASTS_MICROS);
-        return all || claimableMicros >= ANSWER_MICROS ? 0 : ANSWER_MICROS;
+        return allHaveSaid(nowMicros) || claimableMicros >= ANSWER_MICROS ? 0 : ANSWER_MICROS;
     }
 }
