--- a/src/main/java/io/micatide/cli/Main.java
+++ b/src/main/java/io/micatide/cli/Main.java
@@ -8,7 +8,7 @@
 /** Entry point. */
 @Command(name = "micatide", description = "A cluster scheduler: serves users and workers, rents machines.",
         versionProvider = Main.Version.class, mixinStandardHelpOptions = true,
-        subcommands = {ServeCommand.class, CheckCommand.class, LocalCommand.class, SnapshotCommand.class, WarmUpCommand.class})
+        subcommands = {ServeCommand.class, CheckCommand.class, LocalCommand.class, SnapshotCommand.class, RolloutCommand.class, WarmUpCommand.class})
 public final class Main implements Runnable {
     /** Wrong settings end a start with this code. */
     static final int EXIT_SETTINGS = 2;
--- /dev/null
+++ b/src/main/java/io/micatide/cli/RolloutCommand.java
@@ -0,0 +1,175 @@
+package io.micatide.cli;
+
+import io.micatide.core.Row;
+import io.micatide.core.Settings;
+import io.micatide.core.StoreKeys;
+import io.micatide.core.Transaction;
+import io.micatide.net.Reply;
+import io.micatide.rollout.Abilities;
+import io.micatide.rollout.Feature;
+import io.micatide.rollout.Roster;
+import io.micatide.rollout.Stage;
+import io.micatide.rollout.Switches;
+import io.micatide.snapshot.StateCalls;
+import io.micatide.wire.MalformedException;
+import io.micatide.wire.StateCodec;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Shows how far changes of the stored state have come, holds them back and takes them back. Works on the state service itself. */
+@Command(name = "rollout", description = "Show, hold back or take back changes of the stored state.", mixinStandardHelpOptions = true)
+final class RolloutCommand {
+    /** The state service does not answer, or what is asked for cannot be. */
+    static final int EXIT_ROLLOUT = 4;
+    private static final double CALLS_A_SECOND = 5;
+    private static final int TRIES = 5;
+
+    @Mixin
+    private SettingsFiles files;
+
+    /** What cannot be done, with the reason. */
+    private static final class RefusedException extends Exception {
+        private static final long serialVersionUID = 1;
+
+        RefusedException(String message) {
+            super(message);
+        }
+    }
+
+    /** What a command does with the state service. */
+    @FunctionalInterface
+    private interface Work {
+        void run(StateCalls calls, Settings settings) throws RefusedException, MalformedException;
+    }
+
+    @Command(description = "Who is there, which feature stands where, and what it waits for.", mixinStandardHelpOptions = true)
+    int status(@Option(names = "--config", required = true, paramLabel = "FILE", description = "a controller's settings") Path config) {
+        return run(config, (calls, settings) -> status(calls, settings, System.out));
+    }
+
+    @Command(description = "Keep a feature where it is.", mixinStandardHelpOptions = true)
+    int hold(@Parameters(paramLabel = "FEATURE") String feature,
+            @Option(names = "--config", required = true, paramLabel = "FILE", description = "a controller's settings") Path config) {
+        return run(config, (calls, settings) -> ask(calls, feature, Row.Wish.HOLD, System.out));
+    }
+
+    @Command(description = "Let a feature go on that was held or taken back.", mixinStandardHelpOptions = true)
+    int release(@Parameters(paramLabel = "FEATURE") String feature,
+            @Option(names = "--config", required = true, paramLabel = "FILE", description = "a controller's settings") Path config) {
+        return run(config, (calls, settings) -> ask(calls, feature, Row.Wish.NONE, System.out));
+    }
+
+    @Command(description = "Take a feature back, stage by stage, until nobody needs to know it.", mixinStandardHelpOptions = true)
+    int back(@Parameters(paramLabel = "FEATURE") String feature,
+            @Option(names = "--config", required = true, paramLabel = "FILE", description = "a controller's settings") Path config) {
+        return run(config, (calls, settings) -> ask(calls, feature, Row.Wish.BACK, System.out));
+    }
+
+    private int run(Path config, Work work) {
+        SettingsFiles.Loaded loaded = files.load(config);
+        if (loaded == null) {
+            return Main.EXIT_SETTINGS;
+        }
+        try (PacedCalls calls = new PacedCalls(loaded.settings().state(), CALLS_A_SECOND)) {
+            work.run(calls, loaded.settings());
+            return 0;
+        } catch (RefusedException | MalformedException e) {
+            System.err.println(e.getMessage());
+            return EXIT_ROLLOUT;
+        }
+    }
+
+    private static Reply get(StateCalls calls, String path) throws RefusedException {
+        Reply reply = calls.get(path);
+        for (int tries = 1; reply.status() != 200 && reply.status() != 404; tries++) {
+            if (tries == TRIES) {
+                throw new RefusedException("the state service does not answer: " + reply.status());
+            }
+            calls.pause();
+            reply = calls.get(path);
+        }
+        return reply;
+    }
+
+    private static StateCodec.Item item(StateCalls calls, String key) throws RefusedException, MalformedException {
+        Reply reply = get(calls, "/store/" + key);
+        return reply.ok() ? StateCodec.item(reply.body()) : new StateCodec.Item(key, null, 0);
+    }
+
+    private static Switches switches(StateCalls calls) throws RefusedException, MalformedException {
+        Switches switches = new Switches(Abilities.ALL);
+        StateCodec.Item item = item(calls, StoreKeys.FEATURES);
+        switches.seen(item.version(), item.row() == null ? new Row.Features(Map.of()) : (Row.Features) item.row());
+        return switches;
+    }
+
+    static void status(StateCalls calls, Settings settings, PrintStream out) throws RefusedException, MalformedException {
+        List<String> labels = new ArrayList<>(List.of(settings.label()));
+        settings.siblings().forEach(sibling -> labels.add(sibling.label()));
+        labels.sort(null);
+        Switches switches = switches(calls);
+        Roster roster = new Roster(labels);
+        for (StateCodec.Item item : StateCodec.page(get(calls, "/store?starts=" + StoreKeys.ROLLOUT + "&most=1000").body()).items()) {
+            roster.add(item.key(), item.row(), item.version());
+        }
+        StateCodec.Item leader = item(calls, StoreKeys.LEADER);
+        String leads = leader.row() == null ? "" : ((Row.Leader) leader.row()).owner();
+        for (String label : labels) {
+            Row.Here here = roster.here().get(label);
+            out.println(label + (label.equals(leads) ? ", leads" : "") + ": " + (here == null ? "not registered" : "build " + here.build()
+                    + ", knows " + String.join(" ", here.knows()) + ", since "
+                    + Instant.EPOCH.plus(here.sinceWall(), ChronoUnit.MICROS).truncatedTo(ChronoUnit.SECONDS)
+                    + (here.acts() == switches.version() ? "" : ", has not taken in the last step")));
+        }
+        boolean needs = item(calls, StoreKeys.LAYOUT).row() != null;
+        boolean history = item(calls, StoreKeys.HISTORY).row() != null;
+        for (Feature feature : Feature.values()) {
+            Stage stage = feature == Feature.NEEDS ? marked(needs) : feature == Feature.HISTORY ? marked(history) : switches.stage(feature);
+            Row.Wish wish = roster.asked(feature);
+            List<String> missing = feature.next(stage) == null ? List.of() : roster.missing(feature);
+            out.println(feature.key() + ": " + stage + (wish == Row.Wish.NONE ? "" : ", asked to " + (wish == Row.Wish.HOLD ? "stay" : "go back"))
+                    + (missing.isEmpty() ? "" : ", waits: " + String.join(", ", missing)));
+        }
+        switches.unknown().forEach(each -> out.println(each + ": in use, and not known to this version"));
+    }
+
+    private static Stage marked(boolean there) {
+        return there ? Stage.CLEAN : Stage.OFF;
+    }
+
+    static void ask(StateCalls calls, String name, Row.Wish wish, PrintStream out) throws RefusedException, MalformedException {
+        Feature feature = Feature.of(name);
+        if (feature == null) {
+            throw new RefusedException(name + " is no feature of this version; there are " + String.join(", ", Abilities.ALL.names()));
+        }
+        if (feature.isMark()) {
+            throw new RefusedException(name + " comes with the layout: it can be neither held nor taken back");
+        }
+        Stage stage = switches(calls).stage(feature);
+        if (wish == Row.Wish.BACK && stage == Stage.CLEAN) {
+            throw new RefusedException(name + " cannot go back: its former form is gone");
+        }
+        Transaction.Write write = new Transaction.Write(StoreKeys.asked(name), wish == Row.Wish.NONE ? null : new Row.Ask(wish), 0);
+        byte[] body = StateCodec.transaction(new Transaction(List.of(), List.of(write)));
+        for (int tries = 1; !calls.post("/txn", body).ok(); tries++) {
+            if (tries == TRIES) {
+                throw new RefusedException("the state service does not take it; nothing is known to have changed, ask for the status");
+            }
+            calls.pause();
+        }
+        out.println(name + " is at " + stage + ": " + switch (wish) {
+            case HOLD -> "it stays there until it is released";
+            case BACK -> "it goes back, stage by stage, and stays off until it is released";
+            case NONE -> "it goes on";
+        });
+    }
+}
--- a/src/main/java/io/micatide/core/Hints.java
+++ b/src/main/java/io/micatide/core/Hints.java
@@ -45,18 +45,33 @@
         return result;
     }
 
+    /** Without what changes by the second or is seen with the first report: images, addresses. */
+    static List<Hint> lasting(List<Hint> hints) {
+        List<Hint> result = new ArrayList<>();
+        for (Hint hint : hints) {
+            if (hint instanceof Hint.OfMachine each) {
+                if (each.slow() || each.faulty() || each.gone()) {
+                    result.add(new Hint.OfMachine(each.name(), "", 0, List.of(), List.of(), each.slow(), each.faulty(), each.gone()));
+                }
+            } else if (!(hint instanceof Hint.OfJob each) || each.suspect()) {
+                result.add(hint);
+            }
+        }
+        return result;
+    }
+
     /** To the nearest twentieth of its size. */
     static double rounded(double value) {
         return value <= 0 ? 0 : Math.exp(Math.round(Math.log(value) * STEPS) / STEPS);
     }
 
-    /** What the leader before knew; later hints replace earlier ones. */
-    void take(List<Hint> hints, RunTimes runTimes) {
+    /** What the leader before knew; later hints replace earlier ones, but for {@code kept} ones. */
+    void take(List<Hint> hints, boolean kept, RunTimes runTimes) {
         for (Hint hint : hints) {
             if (hint instanceof Hint.OfMachine each) {
-                machines.put(each.name(), each);
+                machines.merge(each.name(), each, (known, told) -> kept ? known : told);
             } else if (hint instanceof Hint.OfJob each) {
-                jobs.put(each.name(), each);
+                jobs.merge(each.name(), each, (known, told) -> kept ? known : told);
             } else if (hint instanceof Hint.OfClass each) {
                 runTimes.hinted(each);
             }
--- a/src/main/java/io/micatide/core/JobBook.java
+++ b/src/main/java/io/micatide/core/JobBook.java
@@ -240,8 +240,8 @@
      * a job, {@code mostLater} what it leaves for the rest: finished tasks can wait at their workers.
      */
     Round nextRound(long nowMicros, long wallMicros, int mostWrites, int mostLater, List<Rentals.Booking> bookings,
-            List<Transaction.Write> extra, Likely likely) {
-        List<Transaction.Compare> conditions = new ArrayList<>();
+            List<Transaction.Write> extra, List<Transaction.Compare> extraConditions, Likely likely) {
+        List<Transaction.Compare> conditions = new ArrayList<>(extraConditions);
         List<Transaction.Write> writes = new ArrayList<>(extra);
         conditions.add(new Transaction.Compare(StoreKeys.LEADER, token));
         int most = Math.min(mostWrites, settings.transactionOps());
@@ -482,7 +482,8 @@
     List<String> unresolved(Round round) {
         List<String> keys = new ArrayList<>();
         for (Transaction.Compare compare : round.transaction().conditions()) {
-            if (!compare.key().equals(StoreKeys.LEADER) && !compare.key().equals(StoreKeys.LAYOUT)) {
+            if (!compare.key().equals(StoreKeys.LEADER) && !compare.key().equals(StoreKeys.LAYOUT)
+                    && !compare.key().equals(StoreKeys.FEATURES)) {
                 keys.add(compare.key());
             }
         }
@@ -544,6 +545,9 @@
         keys.retainAll(failed);
         Set<String> held = new HashSet<>();
         for (String key : keys) {
+            if (Rentals.owns(key)) {
+                continue;
+            }
             String id = jobOfKey(key);
             held.add(id);
             unknownKeys.computeIfAbsent(id, k -> new HashSet<>()).add(key);
--- a/src/main/java/io/micatide/core/Rentals.java
+++ b/src/main/java/io/micatide/core/Rentals.java
@@ -1,11 +1,14 @@
 package io.micatide.core;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Rentals under way, in the four states of the design. A claim is written before the call; a call without an answer is
@@ -23,6 +26,8 @@
         final int count;
         State state = State.CLAIMED;
         boolean recorded;
+        /** Of its row as it is known, 0 if there is none. */
+        long version;
         boolean writing;
         long sinceMicros;
 
@@ -45,6 +50,11 @@
     private final Settings settings;
     private final long token;
     private int counter;
+    private boolean fenced;
+    private long fenceVersion = -1;
+    private long fenceNumber;
+    /** Rows that are being read back. */
+    private final Set<String> unknown = new HashSet<>();
     final Map<String, Booking> bookings = new LinkedHashMap<>();
     private final Map<Offer, Long> refusedUntil = new HashMap<>();
     private final Map<Offer, Long> refusals = new HashMap<>();
@@ -54,6 +64,77 @@
         this.token = token;
     }
 
+    /** Whether the key is that of a booking or of their fence. */
+    static boolean owns(String key) {
+        return key.equals(StoreKeys.FENCE) || key.startsWith(StoreKeys.BOOKINGS);
+    }
+
+    // ---- on condition of versions
+
+    /** From now on rows are written on condition of their versions and of the fence, or no more. */
+    void fenced(boolean now) {
+        fenced = now;
+    }
+
+    boolean fenced() {
+        return fenced;
+    }
+
+    /** The fence as the state service has it. */
+    void fenceKnown(long version, long number) {
+        fenceVersion = version;
+        fenceNumber = number;
+    }
+
+    /** The round that moved the fence is confirmed. */
+    void fenceMoved(long version) {
+        fenceKnown(version, fenceNumber + 1);
+    }
+
+    /** Whether rows may be written: not before the fence is known, nor while one is read back. */
+    boolean mayWrite() {
+        return fenceVersion >= 0 && unknown.isEmpty();
+    }
+
+    /** These rows are not as they were known, and are read back. */
+    void doubt(Collection<String> keys) {
+        unknown.addAll(keys);
+    }
+
+    /** A row as read back, version 0 if there is none. */
+    void readBack(String key, Row row, long version) {
+        unknown.remove(key);
+        if (key.equals(StoreKeys.FENCE)) {
+            fenceKnown(version, row instanceof Row.Fence fence ? fence.number() : 0);
+            return;
+        }
+        Booking booking = bookings.get(key.substring(StoreKeys.BOOKINGS.length()));
+        if (booking != null) {
+            booking.version = version;
+            booking.recorded = version > 0;
+        }
+    }
+
+    /**
+     * What a round that writes these has as conditions. Where a row has gone, its version alone does not tell it from one that never was: a
+     * put that arrives late would bring it back, and the next leader would wait for machines that were settled long ago. So whatever
+     * deletes a row moves the fence.
+     */
+    List<Transaction.Compare> conditions(List<Booking> written) {
+        List<Transaction.Compare> conditions = new ArrayList<>();
+        if (fenced && !written.isEmpty()) {
+            written.forEach(each -> conditions.add(new Transaction.Compare(StoreKeys.booking(each.name), each.version)));
+            conditions.add(new Transaction.Compare(StoreKeys.FENCE, fenceVersion));
+        }
+        return conditions;
+    }
+
+    /** What is written beside these: the fence, if one of them is deleted; null for nothing. */
+    Transaction.Write fence(List<Booking> written) {
+        return fenced && written.stream().anyMatch(each -> each.state == State.DONE)
+                ? new Transaction.Write(StoreKeys.FENCE, new Row.Fence(fenceNumber + 1), 0) : null;
+    }
+
     /** The name carries the token, so that no two leaders ever use the same one. */
     Booking claim(Offer offer, int count, long nowMicros) {
         Booking booking = new Booking("r-" + token + "-" + ++counter, offer.type(), offer.zone(), offer.spot(), count,
@@ -63,10 +144,11 @@
     }
 
     /** A booking of an earlier leader: whether its call went out is unknown. */
-    void load(String name, Row.Booking row, long nowMicros) {
+    void load(String name, Row.Booking row, long version, long nowMicros) {
         Booking booking = new Booking(name, row.type(), row.zone(), row.spot(), row.count(), nowMicros);
         booking.state = State.UNKNOWN;
         booking.recorded = true;
+        booking.version = version;
         bookings.put(name, booking);
     }
 
--- a/src/main/java/io/micatide/core/Row.java
+++ b/src/main/java/io/micatide/core/Row.java
@@ -1,6 +1,7 @@
 package io.micatide.core;
 
 import java.util.List;
+import java.util.Map;
 
 /** Values kept in the state service. */
 public sealed interface Row {
@@ -86,6 +87,38 @@
     record Run(String name, int segments, long jobs, long bytes) {
     }
 
+    /** How far each change of the stored state has come, by its name; a row among those of the jobs, so that all read it in one order with them. */
+    record Features(Map<String, String> stages) implements Row {
+        public Features {
+            stages = Map.copyOf(stages);
+        }
+    }
+
+    /**
+     * A controller that is there, attached to its lease.
+     *
+     * @param build its version, for operators
+     * @param knows names of the features that it can read and write
+     * @param acts version of {@link Features} by which it acts, 0 for none
+     * @param sinceWall time of day at which its process began
+     */
+    record Here(String build, List<String> knows, long acts, long sinceWall) implements Row {
+    }
+
+    /** What an operator asks for of a feature. */
+    enum Wish { NONE, HOLD, BACK }
+
+    record Ask(Wish wish) implements Row {
+    }
+
+    /** Moves with each round that deletes a booking, and is a condition of each that writes one. */
+    record Fence(long number) implements Row {
+    }
+
+    /** A part of what a leader has learned, for one that nobody told. */
+    record Learned(List<Hint> hints) implements Row {
+    }
+
     /** A segment of a run; {@code digest} covers its key too, so that no value is taken for another. */
     record Segment(String digest, byte[] packed) implements Row {
     }
--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -37,6 +37,7 @@
     /** When this process went on after it had stood still. */
     private long resumedMicros = Long.MIN_VALUE / 2;
     private long attemptCounter;
+    private long switchesVersion;
     private JobBook.Round inFlight;
     private double writeTokens;
     /** What one transaction may change; less once the state service has refused one. */
@@ -149,8 +150,24 @@
         }
     }
 
-    public void bookingLoaded(String name, Row.Booking row, long nowMicros) {
-        rentals.load(name, row, nowMicros);
+    public void bookingLoaded(String name, Row.Booking row, long version, long nowMicros) {
+        rentals.load(name, row, version, nowMicros);
+    }
+
+    /** The fence of the bookings as the state service has it, version 0 if there is none. */
+    public void fenceKnown(long version, long number) {
+        rentals.fenceKnown(version, number);
+    }
+
+    /**
+     * The switches of the stored forms.
+     *
+     * @param version of their row, a condition of what depends on them
+     * @param fenced whether bookings are written on condition of their versions and of their fence
+     */
+    public void switches(long version, boolean fenced) {
+        switchesVersion = version;
+        rentals.fenced(fenced);
     }
 
     /** Every controller reads the present layout: what an older one could not read may be written, on that condition. */
@@ -195,14 +212,30 @@
             for (String name : job.unsettledMachines) {
                 Machine machine = fleet.obtain(name, nowMicros);
                 machine.holdsUp = true;
-                machine.deleting |= hints.gone(name);
             }
-            hints.apply(job);
             settleCancelled(job, nowMicros);
         }
+        hintsKnown(nowMicros);
         recovery.rebuilt((int) fleet.machines().stream().filter(machine -> machine.holdsUp).count(), nowMicros);
     }
 
+    private void hintsKnown(long nowMicros) {
+        book.jobs().forEach(hints::apply);
+        for (Machine machine : fleet.machines()) {
+            machine.deleting |= machine.holdsUp && hints.gone(machine.name);
+            if (machine.confirmed) {
+                applyHint(machine, nowMicros);
+            }
+        }
+    }
+
+    private void applyHint(Machine machine, long nowMicros) {
+        MachineType type = machine.type == null ? null : fleet.types().get(machine.type);
+        if (type != null) {
+            hints.apply(machine, type.cacheGb(), nowMicros);
+        }
+    }
+
     /** The state service was asked at {@code askedMicros} and the answer is applied. */
     public void stateFresh(long askedMicros) {
         if (askedMicros >= resumedMicros) {
@@ -318,10 +351,7 @@
             machine.holdsUp = false;
             recovery.settled(nowMicros);
         }
-        MachineType type = machine.type == null ? null : fleet.types().get(machine.type);
-        if (type != null) {
-            hints.apply(machine, type.cacheGb(), nowMicros);
-        }
+        applyHint(machine, nowMicros);
         settle(machine.name, nowMicros);
     }
 
@@ -726,17 +756,25 @@
             return null;
         }
         List<Transaction.Write> writes = new ArrayList<>(extraWrites.subList(0, Math.min(extraWrites.size(), most / 2)));
-        List<Rentals.Booking> bookings = rentals.toWrite(Math.max(1, most / 2), nowMicros);
+        List<Rentals.Booking> bookings = rentals.mayWrite() ? rentals.toWrite(Math.max(1, most / 2), nowMicros) : List.of();
         for (Rentals.Booking booking : bookings) {
             writes.add(new Transaction.Write(StoreKeys.booking(booking.name),
                     booking.state == Rentals.State.DONE ? null
                             : new Row.Booking("claimed", booking.type, booking.zone, booking.spot, booking.count), 0));
         }
+        List<Transaction.Compare> conditions = rentals.conditions(bookings);
+        if (!conditions.isEmpty()) {
+            conditions.add(new Transaction.Compare(StoreKeys.FEATURES, switchesVersion));
+        }
+        Transaction.Write fence = rentals.fence(bookings);
+        if (fence != null) {
+            writes.add(fence);
+        }
         // Half of a second's writes are kept for what starts or ends a job. Counted from the changes that a transaction may
         // hold, as before, it came to two where that is five, and finished tasks took what starts then waited for.
         int later = (int) Math.max(0, Math.min(mostOps, writeTokens - rate / 2));
         JobBook.Round round = book.nextRound(nowMicros, wallMicros, most, later, bookings,
-                writes, (job, likely) -> planner.likely(job, likely, nowMicros));
+                writes, conditions, (job, likely) -> planner.likely(job, likely, nowMicros));
         if (round == null) {
             return null;
         }
@@ -765,8 +803,12 @@
             }
         }
         book.confirmed(round, revision, nowMicros);
+        if (round.transaction().writes().stream().anyMatch(write -> write.row() instanceof Row.Fence)) {
+            rentals.fenceMoved(revision);
+        }
         for (Rentals.Booking booking : round.bookings()) {
             booking.writing = false;
+            booking.version = booking.state == Rentals.State.DONE ? 0 : revision;
             booking.recorded = booking.state != Rentals.State.DONE;
             if (booking.state == Rentals.State.DONE) {
                 rentals.bookings.remove(booking.name);
@@ -802,12 +844,25 @@
         for (Rentals.Booking booking : round.bookings()) {
             booking.writing = false;
         }
+        rentals.doubt(failed.stream().filter(Rentals::owns).toList());
         return book.refusedBy(round, failed, nowMicros);
     }
 
     /** A key that a round was refused for was read back and taken in. */
     public void keyKnown(String key, long nowMicros) {
-        book.keyKnown(key, nowMicros);
+        if (!Rentals.owns(key)) {
+            book.keyKnown(key, nowMicros);
+        }
+    }
+
+    /** A booking or their fence as read back, null with version 0 if there is none. */
+    public void bookingReadBack(String key, Row row, long version) {
+        rentals.readBack(key, row, version);
+    }
+
+    /** Whether the key is that of a booking or of their fence. */
+    public static boolean isOfBookings(String key) {
+        return Rentals.owns(key);
     }
 
     /** The round was certainly not executed; nothing needs to be read. */
@@ -913,9 +968,21 @@
         return Hints.of(fleet, book.jobs(), runTimes, nowMicros);
     }
 
-    /** What the leader before had learned; to be told before {@link #loaded}. */
-    public void hinted(List<Hint> earlier) {
-        hints.take(earlier, runTimes);
+    /**
+     * What a leader before had learned.
+     *
+     * @param kept as rows keep it: older than what an heir was told, which it leaves as it is
+     */
+    public void hinted(List<Hint> earlier, boolean kept, long nowMicros) {
+        hints.take(earlier, kept, runTimes);
+        if (!loading) {
+            hintsKnown(nowMicros);
+        }
+    }
+
+    /** Of what lasts beyond a take-over without an heir: run times, suspicions, slow, faulty and returned machines. */
+    public List<Hint> lasting(long nowMicros) {
+        return Hints.lasting(hints(nowMicros));
     }
 
     /** Tasks done and running of every open job, for display. */
--- a/src/main/java/io/micatide/core/StoreKeys.java
+++ b/src/main/java/io/micatide/core/StoreKeys.java
@@ -16,6 +16,21 @@
     public static final String LAYOUT = JOBS + "layout";
     /** The manifest of the archive of final states, among the job rows for the same reason as the mark. */
     public static final String HISTORY = JOBS + "history";
+    /**
+     * How far each change of the stored state has come; written by the leader alone. Among the job rows for the same reason: it reaches each
+     * controller in one order with them, and a version that knows no such row cannot read past it.
+     */
+    public static final String FEATURES = JOBS + "features";
+    /** Who is there and what operators ask for: passed over by versions that know nothing of it. */
+    public static final String ROLLOUT = "rollout/";
+    /** A controller's registration, attached to its lease; written by that controller alone. */
+    public static final String HERE = ROLLOUT + "here/";
+    /** What an operator asks for of a feature; written by the command line. */
+    public static final String ASKED = ROLLOUT + "asked/";
+    /** The fence of the bookings; written by the leader alone. */
+    public static final String FENCE = "fence";
+    /** What leaders have learned; written by the leader alone. */
+    public static final String LEARNED = "learned/";
     /** Segments of the archive, by run and number; written by the leader alone and never changed. */
     public static final String SEGMENTS = "history/";
     /** Progress of open jobs; written by the leader alone. */
@@ -45,6 +60,14 @@
         return page == 0 ? LEDGERS + id : LEDGERS + id + "/" + page;
     }
 
+    public static String here(String label) {
+        return HERE + label;
+    }
+
+    public static String asked(String feature) {
+        return ASKED + feature;
+    }
+
     public static String booking(String name) {
         return BOOKINGS + name;
     }
--- a/src/main/java/io/micatide/core/Tuning.java
+++ b/src/main/java/io/micatide/core/Tuning.java
@@ -8,9 +8,11 @@
  * @param historyBatch how many finished jobs are worth a write of the archive
  * @param history whether this controller, when it leads, moves final states into the archive; all read it in any case
  * @param standby whether this controller follows a leader that asks it to, names others when it leads, and takes its turn
+ * @param rollout whether this controller, when it leads, moves changes of the stored state forward; every controller registers in any case
  * @param description whether the description of the users' interface is served
  */
-public record Tuning(long leaderLeaseMicros, long idleMicros, boolean history, int historyBatch, boolean standby, boolean description) {
+public record Tuning(long leaderLeaseMicros, long idleMicros, boolean history, int historyBatch, boolean standby, boolean description,
+        boolean rollout) {
     /**
      * Bursts come half a minute apart and a machine takes as long to boot: on 24 days of six deployments 35 s were worth 0.015
      * more than 20 s for 2 to 4% more money, and 50 s no more than 35.
@@ -36,6 +38,6 @@
      * tenths of that leave the rest for the claim and for workers that look for the leader.
      */
     public static Tuning defaults(Settings settings) {
-        return new Tuning(settings.leaseMicros() * 3 / 10, IDLE_MICROS, false, HISTORY_BATCH, false, false);
+        return new Tuning(settings.leaseMicros() * 3 / 10, IDLE_MICROS, false, HISTORY_BATCH, false, false, false);
     }
 }
--- /dev/null
+++ b/src/main/java/io/micatide/node/Archiving.java
@@ -0,0 +1,90 @@
+package io.micatide.node;
+
+import io.micatide.core.Micros;
+import io.micatide.core.Row;
+import io.micatide.core.Scheduler;
+import io.micatide.core.Tuning;
+import io.micatide.history.Archivist;
+import java.util.List;
+
+/** A term's part in the archive: begins to keep it once all is read, offers it what is over and tells it what the rate leaves. */
+final class Archiving {
+    private static final long ENDED_MICROS = Micros.SECOND;
+    /** A few finished jobs are archived after so long, lest the last of a busy day keep their rows. */
+    private static final long FEW_MICROS = 600 * Micros.SECOND;
+
+    private final LeaderActor owner;
+    private final Tuning tuning;
+    private final Scheduler scheduler;
+    private final UsersActor users;
+    private final ArchivistActor archivist;
+    private long historyVersion;
+    private Row.History history;
+    private boolean loaded;
+    private boolean archiving;
+    private long endedAskedMicros;
+    private long fewSinceMicros;
+
+    Archiving(LeaderActor owner, Tuning tuning, Scheduler scheduler, UsersActor users, ArchivistActor archivist) {
+        this.owner = owner;
+        this.tuning = tuning;
+        this.scheduler = scheduler;
+        this.users = users;
+        this.archivist = archivist;
+        this.fewSinceMicros = owner.now();
+    }
+
+    /** All that a leader reads is whole. */
+    void loaded() {
+        loaded = true;
+        archive();
+    }
+
+    /** The term is over. */
+    void end() {
+        archivist.tell(new ArchivistActor.End());
+        archiving = false;
+    }
+
+    void historySeen(long version, Row.History manifest) {
+        historyVersion = version;
+        history = manifest;
+        scheduler.historyKept();
+        archive();
+    }
+
+    /** Once all is read and there is an archive, and if this controller is to keep it. */
+    private void archive() {
+        if (tuning.history() && loaded && history != null && !archiving) {
+            archiving = true;
+            archivist.tell(new ArchivistActor.Begin(scheduler.token(), history, historyVersion));
+        }
+    }
+
+    /** Not at every tick: what is over can wait, and finding it goes over all open jobs. */
+    void tick(long now) {
+        if (!archiving) {
+            return;
+        }
+        long token = scheduler.token();
+        if (now - endedAskedMicros >= ENDED_MICROS) {
+            endedAskedMicros = now;
+            users.tell(new UsersActor.FindEnded(token));
+        }
+        archivist.tell(new ArchivistActor.Spare(token, scheduler.spareWrites(now)));
+    }
+
+    void endedFound(TermMessage.EndedFound message) {
+        if (!archiving) {
+            return;
+        }
+        List<Archivist.Ended> settled = message.ended().stream()
+                .filter(each -> each.outcome() == null || scheduler.settled(each.id())).toList();
+        long now = owner.now();
+        boolean anyway = now - fewSinceMicros >= FEW_MICROS;
+        if (anyway || settled.isEmpty() || settled.size() >= tuning.historyBatch()) {
+            fewSinceMicros = now;
+        }
+        archivist.tell(new ArchivistActor.Offer(message.token(), settled, message.copyOfVersion(), anyway));
+    }
+}
--- a/src/main/java/io/micatide/node/Claims.java
+++ b/src/main/java/io/micatide/node/Claims.java
@@ -9,6 +9,7 @@
 import io.micatide.net.StateClient;
 import io.micatide.wire.MalformedException;
 import io.micatide.wire.StateCodec;
+import java.util.ArrayList;
 import java.util.List;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -24,16 +25,18 @@
     private final String label;
     private final StateClient state;
     private final Leadership leadership;
+    private final Rollout rollout;
     private boolean watching;
     private long watchFrom;
     /** The lease that the row of this controller's former life is attached to, 0 once it is known to be none of that. */
     private long formerLease;
 
-    Claims(LeaderActor owner, String label, StateClient state, Leadership leadership) {
+    Claims(LeaderActor owner, String label, StateClient state, Leadership leadership, Rollout rollout) {
         this.owner = owner;
         this.label = label;
         this.state = state;
         this.leadership = leadership;
+        this.rollout = rollout;
     }
 
     /** The watch may be opened again. */
@@ -65,14 +68,17 @@
             state.watch(StoreKeys.LEADER, Math.max(leadership.rowVersion(), watchFrom), WATCH_MICROS,
                     owner.answer(LeaderActor.Watched::new));
         }
-        switch (leadership.next(now, waitsMicros)) {
+        // Whoever does not know what is stored leads nobody, and while that is not read nobody knows.
+        switch (leadership.next(now, rollout.mayLead() ? waitsMicros : Long.MAX_VALUE)) {
             case READ_ROW -> state.read(StoreKeys.LEADER, owner.answer(LeaderActor.RowRead::new));
             case GRANT_LEASE -> state.grant(leadership.ttlMicros(), owner.answer(r -> new LeaderActor.Granted(r, now)));
             case TOUCH -> state.touch(leadership.lease(), owner.answer(r -> new LeaderActor.Touched(r, now)));
             case CLAIM -> {
                 Row row = new Row.Leader(label);
+                List<Transaction.Compare> conditions = new ArrayList<>(rollout.claimConditions());
+                conditions.add(new Transaction.Compare(StoreKeys.LEADER, leadership.rowVersion()));
                 state.transaction(new Transaction(
-                        List.of(new Transaction.Compare(StoreKeys.LEADER, leadership.rowVersion())),
+                        conditions,
                         List.of(new Transaction.Write(StoreKeys.LEADER, row, leadership.lease()))),
                         owner.answer(LeaderActor.Claimed::new));
             }
@@ -138,6 +144,9 @@
             leadership.claimed(token);
             owner.begin(token, now);
         } else if (reply.status() == 409) {
+            if (StateCodec.failed(reply.body()).contains(StoreKeys.FEATURES)) {
+                rollout.newerThere(rollout.switches().version() + 1);
+            }
             leadership.claimRefused();
         } else if (reply.status() == 400) {
             leadership.leaseGone();
--- a/src/main/java/io/micatide/node/Controller.java
+++ b/src/main/java/io/micatide/node/Controller.java
@@ -9,6 +9,7 @@
 import io.micatide.net.Request;
 import io.micatide.net.StateClient;
 import io.micatide.wire.Description;
+import io.micatide.rollout.Abilities;
 import io.micatide.standby.Copy;
 import io.micatide.wire.Json;
 import io.micatide.wire.StateCodec;
@@ -29,15 +30,16 @@
 
     /** With another archivist, as a rehearsal plants it. */
     public Controller(Settings settings, Tuning tuning, Loop loop, Http.Connector connector, Archivist.Maker maker) {
-        this(settings, tuning, loop, connector, maker, Copy::new);
+        this(settings, tuning, loop, connector, maker, Copy::new, Abilities.ALL);
     }
 
-    /** With another copy for the standby too. */
-    public Controller(Settings settings, Tuning tuning, Loop loop, Http.Connector connector, Archivist.Maker maker, Copy.Maker copies) {
+    /** With another copy for the standby too, and with what a version can do. */
+    public Controller(Settings settings, Tuning tuning, Loop loop, Http.Connector connector, Archivist.Maker maker, Copy.Maker copies,
+            Abilities abilities) {
         StateClient state = new StateClient(settings, connector, loop::now);
         CloudClient cloud = new CloudClient(settings, connector, loop::now);
         this.users = new UsersActor(loop, settings, state, cloud, tuning.description() ? new Description() : null);
-        this.leader = new LeaderActor(loop, settings, tuning, state, cloud, users, connector, maker, copies);
+        this.leader = new LeaderActor(loop, settings, tuning, state, cloud, users, connector, maker, copies, abilities);
     }
 
     /** How this controller's term began, null if it does not lead. For rehearsals; on the loop. */
@@ -57,6 +59,7 @@
 
     /** Must be called on the loop. */
     public void start() {
+        users.tell(new UsersActor.SwitchesTo(leader));
         users.tell(new UsersActor.Load());
         leader.tell(new LeaderActor.LeaseTick());
         leader.tell(new LeaderActor.Tick());
--- a/src/main/java/io/micatide/node/JobRows.java
+++ b/src/main/java/io/micatide/node/JobRows.java
@@ -44,6 +44,8 @@
     private final List<Question> arriving = new ArrayList<>();
     private List<Question> asking = List.of();
     private final Set<String> doubts = new HashSet<>();
+    /** Is told of the switches, whether it leads or not. */
+    private LeaderActor switches;
     private LeaderActor leader;
     private boolean followPending;
     private boolean loaded;
@@ -67,6 +69,10 @@
         return loaded;
     }
 
+    void switchesTo(LeaderActor told) {
+        switches = told;
+    }
+
     /** The leader on this controller wants every change from now on. */
     void follow(LeaderActor newLeader) {
         leader = newLeader;
@@ -134,6 +140,8 @@
             }
         } else if (item.row() instanceof Row.History manifest) {
             historyKnown(item.version(), manifest);
+        } else if (item.row() instanceof Row.Features features) {
+            switches.tell(new LeaderActor.SwitchesSeen(item.version(), features));
         } else if (item.row() instanceof Row.JobRow row) {
             apply(name, row, item.version());
         } else if (item.row() instanceof Row.Needs needs) {
--- a/src/main/java/io/micatide/node/LeaderActor.java
+++ b/src/main/java/io/micatide/node/LeaderActor.java
@@ -18,6 +18,7 @@
 import io.micatide.net.Request;
 import io.micatide.net.Reply;
 import io.micatide.net.StateClient;
+import io.micatide.rollout.Abilities;
 import io.micatide.standby.Copy;
 import io.micatide.wire.Json;
 import io.micatide.wire.MalformedException;
@@ -33,7 +34,7 @@
  */
 final class LeaderActor extends Actor<LeaderActor.Message> {
     sealed interface Message permits Tick, LeaseTick, Report, PeerNews, JobSeen, JobsSeen, LayoutSeen, HistorySeen, StateFresh, RowRead,
-            Granted, Claimed, Touched, Watched, WatchDue, PeerAnswered, AskWarmth, HandedOver, End, FollowMessage, TermMessage {
+            Granted, Claimed, Touched, Watched, WatchDue, SwitchesSeen, SwitchesRead, OwnRowRead, Registered, PeerAnswered, AskWarmth, HandedOver, End, FollowMessage, TermMessage {
     }
 
     record Tick() implements Message {
@@ -62,6 +63,19 @@
     record HistorySeen(long version, Row.History manifest) implements Message {
     }
 
+    /** The switches, as the copy of the rows has them. */
+    record SwitchesSeen(long version, Row.Features row) implements Message {
+    }
+
+    record SwitchesRead(Reply reply) implements Message {
+    }
+
+    record OwnRowRead(Reply reply) implements Message {
+    }
+
+    record Registered(Reply reply) implements Message {
+    }
+
     record StateFresh(long askedMicros) implements Message {
     }
 
@@ -114,6 +128,7 @@
     private final Siblings siblings;
     private final Leadership leadership;
     private final Claims claims;
+    private final Rollout rollout;
     private final WorkerReach reach;
     private final CancelReach cancelReach;
     private final Following following;
@@ -125,7 +140,7 @@
     private Term term;
 
     LeaderActor(Loop loop, Settings settings, Tuning tuning, StateClient state, CloudClient cloud, UsersActor users,
-            Http.Connector connector, Archivist.Maker maker, Copy.Maker copies) {
+            Http.Connector connector, Archivist.Maker maker, Copy.Maker copies, Abilities abilities) {
         super(loop);
         this.loop = loop;
         this.settings = settings;
@@ -140,7 +155,8 @@
         this.reach = new WorkerReach(settings, now());
         this.cancelReach = new CancelReach(settings);
         this.leadership = new Leadership(settings.label(), tuning.leaderLeaseMicros());
-        this.claims = new Claims(this, settings.label(), state, leadership);
+        this.rollout = new Rollout(this, settings, abilities, state, users);
+        this.claims = new Claims(this, settings.label(), state, leadership, rollout);
         StandbyActor standby = tuning.standby() ? new StandbyActor(loop, settings, state, users, this, copies) : null;
         this.following = new Following(this, settings, siblings, claims, standby, now());
     }
@@ -181,6 +197,16 @@
             peerAnswered(m);
         } else if (message instanceof WatchDue) {
             claims.watchDue();
+        } else if (message instanceof SwitchesSeen m) {
+            rollout.seen(m.version(), m.row());
+        } else if (message instanceof SwitchesRead m) {
+            rollout.switchesRead(m.reply());
+            advance();
+        } else if (message instanceof OwnRowRead m) {
+            rollout.ownRowRead(m.reply());
+            advance();
+        } else if (message instanceof Registered m) {
+            rollout.registered(m.reply());
         } else if (message instanceof JobSeen || message instanceof JobsSeen || message instanceof LayoutSeen
                 || message instanceof HistorySeen || message instanceof StateFresh) {
             if (term != null) {
@@ -209,9 +235,17 @@
             handOver.advance(now);
             return;
         }
+        rollout.advance(leadership.lease(), now);
         claims.advance(now, following.waits(reach.reached(now), now));
     }
 
+    /** The switches are not as they were. */
+    void switchesChanged() {
+        if (term != null) {
+            term.switchesChanged();
+        }
+    }
+
     /** What the copy of the job rows tells a leader. */
     private void rowsSeen(Message message) {
         if (message instanceof JobSeen m) {
@@ -219,9 +253,9 @@
         } else if (message instanceof JobsSeen m) {
             term.jobsSeen(m.jobs());
         } else if (message instanceof LayoutSeen m) {
-            term.marks().layoutSeen(m.version(), m.layout());
+            term.layoutSeen(m.version(), m.layout());
         } else if (message instanceof HistorySeen m) {
-            term.marks().historySeen(m.version(), m.manifest());
+            term.historySeen(m.version(), m.manifest());
         } else if (message instanceof StateFresh m) {
             cancelReach.fresh(m.askedMicros());
             term.stateFresh(m.askedMicros());
@@ -281,7 +315,8 @@
         tooLong = false;
         term = new Term(this, users, scheduler, new TakeOver(loop, state, this, following.standby(), token),
                 new Rounds(this, scheduler, state, users), new CloudDesk(this, scheduler, cloud, state, users),
-                new Marks(this, settings, tuning, scheduler, state, users, archivist),
+                new Steps(this, settings, tuning, scheduler, state, users, rollout),
+                new Archiving(this, tuning, scheduler, users, archivist), new Learning(this, settings, scheduler, state, rollout),
                 new Greeter(this, settings, scheduler, connector, following.handedOver(now)));
         term.begin();
     }
@@ -323,7 +358,8 @@
     }
 
     private Siblings.Now newsOf(long now) {
-        return new Siblings.Now(term.token(), state.reach().reached(now), reach.silentMicros(now), following.appoint(now));
+        return new Siblings.Now(term.token(), state.reach().reached(now), reach.silentMicros(now), following.appoint(now),
+                rollout.switches().version());
     }
 
     // ---- workers
@@ -388,6 +424,7 @@
             if (news.token() == leadership.highestToken()) {
                 reach.leaderSilent(news.silentMicros(), now);
             }
+            rollout.newerThere(news.switches());
             if (news.stateServed()) {
                 state.reach().siblingServed(now);
             }
@@ -450,7 +487,6 @@
             if (term != null && term.token() == message.token()) {
                 cancelReach.heard(message.sibling(), answer.served(), now);
                 following.heard(message.sibling(), answer, now);
-                term.marks().heard(message.sibling(), answer.layout());
             }
         } catch (MalformedException e) {
             log.error("sibling: {}", e.getMessage());
--- /dev/null
+++ b/src/main/java/io/micatide/node/Learning.java
@@ -0,0 +1,106 @@
+package io.micatide.node;
+
+import io.micatide.core.Hint;
+import io.micatide.core.Micros;
+import io.micatide.core.Row;
+import io.micatide.core.Scheduler;
+import io.micatide.core.Settings;
+import io.micatide.core.StoreKeys;
+import io.micatide.core.Transaction;
+import io.micatide.net.StateClient;
+import io.micatide.rollout.Feature;
+import io.micatide.wire.StateCodec;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A term's part in what is learned: keeps run times, suspicions, slow, faulty and returned machines in a few rows, so that a leader that nobody
+ * told knows them too. One row at a time, only what changed, and only with changes that rounds and users leave over. As hints these rows
+ * speed up and never allow.
+ */
+final class Learning {
+    /** All of them in a minute and no more than a change each two seconds. */
+    private static final long EVERY_MICROS = 2 * Micros.SECOND;
+    private static final List<String> KEYS = List.of(StoreKeys.LEARNED + "classes", StoreKeys.LEARNED + "jobs", StoreKeys.LEARNED + "machines");
+    /** What the frame of a row takes. */
+    private static final int FRAME_BYTES = 32;
+
+    private final LeaderActor owner;
+    private final Settings settings;
+    private final Scheduler scheduler;
+    private final StateClient state;
+    private final Rollout rollout;
+    private final Map<String, Row.Learned> stored = new HashMap<>();
+    private boolean writing;
+    private int next;
+    private long triedMicros = Long.MIN_VALUE / 2;
+
+    Learning(LeaderActor owner, Settings settings, Scheduler scheduler, StateClient state, Rollout rollout) {
+        this.owner = owner;
+        this.settings = settings;
+        this.scheduler = scheduler;
+        this.state = state;
+        this.rollout = rollout;
+    }
+
+    /** A row as an earlier leader left it. */
+    void found(String key, Row.Learned row) {
+        stored.put(key, row);
+    }
+
+    void tick(long now) {
+        if (writing || now - triedMicros < EVERY_MICROS || !rollout.switches().on(Feature.LEARNED)) {
+            return;
+        }
+        triedMicros = now;
+        List<Hint> lasting = scheduler.lasting(now);
+        for (int tries = 0; tries < KEYS.size(); tries++) {
+            String key = KEYS.get(next);
+            next = (next + 1) % KEYS.size();
+            Row.Learned row = row(key, lasting);
+            if (!row.equals(stored.getOrDefault(key, new Row.Learned(List.of())))) {
+                if (scheduler.spareWrites(now) >= 1) {
+                    write(key, row);
+                }
+                return;
+            }
+        }
+    }
+
+    /** As much as a value takes; what is left out is learned anew. */
+    private Row.Learned row(String key, List<Hint> lasting) {
+        List<Hint> hints = new ArrayList<>();
+        int bytes = FRAME_BYTES;
+        for (Hint hint : lasting) {
+            if (key.equals(KEYS.get(hint instanceof Hint.OfClass ? 0 : hint instanceof Hint.OfJob ? 1 : 2))) {
+                bytes += StateCodec.size(new Row.Learned(List.of(hint)));
+                if (bytes > settings.writableBytes()) {
+                    break;
+                }
+                hints.add(hint);
+            }
+        }
+        return new Row.Learned(List.copyOf(hints));
+    }
+
+    private void write(String key, Row.Learned row) {
+        long token = scheduler.token();
+        writing = true;
+        scheduler.spent(1);
+        state.transaction(new Transaction(
+                List.of(new Transaction.Compare(StoreKeys.LEADER, token),
+                        new Transaction.Compare(StoreKeys.FEATURES, rollout.switches().version())),
+                List.of(new Transaction.Write(key, row, 0))),
+                owner.answer(r -> new TermMessage.LearnedStored(r, token, key, row)));
+    }
+
+    /** Without an answer it is written again: it is the latest that counts, and only this leader writes. */
+    void stored(TermMessage.LearnedStored message) {
+        writing = false;
+        if (message.reply().ok()) {
+            found(message.key(), message.row());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/io/micatide/node/Rollout.java
@@ -0,0 +1,170 @@
+package io.micatide.node;
+
+import io.micatide.core.Micros;
+import io.micatide.core.Row;
+import io.micatide.core.Settings;
+import io.micatide.core.StoreKeys;
+import io.micatide.core.Transaction;
+import io.micatide.net.Reply;
+import io.micatide.net.StateClient;
+import io.micatide.rollout.Abilities;
+import io.micatide.rollout.Registration;
+import io.micatide.rollout.Switches;
+import io.micatide.wire.MalformedException;
+import io.micatide.wire.StateCodec;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The switches as this controller has them, and its registration. Does not lead before it has read them, and neither leads nor serves while
+ * they name what this version does not know. Part of the leader's actor.
+ */
+final class Rollout {
+    private static final Logger LOG = LoggerFactory.getLogger(LeaderActor.class);
+    private static final long RETRY_MICROS = 300 * Micros.MILLISECOND;
+    private static final long SAID_MICROS = 30 * Micros.SECOND;
+
+    private final LeaderActor owner;
+    private final StateClient state;
+    private final UsersActor users;
+    private final Abilities abilities;
+    private final Switches switches;
+    private final Registration registration;
+    private boolean reading;
+    private long readAgainMicros = Long.MIN_VALUE / 2;
+    /** A version of the switches that somebody knows of; read if it is newer. */
+    private long heardOf;
+    private boolean blocked;
+    private long saidMicros = Long.MIN_VALUE / 2;
+
+    Rollout(LeaderActor owner, Settings settings, Abilities abilities, StateClient state, UsersActor users) {
+        this.owner = owner;
+        this.state = state;
+        this.users = users;
+        this.abilities = abilities;
+        this.switches = new Switches(abilities);
+        this.registration = new Registration(settings.label(), Build.name(), abilities, owner.wall());
+    }
+
+    Switches switches() {
+        return switches;
+    }
+
+    /** Whether this version takes part at all. */
+    boolean registers() {
+        return abilities.registers();
+    }
+
+    /** Whether it may lead as far as the stored forms go: they are known, and this version reads all of them. */
+    boolean mayLead() {
+        return !abilities.registers() || switches.known() && !blocked;
+    }
+
+    /** What a claim has as a condition. */
+    List<Transaction.Compare> claimConditions() {
+        return abilities.registers() ? List.of(new Transaction.Compare(StoreKeys.FEATURES, switches.version())) : List.of();
+    }
+
+    /** A claim or a registration is refused by the switches, or a sibling's news tell of newer ones. */
+    void newerThere(long version) {
+        heardOf = Math.max(heardOf, version);
+    }
+
+    /** The switches as the copy of the job rows, a read or an own step shows them. */
+    void seen(long version, Row.Features row) {
+        if (!switches.seen(version, row)) {
+            return;
+        }
+        List<String> unknown = switches.unknown();
+        if (!unknown.isEmpty() && !blocked) {
+            LOG.error("does not serve: the deployment uses {}, which this version does not know. Start a version that does, or take it back"
+                    + " with `micatide rollout back`", String.join(", ", unknown));
+        } else if (unknown.isEmpty() && blocked) {
+            LOG.info("serves again: all that the deployment uses is known");
+        }
+        blocked = !unknown.isEmpty();
+        users.tell(new UsersActor.Blocked(blocked));
+        owner.switchesChanged();
+    }
+
+    /** Called every so often. */
+    void advance(long lease, long now) {
+        if (!abilities.registers()) {
+            return;
+        }
+        if ((!switches.known() || heardOf > switches.version()) && !reading && now >= readAgainMicros) {
+            reading = true;
+            state.read(StoreKeys.FEATURES, owner.answer(LeaderActor.SwitchesRead::new));
+        }
+        if (blocked && now - saidMicros >= SAID_MICROS) {
+            saidMicros = now;
+            LOG.warn("waits, and does not serve, because of {}", String.join(", ", switches.unknown()));
+        }
+        switch (registration.next(blocked ? 0 : lease, switches.version(), now)) {
+            case READ -> state.read(registration.key(), owner.answer(LeaderActor.OwnRowRead::new));
+            case PUT -> {
+                Transaction put = registration.put();
+                state.transaction(put, owner.answer(LeaderActor.Registered::new));
+            }
+            case NOTHING -> {
+            }
+        }
+    }
+
+    void switchesRead(Reply reply) {
+        reading = false;
+        try {
+            if (reply.ok()) {
+                StateCodec.Item item = StateCodec.item(reply.body());
+                seen(item.version(), (Row.Features) item.row());
+                heardOf = Math.min(heardOf, item.version());
+                return;
+            }
+            if (reply.status() == 404) {
+                seen(0, new Row.Features(Map.of()));
+                return;
+            }
+        } catch (MalformedException e) {
+            LOG.error("switches: {}", e.getMessage());
+        }
+        readAgainMicros = owner.now() + RETRY_MICROS;
+    }
+
+    void ownRowRead(Reply reply) {
+        try {
+            if (reply.ok()) {
+                registration.read(StateCodec.item(reply.body()).version());
+                return;
+            }
+        } catch (MalformedException e) {
+            LOG.error("registration: {}", e.getMessage());
+        }
+        if (reply.status() == 404) {
+            registration.read(0);
+        } else {
+            registration.failed(owner.now());
+        }
+    }
+
+    void registered(Reply reply) {
+        long now = owner.now();
+        try {
+            if (reply.ok()) {
+                registration.registered(StateCodec.revision(reply.body()));
+                return;
+            }
+            if (reply.status() == 409 && StateCodec.failed(reply.body()).contains(StoreKeys.FEATURES)) {
+                newerThere(switches.version() + 1);
+            }
+        } catch (MalformedException e) {
+            LOG.error("registration: {}", e.getMessage());
+        }
+        if (reply.notExecuted()) {
+            registration.failed(now);
+        } else {
+            registration.unclear(now);
+        }
+    }
+}
--- a/src/main/java/io/micatide/node/Rounds.java
+++ b/src/main/java/io/micatide/node/Rounds.java
@@ -162,7 +162,10 @@
     /** What a key holds now; false if the state service did not say. */
     private boolean takeIn(String key, Reply reply) {
         try {
-            if (reply.ok()) {
+            if (Scheduler.isOfBookings(key) && (reply.ok() || reply.status() == 404)) {
+                StateCodec.Item item = reply.ok() ? StateCodec.item(reply.body()) : null;
+                scheduler.bookingReadBack(key, item == null ? null : item.row(), item == null ? 0 : item.version());
+            } else if (reply.ok()) {
                 StateCodec.Item item = StateCodec.item(reply.body());
                 if (item.row() instanceof Row.Ledger ledger) {
                     scheduler.ledgerReadBack(item.key(), ledger, item.version());
--- a/src/main/java/io/micatide/node/Siblings.java
+++ b/src/main/java/io/micatide/node/Siblings.java
@@ -24,7 +24,7 @@
     private static final int NEWS_JOBS = 1_000;
 
     /** What the news of this moment say beside the counts. */
-    record Now(long token, boolean stateServed, long silentMicros, List<String> heirs) {
+    record Now(long token, boolean stateServed, long silentMicros, List<String> heirs, long switches) {
     }
 
     private final LeaderActor owner;
@@ -100,7 +100,7 @@
 
     private void tell(int sibling, Now what, boolean first, List<JobProgress> jobs) {
         siblings.get(sibling).post("/news", PeerCodec.news(new PeerCodec.News(what.token(), settings.label(),
-                what.stateServed(), what.silentMicros(), what.heirs(), first, jobs)), Http.PATIENCE_MICROS,
+                what.stateServed(), what.silentMicros(), what.heirs(), first, jobs, what.switches())), Http.PATIENCE_MICROS,
                 owner.answer(r -> new LeaderActor.PeerAnswered(r, what.token(), sibling)));
     }
 }
--- a/src/main/java/io/micatide/node/TakeOver.java
+++ b/src/main/java/io/micatide/node/TakeOver.java
@@ -59,6 +59,8 @@
     protected void receive(Message message) {
         if (message instanceof Begin) {
             tell(new Read(StoreKeys.TYPES, null));
+            tell(new Read(StoreKeys.FENCE, null));
+            tell(new Read(StoreKeys.LEARNED, null));
             if (standby != null) {
                 standby.tell(new StandbyActor.Bring(token, this));
             } else {
@@ -76,7 +78,7 @@
                 give(m);
             }
         } else if (message instanceof Read m) {
-            if (m.prefix().equals(StoreKeys.TYPES)) {
+            if (m.prefix().equals(StoreKeys.TYPES) || m.prefix().equals(StoreKeys.FENCE)) {
                 state.read(m.prefix(), answer(r -> new Answered(r, m)));
             } else {
                 state.list(m.prefix(), m.after(), answer(r -> new Answered(r, m)));
@@ -107,6 +109,8 @@
         try {
             if (message.asked().prefix().equals(StoreKeys.TYPES)) {
                 types(message.asked(), message.reply());
+            } else if (message.asked().prefix().equals(StoreKeys.FENCE)) {
+                fence(message.asked(), message.reply());
             } else {
                 page(message.asked(), message.reply());
             }
@@ -127,6 +131,15 @@
         leader.tell(new TermMessage.PartLoaded(token));
     }
 
+    /** Not a part that the term waits for: only bookings do. */
+    private void fence(Read asked, Reply reply) {
+        if (reply.ok() || reply.status() == 404) {
+            leader.tell(new TermMessage.FenceRead(reply, token));
+        } else {
+            tellLater(asked, RETRY_MICROS);
+        }
+    }
+
     private void page(Read asked, Reply reply) throws MalformedException {
         if (!reply.ok()) {
             tellLater(asked, RETRY_MICROS);
@@ -136,7 +149,8 @@
         leader.tell(new TermMessage.RowsLoaded(token, page.items()));
         if (page.more() && !page.items().isEmpty()) {
             tell(new Read(asked.prefix(), page.items().get(page.items().size() - 1).key()));
-        } else {
+        } else if (!asked.prefix().equals(StoreKeys.LEARNED)) {
+            // What was learned is waited for by nobody.
             leader.tell(new TermMessage.PartLoaded(token));
         }
     }
--- a/src/main/java/io/micatide/node/Term.java
+++ b/src/main/java/io/micatide/node/Term.java
@@ -11,6 +11,8 @@
 import io.micatide.core.Scheduler;
 import io.micatide.core.StoreKeys;
 import io.micatide.core.TakeOverTimes;
+import io.micatide.net.Reply;
+import io.micatide.wire.MalformedException;
 import io.micatide.wire.StateCodec;
 import java.util.List;
 import org.slf4j.Logger;
@@ -29,21 +31,25 @@
     private final TakeOver takeOver;
     private final Rounds rounds;
     private final CloudDesk cloud;
-    private final Marks marks;
+    private final Steps steps;
+    private final Archiving archiving;
+    private final Learning learning;
     private final Greeter greeter;
     /** What still has to be read before the scheduler may act. */
     private int loading = PARTS;
     private long summaryMicros;
 
     Term(LeaderActor owner, UsersActor users, Scheduler scheduler, TakeOver takeOver, Rounds rounds, CloudDesk cloud,
-            Marks marks, Greeter greeter) {
+            Steps steps, Archiving archiving, Learning learning, Greeter greeter) {
         this.owner = owner;
         this.users = users;
         this.scheduler = scheduler;
         this.takeOver = takeOver;
         this.rounds = rounds;
         this.cloud = cloud;
-        this.marks = marks;
+        this.steps = steps;
+        this.archiving = archiving;
+        this.learning = learning;
         this.greeter = greeter;
     }
 
@@ -63,7 +69,7 @@
     }
 
     void end() {
-        marks.end();
+        archiving.end();
         users.tell(new UsersActor.Unfollow());
     }
 
@@ -87,8 +93,17 @@
         scheduler.stateFresh(askedMicros);
     }
 
-    Marks marks() {
-        return marks;
+    void layoutSeen(long version, Row.Layout layout) {
+        steps.layoutSeen(version, layout);
+    }
+
+    void historySeen(long version, Row.History manifest) {
+        steps.historySeen();
+        archiving.historySeen(version, manifest);
+    }
+
+    void switchesChanged() {
+        steps.switchesChanged();
     }
 
     TakeOverTimes takeOver() {
@@ -133,17 +148,25 @@
         } else if (message instanceof TermMessage.RowsLoaded m) {
             rowsLoaded(m.rows());
         } else if (message instanceof TermMessage.HintsKept m) {
-            scheduler.hinted(m.hints());
+            scheduler.hinted(m.hints(), false, owner.now());
         } else if (message instanceof TermMessage.PartLoaded) {
             loadedOne();
         } else if (message instanceof TermMessage.EndedFound m) {
-            marks.endedFound(m);
+            archiving.endedFound(m);
         } else if (message instanceof TermMessage.Spent m) {
             scheduler.spent(m.writes());
         } else if (message instanceof TermMessage.HistoryBegun m) {
-            marks.historyBegun(m);
+            steps.historyBegun(m);
         } else if (message instanceof TermMessage.LayoutMarked m) {
-            marks.layoutMarked(m);
+            steps.layoutMarked(m);
+        } else if (message instanceof TermMessage.RosterRead m) {
+            steps.rosterRead(m.reply());
+        } else if (message instanceof TermMessage.Stepped m) {
+            steps.featuresStepped(m);
+        } else if (message instanceof TermMessage.FenceRead m) {
+            fenceRead(m.reply());
+        } else if (message instanceof TermMessage.LearnedStored m) {
+            learning.stored(m);
         }
     }
 
@@ -168,8 +191,25 @@
             if (item.row() instanceof Row.Ledger ledger) {
                 scheduler.ledgerLoaded(item.key(), ledger, item.version(), now);
             } else if (item.row() instanceof Row.Booking booking) {
-                scheduler.bookingLoaded(item.key().substring(StoreKeys.BOOKINGS.length()), booking, now);
+                scheduler.bookingLoaded(item.key().substring(StoreKeys.BOOKINGS.length()), booking, item.version(), now);
+            } else if (item.row() instanceof Row.Learned learned) {
+                learning.found(item.key(), learned);
+                scheduler.hinted(learned.hints(), true, now);
+            }
+        }
+    }
+
+    /** Bookings are written once their fence is known; nothing else waits for it. */
+    private void fenceRead(Reply reply) {
+        try {
+            if (reply.ok()) {
+                StateCodec.Item item = StateCodec.item(reply.body());
+                scheduler.fenceKnown(item.version(), ((Row.Fence) item.row()).number());
+            } else if (reply.status() == 404) {
+                scheduler.fenceKnown(0, 0);
             }
+        } catch (MalformedException e) {
+            LOG.error("fence of the bookings: {}", e.getMessage());
         }
     }
 
@@ -178,7 +218,8 @@
             long now = owner.now();
             scheduler.loaded(now);
             LOG.info("term {} rebuilt: {}", token(), scheduler.summary(now));
-            marks.loaded();
+            steps.loaded();
+            archiving.loaded();
         }
     }
 
@@ -189,7 +230,9 @@
         greeter.next(now);
         scheduler.tick(now);
         rounds.next(now);
-        marks.keepArchive(now);
+        steps.tick(now);
+        archiving.tick(now);
+        learning.tick(now);
         for (CloudCall call : scheduler.cloudCalls(now)) {
             cloud.call(call, now);
         }
--- a/src/main/java/io/micatide/node/TermMessage.java
+++ b/src/main/java/io/micatide/node/TermMessage.java
@@ -44,6 +44,19 @@
     record HistoryBegun(Reply reply, long token) implements TermMessage {
     }
 
+    /** Who is registered and what operators ask for. */
+    record RosterRead(Reply reply, long token) implements TermMessage {
+    }
+
+    record Stepped(Reply reply, long token, Row.Features row, List<String> moves) implements TermMessage {
+    }
+
+    record FenceRead(Reply reply, long token) implements TermMessage {
+    }
+
+    record LearnedStored(Reply reply, long token, String key, Row.Learned row) implements TermMessage {
+    }
+
     record LayoutMarked(Reply reply, long token, Row.Layout layout) implements TermMessage {
     }
 
--- a/src/main/java/io/micatide/node/UsersActor.java
+++ b/src/main/java/io/micatide/node/UsersActor.java
@@ -100,6 +100,14 @@
     record KeepUp() implements Message {
     }
 
+    /** Whether what is stored is of a form that this version does not know. */
+    record Blocked(boolean now) implements Message {
+    }
+
+    /** Who is told of the switches. */
+    record SwitchesTo(LeaderActor leader) implements Message {
+    }
+
     /** This process ends: users are sent to the others. */
     record Closing() implements Message {
     }
@@ -114,6 +122,7 @@
     /** How often a question that met a change of the archive is tried again before its user is asked to come back. */
     static final int MOST_TRIES = 4;
     static final byte[] UNAVAILABLE = Json.error(null, "the state service does not answer");
+    private static final byte[] BLOCKED = Json.error(null, "this version does not know what is stored; another controller answers");
     private static final byte[] ENDING = Json.error(null, "this controller ends; another one answers");
     static final byte[] BUSY = Json.error(null, "too many requests");
     private static final byte[] STARTING = Json.error(null, "starting");
@@ -133,6 +142,7 @@
     private final Cancellations cancellations;
     private boolean typesAsked;
     private boolean closing;
+    private boolean blocked;
 
     /** @param description what is served of the interface itself, null for nothing */
     UsersActor(Loop loop, Settings settings, StateClient state, CloudClient cloud, Description description) {
@@ -190,6 +200,10 @@
             rows.unfollow();
         } else if (message instanceof KeepUp) {
             rows.keepUp();
+        } else if (message instanceof Blocked m) {
+            blocked = m.now();
+        } else if (message instanceof SwitchesTo m) {
+            rows.switchesTo(m.leader());
         } else if (message instanceof Closing) {
             closing = true;
         } else if (message instanceof Stored m) {
@@ -277,6 +291,10 @@
             request.answerAndClose(503, ENDING, 1);
             return;
         }
+        if (blocked) {
+            request.answerAndClose(503, BLOCKED, 5);
+            return;
+        }
         String path = request.path();
         int query = path.indexOf('?');
         if (query >= 0) {
--- a/src/main/java/io/micatide/rehearsal/Deployment.java
+++ b/src/main/java/io/micatide/rehearsal/Deployment.java
@@ -10,6 +10,7 @@
 import io.micatide.history.Archivist;
 import io.micatide.net.Http;
 import io.micatide.node.Controller;
+import io.micatide.rollout.Abilities;
 import io.micatide.standby.Copy;
 import io.micatide.wire.CloudSide;
 import io.micatide.wire.MalformedException;
@@ -42,6 +43,16 @@
             return new Copy(prefix, mostBytes);
         }
 
+        /** What its version can do. */
+        default Abilities abilities(int controller) {
+            return Abilities.ALL;
+        }
+
+        /** What a controller reaches an endpoint by. */
+        default Http reaches(int controller, String endpoint, Http http) {
+            return http;
+        }
+
         /** A controller was started, at the beginning or again. */
         default void started(int number, Controller controller) {
         }
@@ -95,7 +106,8 @@
         VirtualTime.Process process = time.new Process();
         processes.set(number, process);
         Controller controller = new Controller(plan.settings(number), plan.tuning(number), process,
-                (endpoint, most) -> network.from(process, endpoint), Archivist::new, plan::copy);
+                (endpoint, most) -> plan.reaches(number, endpoint, network.from(process, endpoint)), Archivist::new, plan::copy,
+                plan.abilities(number));
         controllers.set(number, controller);
         network.listen("c" + number, process, controller::handle);
         network.listen("p" + number, process, controller::handlePeer);
--- a/src/main/java/io/micatide/rehearsal/LocalService.java
+++ b/src/main/java/io/micatide/rehearsal/LocalService.java
@@ -86,7 +86,7 @@
         }
         gangs = new Gangs(time, settings.get(0));
         Tuning defaults = Tuning.defaults(settings.get(0));
-        tuning = new Tuning(defaults.leaderLeaseMicros(), defaults.idleMicros(), true, defaults.historyBatch(), true, description);
+        tuning = new Tuning(defaults.leaderLeaseMicros(), defaults.idleMicros(), true, defaults.historyBatch(), true, description, true);
         for (int i = 0; i < controllers; i++) {
             nodes.add(new Node(settings.get(i), tuning));
             nodes.get(i).start();
--- a/src/main/java/io/micatide/rehearsal/TakeOverMeasure.java
+++ b/src/main/java/io/micatide/rehearsal/TakeOverMeasure.java
@@ -91,7 +91,7 @@
         Settings settings = settings(number);
         Tuning defaults = Tuning.defaults(settings);
         return new Tuning(standby ? Tuning.leaseWithStandby(settings) : defaults.leaderLeaseMicros(), 600 * Micros.SECOND, true,
-                defaults.historyBatch(), standby, false);
+                defaults.historyBatch(), standby, false, false);
     }
 
     public static void main(String[] args) {
--- /dev/null
+++ b/src/main/java/io/micatide/rollout/Feature.java
@@ -0,0 +1,64 @@
+package io.micatide.rollout;
+
+import java.util.List;
+
+/**
+ * The changes of the stored state that this version knows. A new one is a line here, and whatever it writes has the row of the switches as a
+ * condition; it may not be taken off this list while a deployment may have it above {@link Stage#OFF}.
+ */
+public enum Feature {
+    /** Jobs that need others, machines' names in short: the mark {@code job/layout}. Older than the switches, and without a way back. */
+    NEEDS("needs", true, Stage.OFF, Stage.CLEAN),
+    /** Final states in the archive: the manifest {@code job/history}. Likewise. */
+    HISTORY("history", true, Stage.OFF, Stage.CLEAN),
+    /** Bookings are written on condition of their own version and of a fence, so that no late write brings one back. */
+    BOOKING_FENCE("booking-fence", false, Stage.OFF, Stage.READ, Stage.ON),
+    /** What a leader has learned is kept in rows under {@code learned/} for one that nobody told. */
+    LEARNED("learned", false, Stage.OFF, Stage.READ, Stage.ON);
+
+    private final String key;
+    private final boolean mark;
+    private final List<Stage> path;
+
+    Feature(String key, boolean mark, Stage... path) {
+        this.key = key;
+        this.mark = mark;
+        this.path = List.of(path);
+    }
+
+    /** Its name in the state service and for operators. */
+    public String key() {
+        return key;
+    }
+
+    /** Whether a row of its own tells its stage, which versions without switches read, instead of the row of the switches. */
+    public boolean isMark() {
+        return mark;
+    }
+
+    public List<Stage> path() {
+        return path;
+    }
+
+    /** The feature of that name, null if this version knows none. */
+    public static Feature of(String key) {
+        for (Feature each : values()) {
+            if (each.key.equals(key)) {
+                return each;
+            }
+        }
+        return null;
+    }
+
+    /** The stage after this one, null after the last. */
+    public Stage next(Stage now) {
+        int at = path.indexOf(now);
+        return at >= 0 && at + 1 < path.size() ? path.get(at + 1) : null;
+    }
+
+    /** The stage before this one; null before the first, and of what is gone for good. */
+    public Stage before(Stage now) {
+        int at = path.indexOf(now);
+        return at > 0 && now != Stage.CLEAN ? path.get(at - 1) : null;
+    }
+}
--- /dev/null
+++ b/src/main/java/io/micatide/rollout/Plan.java
@@ -0,0 +1,49 @@
+package io.micatide.rollout;
+
+import io.micatide.core.Row;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * What the leader does next about the features that the switches tell of: the stages after the step and what moves, or what it waits for.
+ * Features that may go together do.
+ *
+ * @param row the switches after the step, null if there is nothing to do now
+ * @param moves what the step does, for the log
+ * @param waits what is in the way of features that are not where they should be, by name
+ */
+public record Plan(Row.Features row, List<String> moves, List<String> waits) {
+    /** @param forward whether this leader is to move features forward; back, an operator asks for in any case */
+    public static Plan of(Switches switches, Roster roster, boolean forward) {
+        Map<String, String> stages = new TreeMap<>(switches.row().stages());
+        List<String> moves = new ArrayList<>();
+        List<String> waits = new ArrayList<>();
+        List<String> behind = roster.behind(switches.version());
+        for (Feature feature : Feature.values()) {
+            if (feature.isMark()) {
+                continue;
+            }
+            Stage now = switches.stage(feature);
+            Row.Wish wish = roster.asked(feature);
+            Stage to = wish == Row.Wish.BACK ? feature.before(now) : wish == Row.Wish.HOLD || !forward ? null : feature.next(now);
+            if (to == null) {
+                if (wish == Row.Wish.HOLD && feature.next(now) != null) {
+                    waits.add(feature.key() + " is held at " + now);
+                }
+                continue;
+            }
+            // Back to where nobody needs to know it asks nobody; all other steps need everyone.
+            List<String> missing = new ArrayList<>(to == Stage.OFF ? List.of() : roster.missing(feature));
+            missing.addAll(behind);
+            if (missing.isEmpty()) {
+                stages.put(feature.key(), to.name());
+                moves.add(feature.key() + " from " + now + " to " + to);
+            } else {
+                waits.add(feature.key() + " waits to go to " + to + ": " + String.join(", ", missing));
+            }
+        }
+        return new Plan(moves.isEmpty() ? null : new Row.Features(stages), moves, waits);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/micatide/rollout/Switches.java
@@ -0,0 +1,77 @@
+package io.micatide.rollout;
+
+import io.micatide.core.Row;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The row of the switches as this controller has it. Never goes back: of two versions that it is told, the newer one counts, in whatever
+ * order they come.
+ */
+public final class Switches {
+    private final Abilities abilities;
+    private long version = -1;
+    private Row.Features row = new Row.Features(Map.of());
+
+    public Switches(Abilities abilities) {
+        this.abilities = abilities;
+    }
+
+    /** The row as read or watched; version 0 with no stages if there is none. Returns whether that is news. */
+    public boolean seen(long newVersion, Row.Features newRow) {
+        if (newVersion <= version) {
+            return false;
+        }
+        version = newVersion;
+        row = newRow;
+        return true;
+    }
+
+    /** Whether it has been read at all. */
+    public boolean known() {
+        return version >= 0;
+    }
+
+    /** Version of the row, 0 if there is none, -1 if that is not known. What is written in a form that depends on a switch has it as a condition. */
+    public long version() {
+        return version;
+    }
+
+    public Row.Features row() {
+        return row;
+    }
+
+    /** Where a feature stands; of a mark, always OFF. */
+    public Stage stage(Feature feature) {
+        Stage stage = stage(row.stages().get(feature.key()));
+        return stage == null ? Stage.OFF : stage;
+    }
+
+    /** Whether the new form is what counts. */
+    public boolean on(Feature feature) {
+        return stage(feature).compareTo(Stage.ON) >= 0;
+    }
+
+    /** Features that are in use and that this version does not know, or not at that stage: it cannot read what is stored. */
+    public List<String> unknown() {
+        List<String> result = new ArrayList<>();
+        row.stages().forEach((name, word) -> {
+            Stage stage = stage(word);
+            Feature feature = Feature.of(name);
+            if (stage != Stage.OFF && (stage == null || !abilities.knows().contains(feature) || !feature.path().contains(stage))) {
+                result.add(name + " (" + word + ")");
+            }
+        });
+        return result;
+    }
+
+    private static Stage stage(String word) {
+        for (Stage each : Stage.values()) {
+            if (each.name().equals(word)) {
+                return each;
+            }
+        }
+        return word == null ? Stage.OFF : null;
+    }
+}
--- a/src/main/java/io/micatide/snapshot/Image.java
+++ b/src/main/java/io/micatide/snapshot/Image.java
@@ -8,13 +8,13 @@
 import java.util.TreeMap;
 
 /**
- * Everything that micatide keeps in a state service at one revision, but for who leads: that is bound to a lease.
+ * Everything that micatide keeps in a state service at one revision, but for who leads and who is there: that is bound to leases.
  *
  * @param values by key
  */
 public record Image(long revision, SortedMap<String, RawState.Value> values) {
-    /** One for each owner of the writes; {@link StoreKeys#LEADER} is left out. */
-    static final List<String> PREFIXES = List.of(StoreKeys.BOOKINGS, StoreKeys.SEGMENTS, StoreKeys.JOBS, StoreKeys.LEDGERS,
+    /** One for each owner of the writes; {@link StoreKeys#LEADER} and registrations are left out: they are bound to leases. */
+    static final List<String> PREFIXES = List.of(StoreKeys.BOOKINGS, StoreKeys.FENCE, StoreKeys.LEARNED, StoreKeys.ASKED, StoreKeys.SEGMENTS, StoreKeys.JOBS, StoreKeys.LEDGERS,
             StoreKeys.TYPES);
 
     /** How many values there are of each prefix. */
--- a/src/main/java/io/micatide/wire/HintCodec.java
+++ b/src/main/java/io/micatide/wire/HintCodec.java
@@ -35,17 +35,22 @@
                 out.writeString(name);
             }
             out.writeEndArray();
-            out.writeArrayFieldStart("hints");
-            for (Hint hint : part.hints()) {
-                out.writeStartArray();
-                write(out, hint);
-                out.writeEndArray();
-            }
-            out.writeEndArray();
+            write(out, part.hints());
             out.writeEndObject();
         });
     }
 
+    /** A field with hints, as they are stored and sent. */
+    static void write(JsonGenerator out, List<Hint> hints) throws IOException {
+        out.writeArrayFieldStart("hints");
+        for (Hint hint : hints) {
+            out.writeStartArray();
+            write(out, hint);
+            out.writeEndArray();
+        }
+        out.writeEndArray();
+    }
+
     private static void write(JsonGenerator out, Hint hint) throws IOException {
         if (hint instanceof Hint.OfMachine each) {
             out.writeString("m");
@@ -74,6 +79,13 @@
     public static Part part(byte[] body) throws MalformedException {
         JsonNode tree = Json.tree(body);
         Fields in = new Fields(tree, "");
+        return new Part(in.count("token", 1, Long.MAX_VALUE), in.count("number", 1, Long.MAX_VALUE),
+                in.count("base", 0, Long.MAX_VALUE), (int) in.count("index", 0, 10_000), (int) in.count("parts", 1, 10_000), hints(tree),
+                in.texts("gone"));
+    }
+
+    /** The field that {@link #write(JsonGenerator, List)} wrote. */
+    static List<Hint> hints(JsonNode tree) {
         List<Hint> hints = new ArrayList<>();
         for (JsonNode each : tree.path("hints")) {
             String name = each.path(1).asText();
@@ -87,9 +99,7 @@
                 }
             }
         }
-        return new Part(in.count("token", 1, Long.MAX_VALUE), in.count("number", 1, Long.MAX_VALUE),
-                in.count("base", 0, Long.MAX_VALUE), (int) in.count("index", 0, 10_000), (int) in.count("parts", 1, 10_000), hints,
-                in.texts("gone"));
+        return hints;
     }
 
     private static Hint machine(String name, JsonNode each) {
--- a/src/main/java/io/micatide/wire/PeerCodec.java
+++ b/src/main/java/io/micatide/wire/PeerCodec.java
@@ -17,7 +17,12 @@
      * nobody; {@code first}: the counts of earlier messages of this sender are replaced.
      */
     public record News(long token, String leader, boolean stateServed, long silentMicros, List<String> heirs,
-            boolean first, List<JobProgress> jobs) {
+            boolean first, List<JobProgress> jobs, long switches) {
+        /** As versions before the switches tell them. */
+        public News(long token, String leader, boolean stateServed, long silentMicros, List<String> heirs, boolean first,
+                List<JobProgress> jobs) {
+            this(token, leader, stateServed, silentMicros, heirs, first, jobs, 0);
+        }
     }
 
     /**
@@ -52,6 +57,9 @@
                 out.writeEndArray();
             }
             out.writeEndArray();
+            if (news.switches() > 0) {
+                out.writeNumberField("switches", news.switches());
+            }
             out.writeEndObject();
         });
     }
@@ -65,7 +73,8 @@
         }
         return new News(in.count("token", 1, Long.MAX_VALUE), in.text("leader"),
                 in.has("stateServed") && in.flag("stateServed"),
-                tree.path("silentUs").asLong(0), in.has("heirs") ? in.texts("heirs") : null, in.flag("first"), jobs);
+                tree.path("silentUs").asLong(0), in.has("heirs") ? in.texts("heirs") : null, in.flag("first"), jobs,
+                tree.path("switches").asLong(0));
     }
 
     public static byte[] answer(Answer answer) {
--- /dev/null
+++ b/src/main/java/io/micatide/wire/RolloutCodec.java
@@ -0,0 +1,78 @@
+package io.micatide.wire;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.databind.JsonNode;
+import io.micatide.core.Row;
+import io.micatide.core.StoreKeys;
+import java.io.IOException;
+import java.util.Iterator;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Rows of the roll-out and of the features that came with it. None of them has a field {@code state}, which former versions ask job rows for. */
+final class RolloutCodec {
+    private RolloutCodec() {
+    }
+
+    static boolean isFor(String key) {
+        return key.equals(StoreKeys.FEATURES) || key.startsWith(StoreKeys.ROLLOUT) || key.equals(StoreKeys.FENCE)
+                || key.startsWith(StoreKeys.LEARNED);
+    }
+
+    static void write(JsonGenerator out, Row row) throws IOException {
+        if (row instanceof Row.Features features) {
+            out.writeObjectFieldStart("features");
+            for (Map.Entry<String, String> each : new TreeMap<>(features.stages()).entrySet()) {
+                out.writeStringField(each.getKey(), each.getValue());
+            }
+            out.writeEndObject();
+        } else if (row instanceof Row.Here here) {
+            out.writeStringField("build", here.build());
+            out.writeArrayFieldStart("knows");
+            for (String name : here.knows()) {
+                out.writeString(name);
+            }
+            out.writeEndArray();
+            out.writeNumberField("acts", here.acts());
+            out.writeNumberField("since", here.sinceWall());
+        } else if (row instanceof Row.Ask ask) {
+            out.writeStringField("wish", ask.wish().name());
+        } else if (row instanceof Row.Fence fence) {
+            out.writeNumberField("fence", fence.number());
+        } else if (row instanceof Row.Learned learned) {
+            HintCodec.write(out, learned.hints());
+        }
+    }
+
+    static Row row(String key, Fields in, JsonNode data) throws MalformedException {
+        if (key.equals(StoreKeys.FEATURES)) {
+            Map<String, String> stages = new TreeMap<>();
+            for (Iterator<Map.Entry<String, JsonNode>> each = data.path("features").fields(); each.hasNext();) {
+                Map.Entry<String, JsonNode> feature = each.next();
+                stages.put(feature.getKey(), feature.getValue().asText());
+            }
+            return new Row.Features(stages);
+        }
+        if (key.startsWith(StoreKeys.HERE)) {
+            return new Row.Here(in.text("build"), in.texts("knows"), in.count("acts", 0, Long.MAX_VALUE),
+                    in.count("since", 0, Long.MAX_VALUE));
+        }
+        if (key.startsWith(StoreKeys.ASKED)) {
+            String word = in.text("wish");
+            for (Row.Wish each : Row.Wish.values()) {
+                if (each.name().equals(word)) {
+                    return new Row.Ask(each);
+                }
+            }
+            // Of a later version: what this one does not understand it does not do.
+            return new Row.Ask(Row.Wish.HOLD);
+        }
+        if (key.equals(StoreKeys.FENCE)) {
+            return new Row.Fence(in.count("fence", 0, Long.MAX_VALUE));
+        }
+        if (key.startsWith(StoreKeys.LEARNED)) {
+            return new Row.Learned(HintCodec.hints(data));
+        }
+        throw new MalformedException(key, "is not a key of micatide");
+    }
+}
--- a/src/main/java/io/micatide/wire/StateCodec.java
+++ b/src/main/java/io/micatide/wire/StateCodec.java
@@ -109,6 +109,9 @@
             out.writeStringField("zone", booking.zone());
             out.writeBooleanField("spot", booking.spot());
             out.writeNumberField("count", booking.count());
+        } else if (row instanceof Row.Features || row instanceof Row.Here || row instanceof Row.Ask || row instanceof Row.Fence
+                || row instanceof Row.Learned) {
+            RolloutCodec.write(out, row);
         } else if (row instanceof Row.Types types) {
             out.writeArrayFieldStart("types");
             for (MachineType type : types.types()) {
@@ -165,6 +168,9 @@
         if (key.equals(StoreKeys.HISTORY)) {
             return HistoryCodec.manifest(in, data);
         }
+        if (RolloutCodec.isFor(key)) {
+            return RolloutCodec.row(key, in, data);
+        }
         if (key.startsWith(StoreKeys.SEGMENTS)) {
             return HistoryCodec.segment(in);
         }
--- a/src/main/java/io/micatide/wire/TuningReader.java
+++ b/src/main/java/io/micatide/wire/TuningReader.java
@@ -12,7 +12,7 @@
 
 /** The operators' own settings. Unlike the platform's file, a key that is not known is an error: it is a typo. */
 public final class TuningReader {
-    private static final Set<String> KEYS = Set.of("description", "leader_lease_s", "idle_s", "history", "history_batch", "standby");
+    private static final Set<String> KEYS = Set.of("description", "leader_lease_s", "idle_s", "history", "history_batch", "rollout", "standby");
 
     private TuningReader() {
     }
@@ -35,7 +35,7 @@
         for (Iterator<String> names = tree.fieldNames(); names.hasNext();) {
             String name = names.next();
             if (!KEYS.contains(name)) {
-                throw new MalformedException(name, "is not a setting; known are description, history, history_batch, idle_s, leader_lease_s and standby");
+                throw new MalformedException(name, "is not a setting; known are description, history, history_batch, idle_s, leader_lease_s, rollout and standby");
             }
         }
         Fields in = new Fields(tree, "");
@@ -49,6 +49,6 @@
         return new Tuning(lease, in.has("idle_s") ? in.seconds("idle_s") : defaults.idleMicros(),
                 in.has("history") && in.flag("history"),
                 in.has("history_batch") ? (int) in.count("history_batch", 1, 4096) : defaults.historyBatch(),
-                standby, in.has("description") && in.flag("description"));
+                standby, in.has("description") && in.flag("description"), in.has("rollout") && in.flag("rollout"));
     }
 }
--- a/src/test/java/io/micatide/core/JobBookTest.java
+++ b/src/test/java/io/micatide/core/JobBookTest.java
@@ -29,7 +29,7 @@
         Map<String, Row.Ledger> stored = new HashMap<>();
         int rounds = 0;
         for (long now = 10 * Micros.SECOND;; now += 10 * Micros.SECOND) {
-            JobBook.Round round = book.nextRound(now, now, settings.transactionOps(), settings.transactionOps(), List.of(), List.of(),
+            JobBook.Round round = book.nextRound(now, now, settings.transactionOps(), settings.transactionOps(), List.of(), List.of(), List.of(),
                     (any, most) -> List.of());
             if (round == null) {
                 break;
@@ -110,7 +110,7 @@
             if (second < 200) {
                 book.finished(job, (second * 7919) % tasks, now);
             }
-            JobBook.Round round = book.nextRound(now, now, settings.transactionOps(), settings.transactionOps() - 2, List.of(), List.of(),
+            JobBook.Round round = book.nextRound(now, now, settings.transactionOps(), settings.transactionOps() - 2, List.of(), List.of(), List.of(),
                     (any, most) -> names);
             idle = round == null ? idle + 1 : 0;
             if (round == null) {
@@ -138,7 +138,7 @@
         for (int i = 0; i < tasks; i++) {
             book.finished(job, i, 500 * Micros.SECOND);
         }
-        JobBook.Round last = book.nextRound(510 * Micros.SECOND, 510 * Micros.SECOND, ops, ops, List.of(), List.of(),
+        JobBook.Round last = book.nextRound(510 * Micros.SECOND, 510 * Micros.SECOND, ops, ops, List.of(), List.of(), List.of(),
                 (any, most) -> List.of());
         assertTrue(last.transaction().writes().get(0).row() instanceof Row.JobRow row && row.state() == JobState.DONE);
         assertTrue(last.transaction().writes().size() <= ops);
@@ -161,7 +161,7 @@
             }
         }
         assertEquals(most, used);
-        JobBook.Round round = book.nextRound(0, 0, 5, 5, List.of(), List.of(), (any, likely) -> List.of());
+        JobBook.Round round = book.nextRound(0, 0, 5, 5, List.of(), List.of(), List.of(), (any, likely) -> List.of());
         assertTrue(StateCodec.size(round.transaction().writes().get(0).row()) <= bytes);
     }
 
@@ -172,14 +172,14 @@
         Job first = book.add(World.job("wk-1", JobKind.ARRAY, "blue", Priority.NORMAL, 10, 5), 7, 0, 0, 0);
         Job second = book.add(World.job("wk-2", JobKind.ARRAY, "blue", Priority.NORMAL, 10, 5), 8, 0, 0, 0);
         book.needMachine(first, new Machine("i-1", 0), 0);
-        JobBook.Round round = book.nextRound(0, 0, 5, 5, List.of(), List.of(), (any, likely) -> List.of());
+        JobBook.Round round = book.nextRound(0, 0, 5, 5, List.of(), List.of(), List.of(), (any, likely) -> List.of());
         book.refused(round, 0);
         book.resolved(round, 0);
         book.needMachine(second, new Machine("i-1", 0), 0);
-        JobBook.Round next = book.nextRound(100, 100, 5, 5, List.of(), List.of(), (any, likely) -> List.of());
+        JobBook.Round next = book.nextRound(100, 100, 5, 5, List.of(), List.of(), List.of(), (any, likely) -> List.of());
         assertEquals(List.of(second), next.parts().stream().map(JobBook.Part::job).toList());
         assertTrue(first.ledgerFull, "what waits for that write is given back");
-        JobBook.Round later = book.nextRound(20 * Micros.SECOND, 0, 5, 5, List.of(), List.of(), (any, likely) -> List.of());
+        JobBook.Round later = book.nextRound(20 * Micros.SECOND, 0, 5, 5, List.of(), List.of(), List.of(), (any, likely) -> List.of());
         assertEquals(List.of(first), later.parts().stream().map(JobBook.Part::job).toList());
     }
 
@@ -196,15 +196,15 @@
             jobs.add(book.add(World.job("wk-" + i, JobKind.ARRAY, "blue", Priority.NORMAL, 10, 5), 7, 0, 0, 0));
             book.needMachine(jobs.get(i - 1), new Machine("i-1", 0), 0);
         }
-        JobBook.Round round = book.nextRound(0, 0, 5, 5, List.of(), List.of(), (any, likely) -> List.of());
+        JobBook.Round round = book.nextRound(0, 0, 5, 5, List.of(), List.of(), List.of(), (any, likely) -> List.of());
         assertEquals(jobs, round.parts().stream().map(JobBook.Part::job).toList());
         assertEquals(List.of(refused), book.refusedBy(round, List.of(refused), 0));
-        JobBook.Round next = book.nextRound(0, 0, 5, 5, List.of(), List.of(), (any, likely) -> List.of());
+        JobBook.Round next = book.nextRound(0, 0, 5, 5, List.of(), List.of(), List.of(), (any, likely) -> List.of());
         assertEquals(List.of(jobs.get(0), jobs.get(2)), next.parts().stream().map(JobBook.Part::job).toList());
         book.confirmed(next, 1000, 0);
-        assertEquals(null, book.nextRound(0, 0, 5, 5, List.of(), List.of(), (any, likely) -> List.of()));
+        assertEquals(null, book.nextRound(0, 0, 5, 5, List.of(), List.of(), List.of(), (any, likely) -> List.of()));
         book.keyKnown(refused, 0);
-        JobBook.Round later = book.nextRound(0, 0, 5, 5, List.of(), List.of(), (any, likely) -> List.of());
+        JobBook.Round later = book.nextRound(0, 0, 5, 5, List.of(), List.of(), List.of(), (any, likely) -> List.of());
         assertEquals(List.of(jobs.get(1)), later.parts().stream().map(JobBook.Part::job).toList());
     }
 
@@ -218,11 +218,11 @@
         Job starting = book.add(World.job("wk-8", JobKind.ARRAY, "blue", Priority.NORMAL, 10, 5), 7, 0, 0, 0);
         book.needMachine(starting, new Machine("i-1", 0), 0);
         long now = 5 * Micros.SECOND;
-        JobBook.Round round = book.nextRound(now, 0, 4, 0, List.of(), List.of(), (any, likely) -> List.of());
+        JobBook.Round round = book.nextRound(now, 0, 4, 0, List.of(), List.of(), List.of(), (any, likely) -> List.of());
         assertEquals(List.of(starting), round.parts().stream().map(JobBook.Part::job).toList());
         book.confirmed(round, 1000, now);
-        assertEquals(null, book.nextRound(now, 0, 4, 0, List.of(), List.of(), (any, likely) -> List.of()));
-        assertEquals(3, book.nextRound(now, 0, 4, 3, List.of(), List.of(), (any, likely) -> List.of()).parts().size());
+        assertEquals(null, book.nextRound(now, 0, 4, 0, List.of(), List.of(), List.of(), (any, likely) -> List.of()));
+        assertEquals(3, book.nextRound(now, 0, 4, 3, List.of(), List.of(), List.of(), (any, likely) -> List.of()).parts().size());
     }
 
     /** Pages that were written under one limit are read with their own size, also where the settings name another since. */
@@ -234,7 +234,7 @@
         book.load(StoreKeys.ledger("wk-1", 2), new Row.Ledger(List.of(), 0, "0-9", true), 5);
         assertEquals("512-521", Ranges.format(job.finished, 0, 1000));
         book.finished(job, 600, 0);
-        JobBook.Round round = book.nextRound(5 * Micros.SECOND, 0, 5, 5, List.of(), List.of(), (any, likely) -> List.of());
+        JobBook.Round round = book.nextRound(5 * Micros.SECOND, 0, 5, 5, List.of(), List.of(), List.of(), (any, likely) -> List.of());
         assertEquals("0-9,88", ((Row.Ledger) round.transaction().writes().get(1).row()).done());
     }
 }
--- a/src/test/java/io/micatide/core/World.java
+++ b/src/test/java/io/micatide/core/World.java
@@ -61,6 +61,8 @@
     boolean greets;
     /** What each new leader is told by way of hints. */
     List<Hint> hints = List.of();
+    /** Bookings are written on condition of their versions and of their fence. */
+    boolean fenced = true;
     /** Jobs submitted with a mistake and machines that are faulty: what runs there fails after a second. */
     final Set<String> faultyJobs = new HashSet<>();
     final Set<String> faultyMachines = new HashSet<>();
@@ -351,7 +353,7 @@
         token = ++revision;
         put(StoreKeys.LEADER, new Row.Leader("c0"), token);
         leader = new Scheduler(settings, Tuning.defaults(settings), token, now);
-        leader.hinted(hints);
+        leader.hinted(hints, false, now);
         takeOvers++;
         leader.typesKnown(List.of(TYPE), now);
         directory.openAndCancelled().forEach(view -> leader.jobSeen(view, now, now));
@@ -363,9 +365,11 @@
             if (row instanceof Row.Ledger ledger) {
                 leader.ledgerLoaded(key, ledger, versions.get(key), now);
             } else if (row instanceof Row.Booking booking) {
-                leader.bookingLoaded(key.substring(StoreKeys.BOOKINGS.length()), booking, now);
+                leader.bookingLoaded(key.substring(StoreKeys.BOOKINGS.length()), booking, versions.get(key), now);
             }
         });
+        leader.fenceKnown(versions.getOrDefault(StoreKeys.FENCE, 0L), rows.get(StoreKeys.FENCE) instanceof Row.Fence fence ? fence.number() : 0);
+        leader.switches(versions.getOrDefault(StoreKeys.FEATURES, 0L), fenced);
         leader.loaded(now);
     }
 
@@ -538,7 +542,9 @@
 
     private void read(String key) {
         Row row = rows.get(key);
-        if (row instanceof Row.JobRow job) {
+        if (Scheduler.isOfBookings(key)) {
+            leader.bookingReadBack(key, row, versions.getOrDefault(key, 0L));
+        } else if (row instanceof Row.JobRow job) {
             leader.jobReadBack(key.substring(StoreKeys.JOBS.length()), job, versions.get(key), now);
         } else if (key.startsWith(StoreKeys.LEDGERS)) {
             leader.ledgerReadBack(key, (Row.Ledger) row, versions.getOrDefault(key, 0L));
--- a/src/test/java/io/micatide/history/HistoryDay.java
+++ b/src/test/java/io/micatide/history/HistoryDay.java
@@ -186,7 +186,7 @@
         Settings settings = settings(number);
         Tuning defaults = Tuning.defaults(settings);
         Controller controller = new Controller(settings,
-                new Tuning(defaults.leaderLeaseMicros(), 60 * Micros.SECOND, true, 4, false, false), process,
+                new Tuning(defaults.leaderLeaseMicros(), 60 * Micros.SECOND, true, 4, false, false, true), process,
                 (endpoint, most) -> network.from(process, endpoint), maker);
         network.listen("c" + number, process, controller::handle);
         network.listen("p" + number, process, controller::handlePeer);
--- a/src/test/java/io/micatide/history/SnapshotTest.java
+++ b/src/test/java/io/micatide/history/SnapshotTest.java
@@ -82,7 +82,7 @@
     private static Map<String, String> stored(StateStandIn state) {
         Map<String, String> values = new TreeMap<>();
         state.values().forEach((key, value) -> {
-            if (!key.equals(StoreKeys.LEADER) && !key.equals("restored")) {
+            if (!key.equals(StoreKeys.LEADER) && !key.startsWith(StoreKeys.HERE) && !key.equals("restored")) {
                 values.put(key, new String(value.json(), StandardCharsets.UTF_8));
             }
         });
--- /dev/null
+++ b/src/test/java/io/micatide/rehearsal/RolloutDay.java
@@ -0,0 +1,133 @@
+package io.micatide.rehearsal;
+
+import io.micatide.core.Micros;
+import io.micatide.core.Row;
+import io.micatide.core.StoreKeys;
+import io.micatide.rollout.Abilities;
+import io.micatide.rollout.Feature;
+import io.micatide.rollout.Stage;
+import io.micatide.standby.Copy;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * A day on which controllers are replaced by other versions. Beside the rules, each change of the state service is held against what a
+ * roll-out promises: one stage at a time, by controllers that all knew the one before, and nothing of a new form before its stage.
+ */
+final class RolloutDay {
+    final TakeOverDay day;
+    final List<String> wrong = new ArrayList<>();
+    private final int controllers;
+    private Map<String, String> stages = Map.of();
+    private long features;
+    private Map<String, Long> here = Map.of();
+    private Map<String, Long> kept = Map.of();
+    private long leader;
+
+    RolloutDay(long seed, int controllers, Abilities version) {
+        this.controllers = controllers;
+        this.day = new TakeOverDay(seed, controllers, 0, Copy::new, 800 * Micros.MILLISECOND, 10 * Micros.SECOND, version);
+        day.deployment.state.afterEachChange(this::look);
+    }
+
+    Stage stage(Feature feature) {
+        return Stage.valueOf(stages.getOrDefault(feature.key(), Stage.OFF.name()));
+    }
+
+    private Map<String, StateStandIn.Value> values(String prefix) {
+        return day.deployment.state.values().subMap(prefix, prefix + Character.MAX_VALUE);
+    }
+
+    /** Called after each change. */
+    private void look(long revision) {
+        StateStandIn.Value row = day.deployment.state.values().get(StoreKeys.FEATURES);
+        Map<String, Long> nowKept = new TreeMap<>();
+        values(StoreKeys.LEARNED).forEach((key, value) -> nowKept.put(key, value.stamp()));
+        values(StoreKeys.FENCE).forEach((key, value) -> nowKept.put(key, value.stamp()));
+        nowKept.forEach((key, stamp) -> {
+            Feature feature = key.equals(StoreKeys.FENCE) ? Feature.BOOKING_FENCE : Feature.LEARNED;
+            if (!stamp.equals(kept.get(key)) && stage(feature) != Stage.ON) {
+                wrong.add(key + " is written while " + feature.key() + " is " + stage(feature));
+            }
+        });
+        kept = nowKept;
+        if (row != null && row.stamp() != features) {
+            stepped(((Row.Features) Deployment.row(StoreKeys.FEATURES, row)).stages());
+            features = row.stamp();
+        }
+        Map<String, Long> acts = new TreeMap<>();
+        values(StoreKeys.HERE).forEach((key, value) -> acts.put(key, ((Row.Here) Deployment.row(key, value)).acts()));
+        here = acts;
+        if (day.deployment.token() != leader) {
+            leader = day.deployment.token();
+            claimed();
+        }
+    }
+
+    private void stepped(Map<String, String> next) {
+        here.forEach((key, acts) -> {
+            if (acts != features) {
+                wrong.add(key + " acts by " + acts + " while the switches step on from " + features);
+            }
+        });
+        for (Feature feature : Feature.values()) {
+            Stage before = stage(feature);
+            Stage after = Stage.valueOf(next.getOrDefault(feature.key(), Stage.OFF.name()));
+            if (Math.abs(feature.path().indexOf(after) - feature.path().indexOf(before)) > 1) {
+                wrong.add(feature.key() + " goes from " + before + " to " + after);
+            }
+        }
+        stages = next;
+    }
+
+    /** A version that registers leads only where it knows all that is in use. */
+    private void claimed() {
+        if (day.deployment.owner().isEmpty()) {
+            return;
+        }
+        Abilities abilities = day.abilities(day.deployment.leader());
+        for (Feature feature : Feature.values()) {
+            if (abilities.registers() && stage(feature) != Stage.OFF && !abilities.knows().contains(feature)) {
+                wrong.add(day.deployment.owner() + " leads and does not know " + feature.key());
+            }
+        }
+    }
+
+    /** What an operator asks for, NONE to take it back. */
+    void ask(Feature feature, Row.Wish wish) {
+        String key = StoreKeys.asked(feature.key());
+        String write = wish == Row.Wish.NONE ? "{\"delete\":\"" + key + "\"}"
+                : "{\"put\":\"" + key + "\",\"data\":{\"wish\":\"" + wish + "\"}}";
+        day.deployment.network.from(day.deployment.user, "state").post("/txn",
+                ("{\"if\":[],\"writes\":[" + write + "]}").getBytes(StandardCharsets.UTF_8), Micros.SECOND, reply -> {
+                    if (!reply.ok()) {
+                        day.deployment.user.later(() -> ask(feature, wish), Micros.SECOND);
+                    }
+                });
+    }
+
+    /** Whether each controller says that it is healthy, asked now. */
+    List<Integer> healthy() {
+        List<Integer> result = new ArrayList<>();
+        for (int i = 0; i < controllers; i++) {
+            int number = i;
+            day.deployment.toController(i).get("/healthz", Micros.SECOND, reply -> {
+                if (reply.ok()) {
+                    result.add(number);
+                }
+            });
+        }
+        day.time.run(2 * Micros.SECOND);
+        result.sort(null);
+        return result;
+    }
+
+    List<String> verdict() {
+        List<String> all = new ArrayList<>(day.verdict());
+        all.addAll(wrong);
+        return all;
+    }
+}
--- /dev/null
+++ b/src/test/java/io/micatide/rehearsal/RolloutTest.java
@@ -0,0 +1,149 @@
+package io.micatide.rehearsal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.micatide.core.Micros;
+import io.micatide.core.Row;
+import io.micatide.rollout.Abilities;
+import io.micatide.rollout.Feature;
+import io.micatide.rollout.Stage;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Controllers of up to three versions take each other's place among failures: no rule is broken, and what is new waits for all. */
+class RolloutTest {
+    /** Long runs outside CI, as for {@link TakeOverTest}. */
+    private static final int DAYS = Integer.getInteger("micatide.days", 400);
+    private static final int FIRST = Integer.getInteger("micatide.first", 0);
+    private static final List<Abilities> VERSIONS = List.of(Abilities.FORMER, Abilities.without(Feature.LEARNED), Abilities.ALL);
+
+    private static RolloutDay play(long seed) {
+        int controllers = seed % 2 == 0 ? 3 : 5;
+        RolloutDay roll = new RolloutDay(seed, controllers, VERSIONS.get((int) (seed / 2 % 3)));
+        TakeOverDay day = roll.day;
+        day.deployment.network.losses(0.01, 0.005);
+        Feature asked = day.random.nextBoolean() ? Feature.LEARNED : Feature.BOOKING_FENCE;
+        for (int second = 0; second < 26; second++) {
+            if (second > 1) {
+                day.traffic();
+            }
+            if (second > 3 && day.random.nextInt(3) == 0) {
+                Abilities version = VERSIONS.get(second < 16 ? day.random.nextInt(3) : 2);
+                day.replace(day.random.nextInt(controllers), version, (1 + day.random.nextInt(500)) * Micros.MILLISECOND);
+            }
+            if (second > 5 && second % 7 == 0) {
+                day.failBriefly();
+            }
+            if (second == 12 && day.random.nextInt(3) == 0) {
+                roll.ask(asked, day.random.nextBoolean() ? Row.Wish.BACK : Row.Wish.HOLD);
+            }
+            day.time.run(Micros.SECOND);
+        }
+        day.killAtInteraction(0);
+        day.deployment.network.losses(0, 0);
+        roll.ask(asked, Row.Wish.NONE);
+        for (int i = 0; i < controllers; i++) {
+            day.replace(i, Abilities.ALL, 500 * Micros.MILLISECOND);
+            day.time.run(300 * Micros.MILLISECOND);
+        }
+        day.time.run(70 * Micros.SECOND);
+        return roll;
+    }
+
+    @Test
+    void drawnRollsBreakNoRule() {
+        for (int seed = FIRST; seed < FIRST + DAYS; seed++) {
+            RolloutDay roll = play(seed);
+            assertEquals(List.of(), roll.verdict(), "seed " + seed + " " + roll.day.deployment.log());
+            for (Feature feature : List.of(Feature.LEARNED, Feature.BOOKING_FENCE)) {
+                assertEquals(Stage.ON, roll.stage(feature), "seed " + seed + ": in the end all have it");
+            }
+        }
+    }
+
+    /** Nothing moves while one controller cannot do it, by name in the roster; the last one in place, all is on within seconds. */
+    @ParameterizedTest
+    @CsvSource({"3", "5"})
+    void theLastOneSwitchesItOn(int controllers) {
+        RolloutDay roll = new RolloutDay(7, controllers, Abilities.FORMER);
+        TakeOverDay day = roll.day;
+        for (int i = 0; i < controllers - 1; i++) {
+            day.time.run(2 * Micros.SECOND);
+            day.replace(i, Abilities.ALL, 300 * Micros.MILLISECOND);
+        }
+        day.time.run(20 * Micros.SECOND);
+        assertEquals(Stage.OFF, roll.stage(Feature.LEARNED));
+        day.replace(controllers - 1, Abilities.ALL, 300 * Micros.MILLISECOND);
+        long began = day.time.now();
+        while (roll.stage(Feature.LEARNED) != Stage.ON || roll.stage(Feature.BOOKING_FENCE) != Stage.ON) {
+            day.time.run(100 * Micros.MILLISECOND);
+            assertTrue(day.time.now() - began < 10 * Micros.SECOND, "until on");
+        }
+        assertEquals(List.of(), roll.verdict());
+    }
+
+    /** A version that does not know what is on serves nobody and never leads, with switches or from before them; the others go on. */
+    @ParameterizedTest
+    @CsvSource({"1", "0"})
+    void aFormerVersionIsShutOut(int version) {
+        RolloutDay roll = new RolloutDay(5, 3, Abilities.ALL);
+        TakeOverDay day = roll.day;
+        day.submit("batch", 6, 2);
+        day.time.run(15 * Micros.SECOND);
+        assertEquals(Stage.ON, roll.stage(Feature.LEARNED));
+        int replaced = (day.deployment.leader() + 1) % 3;
+        day.replace(replaced, VERSIONS.get(version), 100 * Micros.MILLISECOND);
+        day.time.run(10 * Micros.SECOND);
+        assertEquals(2, roll.healthy().size());
+        assertTrue(!roll.healthy().contains(replaced));
+        day.submit("batch", 6, 2);
+        day.time.run(40 * Micros.SECOND);
+        assertEquals(List.of(), roll.verdict());
+    }
+
+    /** Taken back by an operator, a feature is off in the end, and a version that does not know it serves again. */
+    @Test
+    void takenBackAFormerVersionServes() {
+        RolloutDay roll = new RolloutDay(6, 3, Abilities.ALL);
+        TakeOverDay day = roll.day;
+        day.time.run(12 * Micros.SECOND);
+        day.replace(0, Abilities.without(Feature.LEARNED), 100 * Micros.MILLISECOND);
+        day.time.run(5 * Micros.SECOND);
+        assertEquals(List.of(1, 2), roll.healthy());
+        // It cannot register, so nothing moves forward; back goes all the same once it is not there.
+        roll.ask(Feature.LEARNED, Row.Wish.BACK);
+        day.replace(0, Abilities.ALL, 100 * Micros.MILLISECOND);
+        day.time.run(30 * Micros.SECOND);
+        assertEquals(Stage.OFF, roll.stage(Feature.LEARNED));
+        day.replace(0, Abilities.without(Feature.LEARNED), 100 * Micros.MILLISECOND);
+        day.time.run(10 * Micros.SECOND);
+        assertEquals(List.of(0, 1, 2), roll.healthy());
+        assertEquals(Stage.ON, roll.stage(Feature.BOOKING_FENCE));
+        day.submit("batch", 6, 2);
+        day.time.run(30 * Micros.SECOND);
+        assertEquals(List.of(), roll.verdict());
+    }
+
+    /** Each request of a roll-out's first seconds is the last one of its controller, which is back with its version or a former one. */
+    @ParameterizedTest
+    @CsvSource({"3, 2", "5, 2", "3, 1", "3, 0"})
+    void aStepThatIsCutShortAnywhere(int controllers, int back) {
+        for (int at = 1; at <= 100; at++) {
+            RolloutDay roll = new RolloutDay(at, controllers, Abilities.ALL);
+            TakeOverDay day = roll.day;
+            day.killAtInteraction(at, 1, day.backSoon());
+            day.time.run((500 + at * 30) * Micros.MILLISECOND);
+            day.replace(at % controllers, VERSIONS.get(back), (1 + at * 5) * Micros.MILLISECOND);
+            day.submit("batch", 6, 2);
+            day.submit("daemon", 2, 0);
+            day.time.run(10 * Micros.SECOND);
+            day.replace(at % controllers, Abilities.ALL, 200 * Micros.MILLISECOND);
+            day.time.run(50 * Micros.SECOND);
+            assertEquals(List.of(), roll.verdict(), "at " + at + " " + day.deployment.log());
+            assertEquals(Stage.ON, roll.stage(Feature.LEARNED), "at " + at + " " + day.deployment.log());
+        }
+    }
+}
--- a/src/test/java/io/micatide/rehearsal/TakeOverDay.java
+++ b/src/test/java/io/micatide/rehearsal/TakeOverDay.java
@@ -10,11 +10,13 @@
 import io.micatide.net.Http;
 import io.micatide.net.Reply;
 import io.micatide.node.Controller;
+import io.micatide.rollout.Abilities;
 import io.micatide.standby.Copy;
 import io.micatide.wire.Json;
 import io.micatide.wire.MalformedException;
 import io.micatide.wire.StateCodec;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -48,6 +50,8 @@
     private final Copy.Maker copies;
     /** Controllers that run without a standby, as those of a former version do. */
     private final int former;
+    /** What the version of each controller can do, from its next start on. */
+    private final Abilities[] versions;
     private int interactions;
     private int killAt;
     private int killTimes;
@@ -59,6 +63,13 @@
 
     /** With workers that report each so many microseconds and have a lease of so many. */
     TakeOverDay(long seed, int controllers, int former, Copy.Maker copies, long reportMicros, long leaseMicros) {
+        this(seed, controllers, former, copies, reportMicros, leaseMicros, Abilities.ALL);
+    }
+
+    /** With controllers that all begin with this version. */
+    TakeOverDay(long seed, int controllers, int former, Copy.Maker copies, long reportMicros, long leaseMicros, Abilities version) {
+        this.versions = new Abilities[controllers];
+        Arrays.fill(versions, version);
         this.reportMicros = reportMicros;
         this.leaseMicros = leaseMicros;
         this.random = new Random(seed);
@@ -135,7 +146,7 @@
         boolean standby = number >= former;
         Settings settings = settings(number);
         return new Tuning(standby ? Tuning.leaseWithStandby(settings) : Tuning.defaults(settings).leaderLeaseMicros(),
-                60 * Micros.SECOND, true, 4, standby, false);
+                60 * Micros.SECOND, true, 4, standby, false, true);
     }
 
     @Override
@@ -143,6 +154,23 @@
         return copies.make(prefix, mostBytes);
     }
 
+    @Override
+    public Abilities abilities(int number) {
+        return versions[number];
+    }
+
+    /** A controller is replaced by one of another version, after so many microseconds. */
+    void replace(int number, Abilities version, long backMicros) {
+        versions[number] = version;
+        deployment.killFor(number, backMicros);
+    }
+
+    /** To a version before the switches their row is a job without a state, and it cannot read on. */
+    @Override
+    public Http reaches(int number, String endpoint, Http http) {
+        return versions[number].registers() || !endpoint.equals("state") ? http : new FormerReader(http);
+    }
+
     @Override
     public void started(int number, Controller controller) {
         if (number >= former) {
--- /dev/null
+++ b/src/test/java/io/micatide/rollout/PlanTest.java
@@ -0,0 +1,137 @@
+package io.micatide.rollout;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.micatide.core.Row;
+import io.micatide.core.StoreKeys;
+import io.micatide.core.Transaction;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Steps as a table: where the features stand, who is there, what is asked for, and what comes next. */
+class PlanTest {
+    private static final long VERSION = 40;
+
+    private static Map<String, String> stages(String text) {
+        Map<String, String> result = new TreeMap<>();
+        if (text != null && !text.isEmpty()) {
+            Arrays.stream(text.split(" ")).forEach(each -> result.put(each.split("=")[0], each.split("=")[1]));
+        }
+        return result;
+    }
+
+    private static Switches switches(String text) {
+        Switches switches = new Switches(Abilities.ALL);
+        switches.seen(VERSION, new Row.Features(stages(text)));
+        return switches;
+    }
+
+    /** `a`, `b` and `c` registered: `+` knows all and acts by the present switches, `-` by former ones, `o` knows nothing, `.` is not there. */
+    private static Roster roster(String there, String asked) {
+        Roster roster = new Roster(List.of("a", "b", "c"));
+        for (int i = 0; i < 3; i++) {
+            char how = there.charAt(i);
+            if (how != '.') {
+                roster.add(StoreKeys.here("abc".substring(i, i + 1)), new Row.Here("1", how == 'o' ? List.of("needs", "history")
+                        : Abilities.ALL.names(), how == '-' ? VERSION - 1 : VERSION, 5), 7 + i);
+            }
+        }
+        stages(asked).forEach((feature, wish) -> roster.add(StoreKeys.asked(feature), new Row.Ask(Row.Wish.valueOf(wish)), 3));
+        return roster;
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        // where it stands | who is there | asked | forward | after the step, empty for none
+        "                                 | +++ |               | true  | booking-fence=READ learned=READ",
+        "booking-fence=READ learned=READ  | +++ |               | true  | booking-fence=ON learned=ON",
+        "booking-fence=ON learned=ON      | +++ |               | true  |",
+        "                                 | +++ |               | false |",
+        "                                 | ++. |               | true  |",
+        "                                 | ++o |               | true  |",
+        "booking-fence=READ learned=READ  | ++- |               | true  |",
+        // Held back, and taken back one stage at a time, whoever leads.
+        "booking-fence=READ learned=READ  | +++ | learned=HOLD  | true  | booking-fence=ON learned=READ",
+        "booking-fence=ON learned=ON      | +++ | learned=BACK  | true  | booking-fence=ON learned=READ",
+        "booking-fence=ON learned=READ    | +++ | learned=BACK  | false | booking-fence=ON learned=OFF",
+        "booking-fence=ON learned=OFF     | +++ | learned=BACK  | true  |",
+        "booking-fence=ON learned=ON      | ++- | learned=BACK  | true  |",
+        "booking-fence=ON learned=ON      | ++. | learned=BACK  | true  |",
+        // From where nobody writes it back to where nobody needs to know it: whoever is away cannot be in the way.
+        "booking-fence=ON learned=READ    | ++. | learned=BACK  | true  | booking-fence=ON learned=OFF",
+        "booking-fence=ON learned=READ    | ++- | learned=BACK  | true  |",
+    })
+    void steps(String stages, String there, String asked, boolean forward, String next) {
+        Plan plan = Plan.of(switches(stages), roster(there, asked), forward);
+        if (next == null) {
+            assertNull(plan.row());
+        } else {
+            assertEquals(stages(next), plan.row().stages());
+        }
+    }
+
+    /** What it waits for is told by name. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "++.|booking-fence waits to go to READ: c is not registered",
+        "+o+|booking-fence waits to go to READ: b (1) does not know it",
+        "-++|booking-fence waits to go to READ: a has not taken in the last step",
+    })
+    void waitsByName(String there, String told) {
+        assertEquals(told, Plan.of(switches(""), roster(there, ""), true).waits().get(0));
+    }
+
+    /** A step names as many registrations as a transaction has room for. */
+    @Test
+    void conditions() {
+        assertEquals(List.of(new Transaction.Compare("rollout/here/a", 7), new Transaction.Compare("rollout/here/b", 8)),
+                roster("+++", "").conditions(2));
+    }
+
+    /** What is in use and not known, by version, stage and name; off is nobody's concern, and an older version of the row is no news. */
+    @Test
+    void unknownFeatures() {
+        Switches former = new Switches(Abilities.without(Feature.LEARNED));
+        assertFalse(former.known());
+        assertTrue(former.seen(9, new Row.Features(Map.of("learned", "READ", "booking-fence", "ON", "later", "OFF"))));
+        assertEquals(List.of("learned (READ)"), former.unknown());
+        assertFalse(former.seen(8, new Row.Features(Map.of())));
+        assertEquals(List.of("learned (READ)"), former.unknown());
+        assertTrue(former.seen(10, new Row.Features(Map.of("later", "ON", "booking-fence", "BOTH", "learned", "OFF"))));
+        assertEquals(List.of("booking-fence (BOTH)", "later (ON)"), former.unknown().stream().sorted().toList());
+    }
+
+    /** One put for each lease and for each step, on condition of the switches and of the row as it was read. */
+    @Test
+    void registers() {
+        Registration mine = new Registration("a", "1", Abilities.ALL, 5);
+        assertEquals(Registration.Wish.NOTHING, mine.next(0, 40, 0), "no lease to attach it to");
+        assertEquals(Registration.Wish.NOTHING, mine.next(3, -1, 0), "the switches are not known");
+        assertEquals(Registration.Wish.READ, mine.next(3, 40, 0));
+        assertEquals(Registration.Wish.NOTHING, mine.next(3, 40, 0), "one request at a time");
+        mine.read(12);
+        assertEquals(Registration.Wish.PUT, mine.next(3, 40, 0));
+        assertEquals(List.of(new Transaction.Compare("job/features", 40), new Transaction.Compare("rollout/here/a", 12)),
+                mine.put().conditions());
+        assertEquals(3, mine.put().writes().get(0).lease());
+        mine.registered(50);
+        assertEquals(Registration.Wish.NOTHING, mine.next(3, 40, 0));
+        assertEquals(Registration.Wish.PUT, mine.next(3, 60, 0), "newer switches");
+        mine.unclear(0);
+        assertEquals(Registration.Wish.NOTHING, mine.next(3, 60, 1));
+        assertEquals(Registration.Wish.READ, mine.next(3, 60, 1_000_000), "a put without an answer may have been applied");
+        mine.read(61);
+        assertEquals(Registration.Wish.PUT, mine.next(4, 60, 1_000_000));
+        mine.registered(70);
+        assertEquals(Registration.Wish.PUT, mine.next(5, 60, 1_000_000), "a new lease");
+        assertEquals(Registration.Wish.NOTHING, new Registration("a", "1", Abilities.FORMER, 5).next(3, 40, 0));
+    }
+}
