--- a/src/main/java/io/micatide/rehearsal/StateStandIn.java
+++ b/src/main/java/io/micatide/rehearsal/StateStandIn.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import java.util.function.LongConsumer;
 
 /** The state service: a consistent store with leases, conditions, watches and its limits. Used from its loop only. */
@@ -68,6 +69,7 @@
     private long changeCount;
     private boolean away;
     private LongConsumer witness = revision -> { };
+    private Consumer<JsonNode> transactions = body -> { };
 
     public StateStandIn(Loop loop, Limits limits) {
         this.loop = loop;
@@ -112,6 +114,11 @@
         witness = each;
     }
 
+    /** Is told each transaction as it comes in, before anything is decided about it. */
+    public void beforeEachTransaction(Consumer<JsonNode> each) {
+        transactions = each;
+    }
+
     /** Stores a value beside the protocol, for what a rehearsal begins with. */
     public void preset(String key, byte[] json) {
         values.put(key, new Value(json, ++revision, 0));
@@ -269,6 +276,7 @@
     private void transaction(Request request, JsonNode body) throws MalformedException {
         JsonNode writes = body.path("writes");
         JsonNode conditions = body.path("if");
+        transactions.accept(body);
         if (writes.size() > limits.transactionChanges() || conditions.size() > CONDITIONS_A_CHANGE * limits.transactionChanges()
                 || request.body().length > MOST_TRANSACTION_BYTES) {
             throw new MalformedException("writes", "is larger than the limits");
--- a/src/test/java/io/micatide/rehearsal/RolloutTest.java
+++ b/src/test/java/io/micatide/rehearsal/RolloutTest.java
@@ -5,10 +5,14 @@
 
 import io.micatide.core.Micros;
 import io.micatide.core.Row;
+import io.micatide.core.StoreKeys;
 import io.micatide.rollout.Abilities;
 import io.micatide.rollout.Feature;
 import io.micatide.rollout.Stage;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -127,6 +131,44 @@
         assertEquals(List.of(), roll.verdict());
     }
 
+    /**
+     * What is written in a form that depends on the switches has them as a condition, so that a process which stood still, or a request that
+     * arrives minutes late, writes nothing by switches that are not those in force: claims, registrations, fenced bookings, what is learned.
+     */
+    @Test
+    void whatDependsOnTheSwitchesHasThemAsACondition() {
+        Map<String, Integer> seen = new TreeMap<>();
+        for (int seed = 0; seed < 12; seed++) {
+            RolloutDay roll = new RolloutDay(seed, 3, Abilities.ALL);
+            roll.day.deployment.state.beforeEachTransaction(body -> {
+                List<String> conditions = new ArrayList<>();
+                body.path("if").forEach(each -> conditions.add(each.path("k").asText()));
+                body.path("writes").forEach(each -> {
+                    String key = each.path("put").asText();
+                    if (key.equals(StoreKeys.LEADER) || key.startsWith(StoreKeys.HERE) || key.startsWith(StoreKeys.LEARNED)
+                            || key.startsWith(StoreKeys.BOOKINGS) && conditions.contains(StoreKeys.FENCE)) {
+                        seen.merge(key.substring(0, 4), 1, Integer::sum);
+                        assertTrue(conditions.contains(StoreKeys.FEATURES), key + " on condition of " + conditions);
+                    }
+                    if (key.startsWith(StoreKeys.BOOKINGS) && roll.stage(Feature.BOOKING_FENCE) == Stage.ON) {
+                        assertTrue(conditions.contains(key), key + " on condition of " + conditions);
+                    }
+                });
+            });
+            for (int second = 0; second < 25; second++) {
+                roll.day.traffic();
+                if (second == 12) {
+                    roll.day.submit("daemon", 36, 0);
+                }
+                if (second % 9 == 8) {
+                    roll.day.deployment.killFor(roll.day.deployment.leader(), roll.day.backSoon());
+                }
+                roll.day.time.run(Micros.SECOND);
+            }
+        }
+        assertEquals(List.of("book", "lead", "lear", "roll"), List.copyOf(seen.keySet()));
+    }
+
     /** Each request of a roll-out's first seconds is the last one of its controller, which is back with its version or a former one. */
     @ParameterizedTest
     @CsvSource({"3, 2", "5, 2", "3, 1", "3, 0"})
