Machines that are given back are named in a row before the cloud is asked

A deletion that is carried out half a minute after its leader was replaced took the tasks that the next leader had placed there since; a returned machine was known to an heir by a hint only, and to nobody after all controllers went down. Change: Returns. A row under return/ names the machines first, on condition of the token and the switches (feature returns, the third of the roll-out); no leader of any term places anything on a machine that a row names, and it asks for the deletion again until that is answered.

--- a/src/main/java/io/micatide/core/JobBook.java
+++ b/src/main/java/io/micatide/core/JobBook.java
@@ -545,7 +545,7 @@
         keys.retainAll(failed);
         Set<String> held = new HashSet<>();
         for (String key : keys) {
-            if (Rentals.owns(key)) {
+            if (Scheduler.isOfDuties(key)) {
                 continue;
             }
             String id = jobOfKey(key);
--- a/src/main/java/io/micatide/core/Renter.java
+++ b/src/main/java/io/micatide/core/Renter.java
@@ -29,6 +29,7 @@
     private final Fleet fleet;
     private final Rentals rentals;
     private final Planner planner;
+    private final Returns returns;
     private long plannedMicros = Long.MIN_VALUE / 2;
     private long listAskedMicros = Long.MIN_VALUE / 2;
     private boolean listing;
@@ -36,12 +37,13 @@
     private boolean firstTerm;
     private long nothingWaitsSinceMicros = Long.MAX_VALUE;
 
-    Renter(Settings settings, Tuning tuning, Fleet fleet, Rentals rentals, Planner planner) {
+    Renter(Settings settings, Tuning tuning, Fleet fleet, Rentals rentals, Planner planner, Returns returns) {
         this.settings = settings;
         this.tuning = tuning;
         this.fleet = fleet;
         this.rentals = rentals;
         this.planner = planner;
+        this.returns = returns;
     }
 
     /** No leader before this one has placed anything. */
@@ -334,7 +336,7 @@
         }
         List<String> names = new ArrayList<>();
         for (Machine machine : fleet.machines()) {
-            if (machine.deleting && names.size() < 100
+            if (machine.deleting && names.size() < 100 && returns.mayAsk(machine)
                     && (machine.deleteAskedMicros < 0 || nowMicros - machine.deleteAskedMicros > 3 * Micros.SECOND)) {
                 machine.deleteAskedMicros = nowMicros;
                 names.add(machine.name);
--- a/src/main/java/io/micatide/core/Row.java
+++ b/src/main/java/io/micatide/core/Row.java
@@ -115,6 +115,10 @@
     record Fence(long number) implements Row {
     }
 
+    /** Machines whose deletion is asked for, or was answered not long ago. */
+    record Returned(List<String> machines) implements Row {
+    }
+
     /** A part of what a leader has learned, for one that nobody told. */
     record Learned(List<Hint> hints) implements Row {
     }
--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -25,6 +25,7 @@
     private final Fleet fleet = new Fleet();
     private final Rentals rentals;
     private final Planner planner;
+    private final Returns returns;
     private final Renter renter;
     private final RunTimes runTimes = new RunTimes();
     private final Pipelines pipelines;
@@ -60,8 +61,9 @@
         this.book = new JobBook(settings, token);
         this.pipelines = new Pipelines(book, runTimes);
         this.rentals = new Rentals(settings, token);
+        this.returns = new Returns(settings, token);
         this.planner = new Planner(this, settings, fleet, book, runTimes);
-        this.renter = new Renter(settings, tuning, fleet, rentals, planner);
+        this.renter = new Renter(settings, tuning, fleet, rentals, planner, returns);
         this.writeTokens = leaderWriteRate();
         this.mostOps = settings.transactionOps();
         this.writeTokensMicros = nowMicros;
@@ -164,10 +166,18 @@
      *
      * @param version of their row, a condition of what depends on them
      * @param fenced whether bookings are written on condition of their versions and of their fence
+     * @param recorded whether machines that are given back are named in a row first
      */
-    public void switches(long version, boolean fenced) {
+    public void switches(long version, boolean fenced, boolean recorded) {
         switchesVersion = version;
         rentals.fenced(fenced);
+        returns.recording(recorded);
+    }
+
+    /** Machines that an earlier leader was giving back: nothing is placed on them, and their deletion is asked for again. */
+    public void returnLoaded(String key, Row.Returned row, long version, long nowMicros) {
+        returns.load(key, row.machines(), version);
+        row.machines().forEach(name -> fleet.obtain(name, nowMicros).deleting = true);
     }
 
     /** Every controller reads the present layout: what an older one could not read may be written, on that condition. */
@@ -763,6 +773,9 @@
                             : new Row.Booking("claimed", booking.type, booking.zone, booking.spot, booking.count), 0));
         }
         List<Transaction.Compare> conditions = rentals.conditions(bookings);
+        List<Transaction.Write> given = returns.toWrite(fleet.machines(), most - bookings.size() - writes.size() - 1, nowMicros);
+        conditions.addAll(returns.conditions(given));
+        writes.addAll(given);
         if (!conditions.isEmpty()) {
             conditions.add(new Transaction.Compare(StoreKeys.FEATURES, switchesVersion));
         }
@@ -776,6 +789,7 @@
         JobBook.Round round = book.nextRound(nowMicros, wallMicros, most, later, bookings,
                 writes, conditions, (job, likely) -> planner.likely(job, likely, nowMicros));
         if (round == null) {
+            given.forEach(returns::notWritten);
             return null;
         }
         bookings.forEach(booking -> booking.writing = true);
@@ -788,7 +802,9 @@
         JobBook.Round round = inFlight;
         inFlight = null;
         for (Transaction.Write write : round.transaction().writes()) {
-            if (write.row() == null) {
+            if (Returns.owns(write.key())) {
+                returns.written(write, revision);
+            } else if (write.row() == null) {
                 extraWrites.remove(write);
             }
         }
@@ -828,6 +844,7 @@
             mostOps = Math.max(FEWEST_OPS, round.transaction().writes().size() / 2);
         }
         book.refused(round, nowMicros);
+        returnsOf(round).forEach(returns::notWritten);
         roundResolved(nowMicros);
     }
 
@@ -845,28 +862,44 @@
             booking.writing = false;
         }
         rentals.doubt(failed.stream().filter(Rentals::owns).toList());
+        for (Transaction.Write write : returnsOf(round)) {
+            if (failed.contains(write.key())) {
+                returns.doubt(write.key());
+            } else {
+                returns.notWritten(write);
+            }
+        }
         return book.refusedBy(round, failed, nowMicros);
     }
 
     /** A key that a round was refused for was read back and taken in. */
     public void keyKnown(String key, long nowMicros) {
-        if (!Rentals.owns(key)) {
+        if (!isOfDuties(key)) {
             book.keyKnown(key, nowMicros);
         }
     }
 
-    /** A booking or their fence as read back, null with version 0 if there is none. */
-    public void bookingReadBack(String key, Row row, long version) {
-        rentals.readBack(key, row, version);
+    /** A booking, their fence or a row of machines that are given back, as read back; null with version 0 if there is none. */
+    public void dutyReadBack(String key, Row row, long version) {
+        if (Returns.owns(key)) {
+            returns.readBack(key, version);
+        } else {
+            rentals.readBack(key, row, version);
+        }
+    }
+
+    /** Whether the key is of what is asked of the cloud, and not of a job. */
+    public static boolean isOfDuties(String key) {
+        return Rentals.owns(key) || Returns.owns(key);
     }
 
-    /** Whether the key is that of a booking or of their fence. */
-    public static boolean isOfBookings(String key) {
-        return Rentals.owns(key);
+    private static List<Transaction.Write> returnsOf(JobBook.Round round) {
+        return round.transaction().writes().stream().filter(write -> Returns.owns(write.key())).toList();
     }
 
     /** The round was certainly not executed; nothing needs to be read. */
     public void roundNotExecuted(long nowMicros) {
+        returnsOf(inFlight).forEach(returns::notWritten);
         roundResolved(nowMicros);
     }
 
@@ -947,6 +980,7 @@
                     remove(placement);
                 }
             }
+            returns.gone(name, nowMicros);
             fleet.markGone(name, nowMicros);
             settle(name, nowMicros);
         }
--- a/src/main/java/io/micatide/core/StoreKeys.java
+++ b/src/main/java/io/micatide/core/StoreKeys.java
@@ -29,6 +29,8 @@
     public static final String ASKED = ROLLOUT + "asked/";
     /** The fence of the bookings; written by the leader alone. */
     public static final String FENCE = "fence";
+    /** Machines that are given back, named before the cloud is asked; written by the leader alone. */
+    public static final String RETURNS = "return/";
     /** What leaders have learned; written by the leader alone. */
     public static final String LEARNED = "learned/";
     /** Segments of the archive, by run and number; written by the leader alone and never changed. */
@@ -68,6 +70,10 @@
         return ASKED + feature;
     }
 
+    public static String returned(long token, int number) {
+        return RETURNS + token + "-" + number;
+    }
+
     public static String booking(String name) {
         return BOOKINGS + name;
     }
--- a/src/main/java/io/micatide/node/Rounds.java
+++ b/src/main/java/io/micatide/node/Rounds.java
@@ -162,9 +162,9 @@
     /** What a key holds now; false if the state service did not say. */
     private boolean takeIn(String key, Reply reply) {
         try {
-            if (Scheduler.isOfBookings(key) && (reply.ok() || reply.status() == 404)) {
+            if (Scheduler.isOfDuties(key) && (reply.ok() || reply.status() == 404)) {
                 StateCodec.Item item = reply.ok() ? StateCodec.item(reply.body()) : null;
-                scheduler.bookingReadBack(key, item == null ? null : item.row(), item == null ? 0 : item.version());
+                scheduler.dutyReadBack(key, item == null ? null : item.row(), item == null ? 0 : item.version());
             } else if (reply.ok()) {
                 StateCodec.Item item = StateCodec.item(reply.body());
                 if (item.row() instanceof Row.Ledger ledger) {
--- a/src/main/java/io/micatide/node/Steps.java
+++ b/src/main/java/io/micatide/node/Steps.java
@@ -77,7 +77,8 @@
 
     /** The scheduler writes by the switches as they are now. */
     void switchesChanged() {
-        scheduler.switches(rollout.switches().version(), rollout.switches().on(Feature.BOOKING_FENCE));
+        scheduler.switches(rollout.switches().version(), rollout.switches().on(Feature.BOOKING_FENCE),
+                rollout.switches().on(Feature.RETURNS));
     }
 
     void layoutSeen(long version, Row.Layout seen) {
--- a/src/main/java/io/micatide/node/TakeOver.java
+++ b/src/main/java/io/micatide/node/TakeOver.java
@@ -11,7 +11,7 @@
 import java.util.List;
 
 /**
- * The way from a claim to a whole picture: bookings, machine types and, once the leader has the jobs, the ledgers. Takes what the
+ * The way from a claim to a whole picture: machines that are being given back, bookings, machine types and, once the leader has the jobs, the ledgers. Takes what the
  * standby's copies prove to hold and reads the rest, trying again until each is read; tells the leader what it finds and when a part is
  * whole. One for each term.
  */
@@ -61,6 +61,7 @@
             tell(new Read(StoreKeys.TYPES, null));
             tell(new Read(StoreKeys.FENCE, null));
             tell(new Read(StoreKeys.LEARNED, null));
+            tell(new Read(StoreKeys.RETURNS, null));
             if (standby != null) {
                 standby.tell(new StandbyActor.Bring(token, this));
             } else {
--- a/src/main/java/io/micatide/node/Term.java
+++ b/src/main/java/io/micatide/node/Term.java
@@ -22,8 +22,8 @@
 final class Term {
     private static final Logger LOG = LoggerFactory.getLogger(LeaderActor.class);
     private static final long SUMMARY_MICROS = 5 * Micros.SECOND;
-    /** Jobs, ledgers, bookings, types. */
-    private static final int PARTS = 4;
+    /** Jobs, ledgers, bookings, types, machines that are given back. */
+    private static final int PARTS = 5;
 
     private final LeaderActor owner;
     private final UsersActor users;
@@ -192,6 +192,8 @@
                 scheduler.ledgerLoaded(item.key(), ledger, item.version(), now);
             } else if (item.row() instanceof Row.Booking booking) {
                 scheduler.bookingLoaded(item.key().substring(StoreKeys.BOOKINGS.length()), booking, item.version(), now);
+            } else if (item.row() instanceof Row.Returned returned) {
+                scheduler.returnLoaded(item.key(), returned, item.version(), now);
             } else if (item.row() instanceof Row.Learned learned) {
                 learning.found(item.key(), learned);
                 scheduler.hinted(learned.hints(), true, now);
--- a/src/main/java/io/micatide/rollout/Feature.java
+++ b/src/main/java/io/micatide/rollout/Feature.java
@@ -14,7 +14,9 @@
     /** Bookings are written on condition of their own version and of a fence, so that no late write brings one back. */
     BOOKING_FENCE("booking-fence", false, Stage.OFF, Stage.READ, Stage.ON),
     /** What a leader has learned is kept in rows under {@code learned/} for one that nobody told. */
-    LEARNED("learned", false, Stage.OFF, Stage.READ, Stage.ON);
+    LEARNED("learned", false, Stage.OFF, Stage.READ, Stage.ON),
+    /** Machines that are given back are named in rows under {@code return/} before the cloud is asked, and no leader uses one that is. */
+    RETURNS("returns", false, Stage.OFF, Stage.READ, Stage.ON);
 
     private final String key;
     private final boolean mark;
--- a/src/main/java/io/micatide/wire/RolloutCodec.java
+++ b/src/main/java/io/micatide/wire/RolloutCodec.java
@@ -16,7 +16,7 @@
 
     static boolean isFor(String key) {
         return key.equals(StoreKeys.FEATURES) || key.startsWith(StoreKeys.ROLLOUT) || key.equals(StoreKeys.FENCE)
-                || key.startsWith(StoreKeys.LEARNED);
+                || key.startsWith(StoreKeys.LEARNED) || key.startsWith(StoreKeys.RETURNS);
     }
 
     static void write(JsonGenerator out, Row row) throws IOException {
@@ -39,6 +39,12 @@
             out.writeStringField("wish", ask.wish().name());
         } else if (row instanceof Row.Fence fence) {
             out.writeNumberField("fence", fence.number());
+        } else if (row instanceof Row.Returned returned) {
+            out.writeArrayFieldStart("machines");
+            for (String name : returned.machines()) {
+                out.writeString(name);
+            }
+            out.writeEndArray();
         } else if (row instanceof Row.Learned learned) {
             HintCodec.write(out, learned.hints());
         }
@@ -70,6 +76,9 @@
         if (key.equals(StoreKeys.FENCE)) {
             return new Row.Fence(in.count("fence", 0, Long.MAX_VALUE));
         }
+        if (key.startsWith(StoreKeys.RETURNS)) {
+            return new Row.Returned(in.texts("machines"));
+        }
         if (key.startsWith(StoreKeys.LEARNED)) {
             return new Row.Learned(HintCodec.hints(data));
         }
--- a/src/main/java/io/micatide/wire/StateCodec.java
+++ b/src/main/java/io/micatide/wire/StateCodec.java
@@ -110,7 +110,7 @@
             out.writeBooleanField("spot", booking.spot());
             out.writeNumberField("count", booking.count());
         } else if (row instanceof Row.Features || row instanceof Row.Here || row instanceof Row.Ask || row instanceof Row.Fence
-                || row instanceof Row.Learned) {
+                || row instanceof Row.Learned || row instanceof Row.Returned) {
             RolloutCodec.write(out, row);
         } else if (row instanceof Row.Types types) {
             out.writeArrayFieldStart("types");
--- a/src/test/java/io/micatide/core/FailureTest.java
+++ b/src/test/java/io/micatide/core/FailureTest.java
@@ -301,6 +301,30 @@
         assertEquals(List.of(), world.broken);
     }
 
+    /**
+     * A leader gives idle machines back, the cloud carries it out half a minute later, and meanwhile another leads that has work for them:
+     * without the row that names them first it loses what it placed there.
+     */
+    @ParameterizedTest
+    @CsvSource({"true, true", "false, false"})
+    void aLateDeletionTakesNothingThatRuns(boolean recorded, boolean nothingLost) {
+        World world = new World(1, 8);
+        world.recorded = recorded;
+        world.takeOver();
+        world.submit(World.job("wk-3", JobKind.ARRAY, "blue", Priority.NORMAL, 8, 2));
+        world.run(20 * Micros.SECOND);
+        world.deletionsLateMicros = 30 * Micros.SECOND;
+        world.run(40 * Micros.SECOND);
+        world.takeOver();
+        world.submit(World.job("wk-4", JobKind.ARRAY, "blue", Priority.NORMAL, 40, 120));
+        world.run(60 * Micros.SECOND);
+        assertEquals(nothingLost, world.lostToDeletions == 0, world.lostToDeletions + " tasks lost");
+        world.deletionsLateMicros = 0;
+        world.run(200 * Micros.SECOND);
+        assertEquals(List.of(), world.broken);
+        assertTrue(world.leader.summary(world.now).contains("jobs=0"), world.leader.summary(world.now));
+    }
+
     /**
      * Machines that fall silent together, before their leases are over: those of a zone that reports are given back, so that their tasks start
      * elsewhere; those of a zone that is cut off as a whole are not, with the present leader and with a new one.
