--- a/src/main/java/io/micatide/core/Hints.java
+++ b/src/main/java/io/micatide/core/Hints.java
@@ -45,18 +45,23 @@
         return result;
     }
 
-    /** Without what changes by the second or is seen with the first report: images, addresses. */
-    static List<Hint> lasting(List<Hint> hints) {
-        List<Hint> result = new ArrayList<>();
-        for (Hint hint : hints) {
-            if (hint instanceof Hint.OfMachine each) {
-                if (each.slow() || each.faulty() || each.gone()) {
-                    result.add(new Hint.OfMachine(each.name(), "", 0, List.of(), List.of(), each.slow(), each.faulty(), each.gone()));
-                }
-            } else if (!(hint instanceof Hint.OfJob each) || each.suspect()) {
-                result.add(hint);
+    /** The same without what changes by the second or is seen with the first report: images, addresses, jobs that go well. */
+    static List<Hint> lasting(Fleet fleet, Collection<Job> open, RunTimes runTimes, long nowMicros) {
+        List<Hint> result = new ArrayList<>(runTimes.hints());
+        for (Job job : open) {
+            if (job.suspect) {
+                result.add(new Hint.OfJob(job.id(), 0, 0, true, job.failedProbes));
+            }
+        }
+        for (Machine machine : fleet.machines()) {
+            boolean slow = machine.slowUntilMicros >= nowMicros;
+            if (!machine.deleting && (slow || machine.draining)) {
+                result.add(new Hint.OfMachine(machine.name, "", 0, List.of(), List.of(), slow, machine.draining, false));
             }
         }
+        for (String name : fleet.gone()) {
+            result.add(Hint.OfMachine.gone(name));
+        }
         return result;
     }
 
--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -1016,7 +1016,7 @@
 
     /** Of what lasts beyond a take-over without an heir: run times, suspicions, slow, faulty and returned machines. */
     public List<Hint> lasting(long nowMicros) {
-        return Hints.lasting(hints(nowMicros));
+        return Hints.lasting(fleet, book.jobs(), runTimes, nowMicros);
     }
 
     /** Tasks done and running of every open job, for display. */
