What an operator asks for is written on condition of the row as it was read, and the row stays

Change: the command reads the row and writes on condition of its version; release writes a row too, since one that is gone has the version of one that never was.

--- a/src/main/java/io/micatide/cli/RolloutCommand.java
+++ b/src/main/java/io/micatide/cli/RolloutCommand.java
@@ -146,6 +146,27 @@
         return there ? Stage.CLEAN : Stage.OFF;
     }
 
+    /**
+     * On condition of the row as it was read, and the row never goes: what an operator asked for first and that arrives minutes late must not
+     * undo what was asked for since.
+     */
+    private static void write(StateCalls calls, String name, Row.Wish wish) throws RefusedException, MalformedException {
+        String key = StoreKeys.asked(name);
+        for (int tries = 0; tries < TRIES; tries++) {
+            StateCodec.Item there = item(calls, key);
+            if (there.row() instanceof Row.Ask ask && ask.wish() == wish) {
+                return;
+            }
+            byte[] body = StateCodec.transaction(new Transaction(List.of(new Transaction.Compare(key, there.version())),
+                    List.of(new Transaction.Write(key, new Row.Ask(wish), 0))));
+            if (calls.post("/txn", body).ok()) {
+                return;
+            }
+            calls.pause();
+        }
+        throw new RefusedException("the state service does not take it; nothing is known to have changed, ask for the status");
+    }
+
     static void ask(StateCalls calls, String name, Row.Wish wish, PrintStream out) throws RefusedException, MalformedException {
         Feature feature = Feature.of(name);
         if (feature == null) {
@@ -158,14 +179,7 @@
         if (wish == Row.Wish.BACK && stage == Stage.CLEAN) {
             throw new RefusedException(name + " cannot go back: its former form is gone");
         }
-        Transaction.Write write = new Transaction.Write(StoreKeys.asked(name), wish == Row.Wish.NONE ? null : new Row.Ask(wish), 0);
-        byte[] body = StateCodec.transaction(new Transaction(List.of(), List.of(write)));
-        for (int tries = 1; !calls.post("/txn", body).ok(); tries++) {
-            if (tries == TRIES) {
-                throw new RefusedException("the state service does not take it; nothing is known to have changed, ask for the status");
-            }
-            calls.pause();
-        }
+        write(calls, name, wish);
         out.println(name + " is at " + stage + ": " + switch (wish) {
             case HOLD -> "it stays there until it is released";
             case BACK -> "it goes back, stage by stage, and stays off until it is released";
--- a/src/test/java/io/micatide/rehearsal/RolloutDay.java
+++ b/src/test/java/io/micatide/rehearsal/RolloutDay.java
@@ -101,14 +101,15 @@
     /** What an operator asks for, NONE to take it back. */
     void ask(Feature feature, Row.Wish wish) {
         String key = StoreKeys.asked(feature.key());
-        String write = wish == Row.Wish.NONE ? "{\"delete\":\"" + key + "\"}"
-                : "{\"put\":\"" + key + "\",\"data\":{\"wish\":\"" + wish + "\"}}";
-        day.deployment.network.from(day.deployment.user, "state").post("/txn",
-                ("{\"if\":[],\"writes\":[" + write + "]}").getBytes(StandardCharsets.UTF_8), Micros.SECOND, reply -> {
-                    if (!reply.ok()) {
-                        day.deployment.user.later(() -> ask(feature, wish), Micros.SECOND);
-                    }
-                });
+        StateStandIn.Value there = day.deployment.state.values().get(key);
+        String body = "{\"if\":[{\"k\":\"" + key + "\",\"stamp\":" + (there == null ? 0 : there.stamp()) + "}],\"writes\":[{\"put\":\"" + key
+                + "\",\"data\":{\"wish\":\"" + wish + "\"}}]}";
+        day.deployment.network.from(day.deployment.user, "state").post("/txn", body.getBytes(StandardCharsets.UTF_8), Micros.SECOND, reply -> {
+            StateStandIn.Value now = day.deployment.state.values().get(key);
+            if (!reply.ok() && !(now != null && Deployment.row(key, now) instanceof Row.Ask ask && ask.wish() == wish)) {
+                day.deployment.user.later(() -> ask(feature, wish), Micros.SECOND);
+            }
+        });
     }
 
     /** Whether each controller says that it is healthy, asked now. */
