The class-data archive holds the way of a leader again, and a build without it fails

Cause: since claims wait for the switches, the warm-up's controller never led: its canned state service answered their key with nothing it could read. Change: the warm-up answers the switches, the fence and the registrations, and ends with code 1 if the controller never claimed, which fails the build.

--- a/src/main/java/io/micatide/cli/WarmUp.java
+++ b/src/main/java/io/micatide/cli/WarmUp.java
@@ -27,6 +27,8 @@
  */
 final class WarmUp {
     private static final long PATIENCE_MICROS = 2_000_000;
+    /** Whether the controller has claimed the lead. */
+    private static volatile boolean claimed;
 
     private WarmUp() {
     }
@@ -40,7 +42,7 @@
                     .replace("@bind@", "127.0.0.1:" + ports[1]).replace("@peer@", "127.0.0.1:" + ports[2])
                     .replace("@sibling@", "127.0.0.1:" + ports[2]).replace("@services@", "127.0.0.1:" + ports[0]);
             Settings parsed = SettingsReader.parse(settings);
-            try (Node node = new Node(parsed, TuningReader.parse("idle_s = 20.0\nstandby = true", parsed))) {
+            try (Node node = new Node(parsed, TuningReader.parse("idle_s = 20.0\nstandby = true\nrollout = true", parsed))) {
                 node.start();
                 HttpClient client = new HttpClient(group.next(), "127.0.0.1:" + ports[1], 1);
                 for (int round = 0; round < 8; round++) {
@@ -59,6 +61,10 @@
         } finally {
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS).await(2, TimeUnit.SECONDS);
         }
+        if (!claimed) {
+            System.err.println("warm-up: the controller never claimed the lead, so the archive would lack most of what a start loads");
+            return 1;
+        }
         return 0;
     }
 
@@ -79,11 +85,19 @@
     private static void canned(Request request) {
         String path = request.path();
         String body = "{\"ledger\":9}";
-        if (path.equals("/store/leader") || path.equals("/store/types")) {
+        claimed |= path.equals("/txn") && new String(request.body(), StandardCharsets.UTF_8).contains("\"put\":\"leader\"");
+        if (path.equals("/store/leader") || path.equals("/store/types") || path.equals("/store/fence")
+                || path.startsWith("/store/rollout/")) {
             request.answer(404, body.getBytes(StandardCharsets.UTF_8));
             return;
         }
-        if (path.startsWith("/store?")) {
+        if (path.equals("/store/job/features")) {
+            // Without an answer that it can read it would not claim, and most of what a start needs would be loaded anew each time.
+            body = "{\"k\":\"job/features\",\"data\":{\"features\":{\"booking-fence\":\"ON\",\"learned\":\"ON\",\"returns\":\"ON\"}},\"stamp\":4}";
+        } else if (path.startsWith("/store?starts=rollout")) {
+            body = "{\"items\":[{\"k\":\"rollout/here/x\",\"data\":{\"build\":\"1\",\"knows\":[\"learned\"],\"acts\":4,\"since\":1},\"stamp\":3}],"
+                    + "\"truncated\":false,\"ledger\":5}";
+        } else if (path.startsWith("/store?")) {
             body = "{\"items\":[],\"truncated\":false,\"ledger\":5}";
         } else if (path.startsWith("/changes?starts=job")) {
             body = resource("/warm-up-changes.json");
