A step that is refused is tried again after a pause, and a row that is not there is read once

Result: within 4 reads a controller and 30 for a step that is refused for ten seconds, with 3 and 20 controllers.

--- a/src/main/java/io/micatide/node/Rollout.java
+++ b/src/main/java/io/micatide/node/Rollout.java
@@ -124,6 +124,7 @@
             }
             if (reply.status() == 404) {
                 seen(0, new Row.Features(Map.of()));
+                heardOf = 0;
                 return;
             }
         } catch (MalformedException e) {
--- a/src/main/java/io/micatide/node/Steps.java
+++ b/src/main/java/io/micatide/node/Steps.java
@@ -164,7 +164,7 @@
     }
 
     void layoutMarked(TermMessage.LayoutMarked message) {
-        stepped();
+        stepped(message.reply());
         try {
             if (message.reply().ok()) {
                 LOG.info("all {} controllers read layout {}: marked", labels.size(), Settings.LAYOUT_NEEDS);
@@ -191,7 +191,7 @@
 
     /** Whoever wrote it, the copy of the rows tells of it. */
     void historyBegun(TermMessage.HistoryBegun message) {
-        stepped();
+        stepped(message.reply());
         if (message.reply().ok()) {
             LOG.info("all {} controllers read layout {}: the archive begins", labels.size(), Settings.LAYOUT_HISTORY);
         }
@@ -213,7 +213,7 @@
 
     /** Of an outcome that is not known the row itself tells. */
     void featuresStepped(TermMessage.Stepped message) {
-        stepped();
+        stepped(message.reply());
         try {
             if (message.reply().ok()) {
                 LOG.info("roll-out: {}", String.join(", ", message.moves()));
@@ -226,9 +226,10 @@
         rollout.newerThere(rollout.switches().version() + 1);
     }
 
-    private void stepped() {
+    /** The next look comes at once after a step that was taken, and after a pause where it was not. */
+    private void stepped(Reply reply) {
         stepping = false;
         movedMicros = owner.now();
-        lookedMicros = Long.MIN_VALUE / 2;
+        lookedMicros = reply.ok() ? Long.MIN_VALUE / 2 : movedMicros;
     }
 }
--- a/src/test/java/io/micatide/rehearsal/RolloutTest.java
+++ b/src/test/java/io/micatide/rehearsal/RolloutTest.java
@@ -170,6 +170,31 @@
         assertEquals(List.of("book", "lead", "lear", "roll"), List.copyOf(seen.keySet()));
     }
 
+    /**
+     * What a roll-out asks of the state service, with 3 to 20 controllers and a first step that is refused: a read and a change for each
+     * controller's start, one more change for each step, and nothing again and again. A leader whose step had failed once read the row, which was
+     * not there, at every tick.
+     */
+    @ParameterizedTest
+    @CsvSource({"3", "20"})
+    void askingIsBounded(int controllers) {
+        RolloutDay roll = new RolloutDay(9, controllers, Abilities.ALL);
+        int[] registered = {0};
+        long[] refusedMicros = {0};
+        roll.day.deployment.state.beforeEachTransaction(body -> body.path("writes").forEach(each -> {
+            registered[0] += each.path("put").asText().startsWith(StoreKeys.HERE) ? 1 : 0;
+            refusedMicros[0] = refusedMicros[0] == 0 && each.path("put").asText().equals(StoreKeys.FEATURES) ? roll.day.time.now() : refusedMicros[0];
+            if (each.path("put").asText().equals(StoreKeys.FEATURES) && roll.day.time.now() < refusedMicros[0] + 10 * Micros.SECOND) {
+                throw new IllegalArgumentException("refused");
+            }
+        }));
+        roll.day.time.run(60 * Micros.SECOND);
+        assertEquals(Stage.ON, roll.stage(Feature.LEARNED));
+        int reads = roll.day.asked.getOrDefault("/store/" + StoreKeys.FEATURES, 0);
+        assertTrue(reads <= 4 * controllers + 30, reads + " reads of the switches");
+        assertTrue(registered[0] <= 6 * controllers, registered[0] + " registrations");
+    }
+
     /** Each request of a roll-out's first seconds is the last one of its controller, which is back with its version or a former one. */
     @ParameterizedTest
     @CsvSource({"3, 2", "5, 2", "3, 1", "3, 0"})
--- a/src/test/java/io/micatide/rehearsal/TakeOverDay.java
+++ b/src/test/java/io/micatide/rehearsal/TakeOverDay.java
@@ -52,6 +52,8 @@
     private final int former;
     /** What the version of each controller can do, from its next start on. */
     private final Abilities[] versions;
+    /** How often the state service was asked for each path. */
+    final Map<String, Integer> asked = new TreeMap<>();
     private int interactions;
     private int killAt;
     private int killTimes;
@@ -95,6 +97,9 @@
         deployment.network.observe(new VirtualNetwork.Observer() {
             @Override
             public void leaves(VirtualTime.Process from, String endpoint, String path) {
+                if (endpoint.equals("state")) {
+                    asked.merge(path, 1, Integer::sum);
+                }
                 if (killAt > 0 && controller(from) >= 0 && ++interactions == killAt) {
                     if (--killTimes > 0) {
                         interactions = 0;
