An answer to a worker rests on a proof: what siblings may have confirmed since a read

Cause: a leader that the state service refuses alone went on answering workers for as long as every sibling said that nobody is served now. In the meeting of a refusal, cancellations at another controller and an outage for all, each of them says so truthfully, and yet one was served and confirmed cancellations after the leader's last read.

Change: CancelProof (core) owns the invariant: every cancellation that was confirmed up to cancel_s, less lease, drift and margin, before an answer is known. Reads prove it; while there is none, siblings' testimony does, if it leaves no gap: names of what they know as cancelled above the leader's revision, their label, and for how long their process lives. What is named is taken into the copy and stopped at once. A restarted, silent or older sibling is a gap: answers stop in time, as they did. Confirmed cancellations also go to the leader unasked; nothing rests on that. A term in which not all is read yet stops what is known as cancelled, and no time is granted to a new term by assumption.

Also found: the copy of the rows satisfied a new leader with a read that was under way at its claim; it waits for one that began after. A test of its own is still to come.

The test has a leader refused alone (Deployment.refuse) and cuts that overlap.

--- /dev/null
+++ b/src/main/java/io/micatide/core/CancelLog.java
@@ -0,0 +1,43 @@
+package io.micatide.core;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+
+/**
+ * The jobs that a controller has come to know as cancelled, the newest thousand: by its own confirmed write, by reading or by a sibling's
+ * word. Whatever it tells a user of a cancellation it has entered here before. Kept beside the copy of the rows, since a row that
+ * is archived leaves the copy.
+ */
+public final class CancelLog {
+    /** What a leader that is not served misses is seconds' worth; so many names fill a third of what a sibling may say at once. */
+    static final int MOST = 1_000;
+
+    private final Deque<Testimony.Cancelled> newest = new ArrayDeque<>();
+    /** Above this revision nothing is missing: what was dropped was older, and so was what a read of all rows could not show any more. */
+    private long wholeAbove;
+
+    void cancelled(String job, long version) {
+        newest.addLast(new Testimony.Cancelled(job, version));
+        if (newest.size() > MOST) {
+            wholeAbove = Math.max(wholeAbove, newest.removeFirst().version());
+        }
+    }
+
+    /** All rows were read as of this revision: what was cancelled and archived before it may not have been among them. */
+    void readWholeAt(long revision) {
+        wholeAbove = Math.max(wholeAbove, revision);
+    }
+
+    /** @param livedMicros how long the process has lived */
+    public Testimony above(long revision, String label, long livedMicros) {
+        List<Testimony.Cancelled> names = new ArrayList<>();
+        for (Testimony.Cancelled each : newest) {
+            if (each.version() > revision) {
+                names.add(each);
+            }
+        }
+        return new Testimony(label, livedMicros, revision >= wholeAbove, names);
+    }
+}
--- /dev/null
+++ b/src/main/java/io/micatide/core/CancelProof.java
@@ -0,0 +1,85 @@
+package io.micatide.core;
+
+import java.util.Arrays;
+import java.util.List;
+
+/**
+ * The proof behind every answer to a worker. An answer prolongs all that is on the machine by the worker's lease, also the tasks of jobs
+ * that were cancelled without this controller's knowledge, and those have to be gone {@code cancel_s} after their users were told. So the
+ * invariant of every answer is: <em>each cancellation that anybody confirmed up to {@code cancel_s}, less the lease, its drift and a
+ * margin, before the answer is known here.</em> Then what ends with the lease ends in time, and what is known is stopped by the answer.
+ *
+ * <p>Whoever can confirm a cancellation is a process in the place of one of the siblings, or a former one in our own place. For each place
+ * this keeps up to when all is known that was confirmed there. A read of the state service shows everything, as of when it was asked for.
+ * While there is none, a sibling's {@link Testimony} goes on from there, as of when it was asked for, if it leaves no gap: whole, and
+ * of a process that was already alive at the moment up to which all is known. One that was started since cannot know what the process before
+ * it told users; that time is missing until the next read.
+ *
+ * <p>That nobody is served <em>now</em> proves nothing: a sibling that was served for half a second after our last read, and confirmed
+ * cancellations, says the same in the outage that follows (tasks of cancelled jobs ran on for a whole outage).
+ */
+public final class CancelProof {
+    /** What lies between the end of a worker's lease and the end of its tasks, and clocks. */
+    private static final long MARGIN_MICROS = Micros.SECOND;
+    /** A read is never longer ago than this while the state service answers; settings that leave less cannot be kept. */
+    private static final long LEAST_MICROS = 4 * Micros.SECOND;
+    private static final long NOTHING_KNOWN = Long.MIN_VALUE / 2;
+
+    private final List<Settings.Sibling> siblings;
+    private final long limitMicros;
+    private final long[] knownMicros;
+    private boolean read;
+
+    public CancelProof(Settings settings) {
+        siblings = settings.siblings();
+        limitMicros = Math.max(LEAST_MICROS,
+                settings.cancelMicros() - Micros.withDrift(settings.leaseMicros()) - MARGIN_MICROS);
+        knownMicros = new long[siblings.size()];
+        Arrays.fill(knownMicros, NOTHING_KNOWN);
+    }
+
+    /** The state service was asked then for what has changed, and all that it answered is taken in. */
+    public void read(long askedMicros) {
+        // It began in this process's life, so whatever a former one in its place told is in it.
+        read = true;
+        for (int i = 0; i < knownMicros.length; i++) {
+            knownMicros[i] = Math.max(knownMicros[i], askedMicros);
+        }
+    }
+
+    /**
+     * A sibling's word, whose names are all taken in.
+     *
+     * @param askedMicros when the question left: what the sibling confirmed after that may be missing
+     * @param heardMicros when the answer came
+     * @return whether it proves anything
+     */
+    public boolean testified(int sibling, Testimony word, long askedMicros, long heardMicros) {
+        // Counted back from when the answer came and with the shortest that its clock allows, it was born no later than this.
+        long bornMicros = heardMicros - Micros.withoutDrift(word.livedMicros());
+        if (!word.whole() || !word.label().equals(siblings.get(sibling).label()) || bornMicros > knownMicros[sibling]) {
+            return false;
+        }
+        knownMicros[sibling] = Math.max(knownMicros[sibling], askedMicros);
+        return true;
+    }
+
+    /** Whether the leader may answer workers, and by that prolong what runs on them. */
+    public boolean mayAnswer(long nowMicros) {
+        if (!read) {
+            return false;
+        }
+        for (long known : knownMicros) {
+            if (nowMicros - known > limitMicros) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Whose word is missing, for the log: labels of the siblings of which not enough is known. */
+    public List<String> missing(long nowMicros) {
+        return siblings.stream().filter(each -> nowMicros - knownMicros[siblings.indexOf(each)] > limitMicros)
+                .map(Settings.Sibling::label).toList();
+    }
+}
--- a/src/main/java/io/micatide/core/JobDirectory.java
+++ b/src/main/java/io/micatide/core/JobDirectory.java
@@ -47,6 +47,7 @@
     private final Map<String, Entry> doubtful = new LinkedHashMap<>();
     /** What was found to be archived although it has a row, with the row's version. */
     private final Map<String, Long> ghosts = new HashMap<>();
+    private final CancelLog cancelLog = new CancelLog();
     /** What the full read under way has shown, null between two. */
     private Set<String> seen;
     private long revision;
@@ -80,6 +81,26 @@
         }
         seen = null;
         gone.forEach(id -> removed(id, revision));
+        cancelLog.readWholeAt(revision);
+    }
+
+    /** What this copy has come to know as cancelled, also of jobs that it does not hold any more. */
+    public CancelLog cancelLog() {
+        return cancelLog;
+    }
+
+    /**
+     * A sibling's word that a job is cancelled by its row of this version; the row itself is still to be read. Returns what {@link #apply}
+     * does.
+     */
+    public List<String> cancelledElsewhere(String id, long version) {
+        Entry known = entries.get(id);
+        if (known == null || known.row().state().isFinal()) {
+            return List.of();
+        }
+        Row.JobRow open = known.row();
+        return apply(id, new Row.JobRow(JobState.CANCELLED, open.spec().withNeeds(List.of()), open.submittedWall(), open.tasks())
+                .asChecked(open.checked()), version);
     }
 
     public Entry get(String id) {
@@ -230,6 +251,9 @@
         entries.put(id, entry);
         List<String> changed = new ArrayList<>(List.of(id));
         if (row.state().isFinal()) {
+            if (row.state() == JobState.CANCELLED) {
+                cancelLog.cancelled(id, version);
+            }
             open.remove(id);
             ended.put(id, entry);
             dependencies.ended(id);
--- a/src/main/java/io/micatide/core/Micros.java
+++ b/src/main/java/io/micatide/core/Micros.java
@@ -20,4 +20,9 @@
     public static long withDrift(long micros) {
         return micros + micros / 500;
     }
+
+    /** Shortest time in which another machine's clock may count {@code micros}. */
+    public static long withoutDrift(long micros) {
+        return micros - micros / 500;
+    }
 }
--- a/src/main/java/io/micatide/node/Cancellations.java
+++ b/src/main/java/io/micatide/node/Cancellations.java
@@ -5,6 +5,7 @@
 import io.micatide.core.Row;
 import io.micatide.core.Settings;
 import io.micatide.core.StoreKeys;
+import io.micatide.core.Testimony;
 import io.micatide.core.Transaction;
 import io.micatide.net.Reply;
 import io.micatide.net.Request;
@@ -25,6 +26,7 @@
     private final StateClient state;
     private final JobDirectory directory;
     private final JobRows rows;
+    private LeaderActor own;
 
     Cancellations(UsersActor owner, Settings settings, StateClient state, JobDirectory directory, JobRows rows) {
         this.owner = owner;
@@ -34,6 +36,11 @@
         this.rows = rows;
     }
 
+    /** Who tells the leader what is confirmed here. */
+    void belongsTo(LeaderActor told) {
+        own = told;
+    }
+
     void cancel(Request request, String id, int tries) {
         if (!JobCodec.isId(id)) {
             request.answer(404, UsersActor.NO_SUCH_JOB);
@@ -88,7 +95,9 @@
         String id = message.id();
         if (reply.ok()) {
             try {
-                rows.apply(id, message.row(), StateCodec.revision(reply.body()));
+                long version = StateCodec.revision(reply.body());
+                rows.apply(id, message.row(), version);
+                own.tell(new LeaderActor.Confirmed(new Testimony.Cancelled(id, version)));
                 message.request().answer(200, JobCodec.accepted(id, JobCodec.Standing.CANCELLED));
                 return;
             } catch (MalformedException e) {
--- a/src/main/java/io/micatide/node/Controller.java
+++ b/src/main/java/io/micatide/node/Controller.java
@@ -59,7 +59,7 @@
 
     /** Must be called on the loop. */
     public void start() {
-        users.tell(new UsersActor.SwitchesTo(leader));
+        users.tell(new UsersActor.BelongsTo(leader));
         users.tell(new UsersActor.Load());
         leader.tell(new LeaderActor.LeaseTick());
         leader.tell(new LeaderActor.Tick());
@@ -87,6 +87,8 @@
     public void handlePeer(Request request) {
         if (request.path().equals("/news") && request.method().equals("POST")) {
             leader.tell(new LeaderActor.PeerNews(request));
+        } else if (request.path().equals("/withdrawn") && request.method().equals("POST")) {
+            leader.tell(new LeaderActor.TakeWithdrawn(request));
         } else if (request.path().equals("/hints") && request.method().equals("POST")) {
             leader.tell(new FollowMessage.TakeHints(request));
         } else if (request.path().equals("/standby")) {
--- a/src/main/java/io/micatide/node/JobRows.java
+++ b/src/main/java/io/micatide/node/JobRows.java
@@ -1,11 +1,13 @@
 package io.micatide.node;
 
 import io.micatide.core.JobDirectory;
+import io.micatide.core.JobState;
 import io.micatide.core.Micros;
 import io.micatide.core.Outcome;
 import io.micatide.core.Row;
 import io.micatide.core.Settings;
 import io.micatide.core.StoreKeys;
+import io.micatide.core.Testimony;
 import io.micatide.history.Archivist;
 import io.micatide.net.Reply;
 import io.micatide.net.Request;
@@ -44,10 +46,11 @@
     private final List<Question> arriving = new ArrayList<>();
     private List<Question> asking = List.of();
     private final Set<String> doubts = new HashSet<>();
-    /** Is told of the switches, whether it leads or not. */
-    private LeaderActor switches;
+    /** Is told of the switches, of each read and of cancellations, whether it leads or not. */
+    private LeaderActor own;
     private LeaderActor leader;
     private boolean followPending;
+    private long followMicros;
     private boolean loaded;
     private boolean refreshing;
     private boolean refreshTimer;
@@ -69,17 +72,29 @@
         return loaded;
     }
 
-    void switchesTo(LeaderActor told) {
-        switches = told;
+    void belongsTo(LeaderActor told) {
+        own = told;
     }
 
-    /** The leader on this controller wants every change from now on. */
+    /** The leader on this controller wants every change from now on. What the copy knows as cancelled may be stopped at once. */
     void follow(LeaderActor newLeader) {
         leader = newLeader;
         followPending = true;
+        followMicros = owner.now();
+        List<String> cancelled = directory.openAndCancelled().stream().filter(job -> job.state() == JobState.CANCELLED)
+                .map(JobDirectory.View::id).toList();
+        leader.tell(new LeaderActor.CancelledKnown(cancelled));
         refresh();
     }
 
+    /** Jobs that a sibling knows as cancelled; {@code then} is told to the leader's actor after what follows from them. */
+    void takeIn(List<Testimony.Cancelled> jobs, LeaderActor.Message then) {
+        jobs.forEach(job -> changed(directory.cancelledElsewhere(job.job(), job.version())));
+        if (then != null) {
+            own.tell(then);
+        }
+    }
+
     void unfollow() {
         leader = null;
     }
@@ -141,7 +156,7 @@
         } else if (item.row() instanceof Row.History manifest) {
             historyKnown(item.version(), manifest);
         } else if (item.row() instanceof Row.Features features) {
-            switches.tell(new LeaderActor.SwitchesSeen(item.version(), features));
+            own.tell(new LeaderActor.SwitchesSeen(item.version(), features));
         } else if (item.row() instanceof Row.JobRow row) {
             apply(name, row, item.version());
         } else if (item.row() instanceof Row.Needs needs) {
@@ -179,6 +194,8 @@
             }
             if (leader != null && !followPending) {
                 leader.tell(new LeaderActor.JobSeen(directory.view(changed)));
+            } else if (leader != null && directory.state(changed) == JobState.CANCELLED) {
+                leader.tell(new LeaderActor.CancelledKnown(List.of(changed)));
             }
         }
     }
@@ -227,7 +244,9 @@
         }
         if (fresh) {
             if (leader != null) {
-                if (followPending) {
+                // A read that was under way at the claim may lack a job whose ledger the leader before wrote after it: with the job
+                // unknown its ledger was taken for a left-over, and its tasks were started once more.
+                if (followPending && message.askedMicros() >= followMicros) {
                     followPending = false;
                     if (directory.layoutVersion() > 0) {
                         leader.tell(new LeaderActor.LayoutSeen(directory.layoutVersion(), directory.layout()));
@@ -237,8 +256,8 @@
                     }
                     leader.tell(new LeaderActor.JobsSeen(directory.openAndCancelled()));
                 }
-                leader.tell(new LeaderActor.StateFresh(message.askedMicros()));
             }
+            own.tell(new LeaderActor.StateFresh(message.askedMicros(), directory.revision()));
             asked.forEach(question -> question.fresh().run());
         } else {
             asked.forEach(question -> owner.unavailable(question.request()));
--- a/src/main/java/io/micatide/node/LeaderActor.java
+++ b/src/main/java/io/micatide/node/LeaderActor.java
@@ -1,6 +1,5 @@
 package io.micatide.node;
 
-import io.micatide.core.CancelReach;
 import io.micatide.core.JobDirectory;
 import io.micatide.core.JobProgress;
 import io.micatide.core.Leadership;
@@ -10,6 +9,7 @@
 import io.micatide.core.Scheduler;
 import io.micatide.core.Settings;
 import io.micatide.core.TakeOverTimes;
+import io.micatide.core.Testimony;
 import io.micatide.core.Tuning;
 import io.micatide.core.WorkerReach;
 import io.micatide.history.Archivist;
@@ -34,7 +34,8 @@
  */
 final class LeaderActor extends Actor<LeaderActor.Message> {
     sealed interface Message permits Tick, LeaseTick, Report, PeerNews, JobSeen, JobsSeen, LayoutSeen, HistorySeen, StateFresh, RowRead,
-            Granted, Claimed, Touched, Watched, WatchDue, SwitchesSeen, SwitchesRead, OwnRowRead, Registered, PeerAnswered, AskWarmth, HandedOver, End, FollowMessage, TermMessage {
+            Granted, Claimed, Touched, Watched, WatchDue, SwitchesSeen, SwitchesRead, OwnRowRead, Registered, PeerAnswered, AskWarmth, HandedOver, End, CancelledKnown, TakenIn, Confirmed,
+            TakeWithdrawn, FollowMessage, TermMessage {
     }
 
     record Tick() implements Message {
@@ -76,7 +77,24 @@
     record Registered(Reply reply) implements Message {
     }
 
-    record StateFresh(long askedMicros) implements Message {
+    /** The changes were asked for then and are taken in, up to this revision. */
+    record StateFresh(long askedMicros, long revision) implements Message {
+    }
+
+    /** Jobs that the copy has as cancelled, before the leader has it whole. */
+    record CancelledKnown(List<String> jobs) implements Message {
+    }
+
+    /** What a sibling said of cancellations is in the copy. */
+    record TakenIn(int sibling, Testimony word, long askedMicros, long heardMicros) implements Message {
+    }
+
+    /** A user of this controller was told that a job is cancelled. */
+    record Confirmed(Testimony.Cancelled job) implements Message {
+    }
+
+    /** The same from a sibling. */
+    record TakeWithdrawn(Request request) implements Message {
     }
 
     record RowRead(Reply reply) implements Message {
@@ -97,7 +115,7 @@
     record WatchDue() implements Message {
     }
 
-    record PeerAnswered(Reply reply, long token, int sibling) implements Message {
+    record PeerAnswered(Reply reply, long token, int sibling, long askedMicros) implements Message {
     }
 
     /** A cold sibling wants to know who would lead better. */
@@ -130,11 +148,10 @@
     private final Claims claims;
     private final Rollout rollout;
     private final WorkerReach reach;
-    private final CancelReach cancelReach;
+    private final Testimonies testimonies;
     private final Following following;
     /** Null until this process is told to end. */
     private HandOver handOver;
-    private boolean tooLong;
     private long activeMicros;
     /** Null while another controller leads, or nobody. */
     private Term term;
@@ -153,7 +170,7 @@
         this.activeMicros = now();
         this.archivist = new ArchivistActor(loop, settings, tuning.historyBatch(), maker, state, this);
         this.reach = new WorkerReach(settings, now());
-        this.cancelReach = new CancelReach(settings);
+        this.testimonies = new Testimonies(settings, users);
         this.leadership = new Leadership(settings.label(), tuning.leaderLeaseMicros());
         this.rollout = new Rollout(this, settings, abilities, state, users);
         this.claims = new Claims(this, settings.label(), state, leadership, rollout);
@@ -207,8 +224,19 @@
             advance();
         } else if (message instanceof Registered m) {
             rollout.registered(m.reply());
-        } else if (message instanceof JobSeen || message instanceof JobsSeen || message instanceof LayoutSeen
-                || message instanceof HistorySeen || message instanceof StateFresh) {
+        } else if (message instanceof StateFresh m) {
+            testimonies.fresh(m);
+            if (term != null) {
+                term.stateFresh(m.askedMicros());
+            }
+        } else if (message instanceof TakenIn m) {
+            testimonies.takenIn(m);
+        } else if (message instanceof Confirmed m) {
+            testimonies.confirmed(m.job(), leadership.leader(), siblings);
+        } else if (message instanceof TakeWithdrawn m) {
+            testimonies.takeWithdrawn(m.request());
+        } else if (message instanceof JobSeen || message instanceof JobsSeen || message instanceof CancelledKnown
+                || message instanceof LayoutSeen || message instanceof HistorySeen) {
             if (term != null) {
                 rowsSeen(message);
             }
@@ -256,9 +284,8 @@
             term.layoutSeen(m.version(), m.layout());
         } else if (message instanceof HistorySeen m) {
             term.historySeen(m.version(), m.manifest());
-        } else if (message instanceof StateFresh m) {
-            cancelReach.fresh(m.askedMicros());
-            term.stateFresh(m.askedMicros());
+        } else if (message instanceof CancelledKnown m) {
+            term.cancelledKnown(m.jobs());
         }
     }
 
@@ -311,8 +338,6 @@
         siblings.begin();
         following.begin(token, now);
         reach.begin(now);
-        cancelReach.begin(now);
-        tooLong = false;
         term = new Term(this, users, scheduler, new TakeOver(loop, state, this, following.standby(), token),
                 new Rounds(this, scheduler, state, users), new CloudDesk(this, scheduler, cloud, state, users),
                 new Steps(this, settings, tuning, scheduler, state, users, rollout),
@@ -359,7 +384,7 @@
 
     private Siblings.Now newsOf(long now) {
         return new Siblings.Now(term.token(), state.reach().reached(now), reach.silentMicros(now), following.appoint(now),
-                rollout.switches().version());
+                rollout.switches().version(), testimonies.revision());
     }
 
     // ---- workers
@@ -386,15 +411,10 @@
             return;
         }
         reach.heard(now());
-        if (!cancelReach.mayAnswer(now())) {
-            if (!tooLong) {
-                tooLong = true;
-                log.warn("has read no cancellations for too long, and not all siblings are heard: workers are not answered any more");
-            }
+        if (!testimonies.mayAnswer(now())) {
             request.answer(503, TOO_LONG);
             return;
         }
-        tooLong = false;
         request.answer(200, WorkerCodec.answer(term.token(), term.report(report)));
     }
 
@@ -432,7 +452,7 @@
                 users.tell(new UsersActor.Progress(news.first(), news.jobs()));
                 following.told(news, now);
             }
-            request.answer(200, PeerCodec.answer(ownAnswer(now)));
+            testimonies.answer(request, ownAnswer(now), news);
         } catch (MalformedException e) {
             request.answer(400, Json.error(e.field(), e.getMessage()));
         }
@@ -485,7 +505,7 @@
             reach.strayedElsewhere(answer.strayedAgoMicros(), now);
             resignIfUnreached(now);
             if (term != null && term.token() == message.token()) {
-                cancelReach.heard(message.sibling(), answer.served(), now);
+                testimonies.heard(message.sibling(), answer.testimony(), message.askedMicros(), now);
                 following.heard(message.sibling(), answer, now);
             }
         } catch (MalformedException e) {
--- a/src/main/java/io/micatide/node/Siblings.java
+++ b/src/main/java/io/micatide/node/Siblings.java
@@ -24,7 +24,7 @@
     private static final int NEWS_JOBS = 1_000;
 
     /** What the news of this moment say beside the counts. */
-    record Now(long token, boolean stateServed, long silentMicros, List<String> heirs, long switches) {
+    record Now(long token, boolean stateServed, long silentMicros, List<String> heirs, long switches, long revision) {
     }
 
     private final LeaderActor owner;
@@ -98,9 +98,19 @@
                 owner.answer(LeaderActor.HandedOver::new));
     }
 
+    /** To whoever leads, if it is a sibling: what it would otherwise learn with its next read or news. */
+    void withdrawn(String leader, PeerCodec.Withdrawn message) {
+        for (int sibling = 0; sibling < siblings.size(); sibling++) {
+            if (settings.siblings().get(sibling).label().equals(leader)) {
+                siblings.get(sibling).post("/withdrawn", PeerCodec.withdrawn(message), Http.PATIENCE_MICROS, reply -> { });
+            }
+        }
+    }
+
     private void tell(int sibling, Now what, boolean first, List<JobProgress> jobs) {
+        long askedMicros = owner.now();
         siblings.get(sibling).post("/news", PeerCodec.news(new PeerCodec.News(what.token(), settings.label(),
-                what.stateServed(), what.silentMicros(), what.heirs(), first, jobs, what.switches())), Http.PATIENCE_MICROS,
-                owner.answer(r -> new LeaderActor.PeerAnswered(r, what.token(), sibling)));
+                what.stateServed(), what.silentMicros(), what.heirs(), first, jobs, what.switches(), what.revision())),
+                Http.PATIENCE_MICROS, owner.answer(r -> new LeaderActor.PeerAnswered(r, what.token(), sibling, askedMicros)));
     }
 }
--- a/src/main/java/io/micatide/node/Term.java
+++ b/src/main/java/io/micatide/node/Term.java
@@ -5,16 +5,22 @@
 import io.micatide.core.Hint;
 import io.micatide.core.JobDirectory;
 import io.micatide.core.JobProgress;
+import io.micatide.core.JobState;
 import io.micatide.core.MachineReport;
 import io.micatide.core.Micros;
 import io.micatide.core.Row;
 import io.micatide.core.Scheduler;
 import io.micatide.core.StoreKeys;
 import io.micatide.core.TakeOverTimes;
+import io.micatide.core.TaskReport;
+import io.micatide.core.TaskState;
 import io.micatide.net.Reply;
 import io.micatide.wire.MalformedException;
 import io.micatide.wire.StateCodec;
+import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -38,6 +44,8 @@
     /** What still has to be read before the scheduler may act. */
     private int loading = PARTS;
     private long summaryMicros;
+    /** Jobs known as cancelled until all is read; from then on the scheduler has them. */
+    private final Set<String> cancelled = new HashSet<>();
 
     Term(LeaderActor owner, UsersActor users, Scheduler scheduler, TakeOver takeOver, Rounds rounds, CloudDesk cloud,
             Steps steps, Archiving archiving, Learning learning, Greeter greeter) {
@@ -119,9 +127,21 @@
         return loaded() ? scheduler.progress() : List.of();
     }
 
-    /** While something is still to be read a report only renews the worker's lease; what it says is taken from the next one. */
+    /**
+     * While something is still to be read a report renews the worker's lease and is told only what to stop of jobs that are known as
+     * cancelled: what an answer prolongs must not be one of them. The rest of what it says is taken from the next one.
+     */
     List<Command> report(MachineReport report) {
-        return loaded() ? scheduler.report(report, owner.now()) : List.of();
+        if (loaded()) {
+            return scheduler.report(report, owner.now());
+        }
+        List<Command> stops = new ArrayList<>();
+        for (TaskReport line : report.tasks()) {
+            if (line.state() != TaskState.EXITED && cancelled.contains(line.job())) {
+                stops.add(new Command.Stop(line.job(), line.index(), line.attempt(), 0));
+            }
+        }
+        return stops;
     }
 
     void receive(TermMessage message) {
@@ -172,7 +192,17 @@
 
     // ---- what is read first
 
+    /** Before the rest is known of them. */
+    void cancelledKnown(List<String> jobs) {
+        if (!loaded()) {
+            cancelled.addAll(jobs);
+        }
+    }
+
     void jobSeen(JobDirectory.View view) {
+        if (!loaded() && view.state() == JobState.CANCELLED) {
+            cancelled.add(view.id());
+        }
         scheduler.jobSeen(view, owner.wall(), owner.now());
     }
 
@@ -219,6 +249,7 @@
         if (--loading == 0) {
             long now = owner.now();
             scheduler.loaded(now);
+            cancelled.clear();
             LOG.info("term {} rebuilt: {}", token(), scheduler.summary(now));
             steps.loaded();
             archiving.loaded();
--- a/src/main/java/io/micatide/node/UsersActor.java
+++ b/src/main/java/io/micatide/node/UsersActor.java
@@ -9,6 +9,7 @@
 import io.micatide.core.Row;
 import io.micatide.core.Settings;
 import io.micatide.core.StoreKeys;
+import io.micatide.core.Testimony;
 import io.micatide.net.CloudClient;
 import io.micatide.net.Request;
 import io.micatide.net.Reply;
@@ -23,6 +24,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 
 /**
  * Answers users, whether this controller leads or not. Its parts keep the copy of the job rows, take jobs in and cancel them. An answer about an open or
@@ -104,8 +106,16 @@
     record Blocked(boolean now) implements Message {
     }
 
-    /** Who is told of the switches. */
-    record SwitchesTo(LeaderActor leader) implements Message {
+    /** Who is told of the switches, of each read and of cancellations, whether it leads or not. */
+    record BelongsTo(LeaderActor leader) implements Message {
+    }
+
+    /** What do users of this controller know of cancellations by rows above this revision? */
+    record Testify(long revision, Consumer<Testimony> then) implements Message {
+    }
+
+    /** A sibling knows these jobs as cancelled; {@code then}, if any, is told to the leader's actor once they are taken in. */
+    record TakeIn(List<Testimony.Cancelled> jobs, LeaderActor.Message then) implements Message {
     }
 
     /** This process ends: users are sent to the others. */
@@ -130,6 +140,8 @@
     private static final byte[] NO_SUCH_PATH = Json.error(null, "no such path");
     private static final byte[] WRONG_METHOD = Json.error(null, "method not allowed");
 
+    private final String label;
+    private final long startedMicros;
     private final StateClient state;
     private final CloudClient cloud;
     private final JobDirectory directory = new JobDirectory();
@@ -147,6 +159,8 @@
     /** @param description what is served of the interface itself, null for nothing */
     UsersActor(Loop loop, Settings settings, StateClient state, CloudClient cloud, Description description) {
         super(loop);
+        this.label = settings.label();
+        this.startedMicros = now();
         this.state = state;
         this.cloud = cloud;
         this.description = description;
@@ -202,8 +216,13 @@
             rows.keepUp();
         } else if (message instanceof Blocked m) {
             blocked = m.now();
-        } else if (message instanceof SwitchesTo m) {
-            rows.switchesTo(m.leader());
+        } else if (message instanceof BelongsTo m) {
+            rows.belongsTo(m.leader());
+            cancellations.belongsTo(m.leader());
+        } else if (message instanceof Testify m) {
+            m.then().accept(directory.cancelLog().above(m.revision(), label, now() - startedMicros));
+        } else if (message instanceof TakeIn m) {
+            rows.takeIn(m.jobs(), m.then());
         } else if (message instanceof Closing) {
             closing = true;
         } else if (message instanceof Stored m) {
--- a/src/main/java/io/micatide/rehearsal/Deployment.java
+++ b/src/main/java/io/micatide/rehearsal/Deployment.java
@@ -72,6 +72,9 @@
     private final Map<String, byte[]> described = new HashMap<>();
     private final List<String> log = new ArrayList<>();
     private final Gangs gangs;
+    private final List<VirtualNetwork.Cut> cuts = new ArrayList<>();
+    /** How many refusals are in force for each controller. */
+    private final Map<Integer, Integer> refused = new HashMap<>();
 
     /** @param machines how many the cloud has */
     public Deployment(Random random, int controllers, Plan plan, List<MachineType> types, int machines, StateStandIn.Limits limits,
@@ -89,6 +92,7 @@
         });
         network.listen("state", world, state::handle);
         network.listen("cloud", world, cloud::handle);
+        network.cut((from, endpoint) -> cuts.stream().anyMatch(each -> each.between(from, endpoint)));
         for (int i = 0; i < controllers; i++) {
             processes.add(null);
             this.controllers.add(null);
@@ -106,7 +110,8 @@
         VirtualTime.Process process = time.new Process();
         processes.set(number, process);
         Controller controller = new Controller(plan.settings(number), plan.tuning(number), process,
-                (endpoint, most) -> plan.reaches(number, endpoint, network.from(process, endpoint)), Archivist::new, plan::copy,
+                (endpoint, most) -> plan.reaches(number, endpoint, refusing(number, endpoint, process)),
+                Archivist::new, plan::copy,
                 plan.abilities(number));
         controllers.set(number, controller);
         network.listen("c" + number, process, controller::handle);
@@ -213,17 +218,34 @@
         processes.get(number).stall(millis * Micros.MILLISECOND);
     }
 
-    /** Cuts a controller off from some of: the state service, the workers, its siblings. Ends any cut before. */
+    /** Cuts a controller off from some of: the state service, the workers, its siblings. Cuts may overlap. */
     public void cut(int number, boolean fromState, boolean fromWorkers, boolean fromPeers, int seconds) {
         note("cut c" + number + (fromState ? " state" : "") + (fromWorkers ? " workers" : "") + (fromPeers ? " peers" : "") + " "
                 + seconds);
-        network.cut((from, endpoint) -> {
+        cutFor((from, endpoint) -> {
             boolean own = from == processes.get(number);
             return fromState && own && endpoint.equals("state")
                     || fromWorkers && endpoint.equals("c" + number) && !processes.contains(from) && from != user
                     || fromPeers && (own && endpoint.startsWith("p") || endpoint.equals("p" + number));
-        });
-        time.at(time.now() + seconds * Micros.SECOND, () -> network.cut((from, endpoint) -> false));
+        }, seconds);
+    }
+
+    /** What crosses it is lost for so many seconds, beside the other cuts that there are. */
+    public void cutFor(VirtualNetwork.Cut cut, int seconds) {
+        cuts.add(cut);
+        time.at(time.now() + seconds * Micros.SECOND, () -> cuts.remove(cut));
+    }
+
+    /** The state service answers one controller with 503 for so long, whoever runs in its place; the others are served. */
+    public void refuse(int number, int seconds) {
+        note("refuse c" + number + " " + seconds);
+        refused.merge(number, 1, Integer::sum);
+        time.at(time.now() + seconds * Micros.SECOND, () -> refused.merge(number, -1, Integer::sum));
+    }
+
+    private Http refusing(int number, String endpoint, VirtualTime.Process process) {
+        Http http = network.from(process, endpoint);
+        return endpoint.equals("state") ? new RefusedHttp(http, () -> refused.getOrDefault(number, 0) > 0, process) : http;
     }
 
     public void stateAway(int seconds) {
--- a/src/main/java/io/micatide/wire/PeerCodec.java
+++ b/src/main/java/io/micatide/wire/PeerCodec.java
@@ -1,12 +1,15 @@
 package io.micatide.wire;
 
+import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.databind.JsonNode;
 import io.micatide.core.JobProgress;
+import io.micatide.core.Testimony;
 import io.micatide.standby.Warmth;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 
-/** What controllers tell each other: who leads, and the counts that users are shown. */
+/** What controllers tell each other: who leads, the counts that users are shown, and which jobs are known as cancelled. */
 public final class PeerCodec {
     private PeerCodec() {
     }
@@ -14,23 +17,36 @@
     /**
      * {@code stateServed}: the sender has had answers of the state service just now; {@code silentMicros}: how long no
      * worker has come to it; {@code heirs}: labels of those that are to take over, in this order, null from a leader that appoints
-     * nobody; {@code first}: the counts of earlier messages of this sender are replaced.
+     * nobody; {@code first}: the counts of earlier messages of this sender are replaced; {@code revision}: up to which the sender has read
+     * the state service, -1 from a version that does not ask for testimony.
      */
     public record News(long token, String leader, boolean stateServed, long silentMicros, List<String> heirs,
-            boolean first, List<JobProgress> jobs, long switches) {
+            boolean first, List<JobProgress> jobs, long switches, long revision) {
         /** As versions before the switches tell them. */
         public News(long token, String leader, boolean stateServed, long silentMicros, List<String> heirs, boolean first,
                 List<JobProgress> jobs) {
-            this(token, leader, stateServed, silentMicros, heirs, first, jobs, 0);
+            this(token, leader, stateServed, silentMicros, heirs, first, jobs, 0, -1);
         }
     }
 
+    /** A controller's word, unasked, that these jobs are cancelled. */
+    public record Withdrawn(List<Testimony.Cancelled> jobs) {
+    }
+
     /**
      * What a sibling answers: the highest token that it knows of, and how long ago a worker that had lost the leader came to
      * it, or -1; the layout that it reads, 1 for the version before there was such a number; and whether the state service answers
-     * it, which versions before layout 3 do not say; how warm it is, null of one that follows nobody.
+     * it, which versions before layout 3 do not say; how warm it is, null of one that follows nobody; its testimony, null where none was
+     * asked for or from a version that gives none.
      */
-    public record Answer(long token, long strayedAgoMicros, int layout, boolean served, Warmth warmth) {
+    public record Answer(long token, long strayedAgoMicros, int layout, boolean served, Warmth warmth, Testimony testimony) {
+        public Answer(long token, long strayedAgoMicros, int layout, boolean served, Warmth warmth) {
+            this(token, strayedAgoMicros, layout, served, warmth, null);
+        }
+
+        public Answer with(Testimony word) {
+            return new Answer(token, strayedAgoMicros, layout, served, warmth, word);
+        }
     }
 
     public static byte[] news(News news) {
@@ -60,6 +76,9 @@
             if (news.switches() > 0) {
                 out.writeNumberField("switches", news.switches());
             }
+            if (news.revision() >= 0) {
+                out.writeNumberField("revision", news.revision());
+            }
             out.writeEndObject();
         });
     }
@@ -74,7 +93,7 @@
         return new News(in.count("token", 1, Long.MAX_VALUE), in.text("leader"),
                 in.has("stateServed") && in.flag("stateServed"),
                 tree.path("silentUs").asLong(0), in.has("heirs") ? in.texts("heirs") : null, in.flag("first"), jobs,
-                tree.path("switches").asLong(0));
+                tree.path("switches").asLong(0), in.has("revision") ? in.count("revision", 0, Long.MAX_VALUE) : -1);
     }
 
     public static byte[] answer(Answer answer) {
@@ -89,14 +108,69 @@
             if (answer.warmth() != null) {
                 out.writeStringField("standby", answer.warmth().name());
             }
+            if (answer.testimony() != null) {
+                Testimony word = answer.testimony();
+                out.writeObjectFieldStart("testimony");
+                out.writeStringField("by", word.label());
+                out.writeNumberField("livedUs", word.livedMicros());
+                out.writeBooleanField("whole", word.whole());
+                writeCancelled(out, word.cancelled());
+                out.writeEndObject();
+            }
             out.writeEndObject();
         });
     }
 
     public static Answer answer(byte[] body) throws MalformedException {
         JsonNode tree = Json.tree(body);
-        return new Answer(new Fields(tree, "").count("token", 0, Long.MAX_VALUE), tree.path("strayedUs").asLong(-1),
-                tree.path("layout").asInt(1), tree.path("served").asBoolean(false), warmth(tree));
+        Fields in = new Fields(tree, "");
+        return new Answer(in.count("token", 0, Long.MAX_VALUE), tree.path("strayedUs").asLong(-1),
+                tree.path("layout").asInt(1), tree.path("served").asBoolean(false), warmth(tree),
+                in.has("testimony") ? testimony(in.object("testimony"), tree.path("testimony")) : null);
+    }
+
+    private static Testimony testimony(Fields in, JsonNode tree) throws MalformedException {
+        return new Testimony(in.text("by"), in.count("livedUs", 0, Long.MAX_VALUE), in.flag("whole"), cancelled(tree, in.path("cancelled")));
+    }
+
+    private static void writeCancelled(JsonGenerator out, List<Testimony.Cancelled> jobs) throws IOException {
+        out.writeArrayFieldStart("cancelled");
+        for (Testimony.Cancelled each : jobs) {
+            out.writeStartArray();
+            out.writeString(each.job());
+            out.writeNumber(each.version());
+            out.writeEndArray();
+        }
+        out.writeEndArray();
+    }
+
+    private static List<Testimony.Cancelled> cancelled(JsonNode tree, String path) throws MalformedException {
+        JsonNode list = tree.path("cancelled");
+        if (!list.isArray()) {
+            throw new MalformedException(path, "must be a list of jobs with their versions");
+        }
+        List<Testimony.Cancelled> result = new ArrayList<>();
+        for (JsonNode each : list) {
+            String job = each.path(0).asText("");
+            if (!JobCodec.isId(job) || !each.path(1).isIntegralNumber() || each.path(1).asLong() < 1) {
+                throw new MalformedException(path + "[" + result.size() + "]", "must be a job's id and its row's version");
+            }
+            result.add(new Testimony.Cancelled(job, each.path(1).asLong()));
+        }
+        return result;
+    }
+
+    public static byte[] withdrawn(Withdrawn message) {
+        return Json.bytes(out -> {
+            out.writeStartObject();
+            writeCancelled(out, message.jobs());
+            out.writeEndObject();
+        });
+    }
+
+    public static Withdrawn withdrawn(byte[] body) throws MalformedException {
+        JsonNode tree = Json.tree(body);
+        return new Withdrawn(cancelled(tree, new Fields(tree, "").path("cancelled")));
     }
 
     /** Null where nothing is said, or a word of a later version. */
--- /dev/null
+++ b/src/test/java/io/micatide/rehearsal/RefusedLeaderTest.java
@@ -0,0 +1,68 @@
+package io.micatide.rehearsal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.micatide.core.Micros;
+import io.micatide.standby.Copy;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * The state service refuses the leader alone, another controller confirms cancellations, then the state service is away for all, for longer
+ * than a cancelled job's tasks may be on machines, while workers go on reporting to the old leader.
+ */
+class RefusedLeaderTest {
+    private static final int LONG = 600;
+
+    private TakeOverDay begun(long seed, int controllers) {
+        TakeOverDay day = new TakeOverDay(seed, controllers, 0, Copy::new);
+        day.time.run(2 * Micros.SECOND);
+        day.submit("batch", 16, LONG);
+        day.submit("batch", 16, LONG);
+        day.submit("daemon", 8, 0);
+        day.submit("batch", 8, LONG);
+        day.time.run(12 * Micros.SECOND);
+        for (String job : new String[] {"wk-1", "wk-2", "wk-3", "wk-4"}) {
+            assertTrue(day.checker.running(job) > 0, job);
+        }
+        return day;
+    }
+
+    /**
+     * @param what becomes of the controller that confirmed, just after it did
+     * @param refused ms from the refusal until the cancellations
+     * @param outage ms from there until the state service is away for all: before others can claim, as they do, after they did
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "3, alive, 500, 300", "5, alive, 500, 300", "5, alive, 2400, 300", "3, alive, 500, 2600", "5, alive, 1500, 1700",
+        "5, alive, 3500, 500", "5, ended, 500, 300", "3, ended, 500, 300", "5, back, 500, 300", "3, back, 500, 300", "5, cut, 500, 300",
+        "5, frozen, 500, 300", "3, frozen, 2400, 300",
+    })
+    void whatWasCancelledIsGoneInTime(int controllers, String confirming, int refused, int outage) {
+        for (long seed = 1; seed <= 4; seed++) {
+            TakeOverDay day = begun(seed, controllers);
+            int leader = day.deployment.leader();
+            int other = (leader + 1) % controllers;
+            day.deployment.refuse(leader, 150);
+            day.time.run(refused * Micros.MILLISECOND);
+            day.cancel("wk-1", () -> day.deployment.toController(other));
+            day.cancel("wk-3", () -> day.deployment.toController(other));
+            day.time.run(200 * Micros.MILLISECOND);
+            switch (confirming) {
+                case "ended" -> day.deployment.kill(other, 200);
+                case "back" -> day.deployment.killFor(other, 50 * Micros.MILLISECOND);
+                case "cut" -> day.deployment.cut(other, false, false, true, 150);
+                case "frozen" -> day.deployment.stall(other, 100_000);
+                default -> { }
+            }
+            day.time.run((outage - 200) * Micros.MILLISECOND);
+            day.deployment.stateAway(90);
+            day.time.run(TakeOverDay.CANCEL + 10 * Micros.SECOND);
+            assertEquals(0, day.checker.running("wk-1") + day.checker.running("wk-3"), "seed " + seed + " " + day.deployment.log());
+            day.time.run(200 * Micros.SECOND);
+            assertEquals(java.util.List.of(), day.checker.broken(), "seed " + seed + " " + day.deployment.log());
+        }
+    }
+}
--- a/src/test/java/io/micatide/rehearsal/TakeOverDay.java
+++ b/src/test/java/io/micatide/rehearsal/TakeOverDay.java
@@ -22,6 +22,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.TreeMap;
+import java.util.function.Supplier;
 
 /**
  * A short day of the whole service in virtual time: jobs of all forms, and controllers that are killed, stopped, stalled and cut off,
@@ -303,14 +304,19 @@
     }
 
     void cancel(String id) {
+        cancel(id, this::anyController);
+    }
+
+    /** Cancels through the controllers that are given, until one of them confirms it. */
+    void cancel(String id, Supplier<Http> controller) {
         checker.cancels(id);
         long asked = time.now();
-        anyController().post("/v1/jobs/" + id + "/abort", new byte[0], 5 * Micros.SECOND, reply -> {
+        controller.get().post("/v1/jobs/" + id + "/abort", new byte[0], 5 * Micros.SECOND, reply -> {
             if (reply.status() == 200) {
                 hear(id, asked, reply);
                 replicas.remove(id);
             } else if (reply.status() != 404) {
-                deployment.user.later(() -> cancel(id), Micros.SECOND);
+                deployment.user.later(() -> cancel(id, controller), Micros.SECOND);
             }
         });
     }
--- a/src/test/java/io/micatide/wire/StoredTextTest.java
+++ b/src/test/java/io/micatide/wire/StoredTextTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.micatide.core.JobDirectory;
@@ -13,6 +14,7 @@
 import io.micatide.core.Resources;
 import io.micatide.core.Row;
 import io.micatide.core.Settings;
+import io.micatide.core.Testimony;
 import io.micatide.core.Transaction;
 import java.io.IOException;
 import io.micatide.standby.Warmth;
@@ -124,6 +126,30 @@
         assertEquals(77, PeerCodec.handedRevision(PeerCodec.handOver(41, 77)));
     }
 
+    /** What controllers say of cancellations: passed over by who does not know it; what is malformed proves nothing. */
+    @Test
+    void wordsOnCancellations() throws MalformedException {
+        String news = "{'token':41,'leader':'berth-1','stateServed':true,'silentUs':1200,'first':true,'jobs':[],'revision':7}";
+        assertEquals(7, PeerCodec.news(json(news)).revision());
+        assertEquals(news, new String(PeerCodec.news(PeerCodec.news(json(news))), StandardCharsets.UTF_8).replace('"', '\''));
+        Testimony word = new Testimony("berth-2", 5_000_000, true, List.of(new Testimony.Cancelled("wk-1", 44)));
+        PeerCodec.Answer answer = new PeerCodec.Answer(41, -1, 3, true, null).with(word);
+        String told = new String(PeerCodec.answer(answer), StandardCharsets.UTF_8).replace('"', '\'');
+        assertEquals("{'token':41,'strayedUs':-1,'layout':3,'served':true,"
+                + "'testimony':{'by':'berth-2','livedUs':5000000,'whole':true,'cancelled':[['wk-1',44]]}}", told);
+        assertEquals(answer, PeerCodec.answer(json(told)));
+        for (String part : List.of("'by':'berth-2',", "'livedUs':5000000,", "'whole':true,", ",'cancelled':[['wk-1',44]]")) {
+            assertThrows(MalformedException.class, () -> PeerCodec.answer(json(told.replace(part, ""))), part);
+        }
+        for (String instead : List.of("7", "['wk-1']", "['wk-1',0]", "['job 1',44]", "[44,'wk-1']", "['wk-1','44']")) {
+            assertThrows(MalformedException.class, () -> PeerCodec.answer(json(told.replace("['wk-1',44]", instead))), instead);
+            assertThrows(MalformedException.class, () -> PeerCodec.withdrawn(json("{'cancelled':[" + instead + "]}")), instead);
+        }
+        PeerCodec.Withdrawn push = new PeerCodec.Withdrawn(word.cancelled());
+        assertEquals(push, PeerCodec.withdrawn(PeerCodec.withdrawn(push)));
+        assertThrows(MalformedException.class, () -> PeerCodec.withdrawn(json("{}")));
+    }
+
     /**
      * What this version adds. Production passes over fields that it does not know, and cannot read the mark: it asks every
      * row beside the jobs for {@code state}.
