--- a/src/main/java/io/micatide/rehearsal/Deployment.java
+++ b/src/main/java/io/micatide/rehearsal/Deployment.java
@@ -21,7 +21,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * A whole deployment in virtual time: controllers with the real actors, a state service, a cloud, workers, and what can happen to the
@@ -48,6 +51,11 @@
             return Abilities.ALL;
         }
 
+        /** How long a task runs. */
+        default long runs(String job, int index, long estimateMicros) {
+            return estimateMicros;
+        }
+
         /** What a controller reaches an endpoint by. */
         default Http reaches(int controller, String endpoint, Http http) {
             return http;
@@ -75,12 +83,15 @@
     private final List<VirtualNetwork.Cut> cuts = new ArrayList<>();
     /** How many refusals are in force for each controller. */
     private final Map<Integer, Integer> refused = new HashMap<>();
+    private final Map<VirtualTime.Process, String> machineOf = new HashMap<>();
+    private final Random random;
 
     /** @param machines how many the cloud has */
     public Deployment(Random random, int controllers, Plan plan, List<MachineType> types, int machines, StateStandIn.Limits limits,
             WorkerStandIn.Witness witness) {
         this.plan = plan;
         this.count = controllers;
+        this.random = random;
         this.network = new VirtualNetwork(time, random);
         this.state = new StateStandIn(world, limits);
         this.gangs = new Gangs(world, plan.settings(0));
@@ -261,6 +272,67 @@
         time.at(time.now() + seconds * Micros.SECOND, () -> network.slow("state", 0));
     }
 
+    /** That share of the controllers' transactions gets no answer and is carried out so much later, after newer ones. */
+    public void lateWrites(double share, int leastSeconds, int mostSeconds, int seconds) {
+        note("late writes " + share + " of " + leastSeconds + " to " + mostSeconds + " s " + seconds);
+        fatesFor((from, endpoint, path) -> path.equals("/txn") && random.nextDouble() < share
+                ? new VirtualNetwork.Fate(between(leastSeconds, mostSeconds), 0, false) : null, seconds);
+    }
+
+    /** Of that share of the workers' reports a copy arrives again, 2 s to two leases later, at the controller that had it. */
+    public void lateReports(double share, int seconds) {
+        note("late reports " + share + " " + seconds);
+        int most = (int) (2 * plan.settings(0).leaseMicros() / Micros.SECOND);
+        fatesFor((from, endpoint, path) -> path.equals("/v1/report") && random.nextDouble() < share
+                ? new VirtualNetwork.Fate(0, between(2, most), false) : null, seconds);
+    }
+
+    private long between(int leastSeconds, int mostSeconds) {
+        return leastSeconds * Micros.SECOND + (long) (random.nextDouble() * (mostSeconds - leastSeconds) * Micros.SECOND);
+    }
+
+    private void fatesFor(VirtualNetwork.Fates fates, int seconds) {
+        network.fates(fates);
+        time.at(time.now() + seconds * Micros.SECOND, () -> network.ordinary(fates));
+    }
+
+    /** Reports of that share of the machines arrive; answers and direct commands to them are lost. */
+    public void deaf(double share, int seconds) {
+        Set<String> names = drawn(share);
+        note("deaf " + names + " " + seconds);
+        fatesFor((from, endpoint, path) -> names.contains(machineOf.getOrDefault(from, "")) ? new VirtualNetwork.Fate(0, 0, true) : null, seconds);
+        cutFor((from, endpoint) -> endpoint.endsWith(":9000") && names.contains(endpoint.substring(0, endpoint.indexOf(':'))), seconds);
+    }
+
+    /** Controllers reach that share of the machines and these reach no controller, or the other way round: nothing gets through. */
+    public void unreachable(double share, int seconds) {
+        Set<String> names = drawn(share);
+        note("unreachable " + names + " " + seconds);
+        cutFor((from, endpoint) -> names.contains(machineOf.getOrDefault(from, ""))
+                || endpoint.endsWith(":9000") && names.contains(endpoint.substring(0, endpoint.indexOf(':'))), seconds);
+    }
+
+    /** That share of the machines hangs: what was sent to them is carried out when they go on, what runs on them ends with its lease. */
+    public void hang(double share, int millis) {
+        Set<String> names = drawn(share);
+        note("hang " + names + " " + millis);
+        machineOf.forEach((process, name) -> {
+            if (names.contains(name)) {
+                process.stall(millis * Micros.MILLISECOND);
+            }
+        });
+        for (int at = 50; at < millis; at += 50) {
+            time.at(time.now() + at * Micros.MILLISECOND, () -> names.stream().map(workers::get).filter(Objects::nonNull)
+                    .forEach(worker -> worker.endLease(time.now())));
+        }
+    }
+
+    private Set<String> drawn(double share) {
+        Set<String> names = new TreeSet<>();
+        workers.keySet().stream().sorted().filter(name -> random.nextDouble() < share).forEach(names::add);
+        return names;
+    }
+
     // ---- workers
 
     private void up(CloudStandIn.Rented machine) {
@@ -269,9 +341,11 @@
         for (int i = 0; i < count; i++) {
             known.put("c" + i, network.from(process, "c" + i));
         }
+        machineOf.put(process, machine.name());
         WorkerStandIn worker = new WorkerStandIn(process, plan.settings(0), machine, known, this::spec, gangs, witness);
         network.listen(machine.name() + ":9000", process, worker::handle);
         workers.put(machine.name(), worker);
+        worker.runs(plan::runs);
         worker.start();
     }
 
--- a/src/main/java/io/micatide/rehearsal/RuleChecker.java
+++ b/src/main/java/io/micatide/rehearsal/RuleChecker.java
@@ -1,6 +1,7 @@
 package io.micatide.rehearsal;
 
 import io.micatide.core.ExitCause;
+import io.micatide.core.Micros;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -27,6 +28,9 @@
         /** When its user first heard that it is accepted, and that it is over. */
         long toldMicros = NEVER;
         long overMicros = NEVER;
+        /** Since when its user has asked without an answer. */
+        long waitsMicros = NEVER;
+        boolean forgotten;
 
         Job(int tasks, boolean service) {
             this.tasks = tasks;
@@ -39,12 +43,14 @@
     }
 
     private static final long NEVER = Long.MAX_VALUE / 2;
+    private static final long UNANSWERED_MICROS = 75 * Micros.SECOND;
 
     private record Run(String machine, long attempt) {
     }
 
     private final VirtualTime time;
     private final long cancelMicros;
+    private long calmMicros = NEVER;
     private final Map<String, Job> jobs = new HashMap<>();
     private final Map<String, Run> running = new HashMap<>();
     private final List<String> broken = new ArrayList<>();
@@ -105,8 +111,20 @@
         }
     }
 
-    /** To be called often: what should be gone by now? */
+    /** All troubles are over: from now on every job that was accepted has to be answered about. */
+    public void calm() {
+        calmMicros = time.now();
+    }
+
+    /** To be called often: what should be gone by now, and who has waited for too long for an answer? */
     public void look() {
+        jobs.forEach((id, job) -> {
+            if (job.told != Told.NOTHING && !job.forgotten
+                    && time.now() > Math.max(calmMicros, job.waitsMicros) + UNANSWERED_MICROS) {
+                broke("forgotten", id + " has been asked for in vain");
+                job.forgotten = true;
+            }
+        });
         for (String task : running.keySet()) {
             Job job = jobs.get(task.substring(0, task.indexOf('/')));
             if (job != null && !job.late && time.now() > job.cancelledMicros + cancelMicros) {
@@ -123,6 +141,12 @@
         jobs.putIfAbsent(id, new Job(tasks, service));
     }
 
+    /** Its user asks how it stands. */
+    public void asks(String id) {
+        Job job = jobs.get(id);
+        job.waitsMicros = Math.min(job.waitsMicros, time.now());
+    }
+
     public void cancels(String id) {
         jobs.get(id).cancelAsked = true;
     }
@@ -147,6 +171,7 @@
             broke("invented", id);
             return;
         }
+        job.waitsMicros = NEVER;
         Told now = switch (standing) {
             case "done" -> Told.DONE;
             case "withdrawn" -> Told.CANCELLED;
--- a/src/main/java/io/micatide/rehearsal/VirtualNetwork.java
+++ b/src/main/java/io/micatide/rehearsal/VirtualNetwork.java
@@ -4,6 +4,7 @@
 import io.micatide.net.Http;
 import io.micatide.net.Reply;
 import io.micatide.net.Request;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -27,6 +28,23 @@
         boolean between(VirtualTime.Process from, String endpoint);
     }
 
+    /**
+     * What becomes of one request beside the ordinary delay; microseconds, 0 for never.
+     *
+     * @param late it gets no answer in its sender's time and is carried out so much later, after newer ones of the same sender
+     * @param again a copy of it arrives so much later, whose answer nobody hears
+     * @param unheard it is carried out, and its answer is lost
+     */
+    public record Fate(long late, long again, boolean unheard) {
+        public static final Fate ORDINARY = new Fate(0, 0, false);
+    }
+
+    /** Draws the fate of each request, null where it has nothing to say. */
+    @FunctionalInterface
+    public interface Fates {
+        Fate of(VirtualTime.Process from, String endpoint, String path);
+    }
+
     /** What listens at an endpoint. */
     private record Host(VirtualTime.Process process, Consumer<Request> handler) {
     }
@@ -44,6 +62,7 @@
     private final Map<String, Long> slow = new HashMap<>();
     private Observer observer;
     private Cut cut = (from, endpoint) -> false;
+    private final List<Fates> fates = new ArrayList<>();
 
     public VirtualNetwork(VirtualTime time, Random random) {
         this.time = time;
@@ -69,6 +88,25 @@
         cut = now;
     }
 
+    /** From now on, until {@link #ordinary}; the first that has something to say decides. */
+    public void fates(Fates each) {
+        fates.add(each);
+    }
+
+    public void ordinary(Fates each) {
+        fates.remove(each);
+    }
+
+    private Fate fate(VirtualTime.Process from, String endpoint, String path) {
+        for (Fates each : fates) {
+            Fate fate = each.of(from, endpoint, path);
+            if (fate != null) {
+                return fate;
+            }
+        }
+        return Fate.ORDINARY;
+    }
+
     public void observe(Observer each) {
         observer = each;
     }
@@ -118,6 +156,7 @@
         private final Consumer<Reply> then;
         private VirtualTime.Process at;
         private boolean over;
+        private boolean unheard;
 
         Call(VirtualTime.Process from, String endpoint, String method, String path, byte[] body, Consumer<Reply> then) {
             this.from = from;
@@ -134,7 +173,14 @@
                 observer.leaves(from, endpoint, path);
             }
             boolean arrivesLate = random.nextDouble() < late;
-            time.at(time.now() + (arrivesLate ? timeoutMicros + random.nextInt(LATE_SECONDS) * Micros.SECOND : delay()),
+            Fate fate = fate(from, endpoint, path);
+            unheard = fate.unheard();
+            if (fate.again() > 0) {
+                Call copy = new Call(from, endpoint, method, path, body, reply -> { });
+                copy.over = true;
+                time.at(time.now() + fate.again(), copy::arrive);
+            }
+            time.at(time.now() + (fate.late() > 0 ? Math.max(timeoutMicros, fate.late()) : arrivesLate ? timeoutMicros + random.nextInt(LATE_SECONDS) * Micros.SECOND : delay()),
                     this::arrive);
             time.at(time.now() + timeoutMicros, () -> reply(Reply.UNANSWERED));
         }
@@ -180,7 +226,7 @@
             if (observer != null) {
                 observer.answers(from, endpoint, path);
             }
-            if (random.nextDouble() >= lost && !cut.between(from, endpoint)) {
+            if (random.nextDouble() >= lost && !unheard && !cut.between(from, endpoint)) {
                 long longer = slow.getOrDefault(endpoint, 0L);
                 long extra = longer == 0 ? 0 : (long) (random.nextDouble() * longer);
                 time.at(time.now() + delay() + extra, () -> reply(new Reply(status, json, true)));
--- a/src/main/java/io/micatide/rehearsal/WorkerStandIn.java
+++ b/src/main/java/io/micatide/rehearsal/WorkerStandIn.java
@@ -33,6 +33,12 @@
         void over(String task, long attempt, String machine, ExitCause cause);
     }
 
+    /** How long a task runs. */
+    @FunctionalInterface
+    public interface RunTime {
+        long micros(String job, int index, long estimateMicros);
+    }
+
     private static final long PATIENCE_MICROS = 4 * Micros.SECOND;
     private static final long MINIMUM_GAP_MICROS = 500 * Micros.MILLISECOND;
     private static final long ELSEWHERE_MICROS = Micros.SECOND;
@@ -55,6 +61,7 @@
     private boolean reporting;
     private boolean due;
     private boolean deleted;
+    private RunTime runTime = (job, index, estimateMicros) -> estimateMicros;
 
     /** A task that was told to start. */
     static final class Task {
@@ -127,16 +134,26 @@
             if (deleted) {
                 return;
             }
-            if (loop.now() - answeredSent > settings.leaseMicros()) {
-                kill();
-                session++;
-                answeredSent = loop.now();
-                changed();
-            }
+            endLease(loop.now());
             watchLease();
         }, 100 * Micros.MILLISECOND);
     }
 
+    /** If it is over: a machine that hangs finds that before it does anything else, so others may call this while it does. */
+    public void endLease(long now) {
+        if (!deleted && now - answeredSent > settings.leaseMicros()) {
+            kill();
+            session++;
+            answeredSent = now;
+            changed();
+        }
+    }
+
+    /** How long tasks run, by their job, their number and what the owner estimates. */
+    public void runs(RunTime time) {
+        runTime = time;
+    }
+
     // ---- reports
 
     private void tick() {
@@ -289,7 +306,7 @@
             task.state = TaskState.WAITING;
             gangs.arrived(this, task);
         } else {
-            run(task, task.spec.estimateMicros());
+            run(task, runTime.micros(task.job, task.index, task.spec.estimateMicros()));
         }
         changed();
     }
--- a/src/test/java/io/micatide/rehearsal/TakeOverDay.java
+++ b/src/test/java/io/micatide/rehearsal/TakeOverDay.java
@@ -17,10 +17,12 @@
 import io.micatide.wire.StateCodec;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Supplier;
 
@@ -274,6 +276,63 @@
         }
     }
 
+    /** One of the troubles that the operators want to see in pairs, most often of the controller that leads. */
+    void trouble() {
+        int number = random.nextInt(4) > 0 ? deployment.leader() : random.nextInt(count);
+        int seconds = 1 + random.nextInt(random.nextInt(4) == 0 ? 50 : 14);
+        switch (random.nextInt(17)) {
+            case 0 -> deployment.refuse(number, seconds);
+            case 1 -> deployment.cut(number, true, false, true, seconds);
+            case 2 -> deployment.cut(number, true, random.nextBoolean(), random.nextBoolean(), seconds);
+            case 3 -> deployment.cut(number, false, true, random.nextBoolean(), seconds);
+            case 4, 5 -> deployment.stateAway(seconds);
+            case 6 -> deployment.stateSlow((200 + random.nextInt(1_500)) * Micros.MILLISECOND, seconds);
+            case 7 -> deployment.lateWrites(0.05 + random.nextDouble() * 0.4, 2, 12, seconds);
+            case 8 -> deployment.lateWrites(0.05 + random.nextDouble() * 0.3, 20, 90, seconds);
+            case 9 -> deployment.lateReports(0.1 + random.nextDouble() * 0.5, seconds);
+            case 10 -> deployment.deaf(0.1 + random.nextDouble() * 0.8, seconds);
+            case 11 -> deployment.hang(0.1 + random.nextDouble() * 0.6, 1_000 + random.nextInt(20_000));
+            case 12 -> deployment.unreachable(0.1 + random.nextDouble() * 0.6, seconds);
+            case 13 -> deployment.stall(number, 500 + random.nextInt(20_000));
+            case 14 -> deployment.killFor(number, backSoon());
+            case 15 -> deployment.stopFor(number, backSoon());
+            default -> {
+                for (int each = 0; each < count; each++) {
+                    int ends = each;
+                    at(random.nextInt(3_000) * Micros.MILLISECOND, () -> deployment.killFor(ends, backSoon()));
+                }
+            }
+        }
+    }
+
+    /** Tasks of these end far apart. */
+    final Set<String> apart = new HashSet<>();
+
+    @Override
+    public long runs(String job, int index, long estimateMicros) {
+        return apart.contains(job) ? estimateMicros * (1 + 4L * index) : estimateMicros;
+    }
+
+    /** All troubles are over, and every user asks once more for each job. */
+    void calm() {
+        checker.calm();
+        for (int number = 0; number < count; number++) {
+            int each = number;
+            submitted.keySet().forEach(id -> askOnce(id, deployment.toController(each)));
+        }
+    }
+
+    private void askOnce(String id, Http controller) {
+        checker.asks(id);
+        long asked = time.now();
+        controller.get("/v1/jobs/" + id, 2 * Micros.SECOND, reply -> {
+            hear(id, asked, reply);
+            if (reply.status() != 200 && reply.status() != 404) {
+                deployment.user.later(() -> askOnce(id, controller), 3 * Micros.SECOND);
+            }
+        });
+    }
+
     // ---- users
 
     private Http anyController() {
@@ -322,6 +381,7 @@
     }
 
     private void poll(String id) {
+        checker.asks(id);
         long asked = time.now();
         anyController().get("/v1/jobs/" + id, 2 * Micros.SECOND, reply -> {
             hear(id, asked, reply);
@@ -347,6 +407,23 @@
         checker.heard(id, asked, reply.status(), word);
     }
 
+    /** The same with small jobs whose tasks end far apart, long tasks, and more that is cancelled. */
+    void troubledTraffic() {
+        switch (random.nextInt(5)) {
+            case 0 -> {
+                apart.add("wk-" + (1 + submitted.size()));
+                submit("batch", 2 + random.nextInt(2), 1 + random.nextInt(6));
+            }
+            case 1 -> submit("batch", 1 + random.nextInt(6), 30 + random.nextInt(60));
+            case 2 -> {
+                if (!submitted.isEmpty()) {
+                    cancel(List.copyOf(submitted.keySet()).get(random.nextInt(submitted.size())));
+                }
+            }
+            default -> traffic();
+        }
+    }
+
     /** Jobs of all forms, and some cancellations. */
     void traffic() {
         switch (random.nextInt(6)) {
