A term begins with rows that were asked for after its claim: the test

Cause: the read of the jobs that a heir had under way at its claim counted as the one that the term begins with; a job whose ledger the leader before had written since was missing, and a ledger without a job is removed.

--- a/src/test/java/io/micatide/rehearsal/TakeOverDay.java
+++ b/src/test/java/io/micatide/rehearsal/TakeOverDay.java
@@ -74,6 +74,7 @@
     /** With controllers that all begin with this version. */
     TakeOverDay(long seed, int controllers, int former, Copy.Maker copies, long reportMicros, long leaseMicros, Abilities version) {
         this.versions = new Abilities[controllers];
+        this.lateRowsMicros = new long[controllers];
         Arrays.fill(versions, version);
         this.reportMicros = reportMicros;
         this.leaseMicros = leaseMicros;
@@ -176,9 +177,13 @@
     /** To a version before the switches their row is a job without a state, and it cannot read on. */
     @Override
     public Http reaches(int number, String endpoint, Http http) {
-        return versions[number].registers() || !endpoint.equals("state") ? http : new FormerReader(http);
+        Http to = versions[number].registers() || !endpoint.equals("state") ? http : new FormerReader(http);
+        return endpoint.equals("state") ? new LateRows(to, () -> lateRowsMicros[number], () -> deployment.process(number)) : to;
     }
 
+    /** How much later than it was made this controller hears an answer about changed jobs. */
+    final long[] lateRowsMicros;
+
     @Override
     public void started(int number, Controller controller) {
         if (number >= former) {
