Deaf machines get no new work, and a copy of an old report is no worker that came back

A machine whose reports come and that hears no answer looked usable in the moment of each report: what was started there was lost for a lease, and again. A worker that heard its answer comes straight back; one that heard nothing goes to another controller first, so its numbers have a gap. Only a machine that came straight back gets starts (Machine.heard). And a copy of a worker's old report at a follower was taken for a worker that had been at the leader and came back: three of them made the follower send all others away to look for themselves (WorkerReach).

--- a/src/main/java/io/micatide/core/Machine.java
+++ b/src/main/java/io/micatide/core/Machine.java
@@ -17,6 +17,13 @@
     private Resources size;
     long session;
     long sequence;
+    /** The highest number of any of its messages. */
+    long heardSequence;
+    /**
+     * It came straight back with its newest report, so it has heard the answer to the one before: a worker that heard nothing goes to
+     * another controller first. Of a deaf machine every report comes and no start arrives; each that was sent there was lost for a lease.
+     */
+    boolean hears;
     /** Its report shows our token: no start of an older leader can land any more. */
     boolean confirmed;
     /** Receipt of the last report that was answered with our token, or -1. */
@@ -81,7 +88,13 @@
 
     boolean usable(long nowMicros, Settings settings) {
         return confirmed && !deleting && !draining && noticeAtMicros < 0 && size != null
-                && responsive(nowMicros, settings);
+                && responsive(nowMicros, settings) && hears;
+    }
+
+    /** A message with this number came. */
+    void heard(long number) {
+        hears = number <= heardSequence + 1;
+        heardSequence = Math.max(heardSequence, number);
     }
 
     void add(Placement placement) {
--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -301,6 +301,8 @@
         Machine machine = fleet.get(report.machine());
         if (machine == null || !machine.confirmed) {
             takeIn(report, new ArrayList<>(), nowMicros);
+        } else {
+            machine.heardSequence = Math.max(machine.heardSequence, report.sequence());
         }
     }
 
@@ -336,6 +338,7 @@
         }
         machine.session = report.session();
         machine.sequence = report.sequence();
+        machine.heard(report.sequence());
         machine.address = report.address();
         if (machine.type == null || !machine.type.equals(report.type()) || machine.size() == null) {
             fleet.describe(machine, report.type(), report.zone(), report.spot());
--- a/src/main/java/io/micatide/core/WorkerReach.java
+++ b/src/main/java/io/micatide/core/WorkerReach.java
@@ -19,7 +19,7 @@
     /** A leader that never heard a worker most likely has none, and stops asking for them. */
     private static final long WORRIED_MICROS = 30 * Micros.SECOND;
 
-    private record Sent(long token, long atMicros) {
+    private record Sent(long token, long atMicros, long session, long sequence) {
     }
 
     private final long silenceMicros;
@@ -44,11 +44,17 @@
 
     /**
      * A worker came to this controller, which does not lead; {@code seen} is the highest token that it knows. One that knows
-     * the leader, or comes back from it, has lost it.
+     * the leader, or comes back from it, has lost it. A copy of an older report that arrives once more says nothing: taken for a worker that
+     * came back, three of them made this controller send all others away to look for themselves.
      */
-    public void cameHere(String machine, long seen, long leaderToken, long nowMicros) {
-        cameMicros = nowMicros;
+    public void cameHere(MachineReport report, long leaderToken, long nowMicros) {
+        String machine = report.machine();
+        long seen = report.token();
         Sent before = sent.get(machine);
+        if (before != null && !report.newerThan(before.session(), before.sequence())) {
+            return;
+        }
+        cameMicros = nowMicros;
         boolean back = before != null && before.token() == leaderToken
                 && nowMicros - before.atMicros() > ARRIVES_MICROS;
         if (leaderToken > 0 && (seen == leaderToken || back)) {
@@ -57,7 +63,9 @@
         }
         if (before == null || before.token() != leaderToken) {
             sent.values().removeIf(each -> each.token() != leaderToken);
-            sent.put(machine, new Sent(leaderToken, nowMicros));
+            sent.put(machine, new Sent(leaderToken, nowMicros, report.session(), report.sequence()));
+        } else {
+            sent.put(machine, new Sent(leaderToken, before.atMicros(), report.session(), report.sequence()));
         }
     }
 
--- a/src/main/java/io/micatide/node/LeaderActor.java
+++ b/src/main/java/io/micatide/node/LeaderActor.java
@@ -405,7 +405,7 @@
         if (term == null) {
             String leader = leadership.leader();
             long now = now();
-            reach.cameHere(report.machine(), report.token(), leadership.highestToken(), now);
+            reach.cameHere(report, leadership.highestToken(), now);
             boolean nobody = settings.label().equals(leader) || reach.leaderLost(now);
             request.answer(421, WorkerCodec.elsewhere(nobody ? null : leader));
             return;
--- a/src/test/java/io/micatide/core/WorkerReachTest.java
+++ b/src/test/java/io/micatide/core/WorkerReachTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.util.List;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -74,22 +75,43 @@
         WorkerReach reach = new WorkerReach(SETTINGS, 0);
         for (int i = 0; i < workers; i++) {
             if (sentAgo >= 0) {
-                reach.cameHere("i-" + i, 0, 7, ago(sentAgo));
+                reach.cameHere(report("i-" + i, 0, 1), 7, ago(sentAgo));
             }
-            reach.cameHere("i-" + i, seen, 7, NOW);
+            reach.cameHere(report("i-" + i, seen, 2), 7, NOW);
         }
         reach.leaderSilent(Micros.ofSeconds(silent), NOW);
         assertEquals(stray, reach.strayedAgoMicros(NOW) >= 0);
         assertEquals(lost, reach.leaderLost(NOW));
     }
 
+    /** Copies of reports that came long ago arrive again: nobody has lost the leader, and none of them is a worker that is here. */
+    @ParameterizedTest
+    @CsvSource({"1, false", "4, false"})
+    void aCopyOfAnOldReportIsNoWorkerThatCameBack(int copies, boolean lost) {
+        WorkerReach reach = new WorkerReach(SETTINGS, 0);
+        for (int i = 0; i < copies; i++) {
+            reach.cameHere(report("i-" + i, 5, 9), 7, ago(6));
+        }
+        for (int i = 0; i < copies; i++) {
+            reach.cameHere(report("i-" + i, 5, 8), 7, ago(0.2));
+            reach.cameHere(report("i-" + i, 5, 9), 7, NOW);
+        }
+        assertEquals(lost, reach.leaderLost(NOW));
+        assertEquals(-1, reach.strayedAgoMicros(NOW));
+        assertEquals(false, reach.reached(NOW));
+    }
+
+    private static MachineReport report(String machine, long seen, long sequence) {
+        return new MachineReport(machine, "x:1", "small", "a", false, 1, sequence, seen, -1, List.of());
+    }
+
     /** Seconds ago: the process began, a worker came (-1: none). */
     @ParameterizedTest
     @CsvSource({"60, 0.5, true", "60, 5, false", "60, -1, false", "1, -1, true"})
     void knowsWhetherWorkersReachIt(double began, double came, boolean reached) {
         WorkerReach reach = new WorkerReach(SETTINGS, ago(began));
         if (came >= 0) {
-            reach.cameHere("i-1", 0, 7, ago(came));
+            reach.cameHere(report("i-1", 0, 1), 7, ago(came));
         }
         assertEquals(reached, reach.reached(NOW));
     }
--- a/src/test/java/io/micatide/rehearsal/TakeOverDay.java
+++ b/src/test/java/io/micatide/rehearsal/TakeOverDay.java
@@ -355,6 +355,10 @@
         trySubmit(id);
     }
 
+    String lastJob() {
+        return "wk-" + submitted.size();
+    }
+
     private void trySubmit(String id) {
         long asked = time.now();
         anyController().post("/v1/jobs", submitted.get(id), 5 * Micros.SECOND, reply -> {
