--- a/src/test/java/io/micatide/core/CancelProofTest.java
+++ b/src/test/java/io/micatide/core/CancelProofTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Map;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -65,6 +66,18 @@
         assertEquals(told, text.toString());
     }
 
+    /** Alone there is no sibling to hear, but a former process in its own place may have told users. */
+    @Test
+    void aControllerOnItsOwnReadsOnce() {
+        Settings alone = new Settings("c0", "a", "x:1", "x:2", List.of(), "x:5", "x:6", List.of("a"), 0, Map.of(), List.of(),
+                Micros.SECOND, 10 * Micros.SECOND, 30 * Micros.SECOND, 5 * Micros.SECOND, 30 * Micros.SECOND, 80, 30, 2048, 2048, 5,
+                8, Micros.SECOND, 1, 100, 100);
+        CancelProof proof = new CancelProof(alone);
+        assertEquals(false, proof.mayAnswer(Micros.SECOND));
+        proof.read(Micros.SECOND);
+        assertEquals(true, proof.mayAnswer(900 * Micros.SECOND));
+    }
+
     private static long micros(String seconds) {
         return Micros.ofSeconds(Double.parseDouble(seconds));
     }
