A new leader whose first read fails asks again at the usual pace, not without end

Cause: until a new leader had its first read of the jobs, each failed one was followed by the next at once. In an outage that begins with its claim that is as fast as the state service refuses, and above the client's own rate, where the answer is the client's own, without any pause: the process does nothing else. Found by RefusedLeaderTest (an outage from the very claim on), which never came to its end in virtual time: no time passed.

Change: only the first read after the claim goes out at once; the next ones keep the pace of all reads.

RefusedLeaderTest ends within 21 s and holds; ClaimReadTest as well.

--- a/src/main/java/io/micatide/node/JobRows.java
+++ b/src/main/java/io/micatide/node/JobRows.java
@@ -206,7 +206,9 @@
         }
         long now = owner.now();
         long wait = refreshedMicros + refreshEveryMicros - now;
-        if (wait > 0 && !followPending) {
+        // A new leader's first read does not wait. Its next ones do: in an outage that began with its claim it asked again as fast as it was
+        // answered, and above the rate, where the answer is its own, without end.
+        if (wait > 0 && !(followPending && refreshedMicros < followMicros)) {
             if (!refreshTimer) {
                 refreshTimer = true;
                 owner.tellLater(new UsersActor.RefreshDue(), wait);
