The meeting is held without what controllers tell each other unasked

Cause: with the check of a sibling's birth taken out every case of RefusedLeaderTest still held, since the leader had been told of each cancellation at once.

--- a/src/test/java/io/micatide/rehearsal/RefusedLeaderTest.java
+++ b/src/test/java/io/micatide/rehearsal/RefusedLeaderTest.java
@@ -15,9 +15,12 @@
  */
 class RefusedLeaderTest {
     private static final int LONG = 600;
+    private static final VirtualNetwork.Fate NEVER = new VirtualNetwork.Fate(10_000 * Micros.SECOND, 0, false);
 
     private TakeOverDay begun(long seed, int controllers) {
         TakeOverDay day = new TakeOverDay(seed, controllers, 0, Copy::new);
+        // What a controller tells the leader unasked never arrives: nothing may rest on it.
+        day.deployment.network.fates((from, endpoint, path) -> path.equals("/withdrawn") ? NEVER : null);
         day.time.run(2 * Micros.SECOND);
         day.submit("batch", 16, LONG);
         day.submit("batch", 16, LONG);
