A controller that is back within the outage: the case that finds a proof without its gap

With the check of a sibling's birth taken out (CancelProof) four cases of RefusedLeaderTest now fail: the confirming controller ends 40 ms after its confirmation and is back in the outage, where nobody else has read what it told. With the check all hold.

--- a/src/test/java/io/micatide/rehearsal/RefusedLeaderTest.java
+++ b/src/test/java/io/micatide/rehearsal/RefusedLeaderTest.java
@@ -91,8 +91,8 @@
     @ParameterizedTest
     @CsvSource({
         "3, alive, 500, 300", "5, alive, 500, 300", "5, alive, 2400, 300", "3, alive, 500, 2600", "5, alive, 1500, 1700",
-        "5, alive, 3500, 500", "5, ended, 500, 300", "3, ended, 500, 300", "5, back, 500, 300", "3, back, 500, 300", "5, backInOutage, 500, 300",
-        "3, backInOutage, 2000, 300", "5, cut, 500, 300",
+        "5, alive, 3500, 500", "5, ended, 500, 300", "3, ended, 500, 300", "5, back, 500, 300", "3, back, 500, 300", "5, backInOutage, 500, 60",
+        "3, backInOutage, 2000, 60", "3, backInOutage, 700, 60", "5, backInOutage, 1600, 60", "5, cut, 500, 300",
         "5, frozen, 500, 300", "3, frozen, 2400, 300",
     })
     void whatWasCancelledIsGoneInTime(int controllers, String confirming, int refused, int outage) {
@@ -104,16 +104,16 @@
             day.time.run(refused * Micros.MILLISECOND);
             day.cancel("wk-1", () -> day.deployment.toController(other));
             day.cancel("wk-3", () -> day.deployment.toController(other));
-            day.time.run(200 * Micros.MILLISECOND);
+            day.time.run(40 * Micros.MILLISECOND);
             switch (confirming) {
                 case "ended" -> day.deployment.kill(other, 200);
                 case "back" -> day.deployment.killFor(other, 50 * Micros.MILLISECOND);
-                case "backInOutage" -> day.deployment.killFor(other, 400 * Micros.MILLISECOND);
+                case "backInOutage" -> day.deployment.killFor(other, 100 * Micros.MILLISECOND);
                 case "cut" -> day.deployment.cut(other, false, false, true, 150);
                 case "frozen" -> day.deployment.stall(other, 100_000);
                 default -> { }
             }
-            day.time.run((outage - 200) * Micros.MILLISECOND);
+            day.time.run((outage - 40) * Micros.MILLISECOND);
             day.deployment.stateAway(90);
             day.time.run(TakeOverDay.CANCEL + 10 * Micros.SECOND);
             assertEquals(0, day.checker.running("wk-1") + day.checker.running("wk-3"), "seed " + seed + " " + day.deployment.log());
