The checker knows quota, wrong_place, waiting beside room and what must not be accepted

Cause: RuleChecker knew nothing of a team's limit nor of where a task may start, so no play in virtual time could find a broken one.

Change: workers tell it what holds a part of a machine (fetching as well) and on what machine. quota counts all of it at each event, per team; wrong_place holds type, zone, kind of machine, one zone and spread against the job's other tasks. Once troubles are over an array or service that waits 90 s beside a machine that suits and has room, with its team under its limit, is broken too; so is a job accepted that lacks a field or fits nowhere. Starts after a confirmed cancellation are counted apart. Gangs and jobs of one zone are left to the verdict of a play, which wants them done.

--- a/src/main/java/io/micatide/rehearsal/RuleChecker.java
+++ b/src/main/java/io/micatide/rehearsal/RuleChecker.java
@@ -1,13 +1,21 @@
 package io.micatide.rehearsal;
 
 import io.micatide.core.ExitCause;
+import io.micatide.core.JobKind;
+import io.micatide.core.JobSpec;
 import io.micatide.core.Micros;
+import io.micatide.core.Resources;
+import io.micatide.core.Team;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.Supplier;
 
 /**
  * Holds what workers did and what users were told against the protocol's rules. Knows nothing of the service: whatever serves can be
@@ -31,6 +39,12 @@
         /** Since when its user has asked without an answer. */
         long waitsMicros = NEVER;
         boolean forgotten;
+        /** It lacks a field or fits nowhere: whoever accepts it is wrong. */
+        boolean invalid;
+        boolean waitedTooLong;
+        /** Since when it has waited beside room that fits. */
+        long besideRoomMicros = NEVER;
+        JobSpec spec;
 
         Job(int tasks, boolean service) {
             this.tasks = tasks;
@@ -44,10 +58,15 @@
 
     private static final long NEVER = Long.MAX_VALUE / 2;
     private static final long UNANSWERED_MICROS = 75 * Micros.SECOND;
+    private static final long BESIDE_ROOM_MICROS = 90 * Micros.SECOND;
 
     private record Run(String machine, long attempt) {
     }
 
+    /** What holds a part of a machine: fetching, waiting, running, stopping; hung and cut off as well. */
+    private record Held(JobSpec spec, CloudStandIn.Rented machine) {
+    }
+
     private final VirtualTime time;
     private final long cancelMicros;
     private long calmMicros = NEVER;
@@ -55,11 +74,33 @@
     private final Map<String, Run> running = new HashMap<>();
     private final List<String> broken = new ArrayList<>();
     private int starts;
+    private int startsAfterCancellation;
+    private final Map<String, Team> teams;
+    /** By task, attempt and machine. */
+    private final Map<String, Held> held = new LinkedHashMap<>();
+    private final Map<String, Resources> used = new HashMap<>();
+    private Supplier<Collection<CloudStandIn.Rented>> machines = List::of;
 
     /** @param cancelMicros how long tasks of a cancelled job may be on machines */
     public RuleChecker(VirtualTime time, long cancelMicros) {
+        this(time, cancelMicros, Map.of());
+    }
+
+    /** @param teams the limits that are held, by name */
+    public RuleChecker(VirtualTime time, long cancelMicros, Map<String, Team> teams) {
         this.time = time;
         this.cancelMicros = cancelMicros;
+        this.teams = teams;
+    }
+
+    /** Which machines are up: who waits beside room on one of them once all troubles are over? */
+    public void machines(Supplier<Collection<CloudStandIn.Rented>> up) {
+        machines = up;
+    }
+
+    /** Starts of jobs whose users had been told before that they are cancelled; commands that were on their way are among them. */
+    public int startsAfterCancellation() {
+        return startsAfterCancellation;
     }
 
     /** Rules broken so far, each with what broke it. */
@@ -76,6 +117,17 @@
         return (int) running.keySet().stream().filter(task -> task.startsWith(job + "/")).count();
     }
 
+    /** Machines on which tasks of a job are now. */
+    public Set<String> machinesOf(String job) {
+        Set<String> names = new TreeSet<>();
+        running.forEach((task, run) -> {
+            if (jobOf(task).equals(job)) {
+                names.add(run.machine());
+            }
+        });
+        return names;
+    }
+
     public int running() {
         return running.size();
     }
@@ -86,6 +138,64 @@
 
     // ---- machines
 
+    private static String key(String task, long attempt, String machine) {
+        return task + "@" + attempt + " " + machine;
+    }
+
+    private static String jobOf(String task) {
+        return task.substring(0, task.indexOf('/'));
+    }
+
+    @Override
+    public void taken(JobSpec spec, String task, long attempt, CloudStandIn.Rented machine) {
+        if (held.put(key(task, attempt, machine.name()), new Held(spec, machine)) != null) {
+            return;
+        }
+        Resources all = used.merge(spec.team(), spec.each(), Resources::plus);
+        Team team = teams.get(spec.team());
+        if (team != null && !team.allows(all)) {
+            broke("quota", spec.team() + " uses " + all + " of " + team + " with " + task + " on " + machine.name());
+        }
+    }
+
+    @Override
+    public void released(String task, long attempt, CloudStandIn.Rented machine) {
+        Held gone = held.remove(key(task, attempt, machine.name()));
+        if (gone != null) {
+            used.merge(gone.spec().team(), Resources.NONE.minus(gone.spec().each()), Resources::plus);
+        }
+    }
+
+    /** What is on machines of the same job decides where a further task of it may start. */
+    private void checkPlace(String task, long attempt, String machine) {
+        Held mine = held.get(key(task, attempt, machine));
+        if (mine == null) {
+            return;
+        }
+        JobSpec spec = mine.spec();
+        CloudStandIn.Rented there = mine.machine();
+        if (!spec.allowsMachine(there.type().name(), there.zone(), there.spot())) {
+            broke("wrong_place", task + " on " + there.type().name() + " in " + there.zone() + (there.spot() ? " (spot)" : ""));
+        }
+        int together = 0;
+        boolean apart = false;
+        for (Map.Entry<String, Run> other : running.entrySet()) {
+            if (jobOf(other.getKey()).equals(spec.id())) {
+                Run run = other.getValue();
+                Held at = held.get(key(other.getKey(), run.attempt(), run.machine()));
+                boolean same = at != null && at.machine().zone().equals(there.zone());
+                together += same ? 1 : 0;
+                apart |= at != null && !same;
+            }
+        }
+        if (spec.oneZone() && apart) {
+            broke("wrong_place", task + " in " + there.zone() + " apart from its job");
+        }
+        if (together > spec.mostInOneZone()) {
+            broke("wrong_place", task + " is one of " + together + " in " + there.zone() + ", of " + spec.tasks());
+        }
+    }
+
     @Override
     public void started(String task, long attempt, String machine) {
         starts++;
@@ -93,10 +203,14 @@
         if (other != null) {
             broke("ran_twice", task + " on " + other.machine() + " and " + machine);
         }
-        Job job = jobs.get(task.substring(0, task.indexOf('/')));
+        checkPlace(task, attempt, machine);
+        Job job = jobs.get(jobOf(task));
         if (job == null) {
             broke("invented", task);
-        } else if (time.now() > job.cancelledMicros + cancelMicros) {
+            return;
+        }
+        startsAfterCancellation += time.now() > job.cancelledMicros ? 1 : 0;
+        if (time.now() > job.cancelledMicros + cancelMicros) {
             broke("ran_cancelled", task + " starts");
         }
     }
@@ -107,7 +221,7 @@
             running.remove(task);
         }
         if (cause == ExitCause.DONE) {
-            jobs.get(task.substring(0, task.indexOf('/'))).finished.add(Integer.parseInt(task.substring(task.indexOf('/') + 1)));
+            jobs.get(jobOf(task)).finished.add(Integer.parseInt(task.substring(task.indexOf('/') + 1)));
         }
     }
 
@@ -124,9 +238,10 @@
                 broke("forgotten", id + " has been asked for in vain");
                 job.forgotten = true;
             }
+            lookBesideRoom(id, job);
         });
         for (String task : running.keySet()) {
-            Job job = jobs.get(task.substring(0, task.indexOf('/')));
+            Job job = jobs.get(jobOf(task));
             if (job != null && !job.late && time.now() > job.cancelledMicros + cancelMicros) {
                 broke("ran_cancelled", task + " is still there");
                 job.late = true;
@@ -134,8 +249,49 @@
         }
     }
 
+    /** Tasks that wait while one of them would fit somewhere; gangs are left to the verdict, which wants them done. */
+    private void lookBesideRoom(String id, Job job) {
+        if (job.spec == null || job.spec.kind() == JobKind.GANG || job.spec.oneZone() || job.spec.spread() || job.waitedTooLong
+                || job.told != Told.ACCEPTED || job.cancelAsked || time.now() <= calmMicros) {
+            return;
+        }
+        Set<String> there = new HashSet<>();
+        held.forEach((key, each) -> {
+            if (each.spec().id().equals(id)) {
+                there.add(key.substring(0, key.indexOf('@')));
+            }
+        });
+        boolean waits = there.size() + job.finished.size() < job.tasks && fitsSomewhere(job.spec);
+        job.besideRoomMicros = waits ? Math.min(job.besideRoomMicros, time.now()) : NEVER;
+        if (time.now() - job.besideRoomMicros > BESIDE_ROOM_MICROS) {
+            broke("waits_beside_room", id + " with " + there.size() + " of " + job.tasks + " on machines, " + job.finished.size() + " done");
+            job.waitedTooLong = true;
+        }
+    }
+
+    private boolean fitsSomewhere(JobSpec spec) {
+        Team team = teams.get(spec.team());
+        if (team != null && !team.allows(used.getOrDefault(spec.team(), Resources.NONE).plus(spec.each()))) {
+            return false;
+        }
+        Map<String, Resources> taken = new HashMap<>();
+        held.values().forEach(each -> taken.merge(each.machine().name(), each.spec().each(), Resources::plus));
+        return machines.get().stream().anyMatch(machine -> spec.allowsMachine(machine.type().name(), machine.zone(), machine.spot())
+                && spec.each().fitsIn(machine.type().size().minus(taken.getOrDefault(machine.name(), Resources.NONE))));
+    }
+
     // ---- users
 
+    /** The user's own description, for what depends on it. */
+    public void describes(JobSpec spec) {
+        jobs.get(spec.id()).spec = spec;
+    }
+
+    /** A user sends what lacks a field or fits no machine, zone or limit: nobody may accept it. */
+    public void submitsInvalid(String id) {
+        jobs.computeIfAbsent(id, k -> new Job(1, false)).invalid = true;
+    }
+
     /** A user is about to submit it. */
     public void submits(String id, int tasks, boolean service) {
         jobs.putIfAbsent(id, new Job(tasks, service));
@@ -171,6 +327,10 @@
             broke("invented", id);
             return;
         }
+        if (job.invalid) {
+            broke("accepted_invalid", id + " as " + standing);
+            return;
+        }
         job.waitsMicros = NEVER;
         Told now = switch (standing) {
             case "done" -> Told.DONE;
--- a/src/main/java/io/micatide/rehearsal/WorkerStandIn.java
+++ b/src/main/java/io/micatide/rehearsal/WorkerStandIn.java
@@ -31,6 +31,14 @@
 
         /** It is not any more. */
         void over(String task, long attempt, String machine, ExitCause cause);
+
+        /** A start was taken: from now on the task holds its part of the machine, also while its image is fetched. */
+        default void taken(JobSpec spec, String task, long attempt, CloudStandIn.Rented machine) {
+        }
+
+        /** It holds nothing any more, whether it ever was on its machine or not. */
+        default void released(String task, long attempt, CloudStandIn.Rented machine) {
+        }
     }
 
     /** How long a task runs. */
@@ -72,6 +80,8 @@
         TaskState state = TaskState.FETCHING;
         ExitCause cause;
         boolean saved;
+        /** Its start was not refused. */
+        boolean holds;
 
         Task(String job, int index, long attempt, JobSpec spec) {
             this.job = job;
@@ -280,6 +290,8 @@
         } else if (tasks.values().stream().anyMatch(each -> each != task && !each.over() && each.name().equals(task.name()))) {
             task.cause = ExitCause.BUSY;
         } else {
+            witness.taken(spec, task.name(), task.attempt, machine);
+            task.holds = true;
             long fetch = machine.type().fetchGbPerSecond() > 0
                     ? Micros.ofSeconds(Math.min(spec.imageGb(), 100) / machine.type().fetchGbPerSecond()) : 0;
             loop.later(() -> fetched(task), fetch);
@@ -350,6 +362,9 @@
         if (was) {
             witness.over(task.name(), task.attempt, machine.name(), cause);
         }
+        if (task.holds) {
+            witness.released(task.name(), task.attempt, machine);
+        }
         if (task.spec.kind() == JobKind.GANG) {
             gangs.left(task, cause);
         }
--- a/src/test/java/io/micatide/rehearsal/RuleCheckerTest.java
+++ b/src/test/java/io/micatide/rehearsal/RuleCheckerTest.java
@@ -3,7 +3,16 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import io.micatide.core.ExitCause;
+import io.micatide.core.JobKind;
+import io.micatide.core.JobSpec;
+import io.micatide.core.MachineType;
 import io.micatide.core.Micros;
+import io.micatide.core.Priority;
+import io.micatide.core.Resources;
+import io.micatide.core.Team;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -52,4 +61,97 @@
         }
         assertEquals(rule, checker.broken().isEmpty() ? "" : checker.broken().get(0).split(" ")[0], checker.broken().toString());
     }
+
+    private static final MachineType SMALL = new MachineType("small", Resources.of(8, 0, 64), 25, 0.5, 0.5, 0.2, 0, List.of("x", "y"));
+    private static final MachineType LARGE = new MachineType("large", Resources.of(16, 0, 64), 25, 0.5, 0.5, 0.2, 0, List.of("x", "y"));
+    private static final Map<Character, CloudStandIn.Rented> MACHINES = Map.of(
+            'a', new CloudStandIn.Rented("a", SMALL, "x", false, 0), 'b', new CloudStandIn.Rented("b", SMALL, "x", false, 0),
+            'y', new CloudStandIn.Rented("y", SMALL, "y", false, 0), 'l', new CloudStandIn.Rented("l", LARGE, "x", false, 0),
+            's', new CloudStandIn.Rented("s", SMALL, "x", true, 0));
+
+    /**
+     * Places and limits, on a job of four tasks of two processors whose team may use {@code limit}: {@code f0a} task 0 is taken by machine a and
+     * fetches, {@code s0a} starts there, {@code x0a} is over, {@code g0a} is given up before it started.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        // All that holds a part of a machine counts: fetching, and on a machine whatever becomes of it.
+        "any, 4, f0a f1b f2a, quota", "any, 6, f0a f1b f2a, ''", "any, 4, f0a s0a f1b s1b f2a, quota", "any, 4, f0a s0a f1b x0a f2a, ''",
+        "any, 4, f0a f1b g0a f2a, ''", "any, 4, f0a f1b g0a f2a f3b, quota", "any, 0, f0a f1b f2a f3b, ''",
+        "small, 0, f0l s0l, wrong_place", "small, 0, f0a s0a, ''", "zone x, 0, f0y s0y, wrong_place", "zone x, 0, f0l s0l, ''",
+        "ordinary, 0, f0s s0s, wrong_place", "any, 0, f0s s0s, ''", "ordinary, 0, f0a s0a, ''",
+        // What is on its machine counts for the place of others, not what fetches or is over.
+        "oneZone, 0, f0a s0a f1y s1y, wrong_place", "oneZone, 0, f0a s0a x0a f1y s1y, ''", "oneZone, 0, f0a f1y s1y, ''", "oneZone, 0, f0a s0a f1b s1b, ''",
+        "any, 0, f0a s0a f1y s1y, ''",
+        "spread, 0, f0a s0a f1b s1b f2l s2l, wrong_place", "spread, 0, f0a s0a f1b s1b f2y s2y, ''", "spread, 0, f0a s0a f1b s1b x0a f2l s2l, ''",
+    })
+    void findsPlacesAndLimits(String shape, double limit, String steps, String rule) {
+        JobSpec spec = new JobSpec("wk-1", "x", "blue", JobKind.ARRAY, Priority.NORMAL, 4, Resources.of(2, 0, 1), "i", 0,
+                shape.equals("small") ? List.of("small") : List.of(), shape.equals("zone x") ? "x" : null, shape.equals("oneZone"),
+                shape.equals("spread"), !shape.equals("ordinary"), 0, 0, 0, -1);
+        RuleChecker checker = new RuleChecker(new VirtualTime(), 30 * Micros.SECOND, Map.of("blue", new Team("blue", 0, 0, (long) (limit * 1000), 0)));
+        checker.submits("wk-1", 4, false);
+        for (String step : steps.split(" ")) {
+            String task = "wk-1/" + step.charAt(1);
+            CloudStandIn.Rented machine = MACHINES.get(step.charAt(2));
+            switch (step.charAt(0)) {
+                case 'f' -> checker.taken(spec, task, 1, machine);
+                case 's' -> checker.started(task, 1, machine.name());
+                case 'g' -> checker.released(task, 1, machine);
+                default -> {
+                    checker.over(task, 1, machine.name(), ExitCause.STOPPED);
+                    checker.released(task, 1, machine);
+                }
+            }
+        }
+        assertEquals(rule, checker.broken().isEmpty() ? "" : checker.broken().get(0).split(" ")[0], checker.broken().toString());
+    }
+
+    /**
+     * Once troubles are over a task waits for so many seconds while task 0 holds its place, beside machines that are up.
+     *
+     * @param limit of its team; two processors are in use
+     */
+    @ParameterizedTest
+    @CsvSource({"any, 0, a, 95, waits_beside_room", "any, 0, a, 85, ''", "any, 2, a, 95, ''", "zone x, 0, y, 95, ''", "zone x, 0, ay, 95, waits_beside_room",
+        "large, 0, a, 95, ''", "any, 0, '', 95, ''"})
+    void nobodyWaitsBesideRoom(String shape, double limit, String up, int seconds, String rule) {
+        VirtualTime time = new VirtualTime();
+        RuleChecker checker = new RuleChecker(time, 30 * Micros.SECOND, Map.of("blue", new Team("blue", 0, 0, (long) (limit * 1000), 0)));
+        JobSpec spec = new JobSpec("wk-1", "x", "blue", JobKind.ARRAY, Priority.NORMAL, 2, Resources.of(2, 0, 1), "i", 0,
+                shape.equals("large") ? List.of("large") : List.of(), shape.equals("zone x") ? "x" : null, false, false, true, 0, 0, 0, -1);
+        checker.submits("wk-1", 2, false);
+        checker.describes(spec);
+        checker.machines(() -> up.chars().mapToObj(each -> MACHINES.get((char) each)).toList());
+        checker.heard("wk-1", 0, 201, "queued");
+        checker.taken(spec, "wk-1/0", 1, MACHINES.get('l'));
+        checker.calm();
+        for (int second = 0; second < seconds; second++) {
+            time.run(Micros.SECOND);
+            checker.heard("wk-1", time.now(), 200, "queued");
+            checker.look();
+        }
+        assertEquals(rule, checker.broken().isEmpty() ? "" : checker.broken().get(0).split(" ")[0], checker.broken().toString());
+    }
+
+    /** What cannot run or lacks a field must not be accepted; a start after the confirmation of a cancellation is counted. */
+    @Test
+    void countsWhatIsNoRuleOfItsOwn() {
+        VirtualTime time = new VirtualTime();
+        RuleChecker checker = new RuleChecker(time, 30 * Micros.SECOND);
+        checker.submitsInvalid("wk-2");
+        checker.heard("wk-2", time.now(), 422, null);
+        assertEquals(List.of(), checker.broken());
+        checker.heard("wk-2", time.now(), 201, "queued");
+        assertEquals("accepted_invalid", checker.broken().get(0).split(" ")[0]);
+        checker.submits("wk-1", 2, false);
+        checker.heard("wk-1", time.now(), 201, "queued");
+        checker.started("wk-1/0", 1, "a");
+        checker.cancels("wk-1");
+        checker.heard("wk-1", time.now(), 200, "withdrawn");
+        time.run(Micros.SECOND);
+        assertEquals(0, checker.startsAfterCancellation());
+        checker.started("wk-1/1", 1, "a");
+        assertEquals(1, checker.startsAfterCancellation());
+    }
 }
