A cancelled job keeps its ledger and its use until nothing of it is on any machine

Cause: a cancelled job that was dirty for another reason (a task that had just ended, a round in flight, a row read as open before its ledger was loaded) went with the next round: its ledger was removed and it left the book with tasks still on machines. Under the same leader a listed task without a job was taken for lost and its team's use was freed; the next leader found a cancelled row without a ledger and counted nothing. A team at its limit then started too much.

Change: in one place, JobBook.nextRound, no cancelled job is written while anything of it can be on a machine. What a report lists of a job that has left the book goes on counting, and a job that was cancelled before the term and has no ledger (a former version removed it) is taken in again when a machine reports it.

--- a/src/main/java/io/micatide/core/Job.java
+++ b/src/main/java/io/micatide/core/Job.java
@@ -202,6 +202,11 @@
         return !unsettledMachines.isEmpty();
     }
 
+    /** Whether anything of it can be on a machine: attempts of this leader, or of earlier ones on machines that have not been settled. */
+    boolean anywhere() {
+        return !live.isEmpty() || unsettled();
+    }
+
     long deadlineMicros() {
         return spec.deadlineMicros() < 0 ? Long.MAX_VALUE : submittedMicros + spec.deadlineMicros();
     }
--- a/src/main/java/io/micatide/core/JobBook.java
+++ b/src/main/java/io/micatide/core/JobBook.java
@@ -265,6 +265,10 @@
         int most = Math.min(mostWrites, settings.transactionOps());
         int bytes = extra.size() * 200;
         List<Part> parts = new ArrayList<>();
+        // Whatever else made it dirty, a cancelled job stays in the book and its ledger in the store until nothing of it can be on a machine.
+        // It once went with the next round that came for a finished task or a needed machine: what went on on a hung or cut-off machine
+        // counted for no team any more, neither here nor for the next leader, and teams at their limits started too much (quota).
+        dirty.values().removeIf(job -> job.cancelled && job.anywhere());
         List<Job> candidates = List.copyOf(dirty.values());
         for (int pass = 0; pass <= LAST_PASS; pass++) {
             for (Job job : candidates) {
--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -48,6 +48,7 @@
     private boolean loading = true;
     private boolean ledgersFound;
     private final Recovery recovery;
+    /** Rows of jobs that were cancelled before this term. */
     private final Map<String, Row.JobRow> ending = new HashMap<>();
     private final List<Job> completed = new ArrayList<>();
     private final List<Ended> ended = new ArrayList<>();
@@ -131,7 +132,7 @@
 
     /** The ledger of a cancelled job stays until nothing of it can be on a machine. */
     private void settleCancelled(Job job, long nowMicros) {
-        if (job.cancelled && job.live.isEmpty() && !job.unsettled()) {
+        if (job.cancelled && !job.anywhere()) {
             book.touch(job, nowMicros);
         }
     }
@@ -143,9 +144,8 @@
     public void ledgerLoaded(String key, Row.Ledger ledger, long version, long nowMicros) {
         String id = JobBook.jobOf(key);
         ledgersFound = true;
-        Row.JobRow row = ending.get(id);
-        if (book.get(id) == null && row != null) {
-            book.add(row.spec(), 0, row.submittedWall(), nowMicros, nowMicros).cancelled = true;
+        if (book.get(id) == null) {
+            cancelledBefore(id, nowMicros);
         }
         if (!book.load(key, ledger, version)) {
             extraWrites.add(new Transaction.Write(key, null, 0));
@@ -214,7 +214,6 @@
     /** All rows are read: machines that the ledgers name are known of from here on. */
     public void loaded(long nowMicros) {
         loading = false;
-        ending.clear();
         if (!ledgersFound && rentals.bookings.isEmpty()) {
             renter.firstTerm();
         }
@@ -386,12 +385,18 @@
                 exited(machine, job, line, nowMicros, commands);
                 continue;
             }
+            Placement placement = find(machine, line);
+            if (job == null && placement == null) {
+                job = cancelledBefore(line.job(), nowMicros);
+            }
             if (job == null) {
-                // The job is over: what is left of it is stopped now and forgotten once it exited.
+                // The job is over: what is left of it is stopped now and forgotten once it exited. Until then it counts for its team.
                 commands.add(new Command.Stop(line.job(), line.index(), line.attempt(), 0));
+                if (placement != null) {
+                    placement.listedSequence = report.sequence();
+                }
                 continue;
             }
-            Placement placement = find(machine, line);
             if (placement == null) {
                 placement = new Placement(job, line.index(), line.attempt(), machine, Placement.Phase.REPORTED,
                         nowMicros);
@@ -426,6 +431,20 @@
         return commands;
     }
 
+    /**
+     * A job that was cancelled before this term and has no ledger, since a former version removed it too early: what is reported of it counts for
+     * its team like anything else. Null if it is not one.
+     */
+    private Job cancelledBefore(String id, long nowMicros) {
+        Row.JobRow row = ending.get(id);
+        if (row == null) {
+            return null;
+        }
+        Job job = book.add(row.spec(), 0, row.submittedWall(), nowMicros, nowMicros);
+        job.cancelled = true;
+        return job;
+    }
+
     private void exited(Machine machine, Job job, TaskReport line, long nowMicros, List<Command> commands) {
         Placement placement = find(machine, line);
         boolean done = line.cause() == ExitCause.DONE && job != null && job.spec.kind() != JobKind.SERVICE;
--- /dev/null
+++ b/src/test/java/io/micatide/core/CancelledUseTest.java
@@ -0,0 +1,111 @@
+package io.micatide.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What is left of a cancelled job counts for its team, and its ledger stays, until nothing of it can be on any machine. */
+class CancelledUseTest {
+    private static final JobSpec SPEC = World.job("wk-1", JobKind.ARRAY, "red", Priority.NORMAL, 5, 60);
+    private static final long TOKEN = 50;
+
+    private final Settings settings = new World(1, 0).settings;
+    private final Scheduler leader = new Scheduler(settings, Tuning.defaults(settings), TOKEN, 0);
+    private long now;
+    private long revision = TOKEN;
+    private long sequence;
+    private Transaction inFlight;
+    private boolean ledgerStored;
+
+    private static Row.JobRow row(JobState state) {
+        return new Row.JobRow(state, SPEC, 0, SPEC.tasks());
+    }
+
+    private void seen(JobState state, long version) {
+        leader.jobSeen(new JobDirectory.View(SPEC.id(), row(state), version, state, false, 0), now, now);
+    }
+
+    /** Machine i-1 or i-2 reports running tasks by number and, after a slash, ended ones. */
+    private void report(String machine, String tasks) {
+        List<TaskReport> lines = new ArrayList<>();
+        String[] parts = tasks.split("/", -1);
+        parts[0].chars().forEach(each -> lines.add(new TaskReport("wk-1", each - '0', 7, TaskState.RUNNING, null, false)));
+        if (parts.length > 1) {
+            parts[1].chars().forEach(each -> lines.add(new TaskReport("wk-1", each - '0', 7, TaskState.EXITED, ExitCause.DONE, false)));
+        }
+        leader.report(new MachineReport(machine, "x:1", "small", "a", false, 1, ++sequence, TOKEN, -1, lines), now);
+    }
+
+    /** What is due is written, and answered unless it stays in flight. */
+    private void round(boolean answered) {
+        for (int each = 0; each < 5; each++) {
+            now += 300 * Micros.MILLISECOND;
+            leader.stateFresh(now);
+            leader.tick(now);
+            Transaction next = inFlight != null ? null : leader.round(now, now);
+            inFlight = next == null ? inFlight : next;
+            if (inFlight != null && answered) {
+                for (Transaction.Write write : inFlight.writes()) {
+                    ledgerStored = write.key().equals("ledger/wk-1") ? write.row() != null : ledgerStored;
+                }
+                inFlight = null;
+                leader.roundConfirmed(++revision, now);
+            }
+        }
+    }
+
+    /**
+     * Steps of a term: {@code o} the row is read as open, {@code c} as cancelled, {@code l} the ledger of an earlier leader is, which names i-1
+     * and i-2, {@code +} all is read, {@code a012/3} machine i-1 reports, {@code b…} machine i-2 does, {@code w} rounds are written,
+     * {@code f} one goes out and is not answered yet, {@code u} it was not executed. Then {@code used} processors count for the team and the ledger is
+     * there or not; once the machines report nothing more, both are gone.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        // Cancelled with nothing else in its ledger to write.
+        "o l + a012 b34 w c w, 10, true",
+        // Dirty for another reason: a task had just ended, on the same machine or on the other.
+        "o l + a012 b34 w a01/2 c w, 8, true", "o l + a012 b34 w b3/4 c w, 8, true",
+        // A round is in flight at the cancellation, and is answered or not executed.
+        "o l + a012 b34 w a01/2 f c w, 8, true", "o l + a012 b34 w a01/2 f c u w, 8, true",
+        // What a machine goes on reporting counts, however many rounds there were meanwhile.
+        "o l + a012 b34 w a01/2 c w a01 w b34 w, 8, true",
+        // Cancelled while the leader loads: before and after its ledger was read, and known as cancelled only.
+        "o c l + w, 0, true", "o l c + w, 0, true", "c l + w, 0, true", "o c l + a012 w, 6, true", "c l + a012 w, 6, true",
+        // A former version took the ledger away too early: what is reported counts all the same.
+        "c + a012 w, 6, false",
+    })
+    void countsUntilNothingIsAnywhere(String steps, int used, boolean ledger) {
+        leader.typesKnown(List.of(World.TYPE), 0);
+        for (String step : steps.split(" ")) {
+            switch (step.charAt(0)) {
+                case 'o' -> seen(JobState.OPEN, 3);
+                case 'c' -> seen(JobState.CANCELLED, 60);
+                case 'l' -> {
+                    leader.ledgerLoaded("ledger/wk-1", new Row.Ledger(List.of("i-1", "i-2"), 0, ""), 4, now);
+                    ledgerStored = true;
+                }
+                case '+' -> leader.loaded(now);
+                case 'a' -> report("i-1", step.substring(1));
+                case 'b' -> report("i-2", step.substring(1));
+                case 'f' -> round(false);
+                case 'u' -> {
+                    inFlight = null;
+                    leader.roundNotExecuted(now);
+                }
+                default -> round(true);
+            }
+        }
+        assertEquals(used * 1000, leader.teamUse("red").cpus(), "processors of the team");
+        assertEquals(ledger, ledgerStored, "its ledger is stored");
+        report("i-1", "");
+        report("i-2", "");
+        round(true);
+        assertEquals(0, leader.teamUse("red").cpus());
+        assertTrue(!ledgerStored && leader.settled("wk-1"), "nothing of it is left");
+    }
+}
