Virtual time: teams at tight limits, and the troubles that were named since

Cause: the drawn plays had one team without a limit, one type of machine, and none of the new troubles.

Change: TakeOverDay.tight has three teams with guarantees and tight limits, two types, machines that boot in 0.2 to 2 s beside ordinary ones, a cloud whose lists are up to 8 s old, and jobs that ask for types, zones, one zone, several zones or ordinary machines. Troubles: answers of transactions lost with the effect there, reports kept for the next leader, mute machines, many cancelled at once with hanging machines, cancelled at the end, odd requests, close looks at all controllers with repeated submissions.

--- a/src/main/java/io/micatide/rehearsal/CloudStandIn.java
+++ b/src/main/java/io/micatide/rehearsal/CloudStandIn.java
@@ -3,6 +3,7 @@
 import io.micatide.core.CloudCall;
 import io.micatide.core.ListedMachine;
 import io.micatide.core.MachineType;
+import io.micatide.core.Micros;
 import io.micatide.net.Request;
 import io.micatide.node.Loop;
 import io.micatide.wire.CloudSide;
@@ -14,7 +15,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 /** The cloud: rents machines that boot in their type's time, as many as there are. Used from its loop only. */
 public final class CloudStandIn {
@@ -22,9 +26,11 @@
     public record Rented(String name, MachineType type, String zone, boolean spot, long sinceMicros) {
     }
 
+    private static final long MEMORY_MICROS = 60 * Micros.SECOND;
+
     private final Loop loop;
     private final List<MachineType> types;
-    private final int most;
+    private int most;
     private final Consumer<Rented> up;
     private final Consumer<String> gone;
     private final Map<String, Rented> machines = new LinkedHashMap<>();
@@ -32,6 +38,10 @@
     private final Map<String, List<String>> bookings = new HashMap<>();
     private int lastMachine;
     private boolean away;
+    private LongSupplier listMicros = () -> 0;
+    private LongSupplier bootMicros;
+    /** What was listed before, while lists are old: by time, the newest last. */
+    private final NavigableMap<Long, List<ListedMachine>> past = new TreeMap<>();
 
     /**
      * @param most how many machines there are
@@ -51,6 +61,24 @@
         away = now;
     }
 
+    /** Lists are so old from now on, and machines take so long to boot, drawn anew for each; microseconds. */
+    public void lags(LongSupplier listLag, LongSupplier boot) {
+        listMicros = listLag;
+        bootMicros = boot;
+        remember();
+    }
+
+    /** How many machines there are from now on. */
+    public void capacity(int machines) {
+        most = machines;
+    }
+
+    private void remember() {
+        past.put(loop.now(), listed());
+        past.headMap(loop.now() - MEMORY_MICROS).clear();
+        loop.later(this::remember, 500 * Micros.MILLISECOND);
+    }
+
     public int machines() {
         return machines.size();
     }
@@ -103,11 +131,11 @@
                 booted.put(name, true);
                 up.accept(machine);
             }
-        }, type.bootMicros());
+        }, bootMicros == null ? type.bootMicros() : bootMicros.getAsLong());
         return name;
     }
 
-    private void delete(String name) {
+    void delete(String name) {
         if (machines.remove(name) != null) {
             booted.remove(name);
             gone.accept(name);
@@ -117,14 +145,19 @@
     private void list(Request request) {
         int at = request.path().indexOf("from=");
         String from = at < 0 ? "" : request.path().substring(at + 5).split("&")[0];
-        List<ListedMachine> listed = new ArrayList<>();
+        Map.Entry<Long, List<ListedMachine>> old = past.floorEntry(loop.now() - listMicros.getAsLong());
+        List<ListedMachine> listed = (past.isEmpty() ? listed() : old == null ? List.<ListedMachine>of() : old.getValue()).stream()
+                .filter(machine -> machine.name().compareTo(from) > 0).limit(500).toList();
+        request.answer(200, CloudSide.list(listed, listed.size() == 500));
+    }
+
+    private List<ListedMachine> listed() {
+        List<ListedMachine> result = new ArrayList<>();
         for (Rented machine : machines.values()) {
-            if (machine.name().compareTo(from) > 0 && listed.size() < 500) {
-                listed.add(new ListedMachine(machine.name(), machine.type().name(), machine.zone(), machine.spot(),
-                        booted.containsKey(machine.name()) ? ListedMachine.State.RUNNING : ListedMachine.State.BOOTING,
-                        loop.now() - machine.sinceMicros()));
-            }
+            result.add(new ListedMachine(machine.name(), machine.type().name(), machine.zone(), machine.spot(),
+                    booted.containsKey(machine.name()) ? ListedMachine.State.RUNNING : ListedMachine.State.BOOTING,
+                    loop.now() - machine.sinceMicros()));
         }
-        request.answer(200, CloudSide.list(listed, listed.size() == 500));
+        return result;
     }
 }
--- a/src/main/java/io/micatide/rehearsal/Deployment.java
+++ b/src/main/java/io/micatide/rehearsal/Deployment.java
@@ -9,6 +9,7 @@
 import io.micatide.core.Tuning;
 import io.micatide.history.Archivist;
 import io.micatide.net.Http;
+import io.micatide.net.Reply;
 import io.micatide.node.Controller;
 import io.micatide.rollout.Abilities;
 import io.micatide.standby.Copy;
@@ -17,6 +18,7 @@
 import io.micatide.wire.StateCodec;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -24,7 +26,11 @@
 import java.util.Objects;
 import java.util.Random;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 
 /**
  * A whole deployment in virtual time: controllers with the real actors, a state service, a cloud, workers, and what can happen to the
@@ -85,6 +91,11 @@
     private final Map<Integer, Integer> refused = new HashMap<>();
     private final Map<VirtualTime.Process, String> machineOf = new HashMap<>();
     private final Random random;
+    private final CloudStandIn cloud;
+    /** Machines that are up. */
+    private final Map<String, CloudStandIn.Rented> up = new LinkedHashMap<>();
+    private double keptShare;
+    private final Map<String, byte[]> keptReports = new TreeMap<>();
 
     /** @param machines how many the cloud has */
     public Deployment(Random random, int controllers, Plan plan, List<MachineType> types, int machines, StateStandIn.Limits limits,
@@ -96,8 +107,9 @@
         this.state = new StateStandIn(world, limits);
         this.gangs = new Gangs(world, plan.settings(0));
         this.witness = witness;
-        CloudStandIn cloud = new CloudStandIn(world, types, machines, this::up, name -> {
+        this.cloud = new CloudStandIn(world, types, machines, this::up, name -> {
             if (workers.containsKey(name)) {
+                up.remove(name);
                 workers.remove(name).delete();
             }
         });
@@ -154,6 +166,28 @@
         return workers.size();
     }
 
+    /** Machines that are up. */
+    public Collection<CloudStandIn.Rented> up() {
+        return up.values();
+    }
+
+    /** Machines are gone from one moment to the next, with all that is on them. */
+    public void takeAway(Predicate<CloudStandIn.Rented> which) {
+        List<String> names = up.values().stream().filter(which).map(CloudStandIn.Rented::name).toList();
+        note("taken away " + names);
+        names.forEach(cloud::delete);
+    }
+
+    /** How many machines the cloud has from now on; those that are rented stay. */
+    public void capacity(int machines) {
+        cloud.capacity(machines);
+    }
+
+    /** The cloud's lists are so old from now on, and machines take so long to boot, drawn anew for each; microseconds. */
+    public void cloudLags(LongSupplier listMicros, LongSupplier bootMicros) {
+        cloud.lags(listMicros, bootMicros);
+    }
+
     /** Label of the controller that holds the leader row, or "". */
     public String owner() {
         StateStandIn.Value row = state.values().get(StoreKeys.LEADER);
@@ -279,6 +313,70 @@
                 ? new VirtualNetwork.Fate(between(leastSeconds, mostSeconds), 0, false) : null, seconds);
     }
 
+    /** That share of the controllers' transactions is carried out at once, and only the answer is lost: others read what it wrote. */
+    public void lostAnswers(double share, int seconds) {
+        note("lost answers " + share + " " + seconds);
+        fatesFor((from, endpoint, path) -> path.equals("/txn") && random.nextDouble() < share
+                ? new VirtualNetwork.Fate(0, 0, true) : null, seconds);
+    }
+
+    /**
+     * Of that share of the workers' reports a copy is kept, the newest of each machine, until another controller leads: then all of them
+     * arrive at every controller at once, and once more within half a second.
+     */
+    public void reportsForNext(double share, int seconds) {
+        note("reports for next " + share + " " + seconds);
+        keptShare = share;
+        long until = time.now() + seconds * Micros.SECOND;
+        awaitNext(token(), until);
+    }
+
+    private void awaitNext(long before, long until) {
+        time.at(time.now() + 5 * Micros.MILLISECOND, () -> {
+            long now = token();
+            if (now > before) {
+                keptShare = 0;
+                note("kept reports of " + keptReports.keySet() + " arrive");
+                List.copyOf(keptReports.values()).forEach(body -> {
+                    for (int i = 0; i < count; i++) {
+                        Http to = network.from(world, "c" + i);
+                        to.post("/v1/report", body, Micros.SECOND, reply -> { });
+                        time.at(time.now() + random.nextInt(500) * Micros.MILLISECOND, () -> to.post("/v1/report", body, Micros.SECOND, reply -> { }));
+                    }
+                });
+                keptReports.clear();
+            } else if (time.now() < until) {
+                awaitNext(before, until);
+            } else {
+                keptShare = 0;
+                keptReports.clear();
+            }
+        });
+    }
+
+    /** What a machine reports by; some of its reports are kept. */
+    private Http kept(Http http, String machine) {
+        return new Http() {
+            @Override
+            public void get(String path, long timeoutMicros, Consumer<Reply> then) {
+                http.get(path, timeoutMicros, then);
+            }
+
+            @Override
+            public void post(String path, byte[] body, long timeoutMicros, Consumer<Reply> then) {
+                if (keptShare > 0 && random.nextDouble() < keptShare) {
+                    keptReports.put(machine, body);
+                }
+                http.post(path, body, timeoutMicros, then);
+            }
+
+            @Override
+            public void delete(String path, long timeoutMicros, Consumer<Reply> then) {
+                http.delete(path, timeoutMicros, then);
+            }
+        };
+    }
+
     /** Of that share of the workers' reports a copy arrives again, 2 s to two leases later, at the controller that had it. */
     public void lateReports(double share, int seconds) {
         note("late reports " + share + " " + seconds);
@@ -304,6 +402,13 @@
         cutFor((from, endpoint) -> endpoint.endsWith(":9000") && names.contains(endpoint.substring(0, endpoint.indexOf(':'))), seconds);
     }
 
+    /** That share of the machines reaches no controller; direct commands reach them. */
+    public void mute(double share, int seconds) {
+        Set<String> names = drawn(share);
+        note("mute " + names + " " + seconds);
+        cutFor((from, endpoint) -> endpoint.startsWith("c") && names.contains(machineOf.getOrDefault(from, "")), seconds);
+    }
+
     /** Controllers reach that share of the machines and these reach no controller, or the other way round: nothing gets through. */
     public void unreachable(double share, int seconds) {
         Set<String> names = drawn(share);
@@ -314,7 +419,11 @@
 
     /** That share of the machines hangs: what was sent to them is carried out when they go on, what runs on them ends with its lease. */
     public void hang(double share, int millis) {
-        Set<String> names = drawn(share);
+        hang(drawn(share), millis);
+    }
+
+    /** The same for machines that are named. */
+    public void hang(Set<String> names, int millis) {
         note("hang " + names + " " + millis);
         machineOf.forEach((process, name) -> {
             if (names.contains(name)) {
@@ -339,12 +448,13 @@
         VirtualTime.Process process = time.new Process();
         Map<String, Http> known = new LinkedHashMap<>();
         for (int i = 0; i < count; i++) {
-            known.put("c" + i, network.from(process, "c" + i));
+            known.put("c" + i, kept(network.from(process, "c" + i), machine.name()));
         }
         machineOf.put(process, machine.name());
         WorkerStandIn worker = new WorkerStandIn(process, plan.settings(0), machine, known, this::spec, gangs, witness);
         network.listen(machine.name() + ":9000", process, worker::handle);
         workers.put(machine.name(), worker);
+        up.put(machine.name(), machine);
         worker.runs(plan::runs);
         worker.start();
     }
@@ -361,20 +471,46 @@
 
     // ---- users
 
+    /**
+     * What a job asks for beside its tasks.
+     *
+     * @param type the only machine type, null for any
+     * @param zone the only zone, null for any
+     */
+    public record Wishes(String team, String type, String zone, boolean oneZone, boolean spread, boolean spot) {
+        public static final Wishes NONE = new Wishes("blue", null, null, false, false, true);
+
+        private static String quoted(String word) {
+            return word == null ? "null" : "\"" + word + "\"";
+        }
+    }
+
+    /** A job's body on the wire that asks for nothing more. */
+    public byte[] describe(String id, String form, int tasks, double cpus, double seconds) {
+        return describe(id, form, tasks, cpus, seconds, Wishes.NONE);
+    }
+
     /**
      * A job's body on the wire, which workers know from now on as its user's description.
      *
      * @param form the wire's word
      */
-    public byte[] describe(String id, String form, int tasks, double cpus, double seconds) {
-        byte[] body = ("{\"nameId\":\"" + id + "\",\"roster\":\"x\",\"crew\":\"blue\",\"form\":\"" + form + "\",\"rank\":\""
+    public byte[] describe(String id, String form, int tasks, double cpus, double seconds, Wishes wishes) {
+        byte[] body = ("{\"nameId\":\"" + id + "\",\"roster\":\"x\",\"crew\":\"" + wishes.team() + "\",\"form\":\"" + form + "\",\"rank\":\""
                 + (form.equals("daemon") ? "high" : "normal") + "\",\"legs\":" + tasks + ",\"cpus\":" + cpus
-                + ",\"cards\":0.0,\"memGb\":1.0,\"kit\":\"i\",\"sizeGb\":0.1,\"samePlace\":false,\"scatter\":false,\"loaners\":true,"
+                + ",\"cards\":0.0,\"memGb\":1.0,\"kit\":\"i\",\"sizeGb\":0.1,\"builds\":"
+                + (wishes.type() == null ? "null" : "[\"" + wishes.type() + "\"]") + ",\"ground\":" + Wishes.quoted(wishes.zone())
+                + ",\"samePlace\":" + wishes.oneZone() + ",\"scatter\":" + wishes.spread() + ",\"loaners\":" + wishes.spot() + ","
                 + "\"runtimeS\":" + seconds + ",\"halftimeS\":0.0,\"stowS\":0.0}").getBytes(StandardCharsets.UTF_8);
         described.put(id, body);
         return body;
     }
 
+    /** The job as workers know it. */
+    public JobSpec described(String id) {
+        return spec(id);
+    }
+
     public Http toController(int number) {
         return network.from(user, "c" + number);
     }
--- a/src/test/java/io/micatide/rehearsal/TakeOverDay.java
+++ b/src/test/java/io/micatide/rehearsal/TakeOverDay.java
@@ -1,6 +1,7 @@
 package io.micatide.rehearsal;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.micatide.core.JobSpec;
 import io.micatide.core.MachineType;
 import io.micatide.core.Micros;
 import io.micatide.core.Resources;
@@ -15,8 +16,11 @@
 import io.micatide.wire.Json;
 import io.micatide.wire.MalformedException;
 import io.micatide.wire.StateCodec;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -24,7 +28,9 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 
 /**
  * A short day of the whole service in virtual time: jobs of all forms, and controllers that are killed, stopped, stalled and cut off,
@@ -40,6 +46,10 @@
     private static final MachineType TYPE = new MachineType("small", Resources.of(8, 0, 64), 25, 0.5, 0.5, 0.2, Micros.SECOND,
             List.of("a", "b"));
 
+    private static final MachineType LARGE = new MachineType("large", Resources.of(16, 0, 128), 25, 0.5, 1.1, 0.4, Micros.SECOND,
+            List.of("b"));
+
+    private final Map<String, Team> teams;
     final Random random;
     final int count;
     final Deployment deployment;
@@ -57,6 +67,10 @@
     private final Abilities[] versions;
     /** How often the state service was asked for each path. */
     final Map<String, Integer> asked = new TreeMap<>();
+    private final Map<String, String> toldLast = new HashMap<>();
+    private boolean closeLooks;
+    private double cancelAtEndShare;
+    private int odd;
     private int interactions;
     private int killAt;
     private int killTimes;
@@ -73,6 +87,25 @@
 
     /** With controllers that all begin with this version. */
     TakeOverDay(long seed, int controllers, int former, Copy.Maker copies, long reportMicros, long leaseMicros, Abilities version) {
+        this(seed, controllers, former, copies, reportMicros, leaseMicros, version, Map.of("blue", new Team("blue", 0, 0, 0, 0)), List.of(TYPE));
+    }
+
+    /**
+     * Three teams with guarantees and tight limits, two types of machines that boot within 0.2 to 2 s or the ordinary time, and a cloud
+     * whose lists are up to 8 s old; jobs ask for types, zones, one zone or several.
+     */
+    static TakeOverDay tight(long seed, int controllers, int former) {
+        TakeOverDay day = new TakeOverDay(seed, controllers, former, Copy::new, 800 * Micros.MILLISECOND, 10 * Micros.SECOND, Abilities.ALL,
+                Map.of("blue", new Team("blue", 24_000, 0, 40_000, 0), "red", new Team("red", 16_000, 0, 32_000, 0),
+                        "green", new Team("green", 8_000, 0, 24_000, 0)), List.of(TYPE, LARGE));
+        day.deployment.cloudLags(() -> (long) (day.random.nextDouble() * 8 * Micros.SECOND),
+                () -> day.random.nextInt(3) == 0 ? 5 * Micros.SECOND : (200 + day.random.nextInt(1_800)) * Micros.MILLISECOND);
+        return day;
+    }
+
+    private TakeOverDay(long seed, int controllers, int former, Copy.Maker copies, long reportMicros, long leaseMicros, Abilities version,
+            Map<String, Team> teams, List<MachineType> types) {
+        this.teams = new TreeMap<>(teams);
         this.versions = new Abilities[controllers];
         this.lateRowsMicros = new long[controllers];
         Arrays.fill(versions, version);
@@ -83,7 +116,7 @@
         this.former = former;
         this.copies = copies;
         RuleChecker[] rules = new RuleChecker[1];
-        this.deployment = new Deployment(random, controllers, this, List.of(TYPE), MACHINES,
+        this.deployment = new Deployment(random, controllers, this, types, MACHINES,
                 new StateStandIn.Limits(400, 120, 16 * 1024, 16), new WorkerStandIn.Witness() {
                     @Override
                     public void started(String task, long attempt, String machine) {
@@ -93,10 +126,25 @@
                     @Override
                     public void over(String task, long attempt, String machine, io.micatide.core.ExitCause cause) {
                         rules[0].over(task, attempt, machine, cause);
+                        if (cause == io.micatide.core.ExitCause.DONE && random.nextDouble() < cancelAtEndShare) {
+                            String id = task.substring(0, task.indexOf('/'));
+                            at(random.nextInt(1_200) * Micros.MILLISECOND, () -> cancel(id));
+                        }
+                    }
+
+                    @Override
+                    public void taken(JobSpec spec, String task, long attempt, CloudStandIn.Rented machine) {
+                        rules[0].taken(spec, task, attempt, machine);
+                    }
+
+                    @Override
+                    public void released(String task, long attempt, CloudStandIn.Rented machine) {
+                        rules[0].released(task, attempt, machine);
                     }
                 });
         this.time = deployment.time;
-        this.checker = new RuleChecker(time, CANCEL + Micros.SECOND);
+        this.checker = new RuleChecker(time, CANCEL + Micros.SECOND, teams);
+        checker.machines(deployment::up);
         rules[0] = checker;
         deployment.network.observe(new VirtualNetwork.Observer() {
             @Override
@@ -146,8 +194,9 @@
             }
         }
         return new Settings("c" + number, number % 2 == 0 ? "a" : "b", "c" + number, "p" + number, siblings, "cloud", "state",
-                List.of("a", "b"), 0, Map.of("blue", new Team("blue", 0, 0, 0, 0)), List.of(), reportMicros, leaseMicros,
-                30 * Micros.SECOND, 5 * Micros.SECOND, CANCEL, 400, 120, 16 * 1024, 16 * 1024, 16, 20, Micros.SECOND, 0.4, 150, 700);
+                List.of("a", "b"), 0, teams, List.of(), reportMicros, leaseMicros,
+                30 * Micros.SECOND, 5 * Micros.SECOND, CANCEL, 400, 120, 16 * 1024, 16 * 1024, 16, 20,
+                teams.size() > 1 ? 4 * Micros.SECOND : Micros.SECOND, 0.4, 150, 700);
     }
 
     @Override
@@ -327,6 +376,18 @@
         }
     }
 
+    /** What never ends by itself is called off, so that everything else gets its room; true once all is over, within so many seconds. */
+    boolean drain(int seconds) {
+        replicas.keySet().stream().toList().forEach(this::cancel);
+        for (int second = 0; second < seconds; second++) {
+            if (standing.keySet().containsAll(submitted.keySet()) && standing.values().stream().allMatch(word -> word.equals("done") || word.equals("withdrawn"))) {
+                return true;
+            }
+            time.run(Micros.SECOND);
+        }
+        return false;
+    }
+
     private void askOnce(String id, Http controller) {
         checker.asks(id);
         long asked = time.now();
@@ -344,11 +405,32 @@
         return deployment.toController(random.nextInt(count));
     }
 
+    /** What a job of a tight day asks for: most of them nothing but their team. */
+    private Deployment.Wishes wishes(String form) {
+        if (teams.size() == 1) {
+            return Deployment.Wishes.NONE;
+        }
+        String team = List.of("blue", "red", "green").get(random.nextInt(3));
+        return switch (random.nextInt(8)) {
+            case 0 -> new Deployment.Wishes(team, null, random.nextBoolean() ? "a" : "b", false, false, true);
+            case 1 -> new Deployment.Wishes(team, null, null, true, false, random.nextBoolean());
+            case 2 -> new Deployment.Wishes(team, null, null, false, true, true);
+            case 3 -> new Deployment.Wishes(team, random.nextBoolean() ? "small" : "large", null, false, false, true);
+            case 4 -> new Deployment.Wishes(team, null, null, false, false, false);
+            default -> new Deployment.Wishes(team, null, null, false, false, true);
+        };
+    }
+
     /** Submits a job, again until it is answered. {@code form} as on the wire. */
     void submit(String form, int tasks, double seconds) {
+        submit(form, tasks, seconds, wishes(form));
+    }
+
+    void submit(String form, int tasks, double seconds, Deployment.Wishes wishes) {
         String id = "wk-" + (1 + submitted.size());
-        submitted.put(id, deployment.describe(id, form, tasks, 2.0, seconds));
+        submitted.put(id, deployment.describe(id, form, tasks, 2.0, seconds, wishes));
         checker.submits(id, tasks, form.equals("daemon"));
+        checker.describes(deployment.described(id));
         if (form.equals("daemon")) {
             replicas.put(id, tasks);
         }
@@ -413,7 +495,11 @@
         if (word != null && !"done".equals(standing.get(id)) && !"withdrawn".equals(standing.get(id))) {
             standing.put(id, word);
         }
+        boolean news = word != null && !word.equals(toldLast.put(id, word));
         checker.heard(id, asked, reply.status(), word);
+        if (news) {
+            lookClosely(id);
+        }
     }
 
     /** The same with small jobs whose tasks end far apart, long tasks, and more that is cancelled. */
@@ -433,6 +519,133 @@
         }
     }
 
+    /** Work for far more than the limits of all teams, long and short, replicas and gangs among it. */
+    void fill() {
+        for (String team : teams.keySet()) {
+            Deployment.Wishes wishes = new Deployment.Wishes(team, null, null, false, false, true);
+            submit("batch", 12, 200, wishes);
+            submit("batch", 6, 20 + random.nextInt(60), wishes);
+            submit("daemon", 3, 0, wishes);
+            submit("batch", 8, 3, wishes);
+        }
+    }
+
+    /**
+     * Users call off so many jobs that are on machines, and up to eight of their machines hang for so long.
+     *
+     * @param hangMillis 0 for not at all
+     */
+    void cancelNow(int count, int hangMillis) {
+        List<String> jobs = new ArrayList<>(submitted.keySet());
+        jobs.removeIf(id -> checker.running(id) == 0 || !standing.containsKey(id));
+        Collections.shuffle(jobs, random);
+        Set<String> hung = new TreeSet<>();
+        for (String id : jobs.subList(0, Math.min(count, jobs.size()))) {
+            hung.addAll(checker.machinesOf(id));
+            at(random.nextInt(200) * Micros.MILLISECOND, () -> cancel(id));
+        }
+        if (hangMillis > 0) {
+            deployment.hang(hung.stream().limit(8).collect(Collectors.toSet()), hangMillis);
+        }
+    }
+
+    /** Whatever ends is called off at that moment, of that share of the jobs. */
+    void cancelAtEnd(double share, int seconds) {
+        cancelAtEndShare = share;
+        at(seconds * Micros.SECOND, () -> cancelAtEndShare = 0);
+    }
+
+    /** Users ask all controllers again and again, and repeat the submission there with the same and with other bodies. */
+    private void lookClosely(String id) {
+        if (!closeLooks) {
+            return;
+        }
+        for (int number = 0; number < count; number++) {
+            Http to = deployment.toController(number);
+            for (int millis : new int[] {0, 3, 12, 40}) {
+                at(millis * Micros.MILLISECOND, () -> {
+                    long asked = time.now();
+                    to.get("/v1/jobs/" + id, 2 * Micros.SECOND, reply -> hear(id, asked, reply));
+                });
+            }
+            at(random.nextInt(30) * Micros.MILLISECOND, () -> repeat(id, to));
+        }
+    }
+
+    /** A submission that was accepted is sent again, as it was, with another size, or with a field that is wrong. */
+    private void repeat(String id, Http to) {
+        byte[] body = submitted.get(id);
+        String text = new String(body, StandardCharsets.UTF_8);
+        byte[] sent = switch (random.nextInt(4)) {
+            case 0 -> text.replace("\"cpus\":2.0", "\"cpus\":4000.0").getBytes(StandardCharsets.UTF_8);
+            case 1 -> text.replace("\"form\":\"", "\"form\":\"no").getBytes(StandardCharsets.UTF_8);
+            default -> body;
+        };
+        long asked = time.now();
+        to.post("/v1/jobs", sent, 5 * Micros.SECOND, reply -> hear(id, asked, reply));
+    }
+
+    /** Jobs that lack a field, have one of the wrong type, or fit no machine, zone or limit. */
+    void oddRequests() {
+        String id = "wk-9" + String.format("%05d", ++odd);
+        String text = new String(deployment.describe(id, "batch", 2, 2.0, 5), StandardCharsets.UTF_8);
+        String sent = switch (random.nextInt(9)) {
+            case 0 -> text.replaceFirst("\"legs\":2,", "");
+            case 1 -> text.replaceFirst("\"legs\":2", "\"legs\":\"two\"");
+            case 2 -> text.replaceFirst("\"legs\":2", "\"legs\":-2");
+            case 3 -> text.replaceFirst("\"cpus\":2.0", "\"cpus\":2000.0");
+            case 4 -> text.replaceFirst("\"crew\":\"blue\"", "\"crew\":\"nobody\"");
+            case 5 -> text.replaceFirst("\"ground\":null", "\"ground\":\"moon\"");
+            case 6 -> text.replaceFirst("\"builds\":null", "\"builds\":[\"g99\"]");
+            case 7 -> text.replaceFirst("\"legs\":2", "\"legs\":100001");
+            default -> text.substring(0, text.length() - 1);
+        };
+        checker.submitsInvalid(id);
+        long asked = time.now();
+        anyController().post("/v1/jobs", sent.getBytes(StandardCharsets.UTF_8), 5 * Micros.SECOND, reply -> hear(id, asked, reply));
+        List<String> known = submitted.keySet().stream().filter(standing::containsKey).toList();
+        if (!known.isEmpty()) {
+            repeat(known.get(random.nextInt(known.size())), anyController());
+        }
+        List<String> done = known.stream().filter(each -> "done".equals(standing.get(each))).toList();
+        if (!done.isEmpty()) {
+            cancel(done.get(random.nextInt(done.size())));
+        }
+    }
+
+    /** One of the troubles that have come since, most often with a change of hands close by. */
+    void laterTrouble() {
+        int seconds = 3 + random.nextInt(25);
+        switch (random.nextInt(9)) {
+            case 0 -> deployment.lostAnswers(0.2 + random.nextDouble() * 0.6, seconds);
+            case 1 -> deployment.reportsForNext(0.5 + random.nextDouble() * 0.5, 60);
+            case 2 -> deployment.mute(0.1 + random.nextDouble() * 0.8, seconds);
+            case 3, 4 -> cancelNow(1 + random.nextInt(6), random.nextInt(3) == 0 ? 0 : 1_000 + random.nextInt(20_000));
+            case 5 -> {
+                closeLooks = true;
+                at(seconds * Micros.SECOND, () -> closeLooks = false);
+            }
+            case 6 -> cancelAtEnd(0.2 + random.nextDouble() * 0.8, seconds);
+            case 7 -> {
+                for (int each = 0; each < seconds; each++) {
+                    at(each * 300 * Micros.MILLISECOND, this::oddRequests);
+                }
+            }
+            default -> changeOfHands();
+        }
+    }
+
+    /** The leader ends, in order or not, or loses the state service for longer than its lease. */
+    void changeOfHands() {
+        int leader = deployment.leader();
+        switch (random.nextInt(4)) {
+            case 0 -> deployment.kill(leader, 1 + random.nextInt(10));
+            case 1 -> deployment.killFor(leader, backSoon());
+            case 2 -> deployment.stopFor(leader, backSoon());
+            default -> deployment.refuse(leader, 6 + random.nextInt(10));
+        }
+    }
+
     /** Jobs of all forms, and some cancellations. */
     void traffic() {
         switch (random.nextInt(6)) {
