--- a/src/main/java/io/micatide/cli/SettingsFiles.java
+++ b/src/main/java/io/micatide/cli/SettingsFiles.java
@@ -1,5 +1,6 @@
 package io.micatide.cli;
 
+import io.micatide.core.CancelProof;
 import io.micatide.core.Settings;
 import io.micatide.core.Tuning;
 import io.micatide.wire.MalformedException;
@@ -22,6 +23,10 @@
         Path file = config;
         try {
             Settings settings = SettingsReader.read(config);
+            String unkept = CancelProof.unkept(settings);
+            if (unkept != null) {
+                System.err.println(config + ": " + unkept);
+            }
             if (tuningFile == null) {
                 return new Loaded(settings, Tuning.defaults(settings));
             }
--- a/src/main/java/io/micatide/core/CancelProof.java
+++ b/src/main/java/io/micatide/core/CancelProof.java
@@ -32,12 +32,24 @@
 
     public CancelProof(Settings settings) {
         siblings = settings.siblings();
-        limitMicros = Math.max(LEAST_MICROS,
-                settings.cancelMicros() - Micros.withDrift(settings.leaseMicros()) - MARGIN_MICROS);
+        limitMicros = Math.max(LEAST_MICROS, allowedMicros(settings));
         knownMicros = new long[siblings.size()];
         Arrays.fill(knownMicros, NOTHING_KNOWN);
     }
 
+    private static long allowedMicros(Settings settings) {
+        return settings.cancelMicros() - Micros.withDrift(settings.leaseMicros()) - MARGIN_MICROS;
+    }
+
+    /** What these settings promise and nobody could keep, for the operator; null if they can be kept. */
+    public static String unkept(Settings settings) {
+        long allowed = allowedMicros(settings);
+        return allowed >= LEAST_MICROS ? null : String.format(
+                "workers.cancel_s: %.1f s with workers.lease_s of %.1f s leave %.1f s without news of cancellations, and at least %.1f s are needed:"
+                + " tasks of a cancelled job may stay longer than that", Micros.toSeconds(settings.cancelMicros()),
+                Micros.toSeconds(settings.leaseMicros()), Micros.toSeconds(allowed), Micros.toSeconds(LEAST_MICROS));
+    }
+
     /** The state service was asked then for what has changed, and all that it answered is taken in. */
     public void read(long askedMicros) {
         // It began in this process's life, so whatever a former one in its place told is in it.
--- a/src/main/java/io/micatide/rehearsal/Deployment.java
+++ b/src/main/java/io/micatide/rehearsal/Deployment.java
@@ -313,40 +313,49 @@
                 ? new VirtualNetwork.Fate(between(leastSeconds, mostSeconds), 0, false) : null, seconds);
     }
 
-    /** That share of the controllers' transactions is carried out at once, and only the answer is lost: others read what it wrote. */
-    public void lostAnswers(double share, int seconds) {
-        note("lost answers " + share + " " + seconds);
-        fatesFor((from, endpoint, path) -> path.equals("/txn") && random.nextDouble() < share
-                ? new VirtualNetwork.Fate(0, 0, true) : null, seconds);
+    /**
+     * That share of the controllers' transactions is carried out at once, and only the answer is lost: others read what it wrote.
+     *
+     * @param all whether the same holds for leases of the state service and for what the cloud is asked
+     */
+    public void lostAnswers(double share, int seconds, boolean all) {
+        note("lost answers " + share + " " + seconds + (all ? " of all" : ""));
+        fatesFor((from, endpoint, path) -> (path.equals("/txn") || all && (path.startsWith("/grants") || endpoint.equals("cloud")))
+                && random.nextDouble() < share ? new VirtualNetwork.Fate(0, 0, true) : null, seconds);
     }
 
     /**
      * Of that share of the workers' reports a copy is kept, the newest of each machine, until another controller leads: then all of them
      * arrive at every controller at once, and once more within half a second.
+     *
+     * @param afterMillis how long the next one has led by then
      */
-    public void reportsForNext(double share, int seconds) {
-        note("reports for next " + share + " " + seconds);
+    public void reportsForNext(double share, int seconds, int afterMillis) {
+        note("reports for next " + share + " " + seconds + " after " + afterMillis + " ms");
         keptShare = share;
         long until = time.now() + seconds * Micros.SECOND;
-        awaitNext(token(), until);
+        awaitNext(token(), until, afterMillis * Micros.MILLISECOND);
+    }
+
+    private void keptArrive() {
+        note("kept reports of " + keptReports.keySet() + " arrive");
+        List.copyOf(keptReports.values()).forEach(body -> {
+            for (int i = 0; i < count; i++) {
+                Http to = network.from(world, "c" + i);
+                to.post("/v1/report", body, Micros.SECOND, reply -> { });
+                time.at(time.now() + random.nextInt(500) * Micros.MILLISECOND, () -> to.post("/v1/report", body, Micros.SECOND, reply -> { }));
+            }
+        });
+        keptReports.clear();
     }
 
-    private void awaitNext(long before, long until) {
+    private void awaitNext(long before, long until, long afterMicros) {
         time.at(time.now() + 5 * Micros.MILLISECOND, () -> {
-            long now = token();
-            if (now > before) {
+            if (token() > before) {
                 keptShare = 0;
-                note("kept reports of " + keptReports.keySet() + " arrive");
-                List.copyOf(keptReports.values()).forEach(body -> {
-                    for (int i = 0; i < count; i++) {
-                        Http to = network.from(world, "c" + i);
-                        to.post("/v1/report", body, Micros.SECOND, reply -> { });
-                        time.at(time.now() + random.nextInt(500) * Micros.MILLISECOND, () -> to.post("/v1/report", body, Micros.SECOND, reply -> { }));
-                    }
-                });
-                keptReports.clear();
+                time.at(time.now() + afterMicros, this::keptArrive);
             } else if (time.now() < until) {
-                awaitNext(before, until);
+                awaitNext(before, until, afterMicros);
             } else {
                 keptShare = 0;
                 keptReports.clear();
@@ -436,6 +445,18 @@
         }
     }
 
+    /** What controllers and the state service answer takes longer by up to so much, for so many seconds. */
+    public void slowLinks(long mostMicros, int seconds) {
+        note("slow links " + mostMicros / Micros.MILLISECOND + " ms " + seconds);
+        List<String> all = new ArrayList<>(List.of("state"));
+        for (int i = 0; i < count; i++) {
+            all.add("c" + i);
+            all.add("p" + i);
+        }
+        all.forEach(endpoint -> network.slow(endpoint, mostMicros));
+        time.at(time.now() + seconds * Micros.SECOND, () -> all.forEach(endpoint -> network.slow(endpoint, 0)));
+    }
+
     private Set<String> drawn(double share) {
         Set<String> names = new TreeSet<>();
         workers.keySet().stream().sorted().filter(name -> random.nextDouble() < share).forEach(names::add);
--- a/src/test/java/io/micatide/core/CancelProofTest.java
+++ b/src/test/java/io/micatide/core/CancelProofTest.java
@@ -78,6 +78,16 @@
         assertEquals(true, proof.mayAnswer(900 * Micros.SECOND));
     }
 
+    /** Settings that leave less than a take-over needs are told to the operator; a margin of a second and the drift of clocks count. */
+    @ParameterizedTest
+    @CsvSource({"10, 30, true", "30, 55, true", "10, 15.1, true", "10, 15.0, false", "17.5, 20, false", "30, 10, false"})
+    void settingsThatCannotBeKeptAreTold(double lease, double cancel, boolean kept) {
+        Settings settings = new Settings("c0", "a", "x:1", "x:2", List.of(), "x:5", "x:6", List.of("a"), 0, Map.of(), List.of(),
+                Micros.SECOND, Micros.ofSeconds(lease), 30 * Micros.SECOND, 5 * Micros.SECOND, Micros.ofSeconds(cancel), 80, 30, 2048, 2048, 5,
+                8, Micros.SECOND, 1, 100, 100);
+        assertEquals(kept, CancelProof.unkept(settings) == null, CancelProof.unkept(settings));
+    }
+
     private static long micros(String seconds) {
         return Micros.ofSeconds(Double.parseDouble(seconds));
     }
--- /dev/null
+++ b/src/test/java/io/micatide/rehearsal/NamedMeetingsTest.java
@@ -0,0 +1,260 @@
+package io.micatide.rehearsal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.micatide.core.Micros;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * The meetings of two troubles that the operators name, each brought about by itself with all teams at their limits: no rule is broken, nothing
+ * is lost, and everything is done once it is over. Whether the meeting took place is asserted as well.
+ */
+class NamedMeetingsTest {
+    /** Long runs outside CI: {@code -Dmicatide.days=200 -Dmicatide.first=1000}. */
+    private static final int DAYS = Math.max(1, Integer.getInteger("micatide.days", 200) / 100);
+    private static final int FIRST = Integer.getInteger("micatide.first", 0);
+
+    private TakeOverDay day;
+    private int leaders;
+    private long token;
+
+    private void seconds(double seconds) {
+        for (long end = day.time.now() + (long) (seconds * Micros.SECOND); day.time.now() < end;) {
+            day.time.run(Math.min(100 * Micros.MILLISECOND, end - day.time.now()));
+            leaders += day.deployment.token() > token ? 1 : 0;
+            token = Math.max(token, day.deployment.token());
+        }
+    }
+
+    private void traffic(int seconds) {
+        for (int second = 0; second < seconds; second++) {
+            day.troubledTraffic();
+            seconds(1);
+        }
+    }
+
+    private int leader() {
+        return day.deployment.leader();
+    }
+
+    /** @return what the log has to say of each of these if the meeting took place */
+    private List<String> bringAbout(String meeting) {
+        Deployment all = day.deployment;
+        switch (meeting) {
+            case "cancelled while the work changes hands" -> {
+                for (int time = 0; time < 3; time++) {
+                    for (int each = 0; each < 25; each++) {
+                        day.at(each * 150 * Micros.MILLISECOND, () -> day.cancelNow(1, 0));
+                    }
+                    seconds(1);
+                    all.stopFor(leader(), day.backSoon());
+                    traffic(7);
+                    day.fill();
+                }
+                return List.of("stop");
+            }
+            case "at their limits, cancelled machines hang, the leader changes" -> {
+                for (int time = 0; time < 3; time++) {
+                    day.cancelNow(6, 9_000 + 3_000 * time);
+                    seconds(0.3 + time);
+                    day.changeOfHands();
+                    seconds(2);
+                    day.cancelNow(3, 0);
+                    traffic(14);
+                    day.fill();
+                }
+                return List.of("hang");
+            }
+            case "at their limits, cancelled machines are cut off, the leader changes" -> {
+                for (int time = 0; time < 3; time++) {
+                    all.unreachable(0.5, 8 + 4 * time);
+                    day.cancelNow(6, 0);
+                    seconds(0.2 + time);
+                    day.changeOfHands();
+                    seconds(2);
+                    day.cancelNow(3, 0);
+                    traffic(14);
+                    day.fill();
+                }
+                return List.of("unreachable");
+            }
+            case "at their limits, cancelled machines are deaf, the leader changes" -> {
+                for (int time = 0; time < 3; time++) {
+                    all.deaf(0.5, 8 + 4 * time);
+                    day.cancelNow(6, 0);
+                    seconds(0.2 + time);
+                    day.changeOfHands();
+                    seconds(2);
+                    day.cancelNow(3, 0);
+                    traffic(14);
+                    day.fill();
+                }
+                return List.of("deaf");
+            }
+            case "new machines in two seconds, writes lag, the leader ends" -> {
+                all.takeAway(machine -> true);
+                all.cloudLags(() -> day.random.nextInt(8_000) * Micros.MILLISECOND, () -> (200 + day.random.nextInt(1_800)) * Micros.MILLISECOND);
+                for (int time = 0; time < 4; time++) {
+                    all.lateWrites(0.4, 2, 12, 5);
+                    all.stateSlow(700 * Micros.MILLISECOND, 6);
+                    day.fill();
+                    seconds(1 + 0.4 * time);
+                    all.killFor(leader(), day.backSoon());
+                    traffic(9);
+                    all.takeAway(machine -> day.random.nextInt(3) == 0);
+                }
+                return List.of("late writes", "kill");
+            }
+            case "all away for longer than the lease" -> {
+                day.cancelNow(4, 0);
+                for (int each = 0; each < day.count; each++) {
+                    all.kill(each, 13);
+                }
+                seconds(14);
+                traffic(10);
+                return List.of("kill");
+            }
+            case "the end of a last task meets a cancellation, a question and a submission" -> {
+                day.cancelAtEnd(0.7, 30);
+                day.lookClosely(30);
+                for (int second = 0; second < 30; second++) {
+                    day.submit("batch", 1 + day.random.nextInt(2), 1);
+                    day.oddRequests();
+                    seconds(1);
+                }
+                return List.of();
+            }
+            case "reports are held back until the next leader has acted" -> {
+                for (int time = 0; time < 3; time++) {
+                    all.reportsForNext(0.9, 40, 2_500 * (time + 1));
+                    traffic(4);
+                    day.changeOfHands();
+                    traffic(16);
+                }
+                return List.of("arrive");
+            }
+            case "old reports reach all as the next leader begins" -> {
+                for (int time = 0; time < 4; time++) {
+                    all.reportsForNext(1, 40, 0);
+                    traffic(2);
+                    day.cancelNow(3, 0);
+                    all.takeAway(machine -> day.random.nextInt(4) == 0);
+                    traffic(2);
+                    day.changeOfHands();
+                    traffic(12);
+                }
+                return List.of("arrive", "taken away");
+            }
+            case "ten leaders in two minutes, also inside an outage" -> {
+                for (int time = 0; time < 12; time++) {
+                    if (time == 5) {
+                        all.stateAway(9);
+                    }
+                    if (day.random.nextBoolean()) {
+                        all.killFor(leader(), day.backSoon());
+                    } else {
+                        all.stopFor(leader(), day.backSoon());
+                    }
+                    day.cancelNow(1, 0);
+                    traffic(8);
+                }
+                assertTrue(leaders >= 9, leaders + " leaders");
+                return List.of("state away");
+            }
+            case "only answers are lost, while others read what was written", "also of leases and of the cloud" -> {
+                all.lostAnswers(0.6, 30, meeting.startsWith("also"));
+                day.lookClosely(40);
+                traffic(8);
+                day.cancelNow(4, 0);
+                day.changeOfHands();
+                traffic(12);
+                day.cancelNow(4, 0);
+                day.changeOfHands();
+                traffic(12);
+                return List.of("lost answers");
+            }
+            case "close looks" -> {
+                day.lookClosely(40);
+                for (int time = 0; time < 3; time++) {
+                    traffic(4);
+                    day.cancelNow(4, 0);
+                    day.changeOfHands();
+                    for (int each = 0; each < 20; each++) {
+                        day.submit("batch", 1, 1);
+                        day.cancelNow(1, 0);
+                        seconds(0.4);
+                    }
+                }
+                return List.of();
+            }
+            case "more work than room, slow links" -> {
+                all.slowLinks(900 * Micros.MILLISECOND, 25);
+                day.fill();
+                day.fill();
+                traffic(10);
+                day.changeOfHands();
+                traffic(15);
+                return List.of("slow links");
+            }
+            case "mute machines" -> {
+                for (int time = 0; time < 3; time++) {
+                    all.mute(0.4 + 0.3 * time, 6 + 8 * time);
+                    day.cancelNow(4, 0);
+                    seconds(time);
+                    day.changeOfHands();
+                    traffic(14 + 6 * time);
+                    day.fill();
+                }
+                return List.of("mute");
+            }
+            default -> throw new IllegalArgumentException(meeting);
+        }
+    }
+
+    /** @param former how many controllers run without a standby, as those in production do */
+    @ParameterizedTest
+    @CsvSource({
+        "cancelled while the work changes hands, 3, 0", "cancelled while the work changes hands, 5, 1",
+        "'at their limits, cancelled machines hang, the leader changes', 3, 1", "'at their limits, cancelled machines hang, the leader changes', 5, 0",
+        "'at their limits, cancelled machines are cut off, the leader changes', 3, 0", "'at their limits, cancelled machines are cut off, the leader changes', 5, 1",
+        "'at their limits, cancelled machines are deaf, the leader changes', 3, 1", "'at their limits, cancelled machines are deaf, the leader changes', 5, 0",
+        "'new machines in two seconds, writes lag, the leader ends', 3, 0", "'new machines in two seconds, writes lag, the leader ends', 5, 1",
+        "all away for longer than the lease, 3, 0", "all away for longer than the lease, 5, 1",
+        "'the end of a last task meets a cancellation, a question and a submission', 3, 0",
+        "reports are held back until the next leader has acted, 3, 0", "reports are held back until the next leader has acted, 5, 1",
+        "old reports reach all as the next leader begins, 3, 0", "old reports reach all as the next leader begins, 5, 1",
+        "'ten leaders in two minutes, also inside an outage', 3, 0", "'ten leaders in two minutes, also inside an outage', 5, 1",
+        "'only answers are lost, while others read what was written', 3, 0", "'only answers are lost, while others read what was written', 5, 1",
+        "also of leases and of the cloud, 3, 0", "also of leases and of the cloud, 5, 1",
+        "close looks, 3, 0", "close looks, 5, 1",
+        "'more work than room, slow links', 3, 0", "mute machines, 3, 0", "mute machines, 5, 1",
+    })
+    void breaksNoRule(String meeting, int controllers, int former) {
+        List<String> failed = new ArrayList<>();
+        for (int seed = FIRST; seed < FIRST + DAYS; seed++) {
+            leaders = 0;
+            token = 0;
+            day = TakeOverDay.tight(seed, controllers, former);
+            seconds(3);
+            day.fill();
+            traffic(9);
+            int cancelled = day.cancelled();
+            List<String> marks = bringAbout(meeting);
+            seconds(35);
+            day.calm();
+            boolean drained = day.drain(2_500);
+            List<String> verdict = day.verdict();
+            if (!drained || !verdict.isEmpty()) {
+                failed.add("seed " + seed + " " + verdict + " " + day.deployment.log());
+            }
+            String log = day.deployment.log().toString();
+            assertTrue(marks.stream().allMatch(log::contains), "it did not take place: " + log);
+            assertTrue(day.cancelled() > cancelled, "nothing was cancelled");
+        }
+        assertEquals(List.of(), failed);
+    }
+}
--- a/src/test/java/io/micatide/rehearsal/TakeOverDay.java
+++ b/src/test/java/io/micatide/rehearsal/TakeOverDay.java
@@ -50,6 +50,9 @@
             List.of("b"));
 
     private final Map<String, Team> teams;
+    /** What the state service takes a second. */
+    private final int requests;
+    private final int changes;
     final Random random;
     final int count;
     final Deployment deployment;
@@ -87,7 +90,13 @@
 
     /** With controllers that all begin with this version. */
     TakeOverDay(long seed, int controllers, int former, Copy.Maker copies, long reportMicros, long leaseMicros, Abilities version) {
-        this(seed, controllers, former, copies, reportMicros, leaseMicros, version, Map.of("blue", new Team("blue", 0, 0, 0, 0)), List.of(TYPE));
+        this(seed, controllers, former, copies, reportMicros, leaseMicros, version, Map.of("blue", new Team("blue", 0, 0, 0, 0)), List.of(TYPE), 400, 120);
+    }
+
+    /** With a state service that takes so many requests and changes a second. */
+    static TakeOverDay paced(long seed, int controllers, int requests, int changes) {
+        return new TakeOverDay(seed, controllers, 0, Copy::new, 800 * Micros.MILLISECOND, 10 * Micros.SECOND, Abilities.ALL,
+                Map.of("blue", new Team("blue", 0, 0, 0, 0)), List.of(TYPE), requests, changes);
     }
 
     /**
@@ -97,14 +106,21 @@
     static TakeOverDay tight(long seed, int controllers, int former) {
         TakeOverDay day = new TakeOverDay(seed, controllers, former, Copy::new, 800 * Micros.MILLISECOND, 10 * Micros.SECOND, Abilities.ALL,
                 Map.of("blue", new Team("blue", 24_000, 0, 40_000, 0), "red", new Team("red", 16_000, 0, 32_000, 0),
-                        "green", new Team("green", 8_000, 0, 24_000, 0)), List.of(TYPE, LARGE));
-        day.deployment.cloudLags(() -> (long) (day.random.nextDouble() * 8 * Micros.SECOND),
-                () -> day.random.nextInt(3) == 0 ? 5 * Micros.SECOND : (200 + day.random.nextInt(1_800)) * Micros.MILLISECOND);
+                        "green", new Team("green", 8_000, 0, 24_000, 0)), List.of(TYPE, LARGE), 400, 120);
+        day.listLags(8 * Micros.SECOND);
         return day;
     }
 
+    /** Lists of the cloud are up to so old from now on; machines boot within 0.2 to 2 s or the ordinary time. */
+    private void listLags(long most) {
+        deployment.cloudLags(() -> (long) (random.nextDouble() * most),
+                () -> random.nextInt(3) == 0 ? 5 * Micros.SECOND : (200 + random.nextInt(1_800)) * Micros.MILLISECOND);
+    }
+
     private TakeOverDay(long seed, int controllers, int former, Copy.Maker copies, long reportMicros, long leaseMicros, Abilities version,
-            Map<String, Team> teams, List<MachineType> types) {
+            Map<String, Team> teams, List<MachineType> types, int requests, int changes) {
+        this.requests = requests;
+        this.changes = changes;
         this.teams = new TreeMap<>(teams);
         this.versions = new Abilities[controllers];
         this.lateRowsMicros = new long[controllers];
@@ -117,7 +133,7 @@
         this.copies = copies;
         RuleChecker[] rules = new RuleChecker[1];
         this.deployment = new Deployment(random, controllers, this, types, MACHINES,
-                new StateStandIn.Limits(400, 120, 16 * 1024, 16), new WorkerStandIn.Witness() {
+                new StateStandIn.Limits(requests, changes, 16 * 1024, 16), new WorkerStandIn.Witness() {
                     @Override
                     public void started(String task, long attempt, String machine) {
                         rules[0].started(task, attempt, machine);
@@ -195,7 +211,7 @@
         }
         return new Settings("c" + number, number % 2 == 0 ? "a" : "b", "c" + number, "p" + number, siblings, "cloud", "state",
                 List.of("a", "b"), 0, teams, List.of(), reportMicros, leaseMicros,
-                30 * Micros.SECOND, 5 * Micros.SECOND, CANCEL, 400, 120, 16 * 1024, 16 * 1024, 16, 20,
+                30 * Micros.SECOND, 5 * Micros.SECOND, CANCEL, requests, changes, 16 * 1024, 16 * 1024, 16, 20,
                 teams.size() > 1 ? 4 * Micros.SECOND : Micros.SECOND, 0.4, 150, 700);
     }
 
@@ -288,7 +304,7 @@
         return (long) (Micros.MILLISECOND * Math.pow(1_000, random.nextDouble()));
     }
 
-    private void at(long inMicros, Runnable what) {
+    void at(long inMicros, Runnable what) {
         time.at(time.now() + inMicros, what);
     }
 
@@ -437,6 +453,11 @@
         trySubmit(id);
     }
 
+    /** How many jobs users have been told are cancelled. */
+    int cancelled() {
+        return (int) standing.values().stream().filter("withdrawn"::equals).count();
+    }
+
     String lastJob() {
         return "wk-" + submitted.size();
     }
@@ -555,6 +576,12 @@
         at(seconds * Micros.SECOND, () -> cancelAtEndShare = 0);
     }
 
+    /** For so many seconds. */
+    void lookClosely(int seconds) {
+        closeLooks = true;
+        at(seconds * Micros.SECOND, () -> closeLooks = false);
+    }
+
     /** Users ask all controllers again and again, and repeat the submission there with the same and with other bodies. */
     private void lookClosely(String id) {
         if (!closeLooks) {
@@ -617,14 +644,11 @@
     void laterTrouble() {
         int seconds = 3 + random.nextInt(25);
         switch (random.nextInt(9)) {
-            case 0 -> deployment.lostAnswers(0.2 + random.nextDouble() * 0.6, seconds);
-            case 1 -> deployment.reportsForNext(0.5 + random.nextDouble() * 0.5, 60);
+            case 0 -> deployment.lostAnswers(0.2 + random.nextDouble() * 0.6, seconds, random.nextBoolean());
+            case 1 -> deployment.reportsForNext(0.5 + random.nextDouble() * 0.5, 60, random.nextBoolean() ? 0 : random.nextInt(6_000));
             case 2 -> deployment.mute(0.1 + random.nextDouble() * 0.8, seconds);
             case 3, 4 -> cancelNow(1 + random.nextInt(6), random.nextInt(3) == 0 ? 0 : 1_000 + random.nextInt(20_000));
-            case 5 -> {
-                closeLooks = true;
-                at(seconds * Micros.SECOND, () -> closeLooks = false);
-            }
+            case 5 -> lookClosely(seconds);
             case 6 -> cancelAtEnd(0.2 + random.nextDouble() * 0.8, seconds);
             case 7 -> {
                 for (int each = 0; each < seconds; each++) {
