--- a/src/test/java/io/micatide/rehearsal/NamedMeetingsTest.java
+++ b/src/test/java/io/micatide/rehearsal/NamedMeetingsTest.java
@@ -215,7 +215,7 @@
         }
     }
 
-    /** @param former how many controllers run without a standby, as those in production do */
+    /** @param former how many controllers are of the version in production: without a standby and without the switches */
     @ParameterizedTest
     @CsvSource({
         "cancelled while the work changes hands, 3, 0", "cancelled while the work changes hands, 5, 1",
--- a/src/test/java/io/micatide/rehearsal/TakeOverDay.java
+++ b/src/test/java/io/micatide/rehearsal/TakeOverDay.java
@@ -106,6 +106,10 @@
         this.versions = new Abilities[controllers];
         this.lateRowsMicros = new long[controllers];
         Arrays.fill(versions, version);
+        if (teams.size() > 1) {
+            // As in production: neither a standby nor the switches.
+            Arrays.fill(versions, 0, former, Abilities.FORMER);
+        }
         this.reportMicros = reportMicros;
         this.leaseMicros = leaseMicros;
         this.random = new Random(seed);
