Whether a named meeting took place is counted before its clean-up

Cause: that something was cancelled was asserted after the clean-up cancels all services, so it could not fail; for close looks nothing was counted.

--- a/src/test/java/io/micatide/rehearsal/DayUsers.java
+++ b/src/test/java/io/micatide/rehearsal/DayUsers.java
@@ -38,6 +38,7 @@
     final Set<String> apart = new HashSet<>();
     private final Map<String, String> toldLast = new HashMap<>();
     private boolean closeLooks;
+    private int looks;
     private double cancelAtEndShare;
     private int odd;
 
@@ -283,11 +284,17 @@
         at(seconds * Micros.SECOND, () -> closeLooks = false);
     }
 
+    /** How often users looked closely. */
+    int looks() {
+        return looks;
+    }
+
     /** Users ask all controllers again and again, and repeat the submission there with the same and with other bodies. */
     private void lookClosely(String id) {
         if (!closeLooks) {
             return;
         }
+        looks++;
         for (int number = 0; number < count; number++) {
             Http to = deployment.toController(number);
             for (int millis : new int[] {0, 3, 12, 40}) {
--- a/src/test/java/io/micatide/rehearsal/NamedMeetingsTest.java
+++ b/src/test/java/io/micatide/rehearsal/NamedMeetingsTest.java
@@ -126,6 +126,7 @@
                     day.users.oddRequests();
                     seconds(1);
                 }
+                assertTrue(day.users.looks() > 20, day.users.looks() + " close looks");
                 return List.of();
             }
             case "reports are held back until the next leader has acted" -> {
@@ -189,6 +190,7 @@
                         seconds(0.4);
                     }
                 }
+                assertTrue(day.users.looks() > 20, day.users.looks() + " close looks");
                 return List.of();
             }
             case "more work than room, slow links" -> {
@@ -244,6 +246,7 @@
             traffic(9);
             int cancelled = day.users.cancelled();
             List<String> marks = bringAbout(meeting);
+            assertTrue(day.users.cancelled() > cancelled, "nothing was cancelled");
             seconds(35);
             day.users.calm();
             boolean drained = day.users.drain(2_500);
@@ -253,7 +256,6 @@
             }
             String log = day.deployment.log().toString();
             assertTrue(marks.stream().allMatch(log::contains), "it did not take place: " + log);
-            assertTrue(day.users.cancelled() > cancelled, "nothing was cancelled");
         }
         assertEquals(List.of(), failed);
     }
