A task is started over only once for a machine that seems slow

The job was never done.

Change: a task that was stopped once for its machine's pace is not stopped for that again.

--- a/src/main/java/io/micatide/core/Job.java
+++ b/src/main/java/io/micatide/core/Job.java
@@ -30,6 +30,8 @@
     final Multiset<String> liveMachines = HashMultiset.create();
     /** Finished tasks that a confirmed write holds: only these may be forgotten by the workers. */
     final BitSet recorded = new BitSet();
+    /** Tasks that were stopped once since their machine seemed slow; they are not stopped for that again. */
+    final BitSet leftSlow = new BitSet();
     /** Attempts that may be on a machine, by task. */
     final Map<Integer, List<Placement>> live = new HashMap<>();
 
--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -728,9 +728,15 @@
             }
             if (placement.unsent()) {
                 remove(placement);
+            } else if (placement.job.leftSlow.get(placement.index)) {
+                // It was long elsewhere too: it is the task and not the machine. Of an array whose tasks take very different times
+                // the long ones made each machine seem slow, and were started over without end.
+                continue;
             } else if (placement.job.spec.checkpointMicros() > 0) {
+                placement.job.leftSlow.set(placement.index);
                 stopToSave(placement, nowMicros);
             } else {
+                placement.job.leftSlow.set(placement.index);
                 stop(placement, 0, nowMicros);
             }
         }
