--- a/client/src/main/java/io/micatide/client/Backoff.java
+++ b/client/src/main/java/io/micatide/client/Backoff.java
@@ -6,12 +6,12 @@
 final class Backoff {
     /** The protocol: after a second or more. */
     private static final long LEAST_MICROS = 1_000_000;
+
     private static final long MOST_MICROS = 16_000_000;
     private static final long MOST_RETRY_AFTER_MICROS = 30_000_000;
     private static final int MOST_DOUBLINGS = 10;
 
-    private Backoff() {
-    }
+    private Backoff() {}
 
     /**
      * @param tries how many there were, 1 and on
--- a/client/src/main/java/io/micatide/client/HttpTransport.java
+++ b/client/src/main/java/io/micatide/client/HttpTransport.java
@@ -38,7 +38,8 @@
     }
 
     private DefaultApi api(String endpoint, Call call) {
-        return call instanceof Ask ? questions.computeIfAbsent(endpoint, each -> api(each, ASK))
+        return call instanceof Ask
+                ? questions.computeIfAbsent(endpoint, each -> api(each, ASK))
                 : apis.computeIfAbsent(endpoint, each -> api(each, SUBMIT));
     }
 
@@ -73,12 +74,18 @@
     }
 
     private static Answer failed(Throwable failure) {
-        Throwable cause = failure instanceof CompletionException && failure.getCause() != null ? failure.getCause() : failure;
+        Throwable cause =
+                failure instanceof CompletionException && failure.getCause() != null ? failure.getCause() : failure;
         if (!(cause instanceof ApiException e) || e.getCode() == 0) {
             return Answer.none(String.valueOf(cause.getMessage()));
         }
-        long retryAfter = e.getResponseHeaders() == null ? 0
-                : e.getResponseHeaders().firstValue("Retry-After").map(HttpTransport::seconds).orElse(0L) * MICROS;
+        long retryAfter = e.getResponseHeaders() == null
+                ? 0
+                : e.getResponseHeaders()
+                                .firstValue("Retry-After")
+                                .map(HttpTransport::seconds)
+                                .orElse(0L)
+                        * MICROS;
         String message = e.getResponseBody();
         String field = null;
         try {
--- a/client/src/main/java/io/micatide/client/MicatideClient.java
+++ b/client/src/main/java/io/micatide/client/MicatideClient.java
@@ -21,9 +21,11 @@
 public final class MicatideClient {
     /** How long one request waits, by the protocol. */
     private static final long SUBMIT_MICROS = 5_000_000;
+
     private static final long ASK_MICROS = 2_000_000;
     /** How often a job that is waited for is asked after. */
     private static final long POLL_MICROS = 5_000_000;
+
     private static final int REMEMBERED = 10_000;
     private static final int FIRST_LIMIT = 16;
     private static final int MOST_LIMIT = 256;
@@ -78,14 +80,16 @@
     /** How a job stands. What was told to be over is told again without a request. */
     public CompletableFuture<Standing> ask(String id, Duration within) {
         Standing known = remembered(id);
-        return known != null ? CompletableFuture.completedFuture(known)
+        return known != null
+                ? CompletableFuture.completedFuture(known)
                 : new Attempts(new Transport.Ask(id), id, ASK_MICROS, micros(within)).start();
     }
 
     /** Cancels a job; ends with withdrawn, or done if it was. */
     public CompletableFuture<Standing> abort(String id, Duration within) {
         Standing known = remembered(id);
-        return known != null ? CompletableFuture.completedFuture(known)
+        return known != null
+                ? CompletableFuture.completedFuture(known)
                 : new Attempts(new Transport.Abort(id), id, SUBMIT_MICROS, micros(within)).start();
     }
 
@@ -149,7 +153,7 @@
         private final CompletableFuture<Standing> result = new CompletableFuture<>();
         private final Runnable begin = this::send;
         private CompletableFuture<Answer> underWay;
-        private Runnable timer = () -> { };
+        private Runnable timer = () -> {};
         private int tries;
         private Answer last = Answer.none("no try was made in time");
 
@@ -217,9 +221,11 @@
             }
             limit.ended(answer.status() == OVERLOADED || answer.status() == 0, now);
             switch (answer.status()) {
-                case 200, 201 -> result.complete(newest(new Standing(id, answer.standing(), answer.done(), answer.running())));
-                case 400, 422 -> result.completeExceptionally(
-                        new MicatideException.Refused(answer.status(), answer.field(), answer.message()));
+                case 200, 201 ->
+                    result.complete(newest(new Standing(id, answer.standing(), answer.done(), answer.running())));
+                case 400, 422 ->
+                    result.completeExceptionally(
+                            new MicatideException.Refused(answer.status(), answer.field(), answer.message()));
                 case 404 -> result.completeExceptionally(new MicatideException.Unknown(id));
                 default -> again(index, answer, now);
             }
@@ -249,8 +255,8 @@
             }
             long delay = Backoff.delay(tries, 0, random);
             if (now + delay >= endMicros) {
-                result.completeExceptionally(new MicatideException.GaveUp(tries, last.status(),
-                        "the budget for repetitions is used up; last: " + last.message()));
+                result.completeExceptionally(new MicatideException.GaveUp(
+                        tries, last.status(), "the budget for repetitions is used up; last: " + last.message()));
                 return;
             }
             synchronized (this) {
@@ -265,7 +271,7 @@
         private final long endMicros;
         private final CompletableFuture<Standing> result = new CompletableFuture<>();
         private CompletableFuture<Standing> asking;
-        private Runnable timer = () -> { };
+        private Runnable timer = () -> {};
         private int questions;
 
         Waiting(String id, long endMicros) {
@@ -295,7 +301,8 @@
                 return;
             }
             questions++;
-            CompletableFuture<Standing> question = MicatideClient.this.ask(id, Duration.ofNanos((endMicros - now) * 1_000));
+            CompletableFuture<Standing> question =
+                    MicatideClient.this.ask(id, Duration.ofNanos((endMicros - now) * 1_000));
             synchronized (this) {
                 asking = question;
             }
--- a/client/src/main/java/io/micatide/client/Transport.java
+++ b/client/src/main/java/io/micatide/client/Transport.java
@@ -6,17 +6,13 @@
 /** One request to one controller, without repetition. */
 public interface Transport {
     /** What is asked. */
-    sealed interface Call {
-    }
+    sealed interface Call {}
 
-    record Submit(Job job) implements Call {
-    }
+    record Submit(Job job) implements Call {}
 
-    record Ask(String id) implements Call {
-    }
+    record Ask(String id) implements Call {}
 
-    record Abort(String id) implements Call {
-    }
+    record Abort(String id) implements Call {}
 
     /**
      * What became of it.
@@ -27,7 +23,8 @@
      * @param field the field that is wrong, null where that was not said
      * @param message what is wrong, for people
      */
-    record Answer(int status, String standing, int done, int running, long retryAfterMicros, String field, String message) {
+    record Answer(
+            int status, String standing, int done, int running, long retryAfterMicros, String field, String message) {
         static Answer none(String why) {
             return new Answer(0, null, 0, 0, 0, null, why);
         }
--- a/client/src/test/java/io/micatide/client/MicatideClientTest.java
+++ b/client/src/test/java/io/micatide/client/MicatideClientTest.java
@@ -88,7 +88,8 @@
             CompletableFuture<Answer> future = new CompletableFuture<>();
             open.add(future);
             Answer answer = service.answer(endpoint, call);
-            Runnable back = ticker.after(answer == null ? timeoutMicros : 10_000,
+            Runnable back = ticker.after(
+                    answer == null ? timeoutMicros : 10_000,
                     () -> future.complete(answer == null ? Answer.none("no answer in time") : answer));
             future.whenComplete((told, failure) -> {
                 open.remove(future);
@@ -131,12 +132,14 @@
     @ParameterizedTest
     @CsvSource({
         "200, 0, 1, Standing", "201, 0, 1, Standing", "400, 9, 1, Refused", "422, 9, 1, Refused", "404, 9, 1, Unknown",
-        "429, 2, 3, Standing", "503, 2, 3, Standing", "504, 3, 4, Standing", "500, 1, 2, Standing", "302, 1, 2, Standing",
+        "429, 2, 3, Standing", "503, 2, 3, Standing", "504, 3, 4, Standing", "500, 1, 2, Standing",
+                "302, 1, 2, Standing",
         "0, 2, 3, Standing", "0, 99, 0, GaveUp", "503, 99, 0, GaveUp",
     })
     void whatIsRepeated(int status, int times, int tries, String end) {
         int[] left = {times};
-        MicatideClient client = client(2, (endpoint, call) -> left[0]-- <= 0 ? ok("queued") : status == 0 ? null : status(status, 0));
+        MicatideClient client =
+                client(2, (endpoint, call) -> left[0]-- <= 0 ? ok("queued") : status == 0 ? null : status(status, 0));
         CompletableFuture<Standing> call = client.submit(job("wk-1"), MINUTE);
         ticker.run(70_000_000);
         assertTrue(call.isDone());
@@ -146,7 +149,8 @@
             assertEquals(tries, transport.sent.size());
         }
         for (int i = 1; i < transport.sent.size(); i++) {
-            assertTrue(transport.sent.get(i) - transport.sent.get(i - 1) >= 1_000_000, "a second or more between tries");
+            assertTrue(
+                    transport.sent.get(i) - transport.sent.get(i - 1) >= 1_000_000, "a second or more between tries");
         }
         if (failure instanceof MicatideException.Refused refused) {
             assertEquals("legs", refused.field());
@@ -204,15 +208,19 @@
     void anOutageIsNotMultiplied(int status) {
         long from = 10_000_000;
         long to = 30_000_000;
-        MicatideClient client = client(3, (endpoint, call) -> ticker.now() < from || ticker.now() >= to ? ok("queued")
-                : status == 0 ? null : status(status, 0));
+        MicatideClient client = client(
+                3,
+                (endpoint, call) -> ticker.now() < from || ticker.now() >= to
+                        ? ok("queued")
+                        : status == 0 ? null : status(status, 0));
         List<CompletableFuture<Standing>> calls = new ArrayList<>();
         for (int i = 0; i < 60 * 50; i++) {
             calls.add(client.submit(job("wk-" + i), MINUTE));
             ticker.run(20_000);
         }
         ticker.run(60_000_000);
-        long offered = transport.sent.stream().filter(at -> at >= from && at < to).count();
+        long offered =
+                transport.sent.stream().filter(at -> at >= from && at < to).count();
         assertTrue(offered <= 1.3 * 50 * 20, offered + " requests in 20 s of outage");
         long served = calls.stream().filter(call -> failure(call) == null).count();
         assertEquals(calls.size(), served);
@@ -256,7 +264,8 @@
     /** Waiting by questions that fail, are late, or tell a word of a later service; the end is told once and for all. */
     @Test
     void waitingForTheEnd() {
-        List<Answer> answers = new ArrayList<>(List.of(ok("queued"), status(503, 1), ok("resting"), ok("running"), ok("done"), ok("running")));
+        List<Answer> answers = new ArrayList<>(
+                List.of(ok("queued"), status(503, 1), ok("resting"), ok("running"), ok("done"), ok("running")));
         MicatideClient client = client(2, (endpoint, call) -> answers.size() > 1 ? answers.remove(0) : answers.get(0));
         CompletableFuture<Standing> wait = client.await("wk-1", Duration.ofSeconds(120));
         ticker.run(60_000_000);
@@ -270,10 +279,12 @@
         CompletableFuture<Standing> late = client.submit(job("wk-1"), MINUTE);
         ticker.run(1_000_000);
         assertTrue(late.join().isDone());
-        assertInstanceOf(MicatideException.Unknown.class, failureOf(client(1, (endpoint, call) -> status(404, 0))
-                .await("wk-2", MINUTE)));
-        assertInstanceOf(MicatideException.GaveUp.class, failureOf(client(1, (endpoint, call) -> ok("running"))
-                .await("wk-3", MINUTE)));
+        assertInstanceOf(
+                MicatideException.Unknown.class,
+                failureOf(client(1, (endpoint, call) -> status(404, 0)).await("wk-2", MINUTE)));
+        assertInstanceOf(
+                MicatideException.GaveUp.class,
+                failureOf(client(1, (endpoint, call) -> ok("running")).await("wk-3", MINUTE)));
     }
 
     private Throwable failureOf(CompletableFuture<?> call) {
@@ -287,9 +298,15 @@
     void aCancelledCallLeavesNothing(String kind) {
         for (int at = 0; at < 200; at++) {
             int[] asked = {0};
-            MicatideClient client = client(2, (endpoint, call) -> ++asked[0] % 3 == 0 ? null
-                    : asked[0] % 3 == 1 ? status(503, 1) : kind.equals("await") ? ok("running") : status(429, 2));
-            CompletableFuture<Standing> call = kind.equals("submit") ? client.submit(job("wk-1"), MINUTE) : client.await("wk-1", MINUTE);
+            MicatideClient client = client(
+                    2,
+                    (endpoint, call) -> ++asked[0] % 3 == 0
+                            ? null
+                            : asked[0] % 3 == 1
+                                    ? status(503, 1)
+                                    : kind.equals("await") ? ok("running") : status(429, 2));
+            CompletableFuture<Standing> call =
+                    kind.equals("submit") ? client.submit(job("wk-1"), MINUTE) : client.await("wk-1", MINUTE);
             ticker.run(at * 200_000L);
             if (!call.isDone()) {
                 call.cancel(true);
--- a/src/clients/java/io/micatide/clients/GeneratedClientTest.java
+++ b/src/clients/java/io/micatide/clients/GeneratedClientTest.java
@@ -51,7 +51,8 @@
  */
 class GeneratedClientTest {
     private static final ObjectMapper MAPPER = new ObjectMapper();
-    private static final HttpClient HTTP = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private static final HttpClient HTTP =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     private static final int MOST_TRIES = 2_000;
     private static final Map<String, Integer> RUNS = new ConcurrentHashMap<>();
 
@@ -72,7 +73,7 @@
             }
         });
         for (String endpoint : service.endpoints()) {
-            for (boolean up = false; !up;) {
+            for (boolean up = false; !up; ) {
                 try {
                     up = plain(endpoint, "GET", "/healthz", null).statusCode() == 200;
                 } catch (IOException e) {
@@ -89,9 +90,15 @@
 
     private static HttpResponse<String> plain(String endpoint, String method, String path, String body)
             throws IOException, InterruptedException {
-        return HTTP.send(HttpRequest.newBuilder(URI.create("http://" + endpoint + path))
-                .method(method, body == null ? HttpRequest.BodyPublishers.noBody() : HttpRequest.BodyPublishers.ofString(body))
-                .build(), HttpResponse.BodyHandlers.ofString());
+        return HTTP.send(
+                HttpRequest.newBuilder(URI.create("http://" + endpoint + path))
+                        .method(
+                                method,
+                                body == null
+                                        ? HttpRequest.BodyPublishers.noBody()
+                                        : HttpRequest.BodyPublishers.ofString(body))
+                        .build(),
+                HttpResponse.BodyHandlers.ofString());
     }
 
     private static DefaultApi present(String endpoint) {
@@ -125,10 +132,23 @@
     }
 
     private static Job job(int tasks) {
-        return new Job().nameId("wk-g" + ++number).roster("demo").crew(LocalService.TEAM).form(Job.FormEnum.BATCH)
-                .rank(Job.RankEnum.NORMAL).legs(tasks).cpus(java.math.BigDecimal.valueOf(0.5)).cards(java.math.BigDecimal.ZERO)
-                .memGb(java.math.BigDecimal.ONE).kit("img-1").sizeGb(java.math.BigDecimal.ZERO).samePlace(false).scatter(false)
-                .loaners(true).runtimeS(java.math.BigDecimal.valueOf(0.2)).halftimeS(java.math.BigDecimal.ZERO)
+        return new Job()
+                .nameId("wk-g" + ++number)
+                .roster("demo")
+                .crew(LocalService.TEAM)
+                .form(Job.FormEnum.BATCH)
+                .rank(Job.RankEnum.NORMAL)
+                .legs(tasks)
+                .cpus(java.math.BigDecimal.valueOf(0.5))
+                .cards(java.math.BigDecimal.ZERO)
+                .memGb(java.math.BigDecimal.ONE)
+                .kit("img-1")
+                .sizeGb(java.math.BigDecimal.ZERO)
+                .samePlace(false)
+                .scatter(false)
+                .loaners(true)
+                .runtimeS(java.math.BigDecimal.valueOf(0.2))
+                .halftimeS(java.math.BigDecimal.ZERO)
                 .stowS(java.math.BigDecimal.ZERO);
     }
 
@@ -144,7 +164,8 @@
         for (int tries = 0; !status.getStanding().equals("done") && tries < MOST_TRIES; tries++) {
             status = decided(() -> api.getJob(job.getNameId()));
         }
-        JsonNode plain = MAPPER.readTree(plain(service.endpoints().get(1), "GET", "/v1/jobs/" + job.getNameId(), null).body());
+        JsonNode plain = MAPPER.readTree(plain(service.endpoints().get(1), "GET", "/v1/jobs/" + job.getNameId(), null)
+                .body());
         assertEquals(plain.path("standing").asText(), status.getStanding());
         assertEquals(plain.path("done").asInt(), status.getDone());
         assertEquals(3, status.getDone());
@@ -164,23 +185,33 @@
         decided(() -> api.submitJob(before));
         Job after = job(1).addAwaitsItem(before.getNameId());
         assertEquals("queued", decided(() -> api.submitJob(after)).getStanding());
-        assertEquals("withdrawn", decided(() -> api.abortJob(before.getNameId())).getStanding());
+        assertEquals(
+                "withdrawn", decided(() -> api.abortJob(before.getNameId())).getStanding());
         assertEquals("withdrawn", decided(() -> api.getJob(after.getNameId())).getStanding());
         assertNull(RUNS.get(after.getNameId() + "/0"));
     }
 
     /** Refusals: status and field are those of a plain request with the same body. */
     @ParameterizedTest
-    @CsvSource({"nobody, 1, 1, 422", "demo, 0, 1, 400", "demo, 100001, 1, 400", "demo, 1, 1000000, 422", "demo, 1, -1, 400"})
+    @CsvSource({
+        "nobody, 1, 1, 422",
+        "demo, 0, 1, 400",
+        "demo, 100001, 1, 400",
+        "demo, 1, 1000000, 422",
+        "demo, 1, -1, 400"
+    })
     void refusalsAreThoseOfPlainRequests(String team, int tasks, int cpus, int status) throws Exception {
         Job job = job(tasks).crew(team).cpus(java.math.BigDecimal.valueOf(cpus));
-        ApiException refused = assertThrows(ApiException.class,
+        ApiException refused = assertThrows(
+                ApiException.class,
                 () -> decided(() -> present(service.endpoints().get(0)).submitJob(job)));
-        HttpResponse<String> plain = plain(service.endpoints().get(1), "POST", "/v1/jobs", MAPPER.writeValueAsString(job));
+        HttpResponse<String> plain =
+                plain(service.endpoints().get(1), "POST", "/v1/jobs", MAPPER.writeValueAsString(job));
         assertEquals(status, refused.getCode());
         assertEquals(status, plain.statusCode());
         assertEquals(MAPPER.readTree(plain.body()), MAPPER.readTree(refused.getResponseBody()));
-        ApiException unknown = assertThrows(ApiException.class,
+        ApiException unknown = assertThrows(
+                ApiException.class,
                 () -> decided(() -> present(service.endpoints().get(0)).getJob(job.getNameId())));
         assertEquals(404, unknown.getCode());
     }
@@ -188,8 +219,10 @@
     /** A client of the first description at the present service. */
     @Test
     void anOlderClient() throws Exception {
-        io.micatide.generated.first.api.DefaultApi api = first(service.endpoints().get(0));
-        io.micatide.generated.first.model.Job job = new io.micatide.generated.first.ApiClient().getObjectMapper()
+        io.micatide.generated.first.api.DefaultApi api =
+                first(service.endpoints().get(0));
+        io.micatide.generated.first.model.Job job = new io.micatide.generated.first.ApiClient()
+                .getObjectMapper()
                 .readValue(MAPPER.writeValueAsString(job(2)), io.micatide.generated.first.model.Job.class);
         for (int tries = 0; tries < MOST_TRIES; tries++) {
             try {
@@ -202,7 +235,8 @@
         }
         assertEquals("done", api.getJob(job.getNameId()).getStanding());
         assertEquals(2, api.getJob(job.getNameId()).getDone());
-        assertEquals(Set.of(1), Set.copyOf(List.of(RUNS.get(job.getNameId() + "/0"), RUNS.get(job.getNameId() + "/1"))));
+        assertEquals(
+                Set.of(1), Set.copyOf(List.of(RUNS.get(job.getNameId() + "/0"), RUNS.get(job.getNameId() + "/1"))));
     }
 
     /** A present client at a service of the first description: what it sends without the new field is what that one reads. */
@@ -215,18 +249,28 @@
         })) {
             assertEquals("queued", present(older.endpoint).submitJob(job(1)).getStanding());
         }
-        JsonSchemaFactory schemas = JsonSchemaFactory.builder().defaultMetaSchemaIri(OpenApi30.getInstance().getIri())
-                .metaSchema(OpenApi30.getInstance()).build();
-        assertEquals(Set.of(), schemas.getSchema(
-                SchemaLocation.of("classpath:openapi/released/micatide-1.0.0.json#/components/schemas/Job"),
-                SchemaValidatorsConfig.builder().javaSemantics(true).build()).validate(MAPPER.readTree(sent.get())));
+        JsonSchemaFactory schemas = JsonSchemaFactory.builder()
+                .defaultMetaSchemaIri(OpenApi30.getInstance().getIri())
+                .metaSchema(OpenApi30.getInstance())
+                .build();
+        assertEquals(
+                Set.of(),
+                schemas.getSchema(
+                                SchemaLocation.of(
+                                        "classpath:openapi/released/micatide-1.0.0.json#/components/schemas/Job"),
+                                SchemaValidatorsConfig.builder()
+                                        .javaSemantics(true)
+                                        .build())
+                        .validate(MAPPER.readTree(sent.get())));
     }
 
     /** A later service says more than both descriptions know: fields and words are passed on or over, nothing fails. */
     @Test
     void aLaterService() throws Exception {
-        try (StandIn later = new StandIn(request -> request.answer(200, ("{\"nameId\":\"wk-1\",\"standing\":\"resting\",\"done\":1,"
-                + "\"running\":0,\"place\":{\"rack\":3}}").getBytes(StandardCharsets.UTF_8)))) {
+        try (StandIn later = new StandIn(request -> request.answer(
+                200,
+                ("{\"nameId\":\"wk-1\",\"standing\":\"resting\",\"done\":1," + "\"running\":0,\"place\":{\"rack\":3}}")
+                        .getBytes(StandardCharsets.UTF_8)))) {
             assertEquals("resting", present(later.endpoint).getJob("wk-1").getStanding());
             assertEquals("resting", first(later.endpoint).getJob("wk-1").getStanding());
             assertEquals("resting", present(later.endpoint).submitJob(job(1)).getStanding());
@@ -236,11 +280,13 @@
     /** A refusal that says when to come back: the generated client hands it on. */
     @Test
     void whenToComeBackIsHandedOn() throws Exception {
-        try (StandIn busy = new StandIn(request -> request.answer(429, "{\"error\":\"too many requests\"}"
-                .getBytes(StandardCharsets.UTF_8), 30))) {
-            ApiException refused = assertThrows(ApiException.class, () -> present(busy.endpoint).submitJob(job(1)));
+        try (StandIn busy = new StandIn(request ->
+                request.answer(429, "{\"error\":\"too many requests\"}".getBytes(StandardCharsets.UTF_8), 30))) {
+            ApiException refused = assertThrows(
+                    ApiException.class, () -> present(busy.endpoint).submitJob(job(1)));
             assertEquals(429, refused.getCode());
-            assertEquals("30", refused.getResponseHeaders().firstValue("Retry-After").orElse(null));
+            assertEquals(
+                    "30", refused.getResponseHeaders().firstValue("Retry-After").orElse(null));
         }
     }
 
--- a/src/clients/java/io/micatide/clients/LibraryTest.java
+++ b/src/clients/java/io/micatide/clients/LibraryTest.java
@@ -100,11 +100,14 @@
         }
 
         private static void copy(Socket from, Socket to, int most) throws IOException {
-            try (from; to) {
+            try (from;
+                    to) {
                 InputStream in = from.getInputStream();
                 OutputStream out = to.getOutputStream();
                 byte[] buffer = new byte[4096];
-                for (int left = most, read = 0; left > 0 && (read = in.read(buffer, 0, Math.min(left, buffer.length))) >= 0; left -= read) {
+                for (int left = most, read = 0;
+                        left > 0 && (read = in.read(buffer, 0, Math.min(left, buffer.length))) >= 0;
+                        left -= read) {
                     out.write(buffer, 0, read);
                     out.flush();
                 }
@@ -144,15 +147,30 @@
 
     private static MicatideClient client(List<String> urls) {
         HttpTransport http = new HttpTransport();
-        Transport transport = (endpoint, call, timeoutMicros) -> http.send(endpoint, call, Math.max(100_000, timeoutMicros / FASTER));
+        Transport transport =
+                (endpoint, call, timeoutMicros) -> http.send(endpoint, call, Math.max(100_000, timeoutMicros / FASTER));
         return new MicatideClient(urls, transport, new FastTicker(), new Random(5));
     }
 
     private static Job job() {
-        return new Job().nameId("wk-l" + ++number).roster("demo").crew(LocalService.TEAM).form(Job.FormEnum.BATCH)
-                .rank(Job.RankEnum.NORMAL).legs(1).cpus(BigDecimal.valueOf(0.25)).cards(BigDecimal.ZERO).memGb(BigDecimal.valueOf(0.25))
-                .kit("img-1").sizeGb(BigDecimal.ZERO).samePlace(false).scatter(false).loaners(true).runtimeS(BigDecimal.valueOf(0.1))
-                .halftimeS(BigDecimal.ZERO).stowS(BigDecimal.ZERO);
+        return new Job()
+                .nameId("wk-l" + ++number)
+                .roster("demo")
+                .crew(LocalService.TEAM)
+                .form(Job.FormEnum.BATCH)
+                .rank(Job.RankEnum.NORMAL)
+                .legs(1)
+                .cpus(BigDecimal.valueOf(0.25))
+                .cards(BigDecimal.ZERO)
+                .memGb(BigDecimal.valueOf(0.25))
+                .kit("img-1")
+                .sizeGb(BigDecimal.ZERO)
+                .samePlace(false)
+                .scatter(false)
+                .loaners(true)
+                .runtimeS(BigDecimal.valueOf(0.1))
+                .halftimeS(BigDecimal.ZERO)
+                .stowS(BigDecimal.ZERO);
     }
 
     /** The connection is cut after each number of bytes of an answer in turn: every job runs once, and every call tells the truth. */
@@ -174,8 +192,10 @@
                     .thenCompose(standing -> client.await(job.getNameId(), Duration.ofSeconds(1_800))));
         }
         for (int i = 0; i < CALLS; i++) {
-            assertTrue(ends.get(i).get(120, TimeUnit.SECONDS).isDone(), jobs.get(i).getNameId());
-            assertEquals(1, RUNS.get(jobs.get(i).getNameId() + "/0"), jobs.get(i).getNameId());
+            assertTrue(
+                    ends.get(i).get(120, TimeUnit.SECONDS).isDone(), jobs.get(i).getNameId());
+            assertEquals(
+                    1, RUNS.get(jobs.get(i).getNameId() + "/0"), jobs.get(i).getNameId());
         }
         for (Cutter cutter : cutters) {
             cutter.close();
--- a/src/main/java/io/micatide/cli/LocalCommand.java
+++ b/src/main/java/io/micatide/cli/LocalCommand.java
@@ -11,22 +11,31 @@
 import picocli.CommandLine.Option;
 
 /** A deployment to try out: controllers and stand-ins of everything they need, until it is interrupted. */
-@Command(name = "local", mixinStandardHelpOptions = true,
-        description = "Run a deployment on this machine to try out, with stand-ins of state service, cloud and workers.")
+@Command(
+        name = "local",
+        mixinStandardHelpOptions = true,
+        description =
+                "Run a deployment on this machine to try out, with stand-ins of state service, cloud and workers.")
 final class LocalCommand implements Callable<Integer> {
     private static final int PATIENCE_S = 20;
 
     @Option(names = "--controllers", defaultValue = "1", paramLabel = "N", description = "how many controllers, 1 to 9")
     private int controllers;
 
-    @Option(names = "--port", defaultValue = "8080", paramLabel = "PORT",
+    @Option(
+            names = "--port",
+            defaultValue = "8080",
+            paramLabel = "PORT",
             description = "of the first controller, by default 8080; 0 for any that is free")
     private int port;
 
     @Override
     public Integer call() throws InterruptedException {
         if (controllers < 1 || controllers > 9 || port < 0 || port > 65_535) {
-            System.err.println(controllers < 1 || controllers > 9 ? "--controllers: must be from 1 to 9" : "--port: must be from 0 to 65535");
+            System.err.println(
+                    controllers < 1 || controllers > 9
+                            ? "--controllers: must be from 1 to 9"
+                            : "--port: must be from 0 to 65535");
             return Main.EXIT_SETTINGS;
         }
         try (LocalService service = LocalService.start(controllers, port, true)) {
@@ -51,7 +60,8 @@
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
         while (System.nanoTime() < end) {
             try {
-                HttpURLConnection ask = (HttpURLConnection) URI.create("http://" + endpoint + "/healthz").toURL().openConnection();
+                HttpURLConnection ask = (HttpURLConnection)
+                        URI.create("http://" + endpoint + "/healthz").toURL().openConnection();
                 ask.setConnectTimeout(500);
                 ask.setReadTimeout(1_000);
                 if (ask.getResponseCode() == 200) {
--- a/src/main/java/io/micatide/cli/Main.java
+++ b/src/main/java/io/micatide/cli/Main.java
@@ -6,9 +6,19 @@
 import picocli.CommandLine.Command;
 
 /** Entry point. */
-@Command(name = "micatide", description = "A cluster scheduler: serves users and workers, rents machines.",
-        versionProvider = Main.Version.class, mixinStandardHelpOptions = true,
-        subcommands = {ServeCommand.class, CheckCommand.class, LocalCommand.class, SnapshotCommand.class, RolloutCommand.class, WarmUpCommand.class})
+@Command(
+        name = "micatide",
+        description = "A cluster scheduler: serves users and workers, rents machines.",
+        versionProvider = Main.Version.class,
+        mixinStandardHelpOptions = true,
+        subcommands = {
+            ServeCommand.class,
+            CheckCommand.class,
+            LocalCommand.class,
+            SnapshotCommand.class,
+            RolloutCommand.class,
+            WarmUpCommand.class
+        })
 public final class Main implements Runnable {
     /** Wrong settings end a start with this code. */
     static final int EXIT_SETTINGS = 2;
@@ -26,8 +36,10 @@
         @Override
         public String[] getVersion() throws Exception {
             try (var in = Main.class.getResourceAsStream("/micatide-version.txt")) {
-                return new String[] {"micatide " + new String(in.readAllBytes(),
-                        java.nio.charset.StandardCharsets.UTF_8).trim() + ", layout " + Settings.LAYOUT};
+                return new String[] {
+                    "micatide " + new String(in.readAllBytes(), java.nio.charset.StandardCharsets.UTF_8).trim()
+                            + ", layout " + Settings.LAYOUT
+                };
             }
         }
     }
@@ -39,7 +51,8 @@
 
     private static void configureLogging(String level) {
         String known = level == null ? "info" : level.toLowerCase(Locale.ROOT);
-        System.setProperty("org.slf4j.simpleLogger.defaultLogLevel",
+        System.setProperty(
+                "org.slf4j.simpleLogger.defaultLogLevel",
                 known.equals("error") || known.equals("debug") ? known : "info");
         System.setProperty("org.slf4j.simpleLogger.log.io.netty", "error");
         System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
--- a/src/main/java/io/micatide/cli/RolloutCommand.java
+++ b/src/main/java/io/micatide/cli/RolloutCommand.java
@@ -26,10 +26,14 @@
 import picocli.CommandLine.Parameters;
 
 /** Shows how far changes of the stored state have come, holds them back and takes them back. Works on the state service itself. */
-@Command(name = "rollout", description = "Show, hold back or take back changes of the stored state.", mixinStandardHelpOptions = true)
+@Command(
+        name = "rollout",
+        description = "Show, hold back or take back changes of the stored state.",
+        mixinStandardHelpOptions = true)
 final class RolloutCommand {
     /** The state service does not answer, or what is asked for cannot be. */
     static final int EXIT_ROLLOUT = 4;
+
     private static final double CALLS_A_SECOND = 5;
     private static final int TRIES = 5;
 
@@ -51,26 +55,38 @@
         void run(StateCalls calls, Settings settings) throws RefusedException, MalformedException;
     }
 
-    @Command(description = "Who is there, which feature stands where, and what it waits for.", mixinStandardHelpOptions = true)
-    int status(@Option(names = "--config", required = true, paramLabel = "FILE", description = "a controller's settings") Path config) {
+    @Command(
+            description = "Who is there, which feature stands where, and what it waits for.",
+            mixinStandardHelpOptions = true)
+    int status(
+            @Option(names = "--config", required = true, paramLabel = "FILE", description = "a controller's settings")
+                    Path config) {
         return run(config, (calls, settings) -> status(calls, settings, System.out));
     }
 
     @Command(description = "Keep a feature where it is.", mixinStandardHelpOptions = true)
-    int hold(@Parameters(paramLabel = "FEATURE") String feature,
-            @Option(names = "--config", required = true, paramLabel = "FILE", description = "a controller's settings") Path config) {
+    int hold(
+            @Parameters(paramLabel = "FEATURE") String feature,
+            @Option(names = "--config", required = true, paramLabel = "FILE", description = "a controller's settings")
+                    Path config) {
         return run(config, (calls, settings) -> ask(calls, feature, Row.Wish.HOLD, System.out));
     }
 
     @Command(description = "Let a feature go on that was held or taken back.", mixinStandardHelpOptions = true)
-    int release(@Parameters(paramLabel = "FEATURE") String feature,
-            @Option(names = "--config", required = true, paramLabel = "FILE", description = "a controller's settings") Path config) {
+    int release(
+            @Parameters(paramLabel = "FEATURE") String feature,
+            @Option(names = "--config", required = true, paramLabel = "FILE", description = "a controller's settings")
+                    Path config) {
         return run(config, (calls, settings) -> ask(calls, feature, Row.Wish.NONE, System.out));
     }
 
-    @Command(description = "Take a feature back, stage by stage, until nobody needs to know it.", mixinStandardHelpOptions = true)
-    int back(@Parameters(paramLabel = "FEATURE") String feature,
-            @Option(names = "--config", required = true, paramLabel = "FILE", description = "a controller's settings") Path config) {
+    @Command(
+            description = "Take a feature back, stage by stage, until nobody needs to know it.",
+            mixinStandardHelpOptions = true)
+    int back(
+            @Parameters(paramLabel = "FEATURE") String feature,
+            @Option(names = "--config", required = true, paramLabel = "FILE", description = "a controller's settings")
+                    Path config) {
         return run(config, (calls, settings) -> ask(calls, feature, Row.Wish.BACK, System.out));
     }
 
@@ -112,31 +128,42 @@
         return switches;
     }
 
-    static void status(StateCalls calls, Settings settings, PrintStream out) throws RefusedException, MalformedException {
+    static void status(StateCalls calls, Settings settings, PrintStream out)
+            throws RefusedException, MalformedException {
         List<String> labels = new ArrayList<>(List.of(settings.label()));
         settings.siblings().forEach(sibling -> labels.add(sibling.label()));
         labels.sort(null);
         Switches switches = switches(calls);
         Roster roster = new Roster(labels);
-        for (StateCodec.Item item : StateCodec.page(get(calls, "/store?starts=" + StoreKeys.ROLLOUT + "&most=1000").body()).items()) {
+        for (StateCodec.Item item : StateCodec.page(get(calls, "/store?starts=" + StoreKeys.ROLLOUT + "&most=1000")
+                        .body())
+                .items()) {
             roster.add(item.key(), item.row(), item.version());
         }
         StateCodec.Item leader = item(calls, StoreKeys.LEADER);
         String leads = leader.row() == null ? "" : ((Row.Leader) leader.row()).owner();
         for (String label : labels) {
             Row.Here here = roster.here().get(label);
-            out.println(label + (label.equals(leads) ? ", leads" : "") + ": " + (here == null ? "not registered" : "build " + here.build()
-                    + ", knows " + String.join(" ", here.knows()) + ", since "
-                    + Instant.EPOCH.plus(here.sinceWall(), ChronoUnit.MICROS).truncatedTo(ChronoUnit.SECONDS)
-                    + (here.acts() == switches.version() ? "" : ", has not taken in the last step")));
+            out.println(label + (label.equals(leads) ? ", leads" : "") + ": "
+                    + (here == null
+                            ? "not registered"
+                            : "build " + here.build()
+                                    + ", knows " + String.join(" ", here.knows()) + ", since "
+                                    + Instant.EPOCH
+                                            .plus(here.sinceWall(), ChronoUnit.MICROS)
+                                            .truncatedTo(ChronoUnit.SECONDS)
+                                    + (here.acts() == switches.version() ? "" : ", has not taken in the last step")));
         }
         boolean needs = item(calls, StoreKeys.LAYOUT).row() != null;
         boolean history = item(calls, StoreKeys.HISTORY).row() != null;
         for (Feature feature : Feature.values()) {
-            Stage stage = feature == Feature.NEEDS ? marked(needs) : feature == Feature.HISTORY ? marked(history) : switches.stage(feature);
+            Stage stage = feature == Feature.NEEDS
+                    ? marked(needs)
+                    : feature == Feature.HISTORY ? marked(history) : switches.stage(feature);
             Row.Wish wish = roster.asked(feature);
             List<String> missing = feature.next(stage) == null ? List.of() : roster.missing(feature);
-            out.println(feature.key() + ": " + stage + (wish == Row.Wish.NONE ? "" : ", asked to " + (wish == Row.Wish.HOLD ? "stay" : "go back"))
+            out.println(feature.key() + ": " + stage
+                    + (wish == Row.Wish.NONE ? "" : ", asked to " + (wish == Row.Wish.HOLD ? "stay" : "go back"))
                     + (missing.isEmpty() ? "" : ", waits: " + String.join(", ", missing)));
         }
         switches.unknown().forEach(each -> out.println(each + ": in use, and not known to this version"));
@@ -150,27 +177,32 @@
      * On condition of the row as it was read, and the row never goes: what an operator asked for first and that arrives minutes late must not
      * undo what was asked for since.
      */
-    private static void write(StateCalls calls, String name, Row.Wish wish) throws RefusedException, MalformedException {
+    private static void write(StateCalls calls, String name, Row.Wish wish)
+            throws RefusedException, MalformedException {
         String key = StoreKeys.asked(name);
         for (int tries = 0; tries < TRIES; tries++) {
             StateCodec.Item there = item(calls, key);
             if (there.row() instanceof Row.Ask ask && ask.wish() == wish) {
                 return;
             }
-            byte[] body = StateCodec.transaction(new Transaction(List.of(new Transaction.Compare(key, there.version())),
+            byte[] body = StateCodec.transaction(new Transaction(
+                    List.of(new Transaction.Compare(key, there.version())),
                     List.of(new Transaction.Write(key, new Row.Ask(wish), 0))));
             if (calls.post("/txn", body).ok()) {
                 return;
             }
             calls.pause();
         }
-        throw new RefusedException("the state service does not take it; nothing is known to have changed, ask for the status");
+        throw new RefusedException(
+                "the state service does not take it; nothing is known to have changed, ask for the status");
     }
 
-    static void ask(StateCalls calls, String name, Row.Wish wish, PrintStream out) throws RefusedException, MalformedException {
+    static void ask(StateCalls calls, String name, Row.Wish wish, PrintStream out)
+            throws RefusedException, MalformedException {
         Feature feature = Feature.of(name);
         if (feature == null) {
-            throw new RefusedException(name + " is no feature of this version; there are " + String.join(", ", Abilities.ALL.names()));
+            throw new RefusedException(
+                    name + " is no feature of this version; there are " + String.join(", ", Abilities.ALL.names()));
         }
         if (feature.isMark()) {
             throw new RefusedException(name + " comes with the layout: it can be neither held nor taken back");
@@ -180,10 +212,11 @@
             throw new RefusedException(name + " cannot go back: its former form is gone");
         }
         write(calls, name, wish);
-        out.println(name + " is at " + stage + ": " + switch (wish) {
-            case HOLD -> "it stays there until it is released";
-            case BACK -> "it goes back, stage by stage, and stays off until it is released";
-            case NONE -> "it goes on";
-        });
+        out.println(name + " is at " + stage + ": "
+                + switch (wish) {
+                    case HOLD -> "it stays there until it is released";
+                    case BACK -> "it goes back, stage by stage, and stays off until it is released";
+                    case NONE -> "it goes on";
+                });
     }
 }
--- a/src/main/java/io/micatide/cli/SettingsFiles.java
+++ b/src/main/java/io/micatide/cli/SettingsFiles.java
@@ -15,8 +15,7 @@
     private Path tuningFile;
 
     /** What was read. */
-    record Loaded(Settings settings, Tuning tuning) {
-    }
+    record Loaded(Settings settings, Tuning tuning) {}
 
     /** Both files, or null after one line on standard error that names file and field. */
     Loaded load(Path config) {
--- a/src/main/java/io/micatide/cli/SnapshotCommand.java
+++ b/src/main/java/io/micatide/cli/SnapshotCommand.java
@@ -17,11 +17,14 @@
 import picocli.CommandLine.Parameters;
 
 /** Saves what the state service holds, checks what was saved, and restores it. */
-@Command(name = "snapshot", description = "Save, show, verify or restore what the state service holds.",
+@Command(
+        name = "snapshot",
+        description = "Save, show, verify or restore what the state service holds.",
         mixinStandardHelpOptions = true)
 final class SnapshotCommand {
     /** A snapshot that is not sound, cannot be taken or cannot be restored ends a command with this code. */
     private static final int EXIT_SNAPSHOT = 3;
+
     private static final int SHARE_OF_RATE = 10;
 
     @Mixin
@@ -34,22 +37,31 @@
     }
 
     @Command(description = "Take a consistent image while the service runs.", mixinStandardHelpOptions = true)
-    int save(@Parameters(paramLabel = "FILE") Path file,
-            @Option(names = "--config", required = true, paramLabel = "FILE", description = "a controller's settings") Path config,
+    int save(
+            @Parameters(paramLabel = "FILE") Path file,
+            @Option(names = "--config", required = true, paramLabel = "FILE", description = "a controller's settings")
+                    Path config,
             @Option(names = "--key", paramLabel = "FILE", description = "sign it with what this file holds") Path key,
-            @Option(names = "--rate", description = "requests a second; by default a tenth of what is allowed") Double rate) {
+            @Option(names = "--rate", description = "requests a second; by default a tenth of what is allowed")
+                    Double rate) {
         Settings settings = settings(config);
-        return settings == null ? Main.EXIT_SETTINGS : ended(() -> {
-            byte[] secret = secret(key);
-            if (Files.exists(file)) {
-                throw new SnapshotException(file + ": is there already");
-            }
-            try (PacedCalls calls = new PacedCalls(settings.state(), rate(rate, settings))) {
-                Image image = new ImageTaker(calls, System.err::println).take();
-                SnapshotFile.write(file, image, secret, Instant.now().truncatedTo(ChronoUnit.SECONDS).toString());
-            }
-            show(SnapshotFile.read(file, secret).summary());
-        });
+        return settings == null
+                ? Main.EXIT_SETTINGS
+                : ended(() -> {
+                    byte[] secret = secret(key);
+                    if (Files.exists(file)) {
+                        throw new SnapshotException(file + ": is there already");
+                    }
+                    try (PacedCalls calls = new PacedCalls(settings.state(), rate(rate, settings))) {
+                        Image image = new ImageTaker(calls, System.err::println).take();
+                        SnapshotFile.write(
+                                file,
+                                image,
+                                secret,
+                                Instant.now().truncatedTo(ChronoUnit.SECONDS).toString());
+                    }
+                    show(SnapshotFile.read(file, secret).summary());
+                });
     }
 
     @Command(description = "Say what a file holds.", mixinStandardHelpOptions = true)
@@ -57,8 +69,11 @@
         return ended(() -> show(SnapshotFile.read(file, null).summary()));
     }
 
-    @Command(description = "Check all of a file, and its signature where a key is given.", mixinStandardHelpOptions = true)
-    int verify(@Parameters(paramLabel = "FILE") Path file,
+    @Command(
+            description = "Check all of a file, and its signature where a key is given.",
+            mixinStandardHelpOptions = true)
+    int verify(
+            @Parameters(paramLabel = "FILE") Path file,
             @Option(names = "--key", paramLabel = "FILE", description = "the key that it was signed with") Path key) {
         return ended(() -> {
             SnapshotFile.read(file, secret(key));
@@ -67,25 +82,34 @@
     }
 
     @Command(description = "Restore a file into an empty state service.", mixinStandardHelpOptions = true)
-    int restore(@Parameters(paramLabel = "FILE") Path file,
-            @Option(names = "--config", required = true, paramLabel = "FILE", description = "a controller's settings") Path config,
+    int restore(
+            @Parameters(paramLabel = "FILE") Path file,
+            @Option(names = "--config", required = true, paramLabel = "FILE", description = "a controller's settings")
+                    Path config,
             @Option(names = "--key", paramLabel = "FILE", description = "the key that it was signed with") Path key,
-            @Option(names = "--rate", description = "requests a second; by default a tenth of what is allowed") Double rate,
-            @Option(names = "--machines-gone", description = "all machines of the former service are deleted") boolean machinesGone,
-            @Option(names = "--advance", description = "bring the revision past the file's, so that machines that live listen")
-            boolean advance) {
+            @Option(names = "--rate", description = "requests a second; by default a tenth of what is allowed")
+                    Double rate,
+            @Option(names = "--machines-gone", description = "all machines of the former service are deleted")
+                    boolean machinesGone,
+            @Option(
+                            names = "--advance",
+                            description = "bring the revision past the file's, so that machines that live listen")
+                    boolean advance) {
         Settings settings = settings(config);
-        return settings == null ? Main.EXIT_SETTINGS : ended(() -> {
-            SnapshotFile.Content content = SnapshotFile.read(file, secret(key));
-            if (machinesGone == advance) {
-                throw new SnapshotException("say either --machines-gone or --advance: workers that have seen the former service's tokens,"
-                        + " up to " + content.image().revision() + ", listen to no lower one");
-            }
-            try (PacedCalls calls = new PacedCalls(settings.state(), rate(rate, settings))) {
-                new Restorer(calls, settings.transactionOps(), settings.writableBytes(), System.err::println)
-                        .restore(content.image(), content.digest(), advance);
-            }
-        });
+        return settings == null
+                ? Main.EXIT_SETTINGS
+                : ended(() -> {
+                    SnapshotFile.Content content = SnapshotFile.read(file, secret(key));
+                    if (machinesGone == advance) {
+                        throw new SnapshotException(
+                                "say either --machines-gone or --advance: workers that have seen the former service's tokens,"
+                                        + " up to " + content.image().revision() + ", listen to no lower one");
+                    }
+                    try (PacedCalls calls = new PacedCalls(settings.state(), rate(rate, settings))) {
+                        new Restorer(calls, settings.transactionOps(), settings.writableBytes(), System.err::println)
+                                .restore(content.image(), content.digest(), advance);
+                    }
+                });
     }
 
     private Settings settings(Path config) {
@@ -94,7 +118,9 @@
     }
 
     private static double rate(Double asked, Settings settings) {
-        return asked != null ? asked : Math.max(1, Math.min(settings.stateRate(), settings.writeRate()) / SHARE_OF_RATE);
+        return asked != null
+                ? asked
+                : Math.max(1, Math.min(settings.stateRate(), settings.writeRate()) / SHARE_OF_RATE);
     }
 
     private static byte[] secret(Path key) throws SnapshotException, IOException {
@@ -109,8 +135,8 @@
     }
 
     private static void show(SnapshotFile.Summary summary) {
-        System.out.println("revision " + summary.revision() + ", taken " + summary.taken() + ", " + summary.parts() + " parts, "
-                + (summary.signed() ? "signed" : "not signed"));
+        System.out.println("revision " + summary.revision() + ", taken " + summary.taken() + ", " + summary.parts()
+                + " parts, " + (summary.signed() ? "signed" : "not signed"));
         summary.counts().forEach((prefix, count) -> System.out.println("  " + prefix + " " + count));
     }
 
--- a/src/main/java/io/micatide/cli/WarmUp.java
+++ b/src/main/java/io/micatide/cli/WarmUp.java
@@ -30,31 +30,43 @@
     /** Whether the controller has claimed the lead. */
     private static volatile boolean claimed;
 
-    private WarmUp() {
-    }
+    private WarmUp() {}
 
     static int run() throws InterruptedException, MalformedException {
         int[] ports = freePorts(4);
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         try {
-            new HttpServer(WarmUp::canned, 100).bind(group.next(), "127.0.0.1:" + ports[0]).sync();
+            new HttpServer(WarmUp::canned, 100)
+                    .bind(group.next(), "127.0.0.1:" + ports[0])
+                    .sync();
             String settings = resource("/warm-up-settings.toml")
-                    .replace("@bind@", "127.0.0.1:" + ports[1]).replace("@peer@", "127.0.0.1:" + ports[2])
-                    .replace("@sibling@", "127.0.0.1:" + ports[2]).replace("@services@", "127.0.0.1:" + ports[0]);
+                    .replace("@bind@", "127.0.0.1:" + ports[1])
+                    .replace("@peer@", "127.0.0.1:" + ports[2])
+                    .replace("@sibling@", "127.0.0.1:" + ports[2])
+                    .replace("@services@", "127.0.0.1:" + ports[0]);
             Settings parsed = SettingsReader.parse(settings);
-            try (Node node = new Node(parsed, TuningReader.parse("idle_s = 20.0\nstandby = true\nrollout = true", parsed))) {
+            try (Node node =
+                    new Node(parsed, TuningReader.parse("idle_s = 20.0\nstandby = true\nrollout = true", parsed))) {
                 node.start();
                 HttpClient client = new HttpClient(group.next(), "127.0.0.1:" + ports[1], 1);
                 for (int round = 0; round < 8; round++) {
                     ask(group, client, "/healthz", null);
                     ask(group, client, "/v1/jobs", resource("/warm-up-job.json"));
-                    ask(group, client, "/v1/jobs", resource("/warm-up-job.json").replace("wk-1", "wk-3")
-                            .replace("\"ground\"", "\"awaits\":[\"wk-1\"],\"ground\""));
+                    ask(
+                            group,
+                            client,
+                            "/v1/jobs",
+                            resource("/warm-up-job.json")
+                                    .replace("wk-1", "wk-3")
+                                    .replace("\"ground\"", "\"awaits\":[\"wk-1\"],\"ground\""));
                     ask(group, client, "/v1/jobs", "{\"nameId\":\"wk-2\"}");
                     ask(group, client, "/v1/jobs/wk-1", null);
                     ask(group, client, "/v1/jobs/wk-7/abort", "");
-                    ask(group, client, "/v1/report", resource("/warm-up-report.json")
-                            .replace("@tally@", String.valueOf(round + 1)));
+                    ask(
+                            group,
+                            client,
+                            "/v1/report",
+                            resource("/warm-up-report.json").replace("@tally@", String.valueOf(round + 1)));
                     TimeUnit.MILLISECONDS.sleep(150);
                 }
             }
@@ -62,7 +74,8 @@
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS).await(2, TimeUnit.SECONDS);
         }
         if (!claimed) {
-            System.err.println("warm-up: the controller never claimed the lead, so the archive would lack most of what a start loads");
+            System.err.println(
+                    "warm-up: the controller never claimed the lead, so the archive would lack most of what a start loads");
             return 1;
         }
         return 0;
@@ -85,18 +98,24 @@
     private static void canned(Request request) {
         String path = request.path();
         String body = "{\"ledger\":9}";
-        claimed |= path.equals("/txn") && new String(request.body(), StandardCharsets.UTF_8).contains("\"put\":\"leader\"");
-        if (path.equals("/store/leader") || path.equals("/store/types") || path.equals("/store/fence")
+        claimed |= path.equals("/txn")
+                && new String(request.body(), StandardCharsets.UTF_8).contains("\"put\":\"leader\"");
+        if (path.equals("/store/leader")
+                || path.equals("/store/types")
+                || path.equals("/store/fence")
                 || path.startsWith("/store/rollout/")) {
             request.answer(404, body.getBytes(StandardCharsets.UTF_8));
             return;
         }
         if (path.equals("/store/job/features")) {
-            // Without an answer that it can read it would not claim, and most of what a start needs would be loaded anew each time.
-            body = "{\"k\":\"job/features\",\"data\":{\"features\":{\"booking-fence\":\"ON\",\"learned\":\"ON\",\"returns\":\"ON\"}},\"stamp\":4}";
+            // Without an answer that it can read it would not claim, and most of what a start needs would be loaded
+            // anew each time.
+            body =
+                    "{\"k\":\"job/features\",\"data\":{\"features\":{\"booking-fence\":\"ON\",\"learned\":\"ON\",\"returns\":\"ON\"}},\"stamp\":4}";
         } else if (path.startsWith("/store?starts=rollout")) {
-            body = "{\"items\":[{\"k\":\"rollout/here/x\",\"data\":{\"build\":\"1\",\"knows\":[\"learned\"],\"acts\":4,\"since\":1},\"stamp\":3}],"
-                    + "\"truncated\":false,\"ledger\":5}";
+            body =
+                    "{\"items\":[{\"k\":\"rollout/here/x\",\"data\":{\"build\":\"1\",\"knows\":[\"learned\"],\"acts\":4,\"since\":1},\"stamp\":3}],"
+                            + "\"truncated\":false,\"ledger\":5}";
         } else if (path.startsWith("/store?")) {
             body = "{\"items\":[],\"truncated\":false,\"ledger\":5}";
         } else if (path.startsWith("/changes?starts=job")) {
--- a/src/main/java/io/micatide/core/Admission.java
+++ b/src/main/java/io/micatide/core/Admission.java
@@ -5,12 +5,11 @@
 
 /** Whether a job can ever run. */
 public final class Admission {
-    private Admission() {
-    }
+    private Admission() {}
 
     /** The reason why it never can, or null. */
-    public static String refusal(JobSpec spec, Map<String, Team> teams, Collection<String> zones,
-            Collection<MachineType> types) {
+    public static String refusal(
+            JobSpec spec, Map<String, Team> teams, Collection<String> zones, Collection<MachineType> types) {
         Team team = teams.get(spec.team());
         if (team == null) {
             return "unknown team " + spec.team();
@@ -20,7 +19,8 @@
         }
         boolean fits = false;
         for (MachineType type : types) {
-            fits |= spec.each().fitsIn(type.size()) && (spec.types().isEmpty() || spec.types().contains(type.name()))
+            fits |= spec.each().fitsIn(type.size())
+                    && (spec.types().isEmpty() || spec.types().contains(type.name()))
                     && (spec.zone() == null || type.zones().contains(spec.zone()));
         }
         if (!fits) {
@@ -30,7 +30,10 @@
         if (!team.allows(spec.each().times(together))) {
             return "needs more than the limit of team " + spec.team();
         }
-        if (spec.kind() != JobKind.ARRAY && spec.tasks() > 1 && spec.spread() && (spec.oneZone() || spec.zone() != null)) {
+        if (spec.kind() != JobKind.ARRAY
+                && spec.tasks() > 1
+                && spec.spread()
+                && (spec.oneZone() || spec.zone() != null)) {
             return "cannot be both spread and in one zone";
         }
         return null;
--- a/src/main/java/io/micatide/core/CancelProof.java
+++ b/src/main/java/io/micatide/core/CancelProof.java
@@ -23,6 +23,7 @@
     private static final long MARGIN_MICROS = Micros.SECOND;
     /** A read is never longer ago than this while the state service answers; settings that leave less cannot be kept. */
     private static final long LEAST_MICROS = 4 * Micros.SECOND;
+
     private static final long NOTHING_KNOWN = Long.MIN_VALUE / 2;
 
     private final List<Settings.Sibling> siblings;
@@ -44,10 +45,15 @@
     /** What these settings promise and nobody could keep, for the operator; null if they can be kept. */
     public static String unkept(Settings settings) {
         long allowed = allowedMicros(settings);
-        return allowed >= LEAST_MICROS ? null : String.format(
-                "workers.cancel_s: %.1f s with workers.lease_s of %.1f s leave %.1f s without news of cancellations, and at least %.1f s are needed:"
-                + " tasks of a cancelled job may stay longer than that", Micros.toSeconds(settings.cancelMicros()),
-                Micros.toSeconds(settings.leaseMicros()), Micros.toSeconds(allowed), Micros.toSeconds(LEAST_MICROS));
+        return allowed >= LEAST_MICROS
+                ? null
+                : String.format(
+                        "workers.cancel_s: %.1f s with workers.lease_s of %.1f s leave %.1f s without news of cancellations, and at least %.1f s are needed:"
+                                + " tasks of a cancelled job may stay longer than that",
+                        Micros.toSeconds(settings.cancelMicros()),
+                        Micros.toSeconds(settings.leaseMicros()),
+                        Micros.toSeconds(allowed),
+                        Micros.toSeconds(LEAST_MICROS));
     }
 
     /** The state service was asked then for what has changed, and all that it answered is taken in. */
@@ -67,7 +73,8 @@
      * @return whether it proves anything
      */
     public boolean testified(int sibling, Testimony word, long askedMicros, long heardMicros) {
-        // Counted back from when the answer came and with the shortest that its clock allows, it was born no later than this.
+        // Counted back from when the answer came and with the shortest that its clock allows, it was born no later than
+        // this.
         long bornMicros = heardMicros - Micros.withoutDrift(word.livedMicros());
         if (!word.whole() || !word.label().equals(siblings.get(sibling).label()) || bornMicros > knownMicros[sibling]) {
             return false;
@@ -91,7 +98,9 @@
 
     /** Whose word is missing, for the log: labels of the siblings of which not enough is known. */
     public List<String> missing(long nowMicros) {
-        return siblings.stream().filter(each -> nowMicros - knownMicros[siblings.indexOf(each)] > limitMicros)
-                .map(Settings.Sibling::label).toList();
+        return siblings.stream()
+                .filter(each -> nowMicros - knownMicros[siblings.indexOf(each)] > limitMicros)
+                .map(Settings.Sibling::label)
+                .toList();
     }
 }
--- a/src/main/java/io/micatide/core/Command.java
+++ b/src/main/java/io/micatide/core/Command.java
@@ -8,12 +8,9 @@
 
     long attempt();
 
-    record Start(String job, int index, long attempt) implements Command {
-    }
+    record Start(String job, int index, long attempt) implements Command {}
 
-    record Stop(String job, int index, long attempt, long graceMicros) implements Command {
-    }
+    record Stop(String job, int index, long attempt, long graceMicros) implements Command {}
 
-    record Forget(String job, int index, long attempt) implements Command {
-    }
+    record Forget(String job, int index, long attempt) implements Command {}
 }
--- a/src/main/java/io/micatide/core/Deadlines.java
+++ b/src/main/java/io/micatide/core/Deadlines.java
@@ -20,9 +20,11 @@
         final double work;
         /** How long the slowest of its tasks is likely to take. */
         final long lengthMicros;
+
         final long dueMicros;
         /** What one job of its class counts for in the aims. */
         final double weight;
+
         boolean onTime;
 
         Entry(Job job, double work, long lengthMicros, long dueMicros, double weight) {
@@ -39,14 +41,12 @@
         }
     }
 
-    private Deadlines() {
-    }
+    private Deadlines() {}
 
     /** Marks what can be on time and returns the entries, the one first that has to start first. */
     static List<Entry> decide(List<Entry> entries, double cpus, long nowMicros) {
         List<Entry> sorted = new ArrayList<>(entries);
-        sorted.sort(Comparator.comparingLong(Entry::latestStartMicros)
-                .thenComparingLong(e -> e.job.readyMicros));
+        sorted.sort(Comparator.comparingLong(Entry::latestStartMicros).thenComparingLong(e -> e.job.readyMicros));
         PriorityQueue<Entry> kept = new PriorityQueue<>(Comparator.comparingDouble((Entry e) -> -e.work / e.weight));
         double total = 0;
         for (Entry entry : sorted) {
@@ -73,11 +73,11 @@
      * @param lateMicros in what time jobs are wanted that are late already
      */
     static double wanted(List<Entry> entries, long startMicros, long lateMicros, long nowMicros) {
-        record Demand(long leftMicros, double work, double own) {
-        }
+        record Demand(long leftMicros, double work, double own) {}
         List<Demand> demands = new ArrayList<>();
         for (Entry entry : entries) {
-            // Work of the lowest priority may take all the time that it has; for what has no aim nothing is rented dearly.
+            // Work of the lowest priority may take all the time that it has; for what has no aim nothing is rented
+            // dearly.
             long patience = entry.job.priority() == Priority.LOW ? Long.MAX_VALUE / 2 : lateMicros;
             long left = Math.min(entry.dueMicros - nowMicros, Math.max(patience, entry.lengthMicros)) - startMicros;
             long rounds = Math.max(1, left / entry.lengthMicros);
--- a/src/main/java/io/micatide/core/Dependencies.java
+++ b/src/main/java/io/micatide/core/Dependencies.java
@@ -17,6 +17,7 @@
 final class Dependencies {
     /** What each waiting job still needs. */
     private final Map<String, Set<String>> missing = new HashMap<>();
+
     private final Map<String, List<String>> dependents = new HashMap<>();
     /** Open by their own row, but something that they need was cancelled. */
     private final Set<String> withdrawn = new HashSet<>();
@@ -59,7 +60,8 @@
         }
         if (!left.isEmpty()) {
             missing.put(id, left);
-            left.forEach(need -> dependents.computeIfAbsent(need, k -> new ArrayList<>(2)).add(id));
+            left.forEach(need ->
+                    dependents.computeIfAbsent(need, k -> new ArrayList<>(2)).add(id));
         }
         return List.of();
     }
--- a/src/main/java/io/micatide/core/ExitCause.java
+++ b/src/main/java/io/micatide/core/ExitCause.java
@@ -1,4 +1,13 @@
 package io.micatide.core;
 
 /** Why a task exited; the last three are refused starts. */
-public enum ExitCause { DONE, STOPPED, PEERS, ALONE, ERROR, NO_ROOM, BUSY, UNKNOWN }
+public enum ExitCause {
+    DONE,
+    STOPPED,
+    PEERS,
+    ALONE,
+    ERROR,
+    NO_ROOM,
+    BUSY,
+    UNKNOWN
+}
--- a/src/main/java/io/micatide/core/Greeting.java
+++ b/src/main/java/io/micatide/core/Greeting.java
@@ -6,5 +6,4 @@
  * @param address where its worker takes commands
  * @param session of its worker, as far as is known; another one is refused and tells its own
  */
-public record Greeting(String machine, String address, long session) {
-}
+public record Greeting(String machine, String address, long session) {}
--- a/src/main/java/io/micatide/core/Health.java
+++ b/src/main/java/io/micatide/core/Health.java
@@ -12,18 +12,22 @@
     private static final long AVOID_MICROS = 60 * Micros.SECOND;
     /** A machine is slow if its tasks take this many times as long as others of their jobs, on (geometric) average. */
     private static final double SLOW = 1.8;
+
     private static final int FEWEST_TASKS = 3;
     /** How much of what completed tasks showed is left after a second. */
     private static final double FADES = 0.97;
+
     private static final double LEAST_RATIO = 0.25;
     private static final double MOST_RATIO = 8;
     private static final int JOBS_TO_SUSPECT_A_MACHINE = 2;
     private static final int FAILURES_TO_SUSPECT_A_MACHINE = 3;
     /** So many jobs of unknown worth are hardly all faulty. */
     private static final int DOUBTFUL_JOBS_TO_SUSPECT_A_MACHINE = 4;
+
     private static final int MACHINES_TO_SUSPECT_A_JOB = 2;
     /** A probe goes to other machines than the last ones did, until so many have been tried. */
     private static final int MACHINES_TO_PROBE = 6;
+
     private static final long FIRST_PAUSE_MICROS = 2 * Micros.SECOND;
     private static final long LONGEST_PAUSE_MICROS = 30 * Micros.SECOND;
     private static final long REPLICA_RUNS_MICROS = 5 * Micros.SECOND;
@@ -46,7 +50,9 @@
 
     /** A replica never completes; one that keeps running shows as much. */
     void runs(Placement placement, long nowMicros) {
-        if (placement.job.suspect && placement.job.spec.kind() == JobKind.SERVICE && placement.runningSinceMicros >= 0
+        if (placement.job.suspect
+                && placement.job.spec.kind() == JobKind.SERVICE
+                && placement.runningSinceMicros >= 0
                 && nowMicros - placement.runningSinceMicros > REPLICA_RUNS_MICROS) {
             succeeded(placement.machine, placement.job);
         }
@@ -61,7 +67,9 @@
     }
 
     private static boolean tellsPace(Placement placement) {
-        return placement.job.spec.kind() == JobKind.ARRAY && placement.runningSinceMicros >= 0 && !placement.adopted
+        return placement.job.spec.kind() == JobKind.ARRAY
+                && placement.runningSinceMicros >= 0
+                && !placement.adopted
                 && placement.job.ranTasks >= FEWEST_TASKS;
     }
 
--- a/src/main/java/io/micatide/core/Hint.java
+++ b/src/main/java/io/micatide/core/Hint.java
@@ -19,8 +19,16 @@
      * @param faulty jobs failed on it that succeed elsewhere: it was to be returned
      * @param gone its deletion was answered; ledgers may name it still
      */
-    record OfMachine(String name, String address, long session, List<String> images, List<Double> gigabytes, boolean slow,
-            boolean faulty, boolean gone) implements Hint {
+    record OfMachine(
+            String name,
+            String address,
+            long session,
+            List<String> images,
+            List<Double> gigabytes,
+            boolean slow,
+            boolean faulty,
+            boolean gone)
+            implements Hint {
         public static OfMachine gone(String name) {
             return new OfMachine(name, "", 0, List.of(), List.of(), false, false, true);
         }
@@ -32,10 +40,8 @@
      * @param suspect it failed on several machines and never succeeded
      * @param failedProbes how often it was tried since
      */
-    record OfJob(String name, long ranMicros, int ranTasks, boolean suspect, int failedProbes) implements Hint {
-    }
+    record OfJob(String name, long ranMicros, int ranTasks, boolean suspect, int failedProbes) implements Hint {}
 
     /** How long tasks of a class take by their owners' estimate, and how far a single one is usually from it. */
-    record OfClass(String name, double factor, double spread) implements Hint {
-    }
+    record OfClass(String name, double factor, double spread) implements Hint {}
 }
--- a/src/main/java/io/micatide/core/Hints.java
+++ b/src/main/java/io/micatide/core/Hints.java
@@ -15,6 +15,7 @@
     private static final int MOST_IMAGES = 24;
     /** Small changes are not worth a message. */
     private static final double STEPS = 20;
+
     private static final long SLOW_FOR_MICROS = 30 * Micros.SECOND;
 
     private final Map<String, Hint.OfMachine> machines = new HashMap<>();
@@ -25,7 +26,11 @@
         for (Job job : open) {
             if (result.size() < MOST && (job.suspect || job.ranTasks > 0)) {
                 long mean = job.ranTasks == 0 ? 0 : job.ranMicros / job.ranTasks;
-                result.add(new Hint.OfJob(job.id(), Math.round(rounded(mean)), Integer.highestOneBit(job.ranTasks), job.suspect,
+                result.add(new Hint.OfJob(
+                        job.id(),
+                        Math.round(rounded(mean)),
+                        Integer.highestOneBit(job.ranTasks),
+                        job.suspect,
                         job.failedProbes));
             }
         }
@@ -33,8 +38,15 @@
             boolean slow = machine.slowUntilMicros >= nowMicros;
             if (result.size() < MOST && !machine.deleting && machine.address != null) {
                 int older = Math.max(0, machine.images.size() - MOST_IMAGES);
-                result.add(new Hint.OfMachine(machine.name, machine.address, machine.session, machine.images.keySet().stream().skip(older).toList(),
-                        machine.images.values().stream().skip(older).toList(), slow, machine.draining, false));
+                result.add(new Hint.OfMachine(
+                        machine.name,
+                        machine.address,
+                        machine.session,
+                        machine.images.keySet().stream().skip(older).toList(),
+                        machine.images.values().stream().skip(older).toList(),
+                        slow,
+                        machine.draining,
+                        false));
             }
         }
         for (String name : fleet.gone()) {
@@ -56,7 +68,8 @@
         for (Machine machine : fleet.machines()) {
             boolean slow = machine.slowUntilMicros >= nowMicros;
             if (!machine.deleting && (slow || machine.draining)) {
-                result.add(new Hint.OfMachine(machine.name, "", 0, List.of(), List.of(), slow, machine.draining, false));
+                result.add(
+                        new Hint.OfMachine(machine.name, "", 0, List.of(), List.of(), slow, machine.draining, false));
             }
         }
         for (String name : fleet.gone()) {
@@ -111,7 +124,9 @@
     /** Where a machine that has not reported is to be greeted, null if that is not known. */
     Greeting greeting(String machine) {
         Hint.OfMachine hint = machines.get(machine);
-        return hint == null || hint.gone() || hint.address().isEmpty() ? null : new Greeting(machine, hint.address(), hint.session());
+        return hint == null || hint.gone() || hint.address().isEmpty()
+                ? null
+                : new Greeting(machine, hint.address(), hint.session());
     }
 
     /** The machine is confirmed by its own report. */
--- a/src/main/java/io/micatide/core/Job.java
+++ b/src/main/java/io/micatide/core/Job.java
@@ -18,12 +18,14 @@
     final long submittedMicros;
     /** From when its times count, but for its deadline: its submission, or the end of the last job that it needed. */
     final long readyMicros;
+
     long version;
     boolean cancelled;
     /** Finished tasks, recorded or not; changed by {@link #finish} and {@link #adopt} only. */
     final BitSet finished = new BitSet();
     /** Tasks that are finished or live, so that the next one to place is found without a search. */
     private final BitSet taken = new BitSet();
+
     private int finishedCount;
     private int liveUnfinished;
     /** Machines with live attempts, and how many. */
@@ -41,6 +43,7 @@
     final Set<String> neededMachines = new HashSet<>();
     /** Machines taken over from an earlier leader's ledger that have not been settled. */
     final Set<String> unsettledMachines = new HashSet<>();
+
     long gangAttempt;
     final Map<Integer, Long> pageVersions = new HashMap<>();
     final BitSet dirtyPages = new BitSet();
@@ -53,11 +56,13 @@
     int failedProbes;
     /** Machines on which a task of it failed and none succeeded since; it is not placed there. */
     final Set<String> failedMachines = new HashSet<>();
+
     long firstStartMicros = -1;
     long lastStartMicros = -1;
     int attempts;
     /** Run time and number of its tasks that completed in this term. */
     long ranMicros;
+
     int ranTasks;
     /** When it may next displace other work. */
     long preemptsAgainMicros;
@@ -70,12 +75,14 @@
 
     /** Whether jobs wait for it, and what they ask of it: see {@link Pipelines}. */
     boolean needed;
+
     private Priority priority;
     long neededByMicros = Long.MAX_VALUE;
     /** Its ledger cannot be written with further machines: what is held for them has to be given back. */
     boolean ledgerFull;
     /** What the names of its machines took at that time, without those that a round has still to name. */
     int nameBytes;
+
     long nameBytesMicros = Long.MIN_VALUE;
     /** Until when it is not placed on machines that its ledger does not name. */
     long fullUntilMicros = Long.MIN_VALUE;
--- a/src/main/java/io/micatide/core/JobBook.java
+++ b/src/main/java/io/micatide/core/JobBook.java
@@ -23,6 +23,7 @@
 final class JobBook {
     /** Longest time that finished tasks of a job wait to be recorded together. */
     private static final long GATHER_MICROS = Micros.SECOND;
+
     private static final int MOST_BYTES = 40_000;
     /** What a ledger value takes besides names and ranges. */
     private static final int LEDGER_BYTES = 64;
@@ -30,6 +31,7 @@
     private static final int NAME_BYTES = 3;
     /** More than a name takes in short beside others, even with thousands of machines between them. */
     private static final int DENSE_NAME_BYTES = 5;
+
     private static final long REFUSED_PAUSE_MICROS = 5 * Micros.SECOND;
 
     private final Settings settings;
@@ -38,6 +40,7 @@
     private final Map<String, Job> dirty = new LinkedHashMap<>();
     /** How many jobs of each class this leader has seen. */
     private final Multiset<String> seenOfClass = HashMultiset.create();
+
     private long layoutVersion;
     private boolean checked;
     /** By the settings, until the mark says with what size the stored pages were written. */
@@ -51,8 +54,7 @@
     private final Map<String, Set<String>> unknownKeys = new HashMap<>();
 
     /** A row to close. That the job is withdrawn follows from the others' rows, so this is for whoever reads only rows. */
-    private record Withdrawal(String id, long version, Row.JobRow row) {
-    }
+    private record Withdrawal(String id, long version, Row.JobRow row) {}
 
     JobBook(Settings settings, long token) {
         this.settings = settings;
@@ -61,12 +63,10 @@
     }
 
     /** What a round writes of one job; {@code machines} is the set that the new ledger names. */
-    record Part(Job job, boolean over, Set<String> machines, List<Integer> pages, Map<Integer, BitSet> done) {
-    }
+    record Part(Job job, boolean over, Set<String> machines, List<Integer> pages, Map<Integer, BitSet> done) {}
 
     /** One transaction and what it means. {@code bookings} are the rentals written along with it. */
-    record Round(Transaction transaction, List<Part> parts, List<Rentals.Booking> bookings, List<String> withdrawals) {
-    }
+    record Round(Transaction transaction, List<Part> parts, List<Rentals.Booking> bookings, List<String> withdrawals) {}
 
     Collection<Job> jobs() {
         return jobs.values();
@@ -108,7 +108,10 @@
         adopt(job, page, ledger, version);
         if (page == 0) {
             job.unsettledMachines.addAll(ledger.machines());
-            ledger.machines().forEach(machine -> unsettledOn.computeIfAbsent(machine, k -> new ArrayList<>()).add(job));
+            ledger.machines()
+                    .forEach(machine -> unsettledOn
+                            .computeIfAbsent(machine, k -> new ArrayList<>())
+                            .add(job));
         }
         return true;
     }
@@ -222,7 +225,9 @@
         }
         int each = dense() ? DENSE_NAME_BYTES : machine.name.length() + NAME_BYTES;
         int most = nameBytes() - each;
-        int upperBound = job.neededMachines.size() + job.unsettledMachines.size() + job.liveMachines.elementSet().size();
+        int upperBound = job.neededMachines.size()
+                + job.unsettledMachines.size()
+                + job.liveMachines.elementSet().size();
         if (upperBound * each <= most) {
             return true;
         }
@@ -257,29 +262,47 @@
      * The next round, or null if nothing is worth writing; {@code mostWrites} is what the rate leaves for what starts or ends
      * a job, {@code mostLater} what it leaves for the rest: finished tasks can wait at their workers.
      */
-    Round nextRound(long nowMicros, long wallMicros, int mostWrites, int mostLater, List<Rentals.Booking> bookings,
-            List<Transaction.Write> extra, List<Transaction.Compare> extraConditions, Likely likely) {
+    Round nextRound(
+            long nowMicros,
+            long wallMicros,
+            int mostWrites,
+            int mostLater,
+            List<Rentals.Booking> bookings,
+            List<Transaction.Write> extra,
+            List<Transaction.Compare> extraConditions,
+            Likely likely) {
         List<Transaction.Compare> conditions = new ArrayList<>(extraConditions);
         List<Transaction.Write> writes = new ArrayList<>(extra);
         conditions.add(new Transaction.Compare(StoreKeys.LEADER, token));
         int most = Math.min(mostWrites, settings.transactionOps());
         int bytes = extra.size() * 200;
         List<Part> parts = new ArrayList<>();
-        // Whatever else made it dirty, a cancelled job stays in the book and its ledger in the store until nothing of it can be on a machine.
-        // It once went with the next round that came for a finished task or a needed machine: what went on on a hung or cut-off machine
-        // counted for no team any more, neither here nor for the next leader, and teams at their limits started too much (quota).
+        // Whatever else made it dirty, a cancelled job stays in the book and its ledger in the store until nothing of
+        // it can be on a machine.
+        // It once went with the next round that came for a finished task or a needed machine: what went on on a hung or
+        // cut-off machine
+        // counted for no team any more, neither here nor for the next leader, and teams at their limits started too
+        // much (quota).
         dirty.values().removeIf(job -> job.cancelled && job.anywhere());
         List<Job> candidates = List.copyOf(dirty.values());
         for (int pass = 0; pass <= LAST_PASS; pass++) {
             for (Job job : candidates) {
                 int due = pass(job);
-                if (job.writing || due != pass || nowMicros < job.writeAgainMicros
+                if (job.writing
+                        || due != pass
+                        || nowMicros < job.writeAgainMicros
                         || due == LAST_PASS && nowMicros - job.dirtySinceMicros < GATHER_MICROS) {
                     continue;
                 }
                 int before = writes.size();
-                Part part = part(job, conditions, writes, due == LAST_PASS ? mostLater : most, MOST_BYTES - bytes,
-                        likely, wallMicros);
+                Part part = part(
+                        job,
+                        conditions,
+                        writes,
+                        due == LAST_PASS ? mostLater : most,
+                        MOST_BYTES - bytes,
+                        likely,
+                        wallMicros);
                 if (part == null) {
                     continue;
                 }
@@ -314,7 +337,8 @@
         return !job.neededMachines.isEmpty() || job.allFinished() || job.cancelled ? 1 : LAST_PASS;
     }
 
-    private List<String> closeWithdrawn(List<Transaction.Compare> conditions, List<Transaction.Write> writes, int most) {
+    private List<String> closeWithdrawn(
+            List<Transaction.Compare> conditions, List<Transaction.Write> writes, int most) {
         List<String> closed = new ArrayList<>();
         for (Withdrawal each : withdrawals.values()) {
             if (writes.size() >= most) {
@@ -325,8 +349,15 @@
             }
             conditions.add(new Transaction.Compare(StoreKeys.job(each.id()), each.version()));
             // It never started, so nobody has to know what its tasks take.
-            writes.add(new Transaction.Write(StoreKeys.job(each.id()), new Row.JobRow(JobState.CANCELLED, null,
-                    each.row().submittedWall(), each.row().tasks()).asChecked(checked), 0));
+            writes.add(new Transaction.Write(
+                    StoreKeys.job(each.id()),
+                    new Row.JobRow(
+                                    JobState.CANCELLED,
+                                    null,
+                                    each.row().submittedWall(),
+                                    each.row().tasks())
+                            .asChecked(checked),
+                    0));
             closed.add(each.id());
         }
         return closed;
@@ -339,22 +370,37 @@
         return 300;
     }
 
-    private Part part(Job job, List<Transaction.Compare> conditions, List<Transaction.Write> writes, int most,
-            int mostBytes, Likely likely, long wallMicros) {
+    private Part part(
+            Job job,
+            List<Transaction.Compare> conditions,
+            List<Transaction.Write> writes,
+            int most,
+            int mostBytes,
+            Likely likely,
+            long wallMicros) {
         if (job.allFinished() || job.cancelled) {
             return lastPart(job, conditions, writes, most, wallMicros);
         }
         Set<String> machines = mustName(job);
         int room = settings.writableBytes() - LEDGER_BYTES;
-        BitSet first = Ranges.within(job.finished, job.recorded, 0, pageTasks,
+        BitSet first = Ranges.within(
+                job.finished,
+                job.recorded,
+                0,
+                pageTasks,
                 room - Math.max(bytes(machines), Math.min(nameBytes(), room / 4)));
         List<Integer> pages = new ArrayList<>();
         if (first != null) {
-            addLikely(machines, likely.machines(job, nameBytes() / (dense() ? 2 : 8)),
-                    Math.min(nameBytes(), room - Ranges.format(first, 0, pageTasks).length()));
+            addLikely(
+                    machines,
+                    likely.machines(job, nameBytes() / (dense() ? 2 : 8)),
+                    Math.min(
+                            nameBytes(),
+                            room - Ranges.format(first, 0, pageTasks).length()));
             pages.add(0);
         } else {
-            // What an earlier leader wrote under a larger limit no longer fits. It gets smaller as machines settle and tasks
+            // What an earlier leader wrote under a larger limit no longer fits. It gets smaller as machines settle and
+            // tasks
             // end; until then further machines cannot be named.
             machines = new HashSet<>(job.recordedMachines);
             job.ledgerFull |= !job.neededMachines.isEmpty();
@@ -373,18 +419,26 @@
         List<Transaction.Write> own = new ArrayList<>();
         int bytes = 0;
         for (int page : List.copyOf(pages)) {
-            BitSet bits = page == 0 ? first
-                    : Ranges.within(job.finished, job.recorded, page * size, (page + 1) * size, room);
+            BitSet bits =
+                    page == 0 ? first : Ranges.within(job.finished, job.recorded, page * size, (page + 1) * size, room);
             String text = bits == null ? "" : Ranges.format(bits, page * size, (page + 1) * size);
-            if (bits == null || page > 0 && bytes + text.length() > MOST_BYTES / 2 || nothingNew(job, page, bits, machines)) {
+            if (bits == null
+                    || page > 0 && bytes + text.length() > MOST_BYTES / 2
+                    || nothingNew(job, page, bits, machines)) {
                 // A job in many pieces fills a transaction by itself; the rest of it goes with the next round. What has
                 // no room in a value stays with the workers, who report it until it is recorded.
                 pages.remove(Integer.valueOf(page));
                 continue;
             }
             done.put(page, bits);
-            own.add(new Transaction.Write(StoreKeys.ledger(job.id(), page), new Row.Ledger(
-                    page == 0 ? List.copyOf(machines) : List.of(), page == 0 ? job.gangAttempt : 0, text, page == 0 && dense()), 0));
+            own.add(new Transaction.Write(
+                    StoreKeys.ledger(job.id(), page),
+                    new Row.Ledger(
+                            page == 0 ? List.copyOf(machines) : List.of(),
+                            page == 0 ? job.gangAttempt : 0,
+                            text,
+                            page == 0 && dense()),
+                    0));
             bytes += sizeOf(own.get(own.size() - 1));
         }
         if (pages.isEmpty()) {
@@ -398,8 +452,8 @@
         // Without this a write that arrives after the job's end would bring its ledger back: both are absent then.
         conditions.add(new Transaction.Compare(StoreKeys.job(job.id()), job.version));
         for (int page : pages) {
-            conditions.add(new Transaction.Compare(StoreKeys.ledger(job.id(), page),
-                    job.pageVersions.getOrDefault(page, 0L)));
+            conditions.add(
+                    new Transaction.Compare(StoreKeys.ledger(job.id(), page), job.pageVersions.getOrDefault(page, 0L)));
         }
         writes.addAll(own);
         return new Part(job, false, machines, pages, done);
@@ -422,13 +476,16 @@
     private static boolean nothingNew(Job job, int page, BitSet bits, Set<String> machines) {
         BitSet news = (BitSet) bits.clone();
         news.andNot(job.recorded);
-        return news.isEmpty() && (page > 0 || job.pageVersions.containsKey(0) && job.neededMachines.isEmpty()
-                && job.recordedMachines.equals(machines));
+        return news.isEmpty()
+                && (page > 0
+                        || job.pageVersions.containsKey(0)
+                                && job.neededMachines.isEmpty()
+                                && job.recordedMachines.equals(machines));
     }
 
     /** Completion, and the end of a cancelled job once nothing of it can be on a machine. */
-    private Part lastPart(Job job, List<Transaction.Compare> conditions, List<Transaction.Write> writes, int most,
-            long wallMicros) {
+    private Part lastPart(
+            Job job, List<Transaction.Compare> conditions, List<Transaction.Write> writes, int most, long wallMicros) {
         List<Integer> pages = new ArrayList<>(job.pageVersions.keySet());
         while (pages.size() + 1 > settings.transactionOps()) {
             // What is left over is removed by the leader that finds it without an open job.
@@ -439,8 +496,10 @@
         }
         if (!job.cancelled) {
             conditions.add(new Transaction.Compare(StoreKeys.job(job.id()), job.version));
-            writes.add(new Transaction.Write(StoreKeys.job(job.id()),
-                    new Row.JobRow(JobState.DONE, null, job.submittedWall, job.spec.tasks(), wallMicros, 0, checked), 0));
+            writes.add(new Transaction.Write(
+                    StoreKeys.job(job.id()),
+                    new Row.JobRow(JobState.DONE, null, job.submittedWall, job.spec.tasks(), wallMicros, 0, checked),
+                    0));
         } else if (pages.isEmpty()) {
             jobs.remove(job.id());
             return null;
@@ -504,7 +563,8 @@
     List<String> unresolved(Round round) {
         List<String> keys = new ArrayList<>();
         for (Transaction.Compare compare : round.transaction().conditions()) {
-            if (!compare.key().equals(StoreKeys.LEADER) && !compare.key().equals(StoreKeys.LAYOUT)
+            if (!compare.key().equals(StoreKeys.LEADER)
+                    && !compare.key().equals(StoreKeys.LAYOUT)
                     && !compare.key().equals(StoreKeys.FEATURES)) {
                 keys.add(compare.key());
             }
--- a/src/main/java/io/micatide/core/JobDirectory.java
+++ b/src/main/java/io/micatide/core/JobDirectory.java
@@ -20,8 +20,7 @@
  */
 public final class JobDirectory {
     /** A job's row and its version. */
-    public record Entry(String id, Row.JobRow row, long version) {
-    }
+    public record Entry(String id, Row.JobRow row, long version) {}
 
     /**
      * A job as it stands by its own row and by the rows of the jobs that it needs.
@@ -30,16 +29,17 @@
      * @param waits some job that it needs is not done
      * @param readyWall from when its times count: its submission, or the end of the last job that it needs
      */
-    public record View(String id, Row.JobRow row, long version, JobState state, boolean waits, long readyWall) {
-    }
+    public record View(String id, Row.JobRow row, long version, JobState state, boolean waits, long readyWall) {}
 
     private final Map<String, Entry> entries = new HashMap<>();
     private final Map<String, Entry> open = new HashMap<>();
     /** Jobs that are over and still have their rows, in the order in which that was seen. */
     private final Map<String, Entry> ended = new LinkedHashMap<>();
+
     private final Dependencies dependencies = new Dependencies();
     /** Rows that came before all their names, and names that came before their rows; empty between two reads. */
     private final Map<String, Entry> incomplete = new HashMap<>();
+
     private final Map<String, Map<Integer, List<String>>> pieces = new HashMap<>();
     /** How many rows of names belong to a job; they go with its row. */
     private final Map<String, Integer> furtherRows = new HashMap<>();
@@ -47,9 +47,11 @@
     private final Map<String, Entry> doubtful = new LinkedHashMap<>();
     /** What was found to be archived although it has a row, with the row's version. */
     private final Map<String, Long> ghosts = new HashMap<>();
+
     private final CancelLog cancelLog = new CancelLog();
     /** What the full read under way has shown, null between two. */
     private Set<String> seen;
+
     private long revision;
     private long layoutVersion;
     private Row.Layout layout;
@@ -99,8 +101,11 @@
             return List.of();
         }
         Row.JobRow open = known.row();
-        return apply(id, new Row.JobRow(JobState.CANCELLED, open.spec().withNeeds(List.of()), open.submittedWall(), open.tasks())
-                .asChecked(open.checked()), version);
+        return apply(
+                id,
+                new Row.JobRow(JobState.CANCELLED, open.spec().withNeeds(List.of()), open.submittedWall(), open.tasks())
+                        .asChecked(open.checked()),
+                version);
     }
 
     public Entry get(String id) {
@@ -169,7 +174,12 @@
 
     public View view(String id) {
         Entry entry = entries.get(id);
-        return new View(id, entry.row(), entry.version(), state(id), dependencies.waits(id),
+        return new View(
+                id,
+                entry.row(),
+                entry.version(),
+                state(id),
+                dependencies.waits(id),
                 dependencies.readyWall(id, entry.row().submittedWall()));
     }
 
@@ -233,7 +243,8 @@
 
     /** Of a former version, which does not ask the archive; whoever writes a row now says that it did. */
     private boolean mayBeArchived(Row.JobRow stored, long version) {
-        return history != null && !stored.checked()
+        return history != null
+                && !stored.checked()
                 && version > (history.sinceVersion() == 0 ? historyVersion : history.sinceVersion());
     }
 
--- a/src/main/java/io/micatide/core/JobSpec.java
+++ b/src/main/java/io/micatide/core/JobSpec.java
@@ -13,28 +13,113 @@
  * @param needs jobs that have to be done before any task of this one starts
  */
 public record JobSpec(
-        String id, String jobClass, String team, JobKind kind, Priority priority, int tasks, Resources each,
-        String image, double imageGb, List<String> types, String zone, boolean oneZone, boolean spread, boolean spot,
-        long estimateMicros, long checkpointMicros, long saveMicros, long deadlineMicros, List<String> needs) {
+        String id,
+        String jobClass,
+        String team,
+        JobKind kind,
+        Priority priority,
+        int tasks,
+        Resources each,
+        String image,
+        double imageGb,
+        List<String> types,
+        String zone,
+        boolean oneZone,
+        boolean spread,
+        boolean spot,
+        long estimateMicros,
+        long checkpointMicros,
+        long saveMicros,
+        long deadlineMicros,
+        List<String> needs) {
 
     /** A job that needs no other. */
     public JobSpec(
-            String id, String jobClass, String team, JobKind kind, Priority priority, int tasks, Resources each,
-            String image, double imageGb, List<String> types, String zone, boolean oneZone, boolean spread, boolean spot,
-            long estimateMicros, long checkpointMicros, long saveMicros, long deadlineMicros) {
-        this(id, jobClass, team, kind, priority, tasks, each, image, imageGb, types, zone, oneZone, spread, spot,
-                estimateMicros, checkpointMicros, saveMicros, deadlineMicros, List.of());
+            String id,
+            String jobClass,
+            String team,
+            JobKind kind,
+            Priority priority,
+            int tasks,
+            Resources each,
+            String image,
+            double imageGb,
+            List<String> types,
+            String zone,
+            boolean oneZone,
+            boolean spread,
+            boolean spot,
+            long estimateMicros,
+            long checkpointMicros,
+            long saveMicros,
+            long deadlineMicros) {
+        this(
+                id,
+                jobClass,
+                team,
+                kind,
+                priority,
+                tasks,
+                each,
+                image,
+                imageGb,
+                types,
+                zone,
+                oneZone,
+                spread,
+                spot,
+                estimateMicros,
+                checkpointMicros,
+                saveMicros,
+                deadlineMicros,
+                List.of());
     }
 
     public JobSpec withNeeds(List<String> others) {
-        return new JobSpec(id, jobClass, team, kind, priority, tasks, each, image, imageGb, types, zone, oneZone, spread,
-                spot, estimateMicros, checkpointMicros, saveMicros, deadlineMicros, others);
+        return new JobSpec(
+                id,
+                jobClass,
+                team,
+                kind,
+                priority,
+                tasks,
+                each,
+                image,
+                imageGb,
+                types,
+                zone,
+                oneZone,
+                spread,
+                spot,
+                estimateMicros,
+                checkpointMicros,
+                saveMicros,
+                deadlineMicros,
+                others);
     }
 
     /** What a leader has to know of a cancelled job: whose its tasks are and what they take. */
     public JobSpec essentials() {
-        return new JobSpec(id, "-", team, kind, priority, tasks, each, "-", 0, List.of(), null, oneZone, spread, spot,
-                estimateMicros, checkpointMicros, saveMicros, -1, List.of());
+        return new JobSpec(
+                id,
+                "-",
+                team,
+                kind,
+                priority,
+                tasks,
+                each,
+                "-",
+                0,
+                List.of(),
+                null,
+                oneZone,
+                spread,
+                spot,
+                estimateMicros,
+                checkpointMicros,
+                saveMicros,
+                -1,
+                List.of());
     }
 
     /** Most tasks that may be in one zone when the job asks to be spread. */
--- a/src/main/java/io/micatide/core/Leadership.java
+++ b/src/main/java/io/micatide/core/Leadership.java
@@ -6,7 +6,13 @@
  */
 public final class Leadership {
     /** What the node should do next. */
-    public enum Wish { NOTHING, READ_ROW, GRANT_LEASE, CLAIM, TOUCH }
+    public enum Wish {
+        NOTHING,
+        READ_ROW,
+        GRANT_LEASE,
+        CLAIM,
+        TOUCH
+    }
 
     private final String label;
     private final long ttlMicros;
@@ -18,6 +24,7 @@
     private long rowVersion;
     /** Ours while we lead, else 0. */
     private long token;
+
     private long highestToken;
     private String leader;
     private long retryAtMicros;
--- a/src/main/java/io/micatide/core/Machine.java
+++ b/src/main/java/io/micatide/core/Machine.java
@@ -28,29 +28,35 @@
     boolean confirmed;
     /** Receipt of the last report that was answered with our token, or -1. */
     long lastAnsweredMicros = -1;
+
     final long knownSinceMicros;
     long noticeAtMicros = -1;
     /** Marked once and for all: a deletion that was asked for may be carried out at any later time. */
     boolean deleting;
+
     long deleteAskedMicros = -1;
     boolean listed;
     /** It was told of this term. */
     boolean greeted;
     /** A ledger names it: until it reports to this leader or is gone, those jobs' missing tasks may be on it. */
     boolean holdsUp;
+
     long bootStartedMicros = -1;
     boolean draining;
     long idleSinceMicros = -1;
     /** Jobs that succeed elsewhere and failed here since the last success here, and how often they did. */
     final Set<String> failedJobs = new HashSet<>();
+
     int failures;
     /** Jobs of which nothing has succeeded anywhere yet and that failed here: it may be they or the machine. */
     final Set<String> doubtfulJobs = new HashSet<>();
     /** Tasks that told its pace, fading by the second, and the sum of the logarithms of how much too long they took. */
     double paceTasks;
+
     double paceSum;
     /** Until when it is held to be slower than others, or -1. */
     long slowUntilMicros = -1;
+
     final List<Placement> placements = new ArrayList<>();
     Resources used = Resources.NONE;
     private Resources room = Resources.NONE;
@@ -82,13 +88,17 @@
     }
 
     boolean responsive(long nowMicros, Settings settings) {
-        return lastAnsweredMicros >= 0
-                && nowMicros - lastAnsweredMicros < 2 * settings.reportMicros() + Micros.SECOND;
+        return lastAnsweredMicros >= 0 && nowMicros - lastAnsweredMicros < 2 * settings.reportMicros() + Micros.SECOND;
     }
 
     boolean usable(long nowMicros, Settings settings) {
-        return confirmed && !deleting && !draining && noticeAtMicros < 0 && size != null
-                && responsive(nowMicros, settings) && hears;
+        return confirmed
+                && !deleting
+                && !draining
+                && noticeAtMicros < 0
+                && size != null
+                && responsive(nowMicros, settings)
+                && hears;
     }
 
     /** A message with this number came. */
--- a/src/main/java/io/micatide/core/MachineNames.java
+++ b/src/main/java/io/micatide/core/MachineNames.java
@@ -18,8 +18,7 @@
 public final class MachineNames {
     private static final int MOST_DIGITS = 9;
 
-    private MachineNames() {
-    }
+    private MachineNames() {}
 
     private record Group(String prefix, int digits) implements Comparable<Group> {
         @Override
@@ -31,7 +30,8 @@
 
     private static int digitsOf(String name) {
         int digits = 0;
-        while (digits < Math.min(MOST_DIGITS, name.length()) && name.charAt(name.length() - 1 - digits) >= '0'
+        while (digits < Math.min(MOST_DIGITS, name.length())
+                && name.charAt(name.length() - 1 - digits) >= '0'
                 && name.charAt(name.length() - 1 - digits) <= '9') {
             digits++;
         }
--- a/src/main/java/io/micatide/core/Micros.java
+++ b/src/main/java/io/micatide/core/Micros.java
@@ -5,8 +5,7 @@
     public static final long MILLISECOND = 1_000L;
     public static final long SECOND = 1_000_000L;
 
-    private Micros() {
-    }
+    private Micros() {}
 
     public static long ofSeconds(double seconds) {
         return Math.round(seconds * SECOND);
--- a/src/main/java/io/micatide/core/PipelineAdmission.java
+++ b/src/main/java/io/micatide/core/PipelineAdmission.java
@@ -14,12 +14,10 @@
     }
 
     /** It can never run, if the copy is fresh. */
-    record Refused(String reason) implements PipelineAdmission {
-    }
+    record Refused(String reason) implements PipelineAdmission {}
 
     /** A controller of a former version may be about, which would start it at once. */
-    record NotYet() implements PipelineAdmission {
-    }
+    record NotYet() implements PipelineAdmission {}
 
     static PipelineAdmission of(JobSpec spec, JobDirectory directory) {
         return of(spec, directory, Map.of());
@@ -59,6 +57,8 @@
         if (left.isEmpty()) {
             return new Accepted(JobState.OPEN, spec.withNeeds(List.of()), spec.tasks());
         }
-        return directory.layoutVersion() == 0 ? new NotYet() : new Accepted(JobState.OPEN, spec.withNeeds(left), spec.tasks());
+        return directory.layoutVersion() == 0
+                ? new NotYet()
+                : new Accepted(JobState.OPEN, spec.withNeeds(left), spec.tasks());
     }
 }
--- a/src/main/java/io/micatide/core/Pipelines.java
+++ b/src/main/java/io/micatide/core/Pipelines.java
@@ -19,15 +19,15 @@
     private static final long REFRESH_MICROS = 5 * Micros.SECOND;
 
     /** A job that waits. */
-    private record Waiting(JobSpec spec, long version, long deadlineMicros) {
-    }
+    private record Waiting(JobSpec spec, long version, long deadlineMicros) {}
 
     /** What those after a job ask of it. */
     private record Demand(Priority priority, long neededByMicros) {
         private static final Demand NONE = new Demand(Priority.LOW, Long.MAX_VALUE);
 
         Demand and(Demand other) {
-            return new Demand(priority.above(other.priority) ? priority : other.priority,
+            return new Demand(
+                    priority.above(other.priority) ? priority : other.priority,
                     Math.min(neededByMicros, other.neededByMicros));
         }
     }
@@ -73,14 +73,16 @@
         refreshedMicros = nowMicros;
         demanded.forEach(job -> job.demand(false, Priority.LOW, Long.MAX_VALUE));
         demanded.clear();
-        // A job names only jobs accepted before it, so from the newest row to the oldest all after a job come before it.
+        // A job names only jobs accepted before it, so from the newest row to the oldest all after a job come before
+        // it.
         List<Waiting> order = new ArrayList<>(waiting.values());
         order.sort(Comparator.comparingLong(each -> -each.version()));
         Map<String, Demand> demands = new HashMap<>();
         for (Waiting each : order) {
             Demand own = new Demand(each.spec().priority(), each.deadlineMicros())
                     .and(demands.getOrDefault(each.spec().id(), Demand.NONE));
-            long by = own.neededByMicros() == Long.MAX_VALUE ? Long.MAX_VALUE
+            long by = own.neededByMicros() == Long.MAX_VALUE
+                    ? Long.MAX_VALUE
                     : own.neededByMicros() - runTimes.slowest(each.spec()) - STEP_MICROS;
             Demand before = new Demand(own.priority(), by);
             for (String need : each.spec().needs()) {
--- a/src/main/java/io/micatide/core/Placement.java
+++ b/src/main/java/io/micatide/core/Placement.java
@@ -22,15 +22,18 @@
     TaskState state = TaskState.FETCHING;
     /** The report in whose answer the start went out: a newer report settles it. */
     long sentSession;
+
     long sentSequence;
     /** The newest report that listed it. */
     long listedSequence = -1;
+
     long createdMicros;
     long runningSinceMicros = -1;
     /** Found running by this leader: how long it ran before is not known, so it teaches nothing about run times. */
     boolean adopted;
     /** When a stop was first decided, or -1. */
     long stopSinceMicros = -1;
+
     long stopGraceMicros;
 
     Placement(Job job, int index, long attempt, Machine machine, Phase phase, long nowMicros) {
@@ -51,6 +54,8 @@
     }
 
     boolean is(TaskReport report) {
-        return attempt == report.attempt() && index == report.index() && job.id().equals(report.job());
+        return attempt == report.attempt()
+                && index == report.index()
+                && job.id().equals(report.job());
     }
 }
--- a/src/main/java/io/micatide/core/Planner.java
+++ b/src/main/java/io/micatide/core/Planner.java
@@ -18,12 +18,14 @@
     private static final long GUARANTEE_PATIENCE_MICROS = 2_500 * Micros.MILLISECOND;
     /** How much of an aim's time a team waits for its guarantee by itself before others have to yield. */
     private static final double GUARANTEE_PATIENCE = 0.5;
+
     private static final long PREEMPT_EVERY_MICROS = 500 * Micros.MILLISECOND;
     /**
      * The share of all replicas that gather on one machine: it may hang. On a fleet of 40 a large machine once took most
      * of them, and 0.93 were up in the worst 30 s.
      */
     private static final double MOST_TOGETHER_SHARE = 0.05;
+
     private static final int FEWEST_TOGETHER = 2;
     /** Work that may be lost for a replica that has room elsewhere. */
     private static final long CHEAP_LOSS_MICROS = 10 * Micros.SECOND;
@@ -31,6 +33,7 @@
     private static final long ORDER_MICROS = Micros.SECOND;
     /** A job whose image is there goes before one that is due so much earlier and has to fetch its own. */
     private static final long PRECEDENCE_MICROS = 5 * Micros.SECOND;
+
     private static final Comparator<Machine> LEAST_ROOM = Comparator.comparing((Machine machine) -> !machine.spot)
             .thenComparing(machine -> machine.room().cpus());
     private static final Comparator<Machine> MOST_ROOM =
@@ -48,6 +51,7 @@
     private Resources least = Resources.NONE;
     /** Replicas that gather on one machine at most, as of the last plan. */
     private int mostTogether = FEWEST_TOGETHER;
+
     private boolean lowestRuns;
     private int displacedByReplicas;
     private int displacedByGuarantees;
@@ -73,7 +77,8 @@
         boolean sameRank(Queued other) {
             return job.priority() == other.job.priority()
                     && (job.spec.kind() == JobKind.SERVICE) == (other.job.spec.kind() == JobKind.SERVICE)
-                    && guaranteed == other.guaranteed && onTime == other.onTime;
+                    && guaranteed == other.guaranteed
+                    && onTime == other.onTime;
         }
     }
 
@@ -99,7 +104,11 @@
             int waiting = job.waiting();
             if (waiting > 0) {
                 Deadlines.Entry entry = entries.get(job);
-                result.add(new Queued(job, waiting, guaranteed, entry == null || entry.onTime,
+                result.add(new Queued(
+                        job,
+                        waiting,
+                        guaranteed,
+                        entry == null || entry.onTime,
                         entry == null ? job.readyMicros : entry.latestStartMicros()));
             }
         }
@@ -134,7 +143,8 @@
                 lowest.add(entry);
                 continue;
             }
-            perTeam.computeIfAbsent(entry.job.spec.team(), k -> new ArrayList<>()).add(entry);
+            perTeam.computeIfAbsent(entry.job.spec.team(), k -> new ArrayList<>())
+                    .add(entry);
         }
         List<Deadlines.Entry> possible = new ArrayList<>();
         perTeam.forEach((name, entries) -> {
@@ -156,11 +166,10 @@
             if (!job.cancelled && !job.suspect && job.spec.kind() != JobKind.SERVICE && job.unfinished() > 0) {
                 long length = runTimes.expected(job);
                 int waiting = job.waiting();
-                double work = job.spec.each().cpus() * (double) length
-                        * (waiting + 0.5 * (job.unfinished() - waiting));
+                double work = job.spec.each().cpus() * (double) length * (waiting + 0.5 * (job.unfinished() - waiting));
                 long slowest = runTimes.slowest(job);
-                result.add(new Deadlines.Entry(job, work, slowest, due(job, slowest, nowMicros),
-                        weight(job.spec.jobClass())));
+                result.add(new Deadlines.Entry(
+                        job, work, slowest, due(job, slowest, nowMicros), weight(job.spec.jobClass())));
             }
         }
         return result;
@@ -179,8 +188,12 @@
     double arrayCpus(long nowMicros) {
         double cpus = 0;
         for (Machine machine : fleet.machines()) {
-            if (machine.size() != null && !machine.deleting && !machine.draining && machine.noticeAtMicros < 0
-                    && machine.slowUntilMicros < nowMicros && machine.responsive(nowMicros, settings)) {
+            if (machine.size() != null
+                    && !machine.deleting
+                    && !machine.draining
+                    && machine.noticeAtMicros < 0
+                    && machine.slowUntilMicros < nowMicros
+                    && machine.responsive(nowMicros, settings)) {
                 cpus += machine.size().cpus();
                 for (Placement placement : machine.placements) {
                     if (placement.job.spec.kind() == JobKind.SERVICE) {
@@ -204,7 +217,8 @@
             due = Math.min(due, job.neededByMicros);
         }
         for (Settings.Objective objective : settings.objectives()) {
-            if (objective.withinMicros() > 0 && objective.kind().equals("finished")
+            if (objective.withinMicros() > 0
+                    && objective.kind().equals("finished")
                     && objective.jobClass().equals(spec.jobClass())) {
                 long candidate = job.readyMicros + objective.withinMicros();
                 if (candidate >= reachable) {
@@ -213,8 +227,9 @@
             }
         }
         // Without an aim, or beyond all of them: soon, but after what can still be on time.
-        return due < Long.MAX_VALUE ? due : Math.max(job.readyMicros, nowMicros - 600 * Micros.SECOND)
-                + 900 * Micros.SECOND;
+        return due < Long.MAX_VALUE
+                ? due
+                : Math.max(job.readyMicros, nowMicros - 600 * Micros.SECOND) + 900 * Micros.SECOND;
     }
 
     boolean startable(Job job, long nowMicros) {
@@ -317,8 +332,8 @@
     private Job next(Machine machine, long nowMicros) {
         Queued first = null;
         for (Queued queued : order) {
-            if (first != null && (!first.sameRank(queued)
-                    || queued.dueMicros() - first.dueMicros() >= PRECEDENCE_MICROS)) {
+            if (first != null
+                    && (!first.sameRank(queued) || queued.dueMicros() - first.dueMicros() >= PRECEDENCE_MICROS)) {
                 break;
             }
             if (mayRefill(queued.job(), machine, nowMicros)) {
@@ -332,16 +347,24 @@
     }
 
     private boolean mayRefill(Job job, Machine machine, long nowMicros) {
-        return job.spec.kind() != JobKind.GANG && job.placeable() > 0 && book.get(job.id()) == job
-                && startable(job, nowMicros) && suits(job, machine, nowMicros)
+        return job.spec.kind() != JobKind.GANG
+                && job.placeable() > 0
+                && book.get(job.id()) == job
+                && startable(job, nowMicros)
+                && suits(job, machine, nowMicros)
                 && scheduler.mayName(job, machine, nowMicros)
-                && job.spec.each().fitsIn(machine.room()) && zoneAllows(job, machine) && teamAllows(job);
+                && job.spec.each().fitsIn(machine.room())
+                && zoneAllows(job, machine)
+                && teamAllows(job);
     }
 
     private boolean teamAllows(Job job) {
         Team team = settings.teams().get(job.spec.team());
-        return team == null || team.allows(scheduler.teamUse(team.name())
-                .plus(unknown.getOrDefault(team.name(), Resources.NONE)).plus(job.spec.each()));
+        return team == null
+                || team.allows(scheduler
+                        .teamUse(team.name())
+                        .plus(unknown.getOrDefault(team.name(), Resources.NONE))
+                        .plus(job.spec.each()));
     }
 
     /**
@@ -353,7 +376,10 @@
             return count;
         }
         Resources each = job.spec.each();
-        Resources there = scheduler.teamUse(team.name()).plus(unknown.getOrDefault(team.name(), Resources.NONE)).plus(others);
+        Resources there = scheduler
+                .teamUse(team.name())
+                .plus(unknown.getOrDefault(team.name(), Resources.NONE))
+                .plus(others);
         long most = count;
         if (team.cpusMax() > 0 && each.cpus() > 0) {
             most = Math.min(most, Math.max(0, team.cpusMax() - there.cpus()) / each.cpus());
@@ -418,10 +444,12 @@
         // Room comes free all the time, and what is first in the queue gets it: stopping work of the same priority
         // is for a team that has waited for its guarantee.
         boolean waited = nowMicros - job.readyMicros > guaranteePatienceMicros;
-        boolean preempts = !job.suspect && (spec.kind() == JobKind.SERVICE
-                || (queued.guaranteed() || displacesLowest(queued, nowMicros)) && waited
-                || (spec.priority() == job.priority() ? spec.priority() != Priority.NORMAL
-                        : isUrgent(queued, nowMicros)));
+        boolean preempts = !job.suspect
+                && (spec.kind() == JobKind.SERVICE
+                        || (queued.guaranteed() || displacesLowest(queued, nowMicros)) && waited
+                        || (spec.priority() == job.priority()
+                                ? spec.priority() != Priority.NORMAL
+                                : isUrgent(queued, nowMicros)));
         if (spec.kind() == JobKind.GANG) {
             placeGang(job, queued.waiting(), suitable(job, usable, nowMicros), preempts, nowMicros);
         } else if (spec.kind() == JobKind.SERVICE) {
@@ -514,7 +542,8 @@
         others.sort(MOST_ROOM);
         ready.addAll(others);
         for (Machine machine : ready) {
-            while (job.spec.each().fitsIn(machine.room()) && zoneAllows(job, machine)
+            while (job.spec.each().fitsIn(machine.room())
+                    && zoneAllows(job, machine)
                     && scheduler.mayName(job, machine, nowMicros)) {
                 if (job.placeable() == 0 || !teamAllows(job)) {
                     open.removeIf(each -> !least.fitsIn(each.room()));
@@ -551,8 +580,7 @@
             long until = job.readyMicros + guaranteePatienceMicros * 3 / 2 - nowMicros;
             left = (int) Math.ceil(left * PREEMPT_EVERY_MICROS / (double) Math.max(PREEMPT_EVERY_MICROS, until));
         }
-        record Option(Machine machine, boolean image, long loss) {
-        }
+        record Option(Machine machine, boolean image, long loss) {}
         List<Option> options = new ArrayList<>();
         for (Machine machine : candidates) {
             List<Placement> victims = victims(job, machine, queued.guaranteed());
@@ -561,11 +589,12 @@
             }
         }
         options.sort(Comparator.comparing((Option option) -> !option.image()).thenComparing(Option::loss));
-        for (boolean progress = true; progress && left > 0;) {
+        for (boolean progress = true; progress && left > 0; ) {
             progress = false;
             for (Option option : options) {
                 Machine machine = option.machine();
-                List<Placement> victims = left > 0 && zoneAllows(job, machine) ? victims(job, machine, queued.guaranteed()) : null;
+                List<Placement> victims =
+                        left > 0 && zoneAllows(job, machine) ? victims(job, machine, queued.guaranteed()) : null;
                 if (job.waiting() == 0 || !teamAllows(job)) {
                     return;
                 }
@@ -599,9 +628,12 @@
         JobSpec spec = job.spec;
         Team team = settings.teams().get(spec.team());
         boolean ended = job.gangBroken || job.gangStarted && !job.live.isEmpty();
-        if (ended || team != null
-                && !team.allows(scheduler.teamUse(spec.team()).plus(unknown.getOrDefault(spec.team(), Resources.NONE))
-                        .plus(spec.each().times(missing)))) {
+        if (ended
+                || team != null
+                        && !team.allows(scheduler
+                                .teamUse(spec.team())
+                                .plus(unknown.getOrDefault(spec.team(), Resources.NONE))
+                                .plus(spec.each().times(missing)))) {
             return;
         }
         Map<String, Long> perZone = new HashMap<>();
@@ -618,14 +650,17 @@
         }
         List<Machine> candidates = all;
         if (spec.oneZone()) {
-            String zone = job.live.isEmpty() ? null : job.live.values().iterator().next().get(0).machine.zone;
+            String zone = job.live.isEmpty()
+                    ? null
+                    : job.live.values().iterator().next().get(0).machine.zone;
             for (Map.Entry<String, Long> entry : perZone.entrySet()) {
                 if (zone == null && entry.getValue() >= missing) {
                     zone = entry.getKey();
                 }
             }
             String chosen = zone;
-            candidates = all.stream().filter(machine -> machine.zone.equals(chosen)).toList();
+            candidates =
+                    all.stream().filter(machine -> machine.zone.equals(chosen)).toList();
             if (chosen == null || perZone.getOrDefault(chosen, 0L) < missing) {
                 return;
             }
@@ -679,8 +714,10 @@
             for (Machine machine : candidates) {
                 if ((without == null || machine.images.containsKey(spec.image())) && zoneAllows(job, machine)) {
                     List<Placement> victims = victims(job, machine);
-                    long loss = victims == null ? Long.MAX_VALUE : loss(victims, nowMicros)
-                            + (machine.images.containsKey(spec.image()) ? 0 : fetchMicros(machine, spec));
+                    long loss = victims == null
+                            ? Long.MAX_VALUE
+                            : loss(victims, nowMicros)
+                                    + (machine.images.containsKey(spec.image()) ? 0 : fetchMicros(machine, spec));
                     if (loss < least) {
                         least = loss;
                         cheapest = victims;
@@ -709,7 +746,9 @@
             List<Placement> victims = new ArrayList<>();
             for (Placement placement : machine.placements) {
                 JobSpec theirs = placement.job.spec;
-                if (!job.spec.each().fitsIn(room) && theirs.kind() != JobKind.SERVICE && !placement.stopping()
+                if (!job.spec.each().fitsIn(room)
+                        && theirs.kind() != JobKind.SERVICE
+                        && !placement.stopping()
                         && job.priority().above(placement.job.priority())) {
                     victims.add(placement);
                     room = room.plus(theirs.each());
@@ -717,8 +756,8 @@
             }
             if (!victims.isEmpty() && job.spec.each().fitsIn(room)) {
                 for (Placement victim : victims) {
-                    job.roomComingMicros = Math.max(job.roomComingMicros,
-                            nowMicros + victim.job.spec.saveMicros() + 5 * Micros.SECOND);
+                    job.roomComingMicros = Math.max(
+                            job.roomComingMicros, nowMicros + victim.job.spec.saveMicros() + 5 * Micros.SECOND);
                     scheduler.stopToSave(victim, nowMicros);
                 }
                 return;
@@ -728,7 +767,8 @@
 
     private long fetchMicros(Machine machine, JobSpec spec) {
         MachineType type = fleet.types().get(machine.type);
-        return type == null || type.fetchGbPerSecond() <= 0 ? 0
+        return type == null || type.fetchGbPerSecond() <= 0
+                ? 0
                 : Micros.ofSeconds(spec.imageGb() / type.fetchGbPerSecond());
     }
 
@@ -800,7 +840,8 @@
             return false;
         }
         return job.priority().above(placement.job.priority())
-                || !theirs.team().equals(job.spec.team()) && theirs.kind() == JobKind.ARRAY
+                || !theirs.team().equals(job.spec.team())
+                        && theirs.kind() == JobKind.ARRAY
                         && job.priority() == placement.job.priority();
     }
 
--- a/src/main/java/io/micatide/core/Priority.java
+++ b/src/main/java/io/micatide/core/Priority.java
@@ -2,7 +2,10 @@
 
 /** Priorities, highest first. */
 public enum Priority {
-    PRODUCTION, HIGH, NORMAL, LOW;
+    PRODUCTION,
+    HIGH,
+    NORMAL,
+    LOW;
 
     public boolean above(Priority other) {
         return ordinal() < other.ordinal();
--- a/src/main/java/io/micatide/core/Ranges.java
+++ b/src/main/java/io/micatide/core/Ranges.java
@@ -5,8 +5,7 @@
 
 /** Finished tasks as text such as {@code 0-5,7,9-12}: short while tasks finish roughly in order. */
 public final class Ranges {
-    private Ranges() {
-    }
+    private Ranges() {}
 
     /** The set bits from {@code from} (inclusive) to {@code to} (exclusive), counted from {@code from}. */
     public static String format(BitSet bits, int from, int to) {
@@ -46,7 +45,8 @@
             own.clear(0, start);
             // Each run stands for itself, with the comma before it.
             int before = own.isEmpty() ? 0 : format(own, from, to).length() + 1;
-            int after = Integer.toString(start - from).length() + 1
+            int after = Integer.toString(start - from).length()
+                    + 1
                     + (end - start > 1 ? 1 + Integer.toString(end - 1 - from).length() : 0);
             if (length - before + after <= mostChars || after <= before) {
                 chosen.set(start, end);
--- a/src/main/java/io/micatide/core/Recovery.java
+++ b/src/main/java/io/micatide/core/Recovery.java
@@ -73,8 +73,15 @@
             return null;
         }
         told = true;
-        return String.format(Locale.ROOT, "recovery: rebuilt after %s; of %d machines 50%% confirmed after %s, 90%% %s, 99%% %s; first start"
-                + " after %s", seconds(rebuiltMicros), expected, seconds(reached[0]), seconds(reached[1]), seconds(reached[2]),
+        return String.format(
+                Locale.ROOT,
+                "recovery: rebuilt after %s; of %d machines 50%% confirmed after %s, 90%% %s, 99%% %s; first start"
+                        + " after %s",
+                seconds(rebuiltMicros),
+                expected,
+                seconds(reached[0]),
+                seconds(reached[1]),
+                seconds(reached[2]),
                 seconds(firstStartMicros));
     }
 
--- a/src/main/java/io/micatide/core/Rentals.java
+++ b/src/main/java/io/micatide/core/Rentals.java
@@ -15,7 +15,12 @@
  * unknown, and is settled by a list that shows the cloud as it was after the call could last have been carried out.
  */
 final class Rentals {
-    enum State { CLAIMED, SUBMITTED, DONE, UNKNOWN }
+    enum State {
+        CLAIMED,
+        SUBMITTED,
+        DONE,
+        UNKNOWN
+    }
 
     /** One request to the cloud. */
     static final class Booking {
@@ -28,6 +33,7 @@
         boolean recorded;
         /** Of its row as it is known, 0 if there is none. */
         long version;
+
         boolean writing;
         long sinceMicros;
 
@@ -42,8 +48,7 @@
     }
 
     /** Where machines can be rented. */
-    record Offer(String type, String zone, boolean spot) {
-    }
+    record Offer(String type, String zone, boolean spot) {}
 
     private static final long CLAIM_PATIENCE_MICROS = 10 * Micros.SECOND;
 
@@ -55,6 +60,7 @@
     private long fenceNumber;
     /** Rows that are being read back. */
     private final Set<String> unknown = new HashSet<>();
+
     final Map<String, Booking> bookings = new LinkedHashMap<>();
     private final Map<Offer, Long> refusedUntil = new HashMap<>();
     private final Map<Offer, Long> refusals = new HashMap<>();
@@ -123,7 +129,8 @@
     List<Transaction.Compare> conditions(List<Booking> written) {
         List<Transaction.Compare> conditions = new ArrayList<>();
         if (fenced && !written.isEmpty()) {
-            written.forEach(each -> conditions.add(new Transaction.Compare(StoreKeys.booking(each.name), each.version)));
+            written.forEach(
+                    each -> conditions.add(new Transaction.Compare(StoreKeys.booking(each.name), each.version)));
             conditions.add(new Transaction.Compare(StoreKeys.FENCE, fenceVersion));
         }
         return conditions;
@@ -132,13 +139,14 @@
     /** What is written beside these: the fence, if one of them is deleted; null for nothing. */
     Transaction.Write fence(List<Booking> written) {
         return fenced && written.stream().anyMatch(each -> each.state == State.DONE)
-                ? new Transaction.Write(StoreKeys.FENCE, new Row.Fence(fenceNumber + 1), 0) : null;
+                ? new Transaction.Write(StoreKeys.FENCE, new Row.Fence(fenceNumber + 1), 0)
+                : null;
     }
 
     /** The name carries the token, so that no two leaders ever use the same one. */
     Booking claim(Offer offer, int count, long nowMicros) {
-        Booking booking = new Booking("r-" + token + "-" + ++counter, offer.type(), offer.zone(), offer.spot(), count,
-                nowMicros);
+        Booking booking =
+                new Booking("r-" + token + "-" + ++counter, offer.type(), offer.zone(), offer.spot(), count, nowMicros);
         bookings.put(booking.name, booking);
         return booking;
     }
@@ -193,16 +201,18 @@
     /** Rows to put or to delete with the next round. */
     List<Booking> toWrite(int most, long nowMicros) {
         List<Booking> result = new ArrayList<>();
-        for (Iterator<Booking> each = bookings.values().iterator(); each.hasNext() && result.size() < most;) {
+        for (Iterator<Booking> each = bookings.values().iterator(); each.hasNext() && result.size() < most; ) {
             Booking booking = each.next();
-            if (booking.state == State.CLAIMED && !booking.recorded
-                    && nowMicros - booking.sinceMicros > CLAIM_PATIENCE_MICROS && !booking.writing) {
+            if (booking.state == State.CLAIMED
+                    && !booking.recorded
+                    && nowMicros - booking.sinceMicros > CLAIM_PATIENCE_MICROS
+                    && !booking.writing) {
                 booking.state = State.DONE;
             }
             if (booking.state == State.DONE && !booking.recorded && !booking.writing) {
                 each.remove();
-            } else if (!booking.writing && (booking.state == State.CLAIMED && !booking.recorded
-                    || booking.state == State.DONE)) {
+            } else if (!booking.writing
+                    && (booking.state == State.CLAIMED && !booking.recorded || booking.state == State.DONE)) {
                 result.add(booking);
             }
         }
@@ -225,7 +235,9 @@
     int expected(Offer offer) {
         int count = 0;
         for (Booking booking : bookings.values()) {
-            if (booking.state != State.DONE && booking.type.equals(offer.type()) && booking.spot == offer.spot()
+            if (booking.state != State.DONE
+                    && booking.type.equals(offer.type())
+                    && booking.spot == offer.spot()
                     && booking.zone.equals(offer.zone())) {
                 count += booking.count;
             }
--- a/src/main/java/io/micatide/core/Renter.java
+++ b/src/main/java/io/micatide/core/Renter.java
@@ -24,6 +24,7 @@
     private static final int REPORTS_SHARE = 2;
     /** A job of which nothing runs and that no machine here suits is rented for by itself after so long. */
     private static final long STARVES_MICROS = 20 * Micros.SECOND;
+
     private static final long PRICES_EVERY_MICROS = 60 * Micros.SECOND;
 
     private final Settings settings;
@@ -87,8 +88,7 @@
                 }
                 if (nowMicros - machine.lastAnsweredMicros > settings.goneAfterMicros()) {
                     silent++;
-                    if (nowMicros - machine.lastAnsweredMicros > 4 * settings.goneAfterMicros()
-                            || !machine.confirmed) {
+                    if (nowMicros - machine.lastAnsweredMicros > 4 * settings.goneAfterMicros() || !machine.confirmed) {
                         dead.add(machine);
                     }
                 }
@@ -103,7 +103,8 @@
                 dead.add(machine);
             }
         }
-        // Nearly all silent at once: it is we who are cut off, and the machines may be fine. That holds for a new leader too
+        // Nearly all silent at once: it is we who are cut off, and the machines may be fine. That holds for a new
+        // leader too
         // that no worker has reached yet: one once returned all 334 machines 15 s after its claim.
         if ((silent + mute) * 2 > up + mute && silent + mute > 2) {
             return;
@@ -118,7 +119,8 @@
         Set<String> heard = quiet.isEmpty() || few ? Set.of() : zonesThatReport(nowMicros);
         for (Machine machine : quiet) {
             // Not for tasks of arrays alone: a machine that hangs is there again before another one has booted.
-            machine.deleting |= (few || machine.zone != null && heard.contains(machine.zone)) && (machine.holdsUp || hasReplica(machine));
+            machine.deleting |= (few || machine.zone != null && heard.contains(machine.zone))
+                    && (machine.holdsUp || hasReplica(machine));
         }
     }
 
@@ -138,7 +140,8 @@
                 }
             }
         }
-        return known.elementSet().stream().filter(zone -> heard.count(zone) * REPORTS_SHARE >= known.count(zone))
+        return known.elementSet().stream()
+                .filter(zone -> heard.count(zone) * REPORTS_SHARE >= known.count(zone))
                 .collect(Collectors.toSet());
     }
 
@@ -168,8 +171,11 @@
         Resources comingOrdinary = Resources.NONE;
         Resources comingSpot = Resources.NONE;
         for (Machine machine : fleet.machines()) {
-            boolean unconfirmed = !machine.confirmed && machine.lastAnsweredMicros >= 0 && machine.size() != null
-                    && !machine.deleting && machine.responsive(nowMicros, settings);
+            boolean unconfirmed = !machine.confirmed
+                    && machine.lastAnsweredMicros >= 0
+                    && machine.size() != null
+                    && !machine.deleting
+                    && machine.responsive(nowMicros, settings);
             if (coming(machine, nowMicros) || unconfirmed) {
                 if (machine.spot) {
                     comingSpot = comingSpot.plus(machine.room());
@@ -203,7 +209,10 @@
         boolean need = false;
         for (Planner.Queued queued : planner.order()) {
             Job job = queued.job();
-            if (job.spec.kind() == JobKind.ARRAY && job.live.isEmpty() && !job.suspect && planner.startable(job, nowMicros)
+            if (job.spec.kind() == JobKind.ARRAY
+                    && job.live.isEmpty()
+                    && !job.suspect
+                    && planner.startable(job, nowMicros)
                     && nowMicros - Math.max(job.readyMicros, job.lastStartMicros) > STARVES_MICROS
                     && fleet.machines().stream().noneMatch(machine -> mayUse(job, machine, nowMicros))) {
                 int count = planner.allowedMore(job, queued.waiting(), Resources.NONE);
@@ -218,9 +227,12 @@
 
     /** Whether the job could ever run there, full as the machine may be now. */
     private boolean mayUse(Job job, Machine machine, long nowMicros) {
-        return machine.size() != null && !machine.deleting && !machine.draining
+        return machine.size() != null
+                && !machine.deleting
+                && !machine.draining
                 && (machine.usable(nowMicros, settings) || coming(machine, nowMicros) || !machine.confirmed)
-                && job.spec.allowsMachine(machine.type, machine.zone, machine.spot) && job.spec.each().fitsIn(machine.size());
+                && job.spec.allowsMachine(machine.type, machine.zone, machine.spot)
+                && job.spec.each().fitsIn(machine.size());
     }
 
     /** Replicas and gangs want their room now; it is what they take and nothing more. */
@@ -234,7 +246,8 @@
             if (spec.kind() == JobKind.ARRAY || queued.job().unsettled() || queued.job().suspect) {
                 continue;
             }
-            // What its team's limit keeps from running needs no machine: one was rented, and all idle ones kept, for as long as it waited.
+            // What its team's limit keeps from running needs no machine: one was rented, and all idle ones kept, for as
+            // long as it waited.
             Resources others = planned.getOrDefault(spec.team(), Resources.NONE);
             int count = planner.allowedMore(queued.job(), queued.waiting(), others);
             planned.put(spec.team(), others.plus(spec.each().times(count)));
@@ -252,8 +265,25 @@
 
     /** Jobs that can use the same machines are rented for together. */
     private static JobSpec shape(JobSpec spec) {
-        return new JobSpec("", "", "", JobKind.SERVICE, Priority.NORMAL, 1, spec.each(), "", 0, spec.types(),
-                spec.zone(), false, false, spec.spot(), 0, 0, 0, -1);
+        return new JobSpec(
+                "",
+                "",
+                "",
+                JobKind.SERVICE,
+                Priority.NORMAL,
+                1,
+                spec.each(),
+                "",
+                0,
+                spec.types(),
+                spec.zone(),
+                false,
+                false,
+                spec.spot(),
+                0,
+                0,
+                0,
+                -1);
     }
 
     /** Work that ends wants as many processors as make it ready in time. */
@@ -307,12 +337,13 @@
             for (String zone : type.zones()) {
                 for (boolean spot : new boolean[] {true, false}) {
                     Rentals.Offer offer = new Rentals.Offer(type.name(), zone, spot);
-                    if (!spec.allowsMachine(type.name(), zone, spot) || rentals.refused(offer, nowMicros)
+                    if (!spec.allowsMachine(type.name(), zone, spot)
+                            || rentals.refused(offer, nowMicros)
                             || rentals.expected(offer) > 0) {
                         continue;
                     }
-                    double price = type.priceOf(spot) / Math.min(per, count)
-                            * (1 + 0.001 * perZone.getOrDefault(zone, 0));
+                    double price =
+                            type.priceOf(spot) / Math.min(per, count) * (1 + 0.001 * perZone.getOrDefault(zone, 0));
                     if (price < bestPrice) {
                         bestPrice = price;
                         best = offer;
@@ -333,10 +364,14 @@
      */
     private void returnIdle(long nowMicros, boolean need) {
         for (Machine machine : fleet.machines()) {
-            if (machine.confirmed && !machine.deleting && machine.placements.isEmpty()
+            if (machine.confirmed
+                    && !machine.deleting
+                    && machine.placements.isEmpty()
                     && machine.idleSinceMicros >= 0
                     && (nowMicros - machine.idleSinceMicros > tuning.idleMicros() || machine.draining && !need)
-                    && (!need || planner.order().stream().noneMatch(queued -> mayUse(queued.job(), machine, nowMicros)))) {
+                    && (!need
+                            || planner.order().stream()
+                                    .noneMatch(queued -> mayUse(queued.job(), machine, nowMicros)))) {
                 machine.deleting = true;
             }
         }
@@ -360,8 +395,12 @@
         }
         for (Machine machine : fleet.machines()) {
             MachineType type = machine.type == null ? null : fleet.types().get(machine.type);
-            if (type != null && !machine.deleting && machine.lastAnsweredMicros < 0 && machine.bootStartedMicros >= 0
-                    && !machine.holdsUp && nowMicros - machine.bootStartedMicros > LATE_BOOT * type.bootMicros()) {
+            if (type != null
+                    && !machine.deleting
+                    && machine.lastAnsweredMicros < 0
+                    && machine.bootStartedMicros >= 0
+                    && !machine.holdsUp
+                    && nowMicros - machine.bootStartedMicros > LATE_BOOT * type.bootMicros()) {
                 machine.deleting = true;
             }
         }
@@ -376,7 +415,9 @@
         }
         List<String> names = new ArrayList<>();
         for (Machine machine : fleet.machines()) {
-            if (machine.deleting && names.size() < 100 && returns.mayAsk(machine)
+            if (machine.deleting
+                    && names.size() < 100
+                    && returns.mayAsk(machine)
                     && (machine.deleteAskedMicros < 0 || nowMicros - machine.deleteAskedMicros > 3 * Micros.SECOND)) {
                 machine.deleteAskedMicros = nowMicros;
                 names.add(machine.name);
@@ -452,7 +493,8 @@
             if (machine.type == null) {
                 fleet.describe(machine, listed.type(), listed.zone(), listed.spot());
             }
-            if (machine.bootStartedMicros < 0 && machine.lastAnsweredMicros < 0
+            if (machine.bootStartedMicros < 0
+                    && machine.lastAnsweredMicros < 0
                     && listed.state() == ListedMachine.State.BOOTING) {
                 machine.bootStartedMicros = nowMicros - listed.ageMicros();
             }
@@ -464,7 +506,8 @@
             boolean silent = machine.lastAnsweredMicros >= 0
                     && nowMicros - machine.lastAnsweredMicros > settings.goneAfterMicros();
             // A ledger names it, nobody has heard of it, and a list from well after the term began does not have it.
-            boolean neverThere = machine.lastAnsweredMicros < 0 && machine.bootStartedMicros < 0
+            boolean neverThere = machine.lastAnsweredMicros < 0
+                    && machine.bootStartedMicros < 0
                     && askedMicros - machine.knownSinceMicros > 2 * settings.listLagMicros() + 5 * Micros.SECOND;
             if ((machine.listed && silent || neverThere) && !names.contains(machine.name)) {
                 machine.deleting = true;
--- a/src/main/java/io/micatide/core/Returns.java
+++ b/src/main/java/io/micatide/core/Returns.java
@@ -21,6 +21,7 @@
     private static final long GATHER_MICROS = 500 * Micros.MILLISECOND;
     /** The cloud's limit for a call. */
     private static final int MOST_NAMES = 100;
+
     private static final int FRAME_BYTES = 32;
     private static final int NAME_BYTES = 3;
 
@@ -43,6 +44,7 @@
     private final Map<String, String> rowOf = new HashMap<>();
     /** Rows that are being read back. */
     private final Set<String> unknown = new HashSet<>();
+
     private boolean recording;
     private int counter;
     private long wroteMicros = Long.MIN_VALUE / 2;
@@ -116,7 +118,10 @@
         }
         for (Map.Entry<String, Entry> each : rows.entrySet()) {
             Entry entry = each.getValue();
-            if (writes.size() < most && entry.stored && !entry.removing && entry.left.isEmpty()
+            if (writes.size() < most
+                    && entry.stored
+                    && !entry.removing
+                    && entry.left.isEmpty()
                     && nowMicros - entry.answeredMicros > KEEP_MICROS) {
                 entry.removing = true;
                 writes.add(new Transaction.Write(each.getKey(), null, 0));
--- a/src/main/java/io/micatide/core/Row.java
+++ b/src/main/java/io/micatide/core/Row.java
@@ -5,8 +5,7 @@
 
 /** Values kept in the state service. */
 public sealed interface Row {
-    record Leader(String owner) implements Row {
-    }
+    record Leader(String owner) implements Row {}
 
     /**
      * @param spec null once the job is done, and of a job that was withdrawn before it could start
@@ -16,8 +15,15 @@
      * @param checked written on condition of the archive as its writer knew it, so that the job certainly was not archived; a
      *     row without this that is younger than the archive is of a former version and has to be looked up first
      */
-    record JobRow(JobState state, JobSpec spec, long submittedWall, int tasks, long endedWall, int furtherNeeds,
-            boolean checked) implements Row {
+    record JobRow(
+            JobState state,
+            JobSpec spec,
+            long submittedWall,
+            int tasks,
+            long endedWall,
+            int furtherNeeds,
+            boolean checked)
+            implements Row {
         public JobRow(JobState state, JobSpec spec, long submittedWall, int tasks) {
             this(state, spec, submittedWall, tasks, -1, 0, false);
         }
@@ -27,8 +33,7 @@
         }
 
         public JobRow asChecked(boolean now) {
-            return now == checked ? this
-                    : new JobRow(state, spec, submittedWall, tasks, endedWall, furtherNeeds, now);
+            return now == checked ? this : new JobRow(state, spec, submittedWall, tasks, endedWall, furtherNeeds, now);
         }
 
         /** The same with these needs in its description and so many rows with further ones. */
@@ -38,16 +43,14 @@
     }
 
     /** Names that a job's row has no room for; written in the same transaction. */
-    record Needs(List<String> names) implements Row {
-    }
+    record Needs(List<String> names) implements Row {}
 
     /**
      * The mark that all controllers read layout {@code number}; what an older one cannot read is written only after it.
      *
      * @param pageTasks how many tasks a ledger page holds from then on, whatever the settings say later
      */
-    record Layout(int number, int pageTasks) implements Row {
-    }
+    record Layout(int number, int pageTasks) implements Row {}
 
     /**
      * @param machines every machine on which an attempt of the job may be; written before the first start there
@@ -61,12 +64,10 @@
         }
     }
 
-    record Booking(String state, String type, String zone, boolean spot, int count) implements Row {
-    }
+    record Booking(String state, String type, String zone, boolean spot, int count) implements Row {}
 
     /** Machine types as the cloud last told them. */
-    record Types(List<MachineType> types) implements Row {
-    }
+    record Types(List<MachineType> types) implements Row {}
 
     /**
      * The manifest of the archive of final states: what is archived is what its runs hold. Its existence is the mark of layout 3,
@@ -75,8 +76,7 @@
      * @param sinceVersion revision at which the archive began, 0 while this is its first manifest
      * @param salt by which ids are spread over the segments of a run, two numbers that are not negative
      */
-    record History(long sinceVersion, long saltA, long saltB, List<Run> runs) implements Row {
-    }
+    record History(long sinceVersion, long saltA, long saltB, List<Run> runs) implements Row {}
 
     /**
      * One immutable run of the archive, in {@code segments} values that share the hash of the ids evenly.
@@ -84,8 +84,7 @@
      * @param jobs how many jobs it holds
      * @param bytes what its packed segments take together, without the frame of a value
      */
-    record Run(String name, int segments, long jobs, long bytes) {
-    }
+    record Run(String name, int segments, long jobs, long bytes) {}
 
     /** How far each change of the stored state has come, by its name; a row among those of the jobs, so that all read it in one order with them. */
     record Features(Map<String, String> stages) implements Row {
@@ -102,28 +101,26 @@
      * @param acts version of {@link Features} by which it acts, 0 for none
      * @param sinceWall time of day at which its process began
      */
-    record Here(String build, List<String> knows, long acts, long sinceWall) implements Row {
-    }
+    record Here(String build, List<String> knows, long acts, long sinceWall) implements Row {}
 
     /** What an operator asks for of a feature. */
-    enum Wish { NONE, HOLD, BACK }
-
-    record Ask(Wish wish) implements Row {
+    enum Wish {
+        NONE,
+        HOLD,
+        BACK
     }
 
+    record Ask(Wish wish) implements Row {}
+
     /** Moves with each round that deletes a booking, and is a condition of each that writes one. */
-    record Fence(long number) implements Row {
-    }
+    record Fence(long number) implements Row {}
 
     /** Machines whose deletion is asked for, or was answered not long ago. */
-    record Returned(List<String> machines) implements Row {
-    }
+    record Returned(List<String> machines) implements Row {}
 
     /** A part of what a leader has learned, for one that nobody told. */
-    record Learned(List<Hint> hints) implements Row {
-    }
+    record Learned(List<Hint> hints) implements Row {}
 
     /** A segment of a run; {@code digest} covers its key too, so that no value is taken for another. */
-    record Segment(String digest, byte[] packed) implements Row {
-    }
+    record Segment(String digest, byte[] packed) implements Row {}
 }
--- a/src/main/java/io/micatide/core/RunTimes.java
+++ b/src/main/java/io/micatide/core/RunTimes.java
@@ -13,11 +13,11 @@
     private static final double WEIGHT = 0.02;
     /** As many own tasks as it takes for them to count as much as the owner's estimate. */
     private static final double ESTIMATE_WEIGHT = 2;
+
     private static final double USUAL_SPREAD = 0.2;
 
     /** Mean of run time by estimate, and how far a single task is usually from it. */
-    private record Factor(double mean, double spread) {
-    }
+    private record Factor(double mean, double spread) {}
 
     private static final Factor UNKNOWN = new Factor(1, USUAL_SPREAD);
 
@@ -26,13 +26,16 @@
     /** What is known of classes of which something has completed. */
     List<Hint> hints() {
         List<Hint> result = new ArrayList<>();
-        factors.forEach((name, factor) -> result.add(new Hint.OfClass(name, Hints.rounded(factor.mean()), Hints.rounded(factor.spread()))));
+        factors.forEach((name, factor) ->
+                result.add(new Hint.OfClass(name, Hints.rounded(factor.mean()), Hints.rounded(factor.spread()))));
         return result;
     }
 
     /** As an earlier leader saw it; what this one has seen counts more. */
     void hinted(Hint.OfClass hint) {
-        factors.putIfAbsent(hint.name(), new Factor(Math.max(0.1, Math.min(10, hint.factor())), Math.max(0, Math.min(10, hint.spread()))));
+        factors.putIfAbsent(
+                hint.name(),
+                new Factor(Math.max(0.1, Math.min(10, hint.factor())), Math.max(0, Math.min(10, hint.spread()))));
     }
 
     void finished(Job job, long ranMicros) {
@@ -52,9 +55,11 @@
     /** How long a task takes on average: its owner's estimate, until the job's own tasks tell better. */
     long expected(Job job) {
         JobSpec spec = job.spec;
-        double estimate = spec.estimateMicros() * factors.getOrDefault(spec.jobClass(), UNKNOWN).mean();
-        return Math.max(Micros.SECOND, Math.round((ESTIMATE_WEIGHT * estimate + job.ranMicros)
-                / (ESTIMATE_WEIGHT + job.ranTasks)));
+        double estimate = spec.estimateMicros()
+                * factors.getOrDefault(spec.jobClass(), UNKNOWN).mean();
+        return Math.max(
+                Micros.SECOND,
+                Math.round((ESTIMATE_WEIGHT * estimate + job.ranMicros) / (ESTIMATE_WEIGHT + job.ranTasks)));
     }
 
     /** How long the slowest of a job's tasks is likely to take: the job is not done before that one is. */
--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -12,6 +12,7 @@
 public final class Scheduler {
     /** Starts are sent only while the state service was read this recently: cancellations are found there. */
     private static final long FRESH_MICROS = 4 * Micros.SECOND;
+
     private static final int MOST_COMMANDS = 500;
     /** What the archive leaves to rounds of a second's changes. With five in a transaction a second's are some ten. */
     private static final double ROUNDS_KEEP = 0.8;
@@ -37,12 +38,14 @@
     private long holdsUntilMicros = Long.MAX_VALUE;
     /** When this process went on after it had stood still. */
     private long resumedMicros = Long.MIN_VALUE / 2;
+
     private long attemptCounter;
     private long switchesVersion;
     private JobBook.Round inFlight;
     private double writeTokens;
     /** What one transaction may change; less once the state service has refused one. */
     private int mostOps;
+
     private long writeTokensMicros;
     private int slowFound;
     private boolean loading = true;
@@ -50,6 +53,7 @@
     private final Recovery recovery;
     /** Rows of jobs that were cancelled before this term. */
     private final Map<String, Row.JobRow> ending = new HashMap<>();
+
     private final List<Job> completed = new ArrayList<>();
     private final List<Ended> ended = new ArrayList<>();
     private final List<String> notices = new ArrayList<>();
@@ -100,7 +104,11 @@
         book.withdrawn(id);
         if (row.state() == JobState.OPEN) {
             if (job == null) {
-                book.add(row.spec(), view.version(), row.submittedWall(), submitted,
+                book.add(
+                        row.spec(),
+                        view.version(),
+                        row.submittedWall(),
+                        submitted,
                         nowMicros - Math.max(0, wallMicros - view.readyWall()));
                 pipelines.changed();
             } else {
@@ -225,7 +233,11 @@
             settleCancelled(job, nowMicros);
         }
         hintsKnown(nowMicros);
-        recovery.rebuilt((int) fleet.machines().stream().filter(machine -> machine.holdsUp).count(), nowMicros);
+        recovery.rebuilt(
+                (int) fleet.machines().stream()
+                        .filter(machine -> machine.holdsUp)
+                        .count(),
+                nowMicros);
     }
 
     private void hintsKnown(long nowMicros) {
@@ -390,7 +402,8 @@
                 job = cancelledBefore(line.job(), nowMicros);
             }
             if (job == null) {
-                // The job is over: what is left of it is stopped now and forgotten once it exited. Until then it counts for its team.
+                // The job is over: what is left of it is stopped now and forgotten once it exited. Until then it counts
+                // for its team.
                 commands.add(new Command.Stop(line.job(), line.index(), line.attempt(), 0));
                 if (placement != null) {
                     placement.listedSequence = report.sequence();
@@ -398,8 +411,8 @@
                 continue;
             }
             if (placement == null) {
-                placement = new Placement(job, line.index(), line.attempt(), machine, Placement.Phase.REPORTED,
-                        nowMicros);
+                placement =
+                        new Placement(job, line.index(), line.attempt(), machine, Placement.Phase.REPORTED, nowMicros);
                 placement.adopted = true;
                 add(placement);
                 if (job.cancelled || job.spec.kind() != JobKind.SERVICE && job.finished.get(line.index())) {
@@ -414,7 +427,8 @@
             if (line.state() != TaskState.FETCHING) {
                 hasImage(machine, job);
             }
-            if (job.spec.kind() == JobKind.GANG && line.state() != TaskState.FETCHING
+            if (job.spec.kind() == JobKind.GANG
+                    && line.state() != TaskState.FETCHING
                     && line.state() != TaskState.WAITING) {
                 job.gangStarted = true;
             }
@@ -482,8 +496,10 @@
         }
         if (placement != null) {
             remove(placement);
-            if (placement.job.spec.kind() == JobKind.GANG && line.cause() != ExitCause.NO_ROOM
-                    && line.cause() != ExitCause.BUSY && line.cause() != ExitCause.UNKNOWN) {
+            if (placement.job.spec.kind() == JobKind.GANG
+                    && line.cause() != ExitCause.NO_ROOM
+                    && line.cause() != ExitCause.BUSY
+                    && line.cause() != ExitCause.UNKNOWN) {
                 placement.job.gangBroken = !placement.job.live.isEmpty();
             }
         }
@@ -499,18 +515,20 @@
                     dropUnsent(job);
                 }
                 if (job.suspect && !suspectBefore) {
-                    notices.add(String.format("%s (%s) is suspected: it failed on %d machines and never succeeded; it is"
-                            + " only probed now", job.id(), job.spec.jobClass(), job.failedMachines.size()));
+                    notices.add(String.format(
+                            "%s (%s) is suspected: it failed on %d machines and never succeeded; it is"
+                                    + " only probed now",
+                            job.id(), job.spec.jobClass(), job.failedMachines.size()));
                 }
                 if (machine.draining && !drainingBefore) {
-                    notices.add(String.format("%s is suspected: %d failures of jobs that succeed elsewhere, %d jobs of"
-                            + " unknown worth failed on it", machine.name, machine.failures,
-                            machine.doubtfulJobs.size()));
+                    notices.add(String.format(
+                            "%s is suspected: %d failures of jobs that succeed elsewhere, %d jobs of"
+                                    + " unknown worth failed on it",
+                            machine.name, machine.failures, machine.doubtfulJobs.size()));
                 }
             }
             case UNKNOWN, NO_ROOM, BUSY -> job.blockedUntilMicros = nowMicros + Micros.SECOND;
-            default -> {
-            }
+            default -> {}
         }
     }
 
@@ -539,8 +557,8 @@
     private void addStopsAndStarts(Machine machine, MachineReport report, long nowMicros, List<Command> commands) {
         for (Placement placement : machine.placements) {
             if (placement.stopping() && !placement.unsent()) {
-                commands.add(new Command.Stop(placement.job.id(), placement.index, placement.attempt,
-                        placement.stopGraceMicros));
+                commands.add(new Command.Stop(
+                        placement.job.id(), placement.index, placement.attempt, placement.stopGraceMicros));
             }
         }
         if (!machine.confirmed || machine.deleting || !mayStart(nowMicros)) {
@@ -580,7 +598,8 @@
                     stop(each, grace + settings.gangPeerMicros(), nowMicros);
                 }
             }
-            // Of two tasks that have to yield at once the first takes the whole gang away: with nothing left of it there is nothing to
+            // Of two tasks that have to yield at once the first takes the whole gang away: with nothing left of it
+            // there is nothing to
             // wait for. A gang that was held to be broken then was never placed again.
             job.gangBroken = !job.live.isEmpty();
         } else {
@@ -662,8 +681,8 @@
             job.gangAttempt = attempt;
         }
         boolean recorded = job.recordedMachines.contains(machine.name);
-        add(new Placement(job, index, attempt, machine,
-                recorded ? Placement.Phase.READY : Placement.Phase.HELD, nowMicros));
+        add(new Placement(
+                job, index, attempt, machine, recorded ? Placement.Phase.READY : Placement.Phase.HELD, nowMicros));
         book.needMachine(job, machine, nowMicros);
         if (job.firstStartMicros < 0) {
             job.firstStartMicros = nowMicros;
@@ -729,7 +748,8 @@
             if (placement.unsent()) {
                 remove(placement);
             } else if (placement.job.leftSlow.get(placement.index)) {
-                // It was long elsewhere too: it is the task and not the machine. Of an array whose tasks take very different times
+                // It was long elsewhere too: it is the task and not the machine. Of an array whose tasks take very
+                // different times
                 // the long ones made each machine seem slow, and were started over without end.
                 continue;
             } else if (placement.job.spec.checkpointMicros() > 0) {
@@ -791,15 +811,21 @@
         if (most < 1) {
             return null;
         }
-        List<Transaction.Write> writes = new ArrayList<>(extraWrites.subList(0, Math.min(extraWrites.size(), most / 2)));
-        List<Rentals.Booking> bookings = rentals.mayWrite() ? rentals.toWrite(Math.max(1, most / 2), nowMicros) : List.of();
+        List<Transaction.Write> writes =
+                new ArrayList<>(extraWrites.subList(0, Math.min(extraWrites.size(), most / 2)));
+        List<Rentals.Booking> bookings =
+                rentals.mayWrite() ? rentals.toWrite(Math.max(1, most / 2), nowMicros) : List.of();
         for (Rentals.Booking booking : bookings) {
-            writes.add(new Transaction.Write(StoreKeys.booking(booking.name),
-                    booking.state == Rentals.State.DONE ? null
-                            : new Row.Booking("claimed", booking.type, booking.zone, booking.spot, booking.count), 0));
+            writes.add(new Transaction.Write(
+                    StoreKeys.booking(booking.name),
+                    booking.state == Rentals.State.DONE
+                            ? null
+                            : new Row.Booking("claimed", booking.type, booking.zone, booking.spot, booking.count),
+                    0));
         }
         List<Transaction.Compare> conditions = rentals.conditions(bookings);
-        List<Transaction.Write> given = returns.toWrite(fleet.machines(), most - bookings.size() - writes.size() - 1, nowMicros);
+        List<Transaction.Write> given =
+                returns.toWrite(fleet.machines(), most - bookings.size() - writes.size() - 1, nowMicros);
         conditions.addAll(returns.conditions(given));
         writes.addAll(given);
         if (!conditions.isEmpty()) {
@@ -809,11 +835,19 @@
         if (fence != null) {
             writes.add(fence);
         }
-        // Half of a second's writes are kept for what starts or ends a job. Counted from the changes that a transaction may
+        // Half of a second's writes are kept for what starts or ends a job. Counted from the changes that a transaction
+        // may
         // hold, as before, it came to two where that is five, and finished tasks took what starts then waited for.
         int later = (int) Math.max(0, Math.min(mostOps, writeTokens - rate / 2));
-        JobBook.Round round = book.nextRound(nowMicros, wallMicros, most, later, bookings,
-                writes, conditions, (job, likely) -> planner.likely(job, likely, nowMicros));
+        JobBook.Round round = book.nextRound(
+                nowMicros,
+                wallMicros,
+                most,
+                later,
+                bookings,
+                writes,
+                conditions,
+                (job, likely) -> planner.likely(job, likely, nowMicros));
         if (round == null) {
             given.forEach(returns::notWritten);
             return null;
@@ -920,7 +954,9 @@
     }
 
     private static List<Transaction.Write> returnsOf(JobBook.Round round) {
-        return round.transaction().writes().stream().filter(write -> Returns.owns(write.key())).toList();
+        return round.transaction().writes().stream()
+                .filter(write -> Returns.owns(write.key()))
+                .toList();
     }
 
     /** The round was certainly not executed; nothing needs to be read. */
@@ -949,8 +985,7 @@
     }
 
     /** A job's final row that is in the state service. */
-    public record Ended(String id, Row.JobRow row, long version) {
-    }
+    public record Ended(String id, Row.JobRow row, long version) {}
 
     /** Final rows that this leader knows to be stored since the last call: jobs may wait for them. */
     public List<Ended> ended() {
@@ -1078,14 +1113,23 @@
     public List<String> completions(long nowMicros) {
         List<String> lines = new ArrayList<>();
         for (Job job : completed) {
-            String starts = job.attempts == 0 ? "all started before this term" : String.format(
-                    "%d starts, first after %.1f s, last after %.1f s", job.attempts,
-                    Micros.toSeconds(job.firstStartMicros - job.readyMicros),
-                    Micros.toSeconds(job.lastStartMicros - job.readyMicros));
-            lines.add(String.format("%s (%s) done %.1f s after its submission, %.1f s after it was ready: %d tasks, %s,"
-                    + " %.1f s expected", job.id(), job.spec.jobClass(),
-                    Micros.toSeconds(nowMicros - job.submittedMicros), Micros.toSeconds(nowMicros - job.readyMicros),
-                    job.spec.tasks(), starts, Micros.toSeconds(runTimes.expected(job))));
+            String starts = job.attempts == 0
+                    ? "all started before this term"
+                    : String.format(
+                            "%d starts, first after %.1f s, last after %.1f s",
+                            job.attempts,
+                            Micros.toSeconds(job.firstStartMicros - job.readyMicros),
+                            Micros.toSeconds(job.lastStartMicros - job.readyMicros));
+            lines.add(String.format(
+                    "%s (%s) done %.1f s after its submission, %.1f s after it was ready: %d tasks, %s,"
+                            + " %.1f s expected",
+                    job.id(),
+                    job.spec.jobClass(),
+                    Micros.toSeconds(nowMicros - job.submittedMicros),
+                    Micros.toSeconds(nowMicros - job.readyMicros),
+                    job.spec.tasks(),
+                    starts,
+                    Micros.toSeconds(runTimes.expected(job))));
         }
         completed.clear();
         return lines;
@@ -1130,9 +1174,12 @@
             waiting += job.waiting();
             unsettled += job.unsettled() ? 1 : 0;
         }
-        return "jobs=" + book.jobs().size() + " awaiting=" + pipelines.size() + " waiting=" + waiting + " unsettled=" + unsettled + " machines="
+        return "jobs=" + book.jobs().size() + " awaiting=" + pipelines.size() + " waiting=" + waiting + " unsettled="
+                + unsettled + " machines="
                 + fleet.machines().size() + " confirmed=" + confirmed + " usable=" + usable + " cpus="
                 + used.cpus() / 1000 + "/" + size.cpus() / 1000 + " running=" + running / 1000 + " spot="
-                + spotCpus / 1000 + " booting=" + booting + " replicas=" + replicas + " serving=" + serving + " displaced=" + planner.displaced() + " slow=" + slowFound + " suspect=" + suspect + " full=" + full + " bookings=" + rentals.bookings.size();
+                + spotCpus / 1000 + " booting=" + booting + " replicas=" + replicas + " serving=" + serving
+                + " displaced=" + planner.displaced() + " slow=" + slowFound + " suspect=" + suspect + " full=" + full
+                + " bookings=" + rentals.bookings.size();
     }
 }
--- a/src/main/java/io/micatide/core/Settings.java
+++ b/src/main/java/io/micatide/core/Settings.java
@@ -12,18 +12,37 @@
  * @param transactionOps the smaller of both as well, as are the rates
  */
 public record Settings(
-        String label, String zone, String bind, String peerBind, List<Sibling> siblings, String cloud, String state,
-        List<String> zones, long clockOffMicros, Map<String, Team> teams, List<Objective> objectives,
-        long reportMicros, long leaseMicros, long gangWaitMicros, long gangPeerMicros, long cancelMicros,
-        double stateRate, double writeRate, int valueBytes, int writableBytes, int transactionOps,
-        double cloudRate, long listLagMicros, double cores, double memoryMb, int maxConnections) {
+        String label,
+        String zone,
+        String bind,
+        String peerBind,
+        List<Sibling> siblings,
+        String cloud,
+        String state,
+        List<String> zones,
+        long clockOffMicros,
+        Map<String, Team> teams,
+        List<Objective> objectives,
+        long reportMicros,
+        long leaseMicros,
+        long gangWaitMicros,
+        long gangPeerMicros,
+        long cancelMicros,
+        double stateRate,
+        double writeRate,
+        int valueBytes,
+        int writableBytes,
+        int transactionOps,
+        double cloudRate,
+        long listLagMicros,
+        double cores,
+        double memoryMb,
+        int maxConnections) {
 
-    public record Sibling(String label, String zone, String endpoint) {
-    }
+    public record Sibling(String label, String zone, String endpoint) {}
 
     /** An aim on starting or finishing; {@code withinMicros} is -1 where the deadline is the job's own. */
-    public record Objective(String kind, String jobClass, long withinMicros, double share) {
-    }
+    public record Objective(String kind, String jobClass, long withinMicros, double share) {}
 
     /** The layout that this version reads; the first that is marked is 2. */
     public static final int LAYOUT = 3;
--- a/src/main/java/io/micatide/core/StoreKeys.java
+++ b/src/main/java/io/micatide/core/StoreKeys.java
@@ -40,8 +40,7 @@
     /** Rentals under way; written by the leader alone. */
     public static final String BOOKINGS = "booking/";
 
-    private StoreKeys() {
-    }
+    private StoreKeys() {}
 
     public static String job(String id) {
         return JOBS + id;
--- a/src/main/java/io/micatide/core/TaskState.java
+++ b/src/main/java/io/micatide/core/TaskState.java
@@ -1,4 +1,10 @@
 package io.micatide.core;
 
 /** What a worker says of a task. */
-public enum TaskState { FETCHING, WAITING, RUNNING, SAVING, EXITED }
+public enum TaskState {
+    FETCHING,
+    WAITING,
+    RUNNING,
+    SAVING,
+    EXITED
+}
--- a/src/main/java/io/micatide/core/Testimony.java
+++ b/src/main/java/io/micatide/core/Testimony.java
@@ -13,6 +13,5 @@
  */
 public record Testimony(String label, long livedMicros, boolean whole, List<Cancelled> cancelled) {
     /** A job whose row says at this version that it is cancelled. */
-    public record Cancelled(String job, long version) {
-    }
+    public record Cancelled(String job, long version) {}
 }
--- a/src/main/java/io/micatide/core/Tuning.java
+++ b/src/main/java/io/micatide/core/Tuning.java
@@ -11,7 +11,13 @@
  * @param rollout whether this controller, when it leads, moves changes of the stored state forward; every controller registers in any case
  * @param description whether the description of the users' interface is served
  */
-public record Tuning(long leaderLeaseMicros, long idleMicros, boolean history, int historyBatch, boolean standby, boolean description,
+public record Tuning(
+        long leaderLeaseMicros,
+        long idleMicros,
+        boolean history,
+        int historyBatch,
+        boolean standby,
+        boolean description,
         boolean rollout) {
     /**
      * Bursts come half a minute apart and a machine takes as long to boot: on 24 days of six deployments 35 s were worth 0.015
--- a/src/main/java/io/micatide/core/WorkerReach.java
+++ b/src/main/java/io/micatide/core/WorkerReach.java
@@ -12,6 +12,7 @@
 public final class WorkerReach {
     /** So many workers that left the leader within {@link #RECENT_MICROS} show that it is not they who are cut off. */
     private static final int MANY_STRAYS = 3;
+
     private static final long RECENT_MICROS = 2 * Micros.SECOND;
     /** A worker that was sent to the leader is there by then, and one that could not reach it is back later. */
     private static final long ARRIVES_MICROS = 2 * Micros.SECOND;
@@ -19,8 +20,7 @@
     /** A leader that never heard a worker most likely has none, and stops asking for them. */
     private static final long WORRIED_MICROS = 30 * Micros.SECOND;
 
-    private record Sent(long token, long atMicros, long session, long sequence) {
-    }
+    private record Sent(long token, long atMicros, long session, long sequence) {}
 
     private final long silenceMicros;
     private final long startedMicros;
@@ -36,7 +36,8 @@
 
     public WorkerReach(Settings settings, long nowMicros) {
         startedMicros = nowMicros;
-        // Reports are up to a quarter late; a fleet of any size is never silent for longer than one of them and a pause.
+        // Reports are up to a quarter late; a fleet of any size is never silent for longer than one of them and a
+        // pause.
         silenceMicros = settings.reportMicros() * 5 / 4 + Micros.SECOND;
     }
 
@@ -55,8 +56,8 @@
             return;
         }
         cameMicros = nowMicros;
-        boolean back = before != null && before.token() == leaderToken
-                && nowMicros - before.atMicros() > ARRIVES_MICROS;
+        boolean back =
+                before != null && before.token() == leaderToken && nowMicros - before.atMicros() > ARRIVES_MICROS;
         if (leaderToken > 0 && (seen == leaderToken || back)) {
             lastStrayMicros = nowMicros;
             strays.put(machine, nowMicros);
@@ -81,8 +82,10 @@
      */
     public boolean leaderLost(long nowMicros) {
         strays.values().removeIf(at -> nowMicros - at > RECENT_MICROS);
-        return strays.size() >= MANY_STRAYS || !strays.isEmpty() && nowMicros - newsMicros < RECENT_MICROS
-                && nowMicros - leaderSilentSinceMicros > silenceMicros;
+        return strays.size() >= MANY_STRAYS
+                || !strays.isEmpty()
+                        && nowMicros - newsMicros < RECENT_MICROS
+                        && nowMicros - leaderSilentSinceMicros > silenceMicros;
     }
 
     /** How long ago a worker that had lost the leader came here, or -1 if that is too long ago to matter. */
@@ -145,7 +148,9 @@
      * anybody claim while the state service is away: the cut may be over before that.
      */
     public boolean givesUp(boolean stateServed, long nowMicros) {
-        return stateServed && silentMicros(nowMicros) > silenceMicros && strayedElsewhereMicros > heardMicros
+        return stateServed
+                && silentMicros(nowMicros) > silenceMicros
+                && strayedElsewhereMicros > heardMicros
                 && nowMicros - strayedElsewhereMicros < RECENT_MICROS;
     }
 }
--- a/src/main/java/io/micatide/history/Archived.java
+++ b/src/main/java/io/micatide/history/Archived.java
@@ -3,5 +3,4 @@
 import io.micatide.core.Outcome;
 
 /** A job in a segment. */
-public record Archived(String id, Outcome outcome) {
-}
+public record Archived(String id, Outcome outcome) {}
--- a/src/main/java/io/micatide/history/Archivist.java
+++ b/src/main/java/io/micatide/history/Archivist.java
@@ -27,24 +27,19 @@
  */
 public class Archivist {
     /** What the archivist wants done next. */
-    public sealed interface Step {
-    }
+    public sealed interface Step {}
 
     /** Answered by {@link #segment} or {@link #damaged}. */
-    public record ReadSegment(String key) implements Step {
-    }
+    public record ReadSegment(String key) implements Step {}
 
     /** The first key of the archive after this one; answered by {@link #listed}. */
-    public record FindAfter(String key) implements Step {
-    }
+    public record FindAfter(String key) implements Step {}
 
     /** Answered by {@link #manifestRead}. */
-    public record ReadManifest() implements Step {
-    }
+    public record ReadManifest() implements Step {}
 
     /** Answered by {@link #written}, {@link #conflict}, {@link #repeat} or {@link #refused}. */
-    public record Write(Transaction transaction) implements Step {
-    }
+    public record Write(Transaction transaction) implements Step {}
 
     /**
      * A job whose row is final, of which no task can run and which no open job needs, as a copy of the rows shows it.
@@ -52,22 +47,24 @@
      * @param outcome null of a row that a late write of a former version brought back: the job is archived, the row just goes
      * @param furtherRows how many rows of names belong to it
      */
-    public record Ended(String id, long version, Outcome outcome, int furtherRows) {
-    }
+    public record Ended(String id, long version, Outcome outcome, int furtherRows) {}
 
     /** Makes a term's archivist; a rehearsal may plant a fault in one. */
     @FunctionalInterface
     public interface Maker {
-        Archivist make(long token, int valueBytes, int changes, int worthARun, Row.History manifest, long manifestVersion);
+        Archivist make(
+                long token, int valueBytes, int changes, int worthARun, Row.History manifest, long manifestVersion);
     }
 
     /** What one run takes of rows at most: as much as a small heap holds easily. */
     private static final int MOST_ROWS = 4_096;
     /** So many runs of like size become one; a size is this many times the one below. */
     private static final int FAN = 4;
+
     private static final int MOST_MERGED = 8;
     /** What a value takes besides the packed bytes, which base64 makes longer by a third. */
     private static final int FRAME_BYTES = 96;
+
     private static final int MANIFEST_BYTES = 160;
     private static final int MANIFEST_RUN_BYTES = 48;
     private static final int MOST_SEGMENT_BYTES = 16 * 1024;
@@ -101,6 +98,7 @@
     private final Deque<String> leftovers = new ArrayDeque<>();
     /** Rows that this leader has archived, with the manifest's version then. */
     private final Map<String, Long> archived = new HashMap<>();
+
     private final Map<String, Ended> removable = new LinkedHashMap<>();
     private List<Ended> offered = List.of();
     private boolean worthIt;
@@ -143,7 +141,8 @@
      * @param changes what a transaction may change
      * @param worthARun how many rows are worth a run, which takes two writes
      */
-    public Archivist(long token, int valueBytes, int changes, int worthARun, Row.History manifest, long manifestVersion) {
+    public Archivist(
+            long token, int valueBytes, int changes, int worthARun, Row.History manifest, long manifestVersion) {
         this.token = token;
         this.worthARun = worthARun;
         this.segmentBytes = Math.min(valueBytes, MOST_SEGMENT_BYTES);
@@ -259,7 +258,9 @@
     private void begin() {
         if (worthIt && !offered.isEmpty()) {
             List<Ended> rows = offered.subList(0, Math.min(offered.size(), MOST_ROWS));
-            List<Archived> jobs = rows.stream().map(each -> new Archived(each.id(), each.outcome())).toList();
+            List<Archived> jobs = rows.stream()
+                    .map(each -> new Archived(each.id(), each.outcome()))
+                    .toList();
             int segments = 1;
             while (!fits(jobs, segments)) {
                 segments = more(segments);
@@ -270,8 +271,13 @@
         }
         List<Row.Run> merged = mergeable();
         if (!merged.isEmpty()) {
-            start(segments(merged.stream().mapToLong(Row.Run::jobs).sum(), merged.stream().mapToLong(Row.Run::bytes).sum()),
-                    merged, List.of(), List.of());
+            start(
+                    segments(
+                            merged.stream().mapToLong(Row.Run::jobs).sum(),
+                            merged.stream().mapToLong(Row.Run::bytes).sum()),
+                    merged,
+                    List.of(),
+                    List.of());
         }
     }
 
@@ -291,7 +297,8 @@
     }
 
     private void start(int segments, List<Row.Run> merged, List<Ended> rows, List<Archived> jobs) {
-        String name = Long.toString(token, Character.MAX_RADIX) + "-" + Integer.toString(++runsBegun, Character.MAX_RADIX);
+        String name =
+                Long.toString(token, Character.MAX_RADIX) + "-" + Integer.toString(++runsBegun, Character.MAX_RADIX);
         build = new Build(name, segments, merged, rows, new Merge(spread, segments, merged, jobs));
     }
 
@@ -341,9 +348,11 @@
 
     private Step buildOn(int most) {
         if (build.next == build.segments) {
-            return most < 1 ? null : new Write(new Transaction(
-                    List.of(leads(), new Transaction.Compare(StoreKeys.HISTORY, manifestVersion)),
-                    List.of(new Transaction.Write(StoreKeys.HISTORY, named(), 0))));
+            return most < 1
+                    ? null
+                    : new Write(new Transaction(
+                            List.of(leads(), new Transaction.Compare(StoreKeys.HISTORY, manifestVersion)),
+                            List.of(new Transaction.Write(StoreKeys.HISTORY, named(), 0))));
         }
         if (build.packed == null) {
             String unread = build.content.unread(build.next);
@@ -358,10 +367,16 @@
                 return buildOn(most);
             }
         }
-        // By the manifest too: a try without an answer that arrives after its run was named, merged and removed would bring it back.
-        return most < 1 ? null : new Write(new Transaction(
-                List.of(leads(), new Transaction.Compare(StoreKeys.HISTORY, manifestVersion), new Transaction.Compare(build.key(), 0)),
-                List.of(new Transaction.Write(build.key(), build.packed, 0))));
+        // By the manifest too: a try without an answer that arrives after its run was named, merged and removed would
+        // bring it back.
+        return most < 1
+                ? null
+                : new Write(new Transaction(
+                        List.of(
+                                leads(),
+                                new Transaction.Compare(StoreKeys.HISTORY, manifestVersion),
+                                new Transaction.Compare(build.key(), 0)),
+                        List.of(new Transaction.Write(build.key(), build.packed, 0))));
     }
 
     /** The manifest with the run that was built and without those that went into it. */
@@ -369,15 +384,20 @@
         List<Row.Run> runs = new ArrayList<>(manifest.runs());
         runs.removeAll(build.merged);
         runs.add(build.run());
-        return new Row.History(manifest.sinceVersion() == 0 ? manifestVersion : manifest.sinceVersion(),
-                manifest.saltA(), manifest.saltB(), List.copyOf(runs));
+        return new Row.History(
+                manifest.sinceVersion() == 0 ? manifestVersion : manifest.sinceVersion(),
+                manifest.saltA(),
+                manifest.saltB(),
+                List.copyOf(runs));
     }
 
     /** Starts the run over in more segments; what was written of it goes. */
     private void again(int segments) {
         Build before = build;
         abandon();
-        List<Archived> jobs = before.rows.stream().map(each -> new Archived(each.id(), each.outcome())).toList();
+        List<Archived> jobs = before.rows.stream()
+                .map(each -> new Archived(each.id(), each.outcome()))
+                .toList();
         start(segments, before.merged, before.rows, jobs);
     }
 
--- a/src/main/java/io/micatide/history/Filters.java
+++ b/src/main/java/io/micatide/history/Filters.java
@@ -18,12 +18,14 @@
 public final class Filters {
     /** One question in a hundred about an id that a run does not hold costs a read: 9.6 bits a job. */
     private static final double MISTAKEN = 0.01;
+
     private static final int BITS_A_JOB = 10;
 
     private final long mostBytes;
     private final Map<String, Filter> byRun = new HashMap<>();
     /** Runs with a segment that could not be read: looking there says what is wrong. */
     private final Set<String> unreadable = new HashSet<>();
+
     private Row.History manifest;
     private Spread spread;
 
@@ -62,8 +64,10 @@
     /** The segments that may hold an id by the present manifest; empty: it is certainly not archived. */
     public List<String> candidates(String id) {
         long hash = spread.hash(id);
-        return manifest.runs().stream().filter(run -> mayHold(run, hash))
-                .map(run -> StoreKeys.segment(run.name(), Spread.segment(hash, run.segments()))).toList();
+        return manifest.runs().stream()
+                .filter(run -> mayHold(run, hash))
+                .map(run -> StoreKeys.segment(run.name(), Spread.segment(hash, run.segments())))
+                .toList();
     }
 
     private boolean mayHold(Row.Run run, long hash) {
@@ -87,7 +91,8 @@
             if (filter != null) {
                 used += bytes(run);
             }
-            if ((filter == null || !filter.whole()) && !unreadable.contains(run.name())
+            if ((filter == null || !filter.whole())
+                    && !unreadable.contains(run.name())
                     && (next == null || run.jobs() < next.jobs())) {
                 next = run;
             }
--- a/src/main/java/io/micatide/history/Merge.java
+++ b/src/main/java/io/micatide/history/Merge.java
@@ -37,7 +37,8 @@
     /** The segment to be read before segment {@code number} of the new run can be told, or null if there is none. */
     String unread(int number) {
         for (Source source : sources) {
-            if (source.run != null && source.read < source.run.segments()
+            if (source.run != null
+                    && source.read < source.run.segments()
                     && Spread.startsBeforeEnd(source.read, source.run.segments(), number, segments)) {
                 return StoreKeys.segment(source.run.name(), source.read);
             }
@@ -47,7 +48,8 @@
 
     void read(String key, List<Archived> jobs) {
         for (Source source : sources) {
-            if (source.run != null && source.read < source.run.segments()
+            if (source.run != null
+                    && source.read < source.run.segments()
                     && key.equals(StoreKeys.segment(source.run.name(), source.read))) {
                 source.read++;
                 source.held.addAll(jobs);
--- a/src/main/java/io/micatide/history/Segments.java
+++ b/src/main/java/io/micatide/history/Segments.java
@@ -22,6 +22,7 @@
     private static final int DIGEST_BYTES = 16;
     /** What unpacking may give at most; a value of 64 KiB cannot hold more in this format but by damage. */
     private static final int MOST_UNPACKED = 8 << 20;
+
     private static final int OUTCOME_BITS = 2;
     private static final int DONE = 0;
     private static final int CANCELLED = 1;
@@ -30,8 +31,7 @@
     private static final int LOW_SEVEN = 0x7f;
     private static final int MORE = 0x80;
 
-    private Segments() {
-    }
+    private Segments() {}
 
     /** The value to store under {@code key}; {@code jobs} in the order of their ids, each once. */
     public static Row.Segment pack(String key, List<Archived> jobs) {
@@ -85,8 +85,12 @@
         for (String each : ids) {
             int number = in.number();
             int kind = number & (1 << OUTCOME_BITS) - 1;
-            jobs.add(new Archived(each, new Outcome(kind == DONE ? JobState.DONE : JobState.CANCELLED,
-                    kind == CANCELLED_SERVICE, number >>> OUTCOME_BITS)));
+            jobs.add(new Archived(
+                    each,
+                    new Outcome(
+                            kind == DONE ? JobState.DONE : JobState.CANCELLED,
+                            kind == CANCELLED_SERVICE,
+                            number >>> OUTCOME_BITS)));
         }
         return jobs;
     }
@@ -107,7 +111,11 @@
 
     private static String digest(String key, byte[] packed) {
         byte[] sum = new byte[DIGEST_BYTES];
-        Blake3.initHash().update(key.getBytes(StandardCharsets.UTF_8)).update(new byte[1]).update(packed).doFinalize(sum);
+        Blake3.initHash()
+                .update(key.getBytes(StandardCharsets.UTF_8))
+                .update(new byte[1])
+                .update(packed)
+                .doFinalize(sum);
         return Hex.encodeHexString(sum);
     }
 
--- a/src/main/java/io/micatide/net/Http.java
+++ b/src/main/java/io/micatide/net/Http.java
@@ -18,8 +18,7 @@
     void delete(String path, long timeoutMicros, Consumer<Reply> then);
 
     /** Gives back what is kept open for the next request; nothing more is asked. */
-    default void close() {
-    }
+    default void close() {}
 
     /** How a process comes to its services and siblings. */
     @FunctionalInterface
--- a/src/main/java/io/micatide/net/HttpClient.java
+++ b/src/main/java/io/micatide/net/HttpClient.java
@@ -46,8 +46,8 @@
         int colon = endpoint.lastIndexOf(':');
         this.loop = loop;
         this.host = endpoint;
-        this.address = new InetSocketAddress(endpoint.substring(0, colon),
-                Integer.parseInt(endpoint.substring(colon + 1)));
+        this.address =
+                new InetSocketAddress(endpoint.substring(0, colon), Integer.parseInt(endpoint.substring(colon + 1)));
         this.mostConnections = mostConnections;
     }
 
@@ -132,16 +132,19 @@
     private void connect() {
         connections++;
         Connection connection = new Connection();
-        ChannelFuture future = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        ChannelFuture future = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 2_000)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST_RESPONSE),
-                                connection);
+                        channel.pipeline()
+                                .addLast(new HttpClientCodec(), new HttpObjectAggregator(MOST_RESPONSE), connection);
                     }
-                }).connect(address);
+                })
+                .connect(address);
         connection.channel = future.channel();
         future.addListener(done -> {
             if (!done.isSuccess()) {
--- a/src/main/java/io/micatide/net/HttpServer.java
+++ b/src/main/java/io/micatide/net/HttpServer.java
@@ -45,7 +45,9 @@
 
     public ChannelFuture bind(EventLoop loop, String endpoint) {
         int colon = endpoint.lastIndexOf(':');
-        return new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        return new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, 256)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -54,8 +56,9 @@
                     protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(new HttpServerCodec(), new Aggregator(), new Connection());
                     }
-                }).bind(new InetSocketAddress(endpoint.substring(0, colon),
-                        Integer.parseInt(endpoint.substring(colon + 1))));
+                })
+                .bind(new InetSocketAddress(
+                        endpoint.substring(0, colon), Integer.parseInt(endpoint.substring(colon + 1))));
     }
 
     private static final class Exchange implements Request {
@@ -99,8 +102,8 @@
         }
 
         private void answer(int status, byte[] json, int retryAfterSeconds, boolean keep) {
-            DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                    HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(json));
+            DefaultFullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(json));
             response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
             response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, json.length);
             if (retryAfterSeconds > 0) {
@@ -126,8 +129,8 @@
         protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
             byte[] json = "{\"error\":\"is larger than 64 KiB\",\"field\":\"body\"}"
                     .getBytes(java.nio.charset.StandardCharsets.UTF_8);
-            DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                    HttpResponseStatus.BAD_REQUEST, Unpooled.wrappedBuffer(json));
+            DefaultFullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.BAD_REQUEST, Unpooled.wrappedBuffer(json));
             response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, json.length);
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             context.writeAndFlush(response).addListener(done -> context.close());
@@ -148,7 +151,11 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
             boolean keep = HttpUtil.isKeepAlive(request) && connections < mostConnections;
-            handler.handle(new Exchange(context.channel(), keep, request.method().name(), request.uri(),
+            handler.handle(new Exchange(
+                    context.channel(),
+                    keep,
+                    request.method().name(),
+                    request.uri(),
                     ByteBufUtil.getBytes(request.content())));
         }
 
--- a/src/main/java/io/micatide/net/StateClient.java
+++ b/src/main/java/io/micatide/net/StateClient.java
@@ -51,8 +51,10 @@
 
     public void list(String prefix, String after, Consumer<Reply> then) {
         if (!over(then)) {
-            http.get("/store?starts=" + prefix + (after == null ? "" : "&from=" + after) + "&most=500",
-                    3 * Http.PATIENCE_MICROS, noting(then));
+            http.get(
+                    "/store?starts=" + prefix + (after == null ? "" : "&from=" + after) + "&most=500",
+                    3 * Http.PATIENCE_MICROS,
+                    noting(then));
         }
     }
 
@@ -72,8 +74,10 @@
 
     public void watch(String prefix, long since, long waitMicros, Consumer<Reply> then) {
         if (!over(then)) {
-            watches.get("/changes?starts=" + prefix + "&from=" + since + "&waitMs=" + waitMicros / Micros.MILLISECOND,
-                    waitMicros + 2 * Micros.SECOND, then);
+            watches.get(
+                    "/changes?starts=" + prefix + "&from=" + since + "&waitMs=" + waitMicros / Micros.MILLISECOND,
+                    waitMicros + 2 * Micros.SECOND,
+                    then);
         }
     }
 
--- a/src/main/java/io/micatide/node/Accepted.java
+++ b/src/main/java/io/micatide/node/Accepted.java
@@ -18,7 +18,8 @@
 
     @Override
     public void inCopy() {
-        request.answer(200, JobCodec.accepted(id, owner.standing(owner.directory().get(id))));
+        request.answer(
+                200, JobCodec.accepted(id, owner.standing(owner.directory().get(id))));
     }
 
     @Override
--- a/src/main/java/io/micatide/node/Archiving.java
+++ b/src/main/java/io/micatide/node/Archiving.java
@@ -79,7 +79,8 @@
             return;
         }
         List<Archivist.Ended> settled = message.ended().stream()
-                .filter(each -> each.outcome() == null || scheduler.settled(each.id())).toList();
+                .filter(each -> each.outcome() == null || scheduler.settled(each.id()))
+                .toList();
         long now = owner.now();
         boolean anyway = now - fewSinceMicros >= FEW_MICROS;
         if (anyway || settled.isEmpty() || settled.size() >= tuning.historyBatch()) {
