--- a/src/main/java/io/micatide/node/ArchivistActor.java
+++ b/src/main/java/io/micatide/node/ArchivistActor.java
@@ -20,26 +20,20 @@
  * a term: what is answered after it is dropped.
  */
 final class ArchivistActor extends Actor<ArchivistActor.Message> {
-    sealed interface Message {
-    }
+    sealed interface Message {}
 
     /** A term whose leader keeps the archive begins, or the archive itself does. */
-    record Begin(long token, Row.History manifest, long version) implements Message {
-    }
+    record Begin(long token, Row.History manifest, long version) implements Message {}
 
-    record End() implements Message {
-    }
+    record End() implements Message {}
 
     /** What may be archived, by a copy that had this manifest. */
-    record Offer(long token, List<Archivist.Ended> ended, long copyOfVersion, boolean anyway) implements Message {
-    }
+    record Offer(long token, List<Archivist.Ended> ended, long copyOfVersion, boolean anyway) implements Message {}
 
     /** So many changes are left over now. */
-    record Spare(long token, int writes) implements Message {
-    }
+    record Spare(long token, int writes) implements Message {}
 
-    record Answered(Reply reply, long token, Archivist.Step step) implements Message {
-    }
+    record Answered(Reply reply, long token, Archivist.Step step) implements Message {}
 
     /** After a step that failed, so that an outage is not asked all the time. */
     private static final long PAUSE_MICROS = Micros.SECOND;
@@ -53,8 +47,8 @@
     private Archivist archivist;
     private long resumesMicros;
 
-    ArchivistActor(Loop loop, Settings settings, int worthARun, Archivist.Maker maker, StateClient state,
-            LeaderActor leader) {
+    ArchivistActor(
+            Loop loop, Settings settings, int worthARun, Archivist.Maker maker, StateClient state, LeaderActor leader) {
         super(loop);
         this.settings = settings;
         this.worthARun = worthARun;
@@ -67,8 +61,8 @@
     protected void receive(Message message) {
         if (message instanceof Begin m) {
             token = m.token();
-            archivist = maker.make(token, settings.writableBytes(), settings.transactionOps(), worthARun, m.manifest(),
-                    m.version());
+            archivist = maker.make(
+                    token, settings.writableBytes(), settings.transactionOps(), worthARun, m.manifest(), m.version());
         } else if (message instanceof End) {
             token = 0;
             archivist = null;
@@ -92,7 +86,8 @@
         }
         Archivist.Step step = archivist.next(writes);
         if (step instanceof Archivist.Write write) {
-            leader.tell(new TermMessage.Spent(token, write.transaction().writes().size()));
+            leader.tell(
+                    new TermMessage.Spent(token, write.transaction().writes().size()));
             state.transaction(write.transaction(), then(step));
         } else if (step instanceof Archivist.ReadSegment read) {
             state.read(read.key(), then(step));
@@ -141,8 +136,10 @@
                 archivist.conflict(failed);
             }
         } else {
-            log.warn("the state service takes no such change of the archive: {}; first of {}: {}",
-                    new String(reply.body(), StandardCharsets.UTF_8), transaction.writes().size(),
+            log.warn(
+                    "the state service takes no such change of the archive: {}; first of {}: {}",
+                    new String(reply.body(), StandardCharsets.UTF_8),
+                    transaction.writes().size(),
                     transaction.writes().get(0).key());
             if (!archivist.refused()) {
                 resumesMicros = now() + 10 * PAUSE_MICROS;
@@ -153,7 +150,8 @@
     private void segment(String key, Reply reply) {
         try {
             if (reply.ok()) {
-                archivist.segment(key, Segments.unpack(key, (Row.Segment) StateCodec.item(reply.body()).row()));
+                archivist.segment(key, Segments.unpack(key, (Row.Segment)
+                        StateCodec.item(reply.body()).row()));
                 return;
             }
             log.error("archive: {} is missing", key);
--- a/src/main/java/io/micatide/node/Build.java
+++ b/src/main/java/io/micatide/node/Build.java
@@ -6,8 +6,7 @@
 
 /** The version of this program, as the build wrote it. */
 final class Build {
-    private Build() {
-    }
+    private Build() {}
 
     static String name() {
         try (InputStream in = Build.class.getResourceAsStream("/micatide-version.txt")) {
--- a/src/main/java/io/micatide/node/Cancellations.java
+++ b/src/main/java/io/micatide/node/Cancellations.java
@@ -48,17 +48,19 @@
         }
         JobDirectory.Entry entry = directory.get(id);
         if (entry == null || tries > 0 && !directory.state(id).isFinal()) {
-            rows.whenFresh(request, () -> owner.locate(request, id, 0, new Accepted(owner, request, id) {
-                @Override
-                public void inCopy() {
-                    tryCancel(request, id, tries);
-                }
+            rows.whenFresh(
+                    request,
+                    () -> owner.locate(request, id, 0, new Accepted(owner, request, id) {
+                        @Override
+                        public void inCopy() {
+                            tryCancel(request, id, tries);
+                        }
 
-                @Override
-                public void nowhere() {
-                    request.answer(404, UsersActor.NO_SUCH_JOB);
-                }
-            }));
+                        @Override
+                        public void nowhere() {
+                            request.answer(404, UsersActor.NO_SUCH_JOB);
+                        }
+                    }));
         } else {
             tryCancel(request, id, tries);
         }
@@ -71,7 +73,8 @@
             return;
         }
         Row.JobRow row = cancelledRow(entry);
-        Transaction put = new Transaction(List.of(new Transaction.Compare(StoreKeys.job(id), entry.version())),
+        Transaction put = new Transaction(
+                List.of(new Transaction.Compare(StoreKeys.job(id), entry.version())),
                 List.of(new Transaction.Write(StoreKeys.job(id), row, 0)));
         state.transaction(put, owner.answer(r -> new UsersActor.Cancelled(r, request, row, id, tries)));
     }
@@ -83,9 +86,11 @@
     private Row.JobRow cancelledRow(JobDirectory.Entry entry) {
         Row.JobRow open = entry.row();
         boolean checked = directory.history() != null;
-        Row.JobRow whole = new Row.JobRow(JobState.CANCELLED, open.spec().withNeeds(List.of()), open.submittedWall(),
-                open.tasks()).asChecked(checked);
-        return StateCodec.size(whole) <= settings.writableBytes() ? whole
+        Row.JobRow whole = new Row.JobRow(
+                        JobState.CANCELLED, open.spec().withNeeds(List.of()), open.submittedWall(), open.tasks())
+                .asChecked(checked);
+        return StateCodec.size(whole) <= settings.writableBytes()
+                ? whole
                 : new Row.JobRow(JobState.CANCELLED, open.spec().essentials(), open.submittedWall(), open.tasks())
                         .asChecked(checked);
     }
--- a/src/main/java/io/micatide/node/Claims.java
+++ b/src/main/java/io/micatide/node/Claims.java
@@ -65,7 +65,10 @@
     void advance(long now, long waitsMicros) {
         if (!watching && leadership.leader() != null) {
             watching = true;
-            state.watch(StoreKeys.LEADER, Math.max(leadership.rowVersion(), watchFrom), WATCH_MICROS,
+            state.watch(
+                    StoreKeys.LEADER,
+                    Math.max(leadership.rowVersion(), watchFrom),
+                    WATCH_MICROS,
                     owner.answer(LeaderActor.Watched::new));
         }
         // Whoever does not know what is stored leads nobody, and while that is not read nobody knows.
@@ -77,13 +80,12 @@
                 Row row = new Row.Leader(label);
                 List<Transaction.Compare> conditions = new ArrayList<>(rollout.claimConditions());
                 conditions.add(new Transaction.Compare(StoreKeys.LEADER, leadership.rowVersion()));
-                state.transaction(new Transaction(
-                        conditions,
-                        List.of(new Transaction.Write(StoreKeys.LEADER, row, leadership.lease()))),
+                state.transaction(
+                        new Transaction(
+                                conditions, List.of(new Transaction.Write(StoreKeys.LEADER, row, leadership.lease()))),
                         owner.answer(LeaderActor.Claimed::new));
             }
-            case NOTHING -> {
-            }
+            case NOTHING -> {}
         }
     }
 
@@ -163,7 +165,8 @@
             StateCodec.Items changes = StateCodec.changes(reply.body());
             for (StateCodec.Item item : changes.items()) {
                 if (item.version() >= leadership.rowVersion()) {
-                    leadership.row(item.row() instanceof Row.Leader row ? row.owner() : null,
+                    leadership.row(
+                            item.row() instanceof Row.Leader row ? row.owner() : null,
                             item.row() == null ? 0 : item.version());
                 }
             }
--- a/src/main/java/io/micatide/node/Clock.java
+++ b/src/main/java/io/micatide/node/Clock.java
@@ -6,8 +6,7 @@
 public final class Clock {
     private static final long START = System.nanoTime();
 
-    private Clock() {
-    }
+    private Clock() {}
 
     /** Whole microseconds since the start; never 0. */
     public static long now() {
--- a/src/main/java/io/micatide/node/CloudDesk.java
+++ b/src/main/java/io/micatide/node/CloudDesk.java
@@ -89,8 +89,10 @@
         if (!types.equals(storedTypes)) {
             storedTypes = types;
             long token = scheduler.token();
-            state.transaction(new Transaction(List.of(new Transaction.Compare(StoreKeys.LEADER, token)),
-                    List.of(new Transaction.Write(StoreKeys.TYPES, new Row.Types(types), 0))),
+            state.transaction(
+                    new Transaction(
+                            List.of(new Transaction.Compare(StoreKeys.LEADER, token)),
+                            List.of(new Transaction.Write(StoreKeys.TYPES, new Row.Types(types), 0))),
                     owner.answer(r -> new TermMessage.TypesStored(r, token)));
         }
     }
@@ -109,8 +111,10 @@
                 CloudCodec.Page page = CloudCodec.page(message.reply().body());
                 machines.addAll(page.machines());
                 if (page.more() && !page.machines().isEmpty()) {
-                    cloud.list(machines.get(machines.size() - 1).name(), owner.answer(
-                            r -> new TermMessage.ListRead(r, message.token(), message.askedMicros(), machines)));
+                    cloud.list(
+                            machines.get(machines.size() - 1).name(),
+                            owner.answer(r ->
+                                    new TermMessage.ListRead(r, message.token(), message.askedMicros(), machines)));
                 } else {
                     scheduler.listed(machines, message.askedMicros(), now);
                 }
--- a/src/main/java/io/micatide/node/Controller.java
+++ b/src/main/java/io/micatide/node/Controller.java
@@ -8,9 +8,9 @@
 import io.micatide.net.Http;
 import io.micatide.net.Request;
 import io.micatide.net.StateClient;
-import io.micatide.wire.Description;
 import io.micatide.rollout.Abilities;
 import io.micatide.standby.Copy;
+import io.micatide.wire.Description;
 import io.micatide.wire.Json;
 import io.micatide.wire.StateCodec;
 import java.util.List;
@@ -34,7 +34,13 @@
     }
 
     /** With another copy for the standby too, and with what a version can do. */
-    public Controller(Settings settings, Tuning tuning, Loop loop, Http.Connector connector, Archivist.Maker maker, Copy.Maker copies,
+    public Controller(
+            Settings settings,
+            Tuning tuning,
+            Loop loop,
+            Http.Connector connector,
+            Archivist.Maker maker,
+            Copy.Maker copies,
             Abilities abilities) {
         StateClient state = new StateClient(settings, connector, loop::now);
         CloudClient cloud = new CloudClient(settings, connector, loop::now);
--- a/src/main/java/io/micatide/node/Following.java
+++ b/src/main/java/io/micatide/node/Following.java
@@ -29,6 +29,7 @@
     private final Claims claims;
     /** Null where the operator wants none. */
     private final StandbyActor standby;
+
     private final Succession succession;
     private final Heirs heirs;
     /** Of the present term. */
@@ -116,7 +117,11 @@
         } else if (reply.ok()) {
             try {
                 PeerCodec.Answer answer = PeerCodec.answer(reply.body());
-                succession.word(sibling, answer.warmth() == null ? Warmth.COLD : answer.warmth(), answer.strayedAgoMicros() >= 0, now);
+                succession.word(
+                        sibling,
+                        answer.warmth() == null ? Warmth.COLD : answer.warmth(),
+                        answer.strayedAgoMicros() >= 0,
+                        now);
             } catch (MalformedException e) {
                 LOG.error("sibling: {}", e.getMessage());
             }
--- a/src/main/java/io/micatide/node/Greeter.java
+++ b/src/main/java/io/micatide/node/Greeter.java
@@ -25,6 +25,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(LeaderActor.class);
     /** What a greeting with its connection takes of a core, and about as much as a report with all that follows from it. */
     private static final double CORE_SECONDS = 0.001;
+
     private static final double SHARE = 0.25;
     private static final int MOST_WAITING = 48;
     /** In a cut a connection hangs; the machine comes by itself, or not at all. */
@@ -76,7 +77,10 @@
     private void greet(Greeting greeting, Http worker) {
         waiting++;
         long token = scheduler.token();
-        worker.post("/commands", WorkerCodec.greeting(token, greeting.session()), PATIENCE_MICROS,
+        worker.post(
+                "/commands",
+                WorkerCodec.greeting(token, greeting.session()),
+                PATIENCE_MICROS,
                 owner.answer(r -> new TermMessage.Greeted(r, token, greeting, worker)));
     }
 
--- a/src/main/java/io/micatide/node/HandOver.java
+++ b/src/main/java/io/micatide/node/HandOver.java
@@ -10,10 +10,15 @@
     private static final long ROUND_MICROS = 300 * Micros.MILLISECOND;
     private static final long HEIR_MICROS = 350 * Micros.MILLISECOND;
 
-    private enum Step { ROUND, HEIR, OVER }
+    private enum Step {
+        ROUND,
+        HEIR,
+        OVER
+    }
 
     /** Null of a controller that does not lead. */
     private final Term term;
+
     private final String heir;
     private final Runnable tellHeir;
     private final Runnable giveBack;
--- a/src/main/java/io/micatide/node/HistoryReader.java
+++ b/src/main/java/io/micatide/node/HistoryReader.java
@@ -25,42 +25,32 @@
  * bounded. Nothing of it is loaded while there is no archive.
  */
 final class HistoryReader extends Actor<HistoryReader.Message> {
-    sealed interface Message {
-    }
+    sealed interface Message {}
 
     /** Questions from now on are about this manifest. */
-    record Manifest(Row.History manifest) implements Message {
-    }
+    record Manifest(Row.History manifest) implements Message {}
 
     /** Asks for a job by the last manifest told; {@code then} is called on the event loop, once. */
-    record Find(String id, Consumer<Found> then) implements Message {
-    }
+    record Find(String id, Consumer<Found> then) implements Message {}
 
-    record SegmentRead(Reply reply, String key) implements Message {
-    }
+    record SegmentRead(Reply reply, String key) implements Message {}
 
-    record FilterDue() implements Message {
-    }
+    record FilterDue() implements Message {}
 
     /** What is known of a job by the manifest that was current when it was asked for. */
-    sealed interface Found {
-    }
+    sealed interface Found {}
 
     /** It is over. */
-    record Archived(Outcome outcome) implements Found {
-    }
+    record Archived(Outcome outcome) implements Found {}
 
     /** The archive does not hold it. */
-    record Nowhere() implements Found {
-    }
+    record Nowhere() implements Found {}
 
     /** A segment is gone: runs were merged, and a fresh copy of the rows knows the manifest that says so. */
-    record Moved() implements Found {
-    }
+    record Moved() implements Found {}
 
     /** The state service does not answer, there is too much to read, or a segment is damaged. */
-    record Unavailable() implements Found {
-    }
+    record Unavailable() implements Found {}
 
     /** How a question goes on; several segments may hold an id by what the filters know. */
     private static final class Question {
@@ -79,6 +69,7 @@
     private static final int CACHED = 8_192;
     /** What all filters may take of the heap: 3 million jobs. */
     private static final long FILTER_BYTES = 4 << 20;
+
     private static final long FILTER_PAUSE_MICROS = 50 * Micros.MILLISECOND;
     private static final long RETRY_MICROS = Micros.SECOND;
 
@@ -112,7 +103,10 @@
     private void manifest(Row.History manifest) {
         if (filters == null) {
             filters = new Filters(FILTER_BYTES);
-            cache = CacheBuilder.newBuilder().maximumSize(CACHED).concurrencyLevel(1).build();
+            cache = CacheBuilder.newBuilder()
+                    .maximumSize(CACHED)
+                    .concurrencyLevel(1)
+                    .build();
             log.info("there is an archive of {} runs", manifest.runs().size());
         }
         filters.manifest(manifest);
--- a/src/main/java/io/micatide/node/JobRows.java
+++ b/src/main/java/io/micatide/node/JobRows.java
@@ -29,13 +29,13 @@
  */
 final class JobRows {
     /** What to do with a question once the copy is fresh. */
-    private record Question(Request request, Runnable fresh) {
-    }
+    private record Question(Request request, Runnable fresh) {}
 
     private static final Logger LOG = LoggerFactory.getLogger(UsersActor.class);
     private static final long DOUBTS_MICROS = Micros.SECOND;
     /** What one look at what may be archived gives at most. */
     private static final int MOST_ENDED = 5_000;
+
     private static final int MOST_WAITING = 400;
 
     private final UsersActor owner;
@@ -48,6 +48,7 @@
     private final Set<String> doubts = new HashSet<>();
     /** Is told of the switches, of each read and of cancellations, whether it leads or not. */
     private LeaderActor own;
+
     private LeaderActor leader;
     private boolean followPending;
     private long followMicros;
@@ -63,7 +64,8 @@
         this.history = history;
         this.directory = directory;
         // All controllers together take about a third of the requests for this.
-        this.refreshEveryMicros = Math.max(50 * Micros.MILLISECOND,
+        this.refreshEveryMicros = Math.max(
+                50 * Micros.MILLISECOND,
                 Math.round(settings.siblings().size() + 1) * Micros.ofSeconds(3 / settings.stateRate()));
     }
 
@@ -81,8 +83,10 @@
         leader = newLeader;
         followPending = true;
         followMicros = owner.now();
-        List<String> cancelled = directory.openAndCancelled().stream().filter(job -> job.state() == JobState.CANCELLED)
-                .map(JobDirectory.View::id).toList();
+        List<String> cancelled = directory.openAndCancelled().stream()
+                .filter(job -> job.state() == JobState.CANCELLED)
+                .map(JobDirectory.View::id)
+                .toList();
         leader.tell(new LeaderActor.CancelledKnown(cancelled));
         refresh();
     }
@@ -161,8 +165,10 @@
             apply(name, row, item.version());
         } else if (item.row() instanceof Row.Needs needs) {
             int slash = name.indexOf('/');
-            changed(directory.applyNeeds(name.substring(0, slash), Integer.parseInt(
-                    name.substring(name.lastIndexOf('/') + 1)), needs.names()));
+            changed(directory.applyNeeds(
+                    name.substring(0, slash),
+                    Integer.parseInt(name.substring(name.lastIndexOf('/') + 1)),
+                    needs.names()));
         } else if (item.row() instanceof Row.Layout layout) {
             layoutKnown(item.version(), layout);
         }
@@ -206,7 +212,8 @@
         }
         long now = owner.now();
         long wait = refreshedMicros + refreshEveryMicros - now;
-        // A new leader's first read does not wait. Its next ones do: in an outage that began with its claim it asked again as fast as it was
+        // A new leader's first read does not wait. Its next ones do: in an outage that began with its claim it asked
+        // again as fast as it was
         // answered, and above the rate, where the answer is its own, without end.
         if (wait > 0 && !(followPending && refreshedMicros < followMicros)) {
             if (!refreshTimer) {
@@ -233,7 +240,9 @@
             try {
                 StateCodec.Items changes = StateCodec.changes(reply.body());
                 // In the order in which they were made: a row may come and go between two reads.
-                changes.items().stream().sorted(Comparator.comparingLong(StateCodec.Item::version)).forEach(this::apply);
+                changes.items().stream()
+                        .sorted(Comparator.comparingLong(StateCodec.Item::version))
+                        .forEach(this::apply);
                 directory.upTo(changes.revision());
                 settleDoubts();
                 fresh = true;
@@ -246,7 +255,8 @@
         }
         if (fresh) {
             if (leader != null) {
-                // A read that was under way at the claim may lack a job whose ledger the leader before wrote after it: with the job
+                // A read that was under way at the claim may lack a job whose ledger the leader before wrote after it:
+                // with the job
                 // unknown its ledger was taken for a left-over, and its tasks were started once more.
                 if (followPending && message.askedMicros() >= followMicros) {
                     followPending = false;
@@ -280,7 +290,8 @@
     void settleDoubts() {
         for (JobDirectory.Entry entry : directory.doubtful()) {
             if (doubts.add(entry.id())) {
-                history.tell(new HistoryReader.Find(entry.id(), found -> owner.tell(new UsersActor.DoubtSettled(entry.id(), found))));
+                history.tell(new HistoryReader.Find(
+                        entry.id(), found -> owner.tell(new UsersActor.DoubtSettled(entry.id(), found))));
             }
         }
     }
@@ -298,7 +309,9 @@
     }
 
     void findEnded(long token) {
-        if (leader == null || !loaded || directory.ended().isEmpty() && directory.ghosts().isEmpty()) {
+        if (leader == null
+                || !loaded
+                || directory.ended().isEmpty() && directory.ghosts().isEmpty()) {
             return;
         }
         Set<String> needed = directory.needed();
@@ -308,8 +321,8 @@
                 break;
             }
             if (!needed.contains(entry.id())) {
-                result.add(new Archivist.Ended(entry.id(), entry.version(), Outcome.of(entry.row()),
-                        directory.furtherRows(entry.id())));
+                result.add(new Archivist.Ended(
+                        entry.id(), entry.version(), Outcome.of(entry.row()), directory.furtherRows(entry.id())));
             }
         }
         directory.ghosts().forEach((id, version) -> result.add(new Archivist.Ended(id, version, null, 0)));
--- a/src/main/java/io/micatide/node/LeaderActor.java
+++ b/src/main/java/io/micatide/node/LeaderActor.java
@@ -15,8 +15,8 @@
 import io.micatide.history.Archivist;
 import io.micatide.net.CloudClient;
 import io.micatide.net.Http;
-import io.micatide.net.Request;
 import io.micatide.net.Reply;
+import io.micatide.net.Request;
 import io.micatide.net.StateClient;
 import io.micatide.rollout.Abilities;
 import io.micatide.standby.Copy;
@@ -33,101 +33,100 @@
  * the claim until it is fenced.
  */
 final class LeaderActor extends Actor<LeaderActor.Message> {
-    sealed interface Message permits Tick, LeaseTick, Report, PeerNews, JobSeen, JobsSeen, LayoutSeen, HistorySeen, StateFresh, RowRead,
-            Granted, Claimed, Touched, Watched, WatchDue, SwitchesSeen, SwitchesRead, OwnRowRead, Registered, PeerAnswered, AskWarmth, HandedOver, End, CancelledKnown, TakenIn, Confirmed,
-            TakeWithdrawn, FollowMessage, TermMessage {
-    }
-
-    record Tick() implements Message {
-    }
-
-    record LeaseTick() implements Message {
-    }
-
-    record Report(Request request) implements Message {
-    }
-
-    record PeerNews(Request request) implements Message {
-    }
-
-    record JobSeen(JobDirectory.View view) implements Message {
-    }
-
-    record JobsSeen(List<JobDirectory.View> jobs) implements Message {
-    }
+    sealed interface Message
+            permits Tick,
+                    LeaseTick,
+                    Report,
+                    PeerNews,
+                    JobSeen,
+                    JobsSeen,
+                    LayoutSeen,
+                    HistorySeen,
+                    StateFresh,
+                    RowRead,
+                    Granted,
+                    Claimed,
+                    Touched,
+                    Watched,
+                    WatchDue,
+                    SwitchesSeen,
+                    SwitchesRead,
+                    OwnRowRead,
+                    Registered,
+                    PeerAnswered,
+                    AskWarmth,
+                    HandedOver,
+                    End,
+                    CancelledKnown,
+                    TakenIn,
+                    Confirmed,
+                    TakeWithdrawn,
+                    FollowMessage,
+                    TermMessage {}
+
+    record Tick() implements Message {}
+
+    record LeaseTick() implements Message {}
+
+    record Report(Request request) implements Message {}
+
+    record PeerNews(Request request) implements Message {}
+
+    record JobSeen(JobDirectory.View view) implements Message {}
+
+    record JobsSeen(List<JobDirectory.View> jobs) implements Message {}
 
     /** The mark that every controller reads the present layout is in the state service. */
-    record LayoutSeen(long version, Row.Layout layout) implements Message {
-    }
+    record LayoutSeen(long version, Row.Layout layout) implements Message {}
 
     /** The archive's manifest, as the copy of the rows has it. */
-    record HistorySeen(long version, Row.History manifest) implements Message {
-    }
+    record HistorySeen(long version, Row.History manifest) implements Message {}
 
     /** The switches, as the copy of the rows has them. */
-    record SwitchesSeen(long version, Row.Features row) implements Message {
-    }
+    record SwitchesSeen(long version, Row.Features row) implements Message {}
 
-    record SwitchesRead(Reply reply) implements Message {
-    }
+    record SwitchesRead(Reply reply) implements Message {}
 
-    record OwnRowRead(Reply reply) implements Message {
-    }
+    record OwnRowRead(Reply reply) implements Message {}
 
-    record Registered(Reply reply) implements Message {
-    }
+    record Registered(Reply reply) implements Message {}
 
     /** The changes were asked for then and are taken in, up to this revision. */
-    record StateFresh(long askedMicros, long revision) implements Message {
-    }
+    record StateFresh(long askedMicros, long revision) implements Message {}
 
     /** Jobs that the copy has as cancelled, before the leader has it whole. */
-    record CancelledKnown(List<String> jobs) implements Message {
-    }
+    record CancelledKnown(List<String> jobs) implements Message {}
 
     /** What a sibling said of cancellations is in the copy. */
-    record TakenIn(int sibling, Testimony word, long askedMicros, long heardMicros) implements Message {
-    }
+    record TakenIn(int sibling, Testimony word, long askedMicros, long heardMicros) implements Message {}
 
     /** A user of this controller was told that a job is cancelled. */
-    record Confirmed(Testimony.Cancelled job) implements Message {
-    }
+    record Confirmed(Testimony.Cancelled job) implements Message {}
 
     /** The same from a sibling. */
-    record TakeWithdrawn(Request request) implements Message {
-    }
+    record TakeWithdrawn(Request request) implements Message {}
 
-    record RowRead(Reply reply) implements Message {
-    }
+    record RowRead(Reply reply) implements Message {}
 
-    record Granted(Reply reply, long askedMicros) implements Message {
-    }
+    record Granted(Reply reply, long askedMicros) implements Message {}
 
-    record Claimed(Reply reply) implements Message {
-    }
+    record Claimed(Reply reply) implements Message {}
 
-    record Touched(Reply reply, long askedMicros) implements Message {
-    }
+    record Touched(Reply reply, long askedMicros) implements Message {}
 
-    record Watched(Reply reply) implements Message {
-    }
+    record Watched(Reply reply) implements Message {}
 
-    record WatchDue() implements Message {
-    }
+    record WatchDue() implements Message {}
 
-    record PeerAnswered(Reply reply, long token, int sibling, long askedMicros) implements Message {
-    }
+    record PeerAnswered(Reply reply, long token, int sibling, long askedMicros) implements Message {}
 
     /** A cold sibling wants to know who would lead better. */
-    record AskWarmth(Request request) implements Message {
-    }
+    record AskWarmth(Request request) implements Message {}
 
-    record HandedOver(Reply reply) implements Message {
-    }
+    record HandedOver(Reply reply) implements Message {}
 
     /** This process is to end in order; {@code done} once others can go on without it. */
-    record End(Runnable done) implements Message {
-    }
+    record End(Runnable done) implements Message {}
 
     private static final long TICK_MICROS = 100 * Micros.MILLISECOND;
     private static final long LEASE_TICK_MICROS = 50 * Micros.MILLISECOND;
@@ -152,12 +151,22 @@
     private final Following following;
     /** Null until this process is told to end. */
     private HandOver handOver;
+
     private long activeMicros;
     /** Null while another controller leads, or nobody. */
     private Term term;
 
-    LeaderActor(Loop loop, Settings settings, Tuning tuning, StateClient state, CloudClient cloud, UsersActor users,
-            Http.Connector connector, Archivist.Maker maker, Copy.Maker copies, Abilities abilities) {
+    LeaderActor(
+            Loop loop,
+            Settings settings,
+            Tuning tuning,
+            StateClient state,
+            CloudClient cloud,
+            UsersActor users,
+            Http.Connector connector,
+            Archivist.Maker maker,
+            Copy.Maker copies,
+            Abilities abilities) {
         super(loop);
         this.loop = loop;
         this.settings = settings;
@@ -235,8 +244,11 @@
             testimonies.confirmed(m.job(), leadership.leader(), siblings);
         } else if (message instanceof TakeWithdrawn m) {
             testimonies.takeWithdrawn(m.request());
-        } else if (message instanceof JobSeen || message instanceof JobsSeen || message instanceof CancelledKnown
-                || message instanceof LayoutSeen || message instanceof HistorySeen) {
+        } else if (message instanceof JobSeen
+                || message instanceof JobsSeen
+                || message instanceof CancelledKnown
+                || message instanceof LayoutSeen
+                || message instanceof HistorySeen) {
             if (term != null) {
                 rowsSeen(message);
             }
@@ -338,10 +350,16 @@
         siblings.begin();
         following.begin(token, now);
         reach.begin(now);
-        term = new Term(this, users, scheduler, new TakeOver(loop, state, this, following.standby(), token),
-                new Rounds(this, scheduler, state, users), new CloudDesk(this, scheduler, cloud, state, users),
+        term = new Term(
+                this,
+                users,
+                scheduler,
+                new TakeOver(loop, state, this, following.standby(), token),
+                new Rounds(this, scheduler, state, users),
+                new CloudDesk(this, scheduler, cloud, state, users),
                 new Steps(this, settings, tuning, scheduler, state, users, rollout),
-                new Archiving(this, tuning, scheduler, users, archivist), new Learning(this, settings, scheduler, state, rollout),
+                new Archiving(this, tuning, scheduler, users, archivist),
+                new Learning(this, settings, scheduler, state, rollout),
                 new Greeter(this, settings, scheduler, connector, following.handedOver(now)));
         term.begin();
     }
@@ -383,8 +401,13 @@
     }
 
     private Siblings.Now newsOf(long now) {
-        return new Siblings.Now(term.token(), state.reach().reached(now), reach.silentMicros(now), following.appoint(now),
-                rollout.switches().version(), testimonies.revision());
+        return new Siblings.Now(
+                term.token(),
+                state.reach().reached(now),
+                reach.silentMicros(now),
+                following.appoint(now),
+                rollout.switches().version(),
+                testimonies.revision());
     }
 
     // ---- workers
@@ -426,7 +449,9 @@
      */
     private void resignIfUnreached(long now) {
         if (term != null && reach.givesUp(state.reach().reached(now), now)) {
-            log.warn("gives up term {}: no worker has come for {} ms, and they come to a sibling", term.token(),
+            log.warn(
+                    "gives up term {}: no worker has come for {} ms, and they come to a sibling",
+                    term.token(),
                     reach.silentMicros(now) / Micros.MILLISECOND);
             long lease = leadership.resign(now, settings.leaseMicros());
             state.endLease(lease, reply -> log.info("lease of the former term ended: {}", reply.status()));
@@ -459,8 +484,12 @@
     }
 
     private PeerCodec.Answer ownAnswer(long now) {
-        return new PeerCodec.Answer(leadership.highestToken(), reach.strayedAgoMicros(now), Settings.LAYOUT,
-                state.reach().reached(now), handOver != null ? null : following.warmth(now));
+        return new PeerCodec.Answer(
+                leadership.highestToken(),
+                reach.strayedAgoMicros(now),
+                Settings.LAYOUT,
+                state.reach().reached(now),
+                handOver != null ? null : following.warmth(now));
     }
 
     /** Told to end: what is under way is finished or left, an heir is told, and the lease goes back. */
@@ -470,11 +499,21 @@
         }
         long now = now();
         int heir = term == null ? -1 : following.firstHeir(now);
-        log.info("told to end{}", term == null ? "" : ", hands term " + term.token() + " over"
-                + (heir < 0 ? ", to nobody in particular" : " to " + settings.siblings().get(heir).label()));
+        log.info(
+                "told to end{}",
+                term == null
+                        ? ""
+                        : ", hands term " + term.token() + " over"
+                                + (heir < 0
+                                        ? ", to nobody in particular"
+                                        : " to " + settings.siblings().get(heir).label()));
         users.tell(new UsersActor.Closing());
-        handOver = new HandOver(term, heir < 0 ? null : settings.siblings().get(heir).label(), now,
-                () -> siblings.handOver(heir, term.token(), term.lastRevision()), () -> giveBack(done));
+        handOver = new HandOver(
+                term,
+                heir < 0 ? null : settings.siblings().get(heir).label(),
+                now,
+                () -> siblings.handOver(heir, term.token(), term.lastRevision()),
+                () -> giveBack(done));
         handOver.advance(now);
     }
 
--- a/src/main/java/io/micatide/node/Learning.java
+++ b/src/main/java/io/micatide/node/Learning.java
@@ -23,7 +23,9 @@
 final class Learning {
     /** All of them in a minute and no more than a change each two seconds. */
     private static final long EVERY_MICROS = 2 * Micros.SECOND;
-    private static final List<String> KEYS = List.of(StoreKeys.LEARNED + "classes", StoreKeys.LEARNED + "jobs", StoreKeys.LEARNED + "machines");
+
+    private static final List<String> KEYS =
+            List.of(StoreKeys.LEARNED + "classes", StoreKeys.LEARNED + "jobs", StoreKeys.LEARNED + "machines");
     /** What the frame of a row takes. */
     private static final int FRAME_BYTES = 32;
 
@@ -89,10 +91,13 @@
         long token = scheduler.token();
         writing = true;
         scheduler.spent(1);
-        state.transaction(new Transaction(
-                List.of(new Transaction.Compare(StoreKeys.LEADER, token),
-                        new Transaction.Compare(StoreKeys.FEATURES, rollout.switches().version())),
-                List.of(new Transaction.Write(key, row, 0))),
+        state.transaction(
+                new Transaction(
+                        List.of(
+                                new Transaction.Compare(StoreKeys.LEADER, token),
+                                new Transaction.Compare(
+                                        StoreKeys.FEATURES, rollout.switches().version())),
+                        List.of(new Transaction.Write(key, row, 0))),
                 owner.answer(r -> new TermMessage.LearnedStored(r, token, key, row)));
     }
 
--- a/src/main/java/io/micatide/node/Node.java
+++ b/src/main/java/io/micatide/node/Node.java
@@ -26,8 +26,8 @@
     public Node(Settings settings, Tuning tuning) {
         this.settings = settings;
         this.loop = group.next();
-        this.controller = new Controller(settings, tuning, new NettyLoop(loop),
-                (endpoint, most) -> new HttpClient(loop, endpoint, most));
+        this.controller = new Controller(
+                settings, tuning, new NettyLoop(loop), (endpoint, most) -> new HttpClient(loop, endpoint, most));
     }
 
     /**
@@ -42,8 +42,13 @@
             controller.start();
             bind(new HttpServer(controller::handle, most), settings.bind(), bound);
             bind(new HttpServer(controller::handlePeer, most), settings.peerBind(), bound);
-            LOG.info("{} in {} serves on {}, siblings on {}, reads layout {}", settings.label(), settings.zone(),
-                    settings.bind(), settings.peerBind(), Settings.LAYOUT);
+            LOG.info(
+                    "{} in {} serves on {}, siblings on {}, reads layout {}",
+                    settings.label(),
+                    settings.zone(),
+                    settings.bind(),
+                    settings.peerBind(),
+                    Settings.LAYOUT);
         });
         bound.await();
         if (failure != null) {
--- a/src/main/java/io/micatide/node/Rollout.java
+++ b/src/main/java/io/micatide/node/Rollout.java
@@ -26,6 +26,7 @@
     private static final long RETRY_MICROS = 300 * Micros.MILLISECOND;
     /** A start waits for the first read: after an outage a claim came a quarter of a second later than the row allowed. */
     private static final long FIRST_RETRY_MICROS = 100 * Micros.MILLISECOND;
+
     private static final long SAID_MICROS = 30 * Micros.SECOND;
 
     private final LeaderActor owner;
@@ -38,6 +39,7 @@
     private long readAgainMicros = Long.MIN_VALUE / 2;
     /** A version of the switches that somebody knows of; read if it is newer. */
     private long heardOf;
+
     private boolean blocked;
     private long saidMicros = Long.MIN_VALUE / 2;
 
@@ -66,7 +68,9 @@
 
     /** What a claim has as a condition. */
     List<Transaction.Compare> claimConditions() {
-        return abilities.registers() ? List.of(new Transaction.Compare(StoreKeys.FEATURES, switches.version())) : List.of();
+        return abilities.registers()
+                ? List.of(new Transaction.Compare(StoreKeys.FEATURES, switches.version()))
+                : List.of();
     }
 
     /** A claim or a registration is refused by the switches, or a sibling's news tell of newer ones. */
@@ -81,8 +85,10 @@
         }
         List<String> unknown = switches.unknown();
         if (!unknown.isEmpty() && !blocked) {
-            LOG.error("does not serve: the deployment uses {}, which this version does not know. Start a version that does, or take it back"
-                    + " with `micatide rollout back`", String.join(", ", unknown));
+            LOG.error(
+                    "does not serve: the deployment uses {}, which this version does not know. Start a version that does, or take it back"
+                            + " with `micatide rollout back`",
+                    String.join(", ", unknown));
         } else if (unknown.isEmpty() && blocked) {
             LOG.info("serves again: all that the deployment uses is known");
         }
@@ -110,8 +116,7 @@
                 Transaction put = registration.put();
                 state.transaction(put, owner.answer(LeaderActor.Registered::new));
             }
-            case NOTHING -> {
-            }
+            case NOTHING -> {}
         }
     }
 
--- a/src/main/java/io/micatide/node/Rounds.java
+++ b/src/main/java/io/micatide/node/Rounds.java
@@ -125,10 +125,16 @@
     private void logRefused(Reply reply, Transaction round) {
         StringBuilder text = new StringBuilder();
         for (Transaction.Write write : round.writes()) {
-            text.append(' ').append(write.key()).append(write.row() == null ? " deleted" : " " + StateCodec.size(write.row()));
+            text.append(' ')
+                    .append(write.key())
+                    .append(write.row() == null ? " deleted" : " " + StateCodec.size(write.row()));
         }
-        LOG.warn("the state service takes no such transaction: {}; {} conditions, {} changes, bytes of each:{}",
-                new String(reply.body(), StandardCharsets.UTF_8), round.conditions().size(), round.writes().size(), text);
+        LOG.warn(
+                "the state service takes no such transaction: {}; {} conditions, {} changes, bytes of each:{}",
+                new String(reply.body(), StandardCharsets.UTF_8),
+                round.conditions().size(),
+                round.writes().size(),
+                text);
     }
 
     /** Jobs may wait for what a round has ended: they need not wait for the next read of the changes as well. */
@@ -170,7 +176,8 @@
                 if (item.row() instanceof Row.Ledger ledger) {
                     scheduler.ledgerReadBack(item.key(), ledger, item.version());
                 } else if (item.row() instanceof Row.JobRow row) {
-                    scheduler.jobReadBack(item.key().substring(StoreKeys.JOBS.length()), row, item.version(), owner.now());
+                    scheduler.jobReadBack(
+                            item.key().substring(StoreKeys.JOBS.length()), row, item.version(), owner.now());
                 }
             } else if (reply.status() == 404) {
                 if (key.startsWith(StoreKeys.LEDGERS)) {
--- a/src/main/java/io/micatide/node/Siblings.java
+++ b/src/main/java/io/micatide/node/Siblings.java
@@ -19,13 +19,13 @@
     private static final long ASK_WARMTH_MICROS = 500 * Micros.MILLISECOND;
     /** An heir needs one read; who has not answered by then is not waited for. */
     private static final long HAND_OVER_MICROS = 300 * Micros.MILLISECOND;
+
     private static final long URGENT_NEWS_MICROS = 250 * Micros.MILLISECOND;
     /** What fits a peer's request body. */
     private static final int NEWS_JOBS = 1_000;
 
     /** What the news of this moment say beside the counts. */
-    record Now(long token, boolean stateServed, long silentMicros, List<String> heirs, long switches, long revision) {
-    }
+    record Now(long token, boolean stateServed, long silentMicros, List<String> heirs, long switches, long revision) {}
 
     private final LeaderActor owner;
     private final Settings settings;
@@ -79,7 +79,8 @@
         askedWarmthMicros = now;
         for (int each = 0; each < siblings.size(); each++) {
             int sibling = each;
-            siblings.get(sibling).get("/standby", Http.PATIENCE_MICROS, owner.answer(r -> new FollowMessage.WarmthTold(r, sibling)));
+            siblings.get(sibling)
+                    .get("/standby", Http.PATIENCE_MICROS, owner.answer(r -> new FollowMessage.WarmthTold(r, sibling)));
         }
     }
 
@@ -87,30 +88,51 @@
     void hints(List<Integer> heirs, HintSender hints, long token) {
         for (int heir : heirs) {
             for (HintSender.Part part : hints.parts(heir)) {
-                siblings.get(heir).post("/hints", HintCodec.part(part), Http.PATIENCE_MICROS,
-                        owner.answer(r -> new FollowMessage.HintsAnswered(r, token, heir)));
+                siblings.get(heir)
+                        .post(
+                                "/hints",
+                                HintCodec.part(part),
+                                Http.PATIENCE_MICROS,
+                                owner.answer(r -> new FollowMessage.HintsAnswered(r, token, heir)));
             }
         }
     }
 
     void handOver(int sibling, long token, long revision) {
-        siblings.get(sibling).post("/handover", PeerCodec.handOver(token, revision), HAND_OVER_MICROS,
-                owner.answer(LeaderActor.HandedOver::new));
+        siblings.get(sibling)
+                .post(
+                        "/handover",
+                        PeerCodec.handOver(token, revision),
+                        HAND_OVER_MICROS,
+                        owner.answer(LeaderActor.HandedOver::new));
     }
 
     /** To whoever leads, if it is a sibling: what it would otherwise learn with its next read or news. */
     void withdrawn(String leader, PeerCodec.Withdrawn message) {
         for (int sibling = 0; sibling < siblings.size(); sibling++) {
             if (settings.siblings().get(sibling).label().equals(leader)) {
-                siblings.get(sibling).post("/withdrawn", PeerCodec.withdrawn(message), Http.PATIENCE_MICROS, reply -> { });
+                siblings.get(sibling)
+                        .post("/withdrawn", PeerCodec.withdrawn(message), Http.PATIENCE_MICROS, reply -> {});
             }
         }
     }
 
     private void tell(int sibling, Now what, boolean first, List<JobProgress> jobs) {
         long askedMicros = owner.now();
-        siblings.get(sibling).post("/news", PeerCodec.news(new PeerCodec.News(what.token(), settings.label(),
-                what.stateServed(), what.silentMicros(), what.heirs(), first, jobs, what.switches(), what.revision())),
-                Http.PATIENCE_MICROS, owner.answer(r -> new LeaderActor.PeerAnswered(r, what.token(), sibling, askedMicros)));
+        siblings.get(sibling)
+                .post(
+                        "/news",
+                        PeerCodec.news(new PeerCodec.News(
+                                what.token(),
+                                settings.label(),
+                                what.stateServed(),
+                                what.silentMicros(),
+                                what.heirs(),
+                                first,
+                                jobs,
+                                what.switches(),
+                                what.revision())),
+                        Http.PATIENCE_MICROS,
+                        owner.answer(r -> new LeaderActor.PeerAnswered(r, what.token(), sibling, askedMicros)));
     }
 }
--- a/src/main/java/io/micatide/node/StandbyActor.java
+++ b/src/main/java/io/micatide/node/StandbyActor.java
@@ -21,56 +21,47 @@
  * this controller. Costs nothing while it is not appointed: no reads, no rows.
  */
 final class StandbyActor extends Actor<StandbyActor.Message> {
-    sealed interface Message {
-    }
+    sealed interface Message {}
 
     /** The leader's news say whether this controller is to follow. */
-    record Appointed(boolean now) implements Message {
-    }
+    record Appointed(boolean now) implements Message {}
 
-    record Due(long life) implements Message {
-    }
+    record Due(long life) implements Message {}
 
-    record PageRead(Reply reply, long life, Copy copy, boolean first) implements Message {
-    }
+    record PageRead(Reply reply, long life, Copy copy, boolean first) implements Message {}
 
-    record ReadAnew(long life, Copy copy) implements Message {
-    }
+    record ReadAnew(long life, Copy copy) implements Message {}
 
-    record ChangesRead(Reply reply, long life, Copy copy, long askedMicros) implements Message {
-    }
+    record ChangesRead(Reply reply, long life, Copy copy, long askedMicros) implements Message {}
 
     /** This controller has claimed the lead: the copies, brought up to the claim, are wanted now. */
-    record Bring(long token, TakeOver to) implements Message {
-    }
+    record Bring(long token, TakeOver to) implements Message {}
 
-    record BroughtUp(Reply reply, Copy copy, long token, TakeOver to, int tries) implements Message {
-    }
+    record BroughtUp(Reply reply, Copy copy, long token, TakeOver to, int tries) implements Message {}
 
-    record BringAgain(Copy copy, long token, TakeOver to, int tries) implements Message {
-    }
+    record BringAgain(Copy copy, long token, TakeOver to, int tries) implements Message {}
 
     /** A leader that ends tells the last revision of its writes, and waits for the answer. */
-    record CatchUp(Request request, long revision) implements Message {
-    }
+    record CatchUp(Request request, long revision) implements Message {}
 
     /** The leader's hints. */
-    record Hinted(Request request) implements Message {
-    }
+    record Hinted(Request request) implements Message {}
 
-    record CaughtUp(Reply reply, long life, Copy copy, Request request, long revision) implements Message {
-    }
+    record CaughtUp(Reply reply, long life, Copy copy, Request request, long revision) implements Message {}
 
     /** Two followers, each with two of these reads and one of the job rows, take a twentieth of the requests at most. */
     private static final double READS = 6 * 20;
+
     private static final long LEAST_MICROS = 500 * Micros.MILLISECOND;
     /** What did not fit is tried again after so long. */
     private static final long TOO_LARGE_MICROS = 60 * Micros.SECOND;
+
     private static final long SAID_MICROS = 30 * Micros.SECOND;
     private static final long AGAIN_MICROS = 60 * Micros.MILLISECOND;
     private static final int BRING_TRIES = 4;
     /** All of its memory that a controller may spend on following, of which the copies' estimate is about half. */
     private static final double MEMORY_SHARE = 0.06;
+
     private static final double MOST_MB = 10;
     private static final byte[] NOT_WARM = Json.error(null, "follows nothing");
 
@@ -83,12 +74,14 @@
     private boolean following;
     /** Answers to what an earlier following asked are dropped. */
     private long life;
+
     private long saidMicros;
     private long freshMicros;
     /** Sees what is brought to a take-over, for rehearsals that hold it against the store. */
-    private BiConsumer<String, List<StateCodec.Item>> witness = (prefix, rows) -> { };
+    private BiConsumer<String, List<StateCodec.Item>> witness = (prefix, rows) -> {};
 
-    StandbyActor(Loop loop, Settings settings, StateClient state, UsersActor users, LeaderActor leader, Copy.Maker maker) {
+    StandbyActor(
+            Loop loop, Settings settings, StateClient state, UsersActor users, LeaderActor leader, Copy.Maker maker) {
         super(loop);
         this.state = state;
         this.users = users;
@@ -183,9 +176,14 @@
         users.tell(new UsersActor.KeepUp());
         if (now - saidMicros >= SAID_MICROS) {
             saidMicros = now;
-            log.info("standby: {} rows, {} KB, {} hints, as of {} ms ago at revision {}{}", copies.stream().mapToInt(Copy::size).sum(),
-                    copies.stream().mapToLong(Copy::bytes).sum() >> 10, hints.size(), (now - freshMicros) / Micros.MILLISECOND,
-                    copies.get(0).revision(), whole() ? "" : ", not whole");
+            log.info(
+                    "standby: {} rows, {} KB, {} hints, as of {} ms ago at revision {}{}",
+                    copies.stream().mapToInt(Copy::size).sum(),
+                    copies.stream().mapToLong(Copy::bytes).sum() >> 10,
+                    hints.size(),
+                    (now - freshMicros) / Micros.MILLISECOND,
+                    copies.get(0).revision(),
+                    whole() ? "" : ", not whole");
         }
         tellLater(new Due(life), everyMicros);
     }
@@ -193,7 +191,8 @@
     private void pageRead(PageRead message) {
         Copy copy = message.copy();
         if (!message.reply().ok()) {
-            // From the beginning: a page that follows on another is worth nothing once the first is old, and this is rare.
+            // From the beginning: a page that follows on another is worth nothing once the first is old, and this is
+            // rare.
             readLater(copy, everyMicros);
             return;
         }
@@ -259,7 +258,11 @@
 
     private void flawed(Copy copy) {
         Copy.Flaw flaw = copy.flaw();
-        log.warn("the copy of {} is worth nothing ({}), {} rows, {} KB: read anew", copy.prefix(), flaw, copy.size(),
+        log.warn(
+                "the copy of {} is worth nothing ({}), {} rows, {} KB: read anew",
+                copy.prefix(),
+                flaw,
+                copy.size(),
                 copy.bytes() >> 10);
         readLater(copy, flaw == Copy.Flaw.TOO_LARGE ? TOO_LARGE_MICROS : everyMicros);
         tellWhole();
@@ -314,8 +317,12 @@
                 items.add(new StateCodec.Item(entry.key(), entry.row(), entry.version()));
             }
         } else {
-            log.warn("the copy of {} is not as new as the claim ({}, revision {} of {}): all is read instead", copy.prefix(),
-                    copy.flaw(), copy.revision(), message.token());
+            log.warn(
+                    "the copy of {} is not as new as the claim ({}, revision {} of {}): all is read instead",
+                    copy.prefix(),
+                    copy.flaw(),
+                    copy.revision(),
+                    message.token());
         }
         if (items != null) {
             witness.accept(copy.prefix(), items);
@@ -334,12 +341,16 @@
         users.tell(new UsersActor.KeepUp());
         Copy ledgers = copies.get(0);
         long of = life;
-        state.changes(ledgers.prefix(), ledgers.revision(), answer(r -> new CaughtUp(r, of, ledgers, request, revision)));
+        state.changes(
+                ledgers.prefix(), ledgers.revision(), answer(r -> new CaughtUp(r, of, ledgers, request, revision)));
     }
 
     private void caughtUp(CaughtUp message) {
         Copy copy = message.copy();
-        if (message.life() == life && copy.whole() && apply(copy, message.reply()) && copy.wholeAt(message.revision())) {
+        if (message.life() == life
+                && copy.whole()
+                && apply(copy, message.reply())
+                && copy.wholeAt(message.revision())) {
             message.request().answer(200, Json.bytes(out -> {
                 out.writeStartObject();
                 out.writeEndObject();
--- a/src/main/java/io/micatide/node/Steps.java
+++ b/src/main/java/io/micatide/node/Steps.java
@@ -28,12 +28,14 @@
     private static final Logger LOG = LoggerFactory.getLogger(LeaderActor.class);
     /** How often it looks: soon while something moves, rarely while nothing does. */
     private static final long SOON_MICROS = 500 * Micros.MILLISECOND;
+
     private static final long PENDING_MICROS = 2 * Micros.SECOND;
     private static final long QUIET_MICROS = 10 * Micros.SECOND;
     private static final long SOON_FOR_MICROS = 10 * Micros.SECOND;
     private static final long SAID_MICROS = 60 * Micros.SECOND;
     /** Conditions of a step beside those on registrations. */
     private static final int OWN_CONDITIONS = 3;
+
     private static final int CONDITIONS_A_CHANGE = 4;
 
     private final LeaderActor owner;
@@ -56,7 +58,14 @@
     private long saidMicros;
     private String said = "";
 
-    Steps(LeaderActor owner, Settings settings, Tuning tuning, Scheduler scheduler, StateClient state, UsersActor users, Rollout rollout) {
+    Steps(
+            LeaderActor owner,
+            Settings settings,
+            Tuning tuning,
+            Scheduler scheduler,
+            StateClient state,
+            UsersActor users,
+            Rollout rollout) {
         this.owner = owner;
         this.settings = settings;
         this.tuning = tuning;
@@ -77,7 +86,9 @@
 
     /** The scheduler writes by the switches as they are now. */
     void switchesChanged() {
-        scheduler.switches(rollout.switches().version(), rollout.switches().on(Feature.BOOKING_FENCE),
+        scheduler.switches(
+                rollout.switches().version(),
+                rollout.switches().on(Feature.BOOKING_FENCE),
                 rollout.switches().on(Feature.RETURNS));
     }
 
@@ -147,7 +158,8 @@
     }
 
     private List<Transaction.Compare> conditions(Roster roster, Transaction.Compare... own) {
-        List<Transaction.Compare> conditions = new ArrayList<>(List.of(new Transaction.Compare(StoreKeys.LEADER, scheduler.token())));
+        List<Transaction.Compare> conditions =
+                new ArrayList<>(List.of(new Transaction.Compare(StoreKeys.LEADER, scheduler.token())));
         conditions.addAll(List.of(own));
         conditions.addAll(roster.conditions(settings.transactionOps() * CONDITIONS_A_CHANGE - OWN_CONDITIONS));
         return conditions;
@@ -158,8 +170,10 @@
         long token = scheduler.token();
         Row.Layout first = new Row.Layout(Settings.LAYOUT_NEEDS, settings.pageTasks());
         stepping = true;
-        state.transaction(new Transaction(conditions(roster, new Transaction.Compare(StoreKeys.LAYOUT, 0)),
-                List.of(new Transaction.Write(StoreKeys.LAYOUT, first, 0))),
+        state.transaction(
+                new Transaction(
+                        conditions(roster, new Transaction.Compare(StoreKeys.LAYOUT, 0)),
+                        List.of(new Transaction.Write(StoreKeys.LAYOUT, first, 0))),
                 owner.answer(r -> new TermMessage.LayoutMarked(r, token, first)));
     }
 
@@ -168,7 +182,8 @@
         try {
             if (message.reply().ok()) {
                 LOG.info("all {} controllers read layout {}: marked", labels.size(), Settings.LAYOUT_NEEDS);
-                users.tell(new UsersActor.LayoutKnown(StateCodec.revision(message.reply().body()), message.layout()));
+                users.tell(new UsersActor.LayoutKnown(
+                        StateCodec.revision(message.reply().body()), message.layout()));
             }
         } catch (MalformedException e) {
             LOG.error("transaction answer: {}", e.getMessage());
@@ -178,14 +193,20 @@
     /** The archive begins with an empty manifest, once every controller reads it. */
     private void beginHistory(Roster roster) {
         long token = scheduler.token();
-        // The mark is written anew along with it: what a former version writes of jobs that need others has the mark's version as
+        // The mark is written anew along with it: what a former version writes of jobs that need others has the mark's
+        // version as
         // a condition, and may arrive minutes late.
         Row.Layout renewed = new Row.Layout(Settings.LAYOUT_HISTORY, mark.pageTasks());
         stepping = true;
-        state.transaction(new Transaction(
-                conditions(roster, new Transaction.Compare(StoreKeys.LAYOUT, markVersion), new Transaction.Compare(StoreKeys.HISTORY, 0)),
-                List.of(new Transaction.Write(StoreKeys.LAYOUT, renewed, 0),
-                        new Transaction.Write(StoreKeys.HISTORY, Archivist.first(token, owner.wall()), 0))),
+        state.transaction(
+                new Transaction(
+                        conditions(
+                                roster,
+                                new Transaction.Compare(StoreKeys.LAYOUT, markVersion),
+                                new Transaction.Compare(StoreKeys.HISTORY, 0)),
+                        List.of(
+                                new Transaction.Write(StoreKeys.LAYOUT, renewed, 0),
+                                new Transaction.Write(StoreKeys.HISTORY, Archivist.first(token, owner.wall()), 0))),
                 owner.answer(r -> new TermMessage.HistoryBegun(r, token)));
     }
 
@@ -206,8 +227,13 @@
         }
         long token = scheduler.token();
         stepping = true;
-        state.transaction(new Transaction(conditions(roster, new Transaction.Compare(StoreKeys.FEATURES, rollout.switches().version())),
-                List.of(new Transaction.Write(StoreKeys.FEATURES, plan.row(), 0))),
+        state.transaction(
+                new Transaction(
+                        conditions(
+                                roster,
+                                new Transaction.Compare(
+                                        StoreKeys.FEATURES, rollout.switches().version())),
+                        List.of(new Transaction.Write(StoreKeys.FEATURES, plan.row(), 0))),
                 owner.answer(r -> new TermMessage.Stepped(r, token, plan.row(), plan.moves())));
     }
 
--- a/src/main/java/io/micatide/node/Submissions.java
+++ b/src/main/java/io/micatide/node/Submissions.java
@@ -33,16 +33,14 @@
      * @param historyVersion the manifest by which it was not archived, 0 for none
      * @param tries how often it was refused for a change of the archive or of the mark
      */
-    record Submission(Request request, JobSpec spec, long historyVersion, int tries) {
-    }
+    record Submission(Request request, JobSpec spec, long historyVersion, int tries) {}
 
     /** A submission whose needs are looked up in the archive, one after the other. */
-    record Needs(Submission submission, List<String> left, Map<String, Outcome> archived) {
-    }
+    record Needs(Submission submission, List<String> left, Map<String, Outcome> archived) {}
 
     private static final Logger LOG = LoggerFactory.getLogger(UsersActor.class);
-    private static final byte[] UPGRADING = Json.error("awaits",
-            "awaits: not yet, a controller may still be of a version that does not know it");
+    private static final byte[] UPGRADING =
+            Json.error("awaits", "awaits: not yet, a controller may still be of a version that does not know it");
     private static final int UPGRADING_RETRY_S = 2;
 
     private final UsersActor owner;
@@ -52,7 +50,13 @@
     private final JobDirectory directory;
     private final JobRows rows;
 
-    Submissions(UsersActor owner, Settings settings, StateClient state, HistoryReader history, JobDirectory directory, JobRows rows) {
+    Submissions(
+            UsersActor owner,
+            Settings settings,
+            StateClient state,
+            HistoryReader history,
+            JobDirectory directory,
+            JobRows rows) {
         this.owner = owner;
         this.settings = settings;
         this.state = state;
@@ -95,7 +99,8 @@
             refuse(request, id, 422, Json.error(null, refusal));
             return;
         }
-        // The copy may be old, and may get newer while the archive is asked: what is written holds only by the manifest that was asked.
+        // The copy may be old, and may get newer while the archive is asked: what is written holds only by the manifest
+        // that was asked.
         long version = directory.historyVersion();
         owner.locate(request, id, 0, new Accepted(owner, request, id) {
             @Override
@@ -140,7 +145,8 @@
     private void lookUpNeeds(Needs needs) {
         if (!needs.left().isEmpty()) {
             String next = needs.left().remove(needs.left().size() - 1);
-            history.tell(new HistoryReader.Find(next, found -> owner.tell(new UsersActor.NeedLocated(needs, next, found))));
+            history.tell(
+                    new HistoryReader.Find(next, found -> owner.tell(new UsersActor.NeedLocated(needs, next, found))));
             return;
         }
         Request request = needs.submission().request();
@@ -173,7 +179,8 @@
         String id = submission.spec().id();
         Row.JobRow row = unchecked.asChecked(submission.historyVersion() > 0);
         // Should the archive change meanwhile, or should this arrive minutes late, it is refused.
-        List<Transaction.Compare> conditions = new ArrayList<>(List.of(new Transaction.Compare(StoreKeys.job(id), 0),
+        List<Transaction.Compare> conditions = new ArrayList<>(List.of(
+                new Transaction.Compare(StoreKeys.job(id), 0),
                 new Transaction.Compare(StoreKeys.HISTORY, submission.historyVersion())));
         if (row.spec() != null && !row.spec().needs().isEmpty()) {
             // A leader of the former version would start it at once.
@@ -186,18 +193,21 @@
         } else if (rows.size() > settings.transactionOps()) {
             refuse(request, id, 400, Json.error("awaits", "awaits: more names than can be kept with the job"));
         } else {
-            state.transaction(new Transaction(conditions, rows), owner.answer(r -> new UsersActor.Submitted(r, submission, row)));
+            state.transaction(
+                    new Transaction(conditions, rows), owner.answer(r -> new UsersActor.Submitted(r, submission, row)));
         }
     }
 
     /** A job that was accepted before gets 200 whatever this copy of it says. */
     private void refuse(Request request, String id, int status, byte[] json) {
-        rows.whenFresh(request, () -> owner.locate(request, id, 0, new Accepted(owner, request, id) {
-            @Override
-            public void nowhere() {
-                request.answer(status, json, status == 503 ? 1 : 0);
-            }
-        }));
+        rows.whenFresh(
+                request,
+                () -> owner.locate(request, id, 0, new Accepted(owner, request, id) {
+                    @Override
+                    public void nowhere() {
+                        request.answer(status, json, status == 503 ? 1 : 0);
+                    }
+                }));
     }
 
     void submitted(UsersActor.Submitted message) {
@@ -243,7 +253,8 @@
         }
         try {
             JsonNode body = Json.tree(request.body());
-            rows.whenFresh(request, () -> submit(request, body, submission.spec().id(), submission.tries() + 1));
+            rows.whenFresh(
+                    request, () -> submit(request, body, submission.spec().id(), submission.tries() + 1));
         } catch (MalformedException e) {
             request.answer(400, Json.error(e.field(), e.getMessage()));
         }
@@ -255,11 +266,13 @@
             request.answer(200, JobCodec.accepted(id, owner.standing(known)));
             return;
         }
-        rows.whenFresh(request, () -> owner.locate(request, id, 0, new Accepted(owner, request, id) {
-            @Override
-            public void nowhere() {
-                request.answer(503, UsersActor.UNAVAILABLE, 1);
-            }
-        }));
+        rows.whenFresh(
+                request,
+                () -> owner.locate(request, id, 0, new Accepted(owner, request, id) {
+                    @Override
+                    public void nowhere() {
+                        request.answer(503, UsersActor.UNAVAILABLE, 1);
+                    }
+                }));
     }
 }
--- a/src/main/java/io/micatide/node/TakeOver.java
+++ b/src/main/java/io/micatide/node/TakeOver.java
@@ -16,26 +16,20 @@
  * whole. One for each term.
  */
 final class TakeOver extends Actor<TakeOver.Message> {
-    sealed interface Message {
-    }
+    sealed interface Message {}
 
     /** The term has begun. */
-    record Begin() implements Message {
-    }
+    record Begin() implements Message {}
 
     /** The leader has the jobs by a read that began after the claim. */
-    record JobsKnown() implements Message {
-    }
+    record JobsKnown() implements Message {}
 
     /** What the standby's copy of a prefix holds as of the claim or later; null if there is no such copy. */
-    record Brought(String prefix, List<StateCodec.Item> rows) implements Message {
-    }
+    record Brought(String prefix, List<StateCodec.Item> rows) implements Message {}
 
-    record Read(String prefix, String after) implements Message {
-    }
+    record Read(String prefix, String after) implements Message {}
 
-    record Answered(Reply reply, Read asked) implements Message {
-    }
+    record Answered(Reply reply, Read asked) implements Message {}
 
     private static final long RETRY_MICROS = 300 * Micros.MILLISECOND;
 
@@ -43,6 +37,7 @@
     private final LeaderActor leader;
     /** Null where there is no standby to ask. */
     private final StandbyActor standby;
+
     private final long token;
     private boolean jobsKnown;
     private Brought ledgers;
@@ -149,7 +144,8 @@
         StateCodec.Items page = StateCodec.page(reply.body());
         leader.tell(new TermMessage.RowsLoaded(token, page.items()));
         if (page.more() && !page.items().isEmpty()) {
-            tell(new Read(asked.prefix(), page.items().get(page.items().size() - 1).key()));
+            tell(new Read(
+                    asked.prefix(), page.items().get(page.items().size() - 1).key()));
         } else if (!asked.prefix().equals(StoreKeys.LEARNED)) {
             // What was learned is waited for by nobody.
             leader.tell(new TermMessage.PartLoaded(token));
--- a/src/main/java/io/micatide/node/Term.java
+++ b/src/main/java/io/micatide/node/Term.java
@@ -43,12 +43,22 @@
     private final Greeter greeter;
     /** What still has to be read before the scheduler may act. */
     private int loading = PARTS;
+
     private long summaryMicros;
     /** Jobs known as cancelled until all is read; from then on the scheduler has them. */
     private final Set<String> cancelled = new HashSet<>();
 
-    Term(LeaderActor owner, UsersActor users, Scheduler scheduler, TakeOver takeOver, Rounds rounds, CloudDesk cloud,
-            Steps steps, Archiving archiving, Learning learning, Greeter greeter) {
+    Term(
+            LeaderActor owner,
+            UsersActor users,
+            Scheduler scheduler,
+            TakeOver takeOver,
+            Rounds rounds,
+            CloudDesk cloud,
+            Steps steps,
+            Archiving archiving,
+            Learning learning,
+            Greeter greeter) {
         this.owner = owner;
         this.users = users;
         this.scheduler = scheduler;
@@ -221,7 +231,8 @@
             if (item.row() instanceof Row.Ledger ledger) {
                 scheduler.ledgerLoaded(item.key(), ledger, item.version(), now);
             } else if (item.row() instanceof Row.Booking booking) {
-                scheduler.bookingLoaded(item.key().substring(StoreKeys.BOOKINGS.length()), booking, item.version(), now);
+                scheduler.bookingLoaded(
+                        item.key().substring(StoreKeys.BOOKINGS.length()), booking, item.version(), now);
             } else if (item.row() instanceof Row.Returned returned) {
                 scheduler.returnLoaded(item.key(), returned, item.version(), now);
             } else if (item.row() instanceof Row.Learned learned) {
--- a/src/main/java/io/micatide/node/TermMessage.java
+++ b/src/main/java/io/micatide/node/TermMessage.java
@@ -19,73 +19,52 @@
     long token();
 
     /** Ledgers or bookings that a new leader has read. */
-    record RowsLoaded(long token, List<StateCodec.Item> rows) implements TermMessage {
-    }
+    record RowsLoaded(long token, List<StateCodec.Item> rows) implements TermMessage {}
 
-    record TypesLoaded(long token, List<MachineType> types) implements TermMessage {
-    }
+    record TypesLoaded(long token, List<MachineType> types) implements TermMessage {}
 
     /** What the leader before told this controller when it followed. */
-    record HintsKept(long token, List<Hint> hints) implements TermMessage {
-    }
+    record HintsKept(long token, List<Hint> hints) implements TermMessage {}
 
     /** One of the things that a new leader reads is whole. */
-    record PartLoaded(long token) implements TermMessage {
-    }
+    record PartLoaded(long token) implements TermMessage {}
 
     /** Jobs that are over and that no open job needs, by a copy of the rows with this manifest. */
-    record EndedFound(long token, List<Archivist.Ended> ended, long copyOfVersion) implements TermMessage {
-    }
+    record EndedFound(long token, List<Archivist.Ended> ended, long copyOfVersion) implements TermMessage {}
 
     /** The archive has used so many changes. */
-    record Spent(long token, int writes) implements TermMessage {
-    }
+    record Spent(long token, int writes) implements TermMessage {}
 
-    record HistoryBegun(Reply reply, long token) implements TermMessage {
-    }
+    record HistoryBegun(Reply reply, long token) implements TermMessage {}
 
     /** Who is registered and what operators ask for. */
-    record RosterRead(Reply reply, long token) implements TermMessage {
-    }
+    record RosterRead(Reply reply, long token) implements TermMessage {}
 
-    record Stepped(Reply reply, long token, Row.Features row, List<String> moves) implements TermMessage {
-    }
+    record Stepped(Reply reply, long token, Row.Features row, List<String> moves) implements TermMessage {}
 
-    record FenceRead(Reply reply, long token) implements TermMessage {
-    }
+    record FenceRead(Reply reply, long token) implements TermMessage {}
 
-    record LearnedStored(Reply reply, long token, String key, Row.Learned row) implements TermMessage {
-    }
+    record LearnedStored(Reply reply, long token, String key, Row.Learned row) implements TermMessage {}
 
-    record LayoutMarked(Reply reply, long token, Row.Layout layout) implements TermMessage {
-    }
+    record LayoutMarked(Reply reply, long token, Row.Layout layout) implements TermMessage {}
 
     /** A worker's answer to a greeting. */
-    record Greeted(Reply reply, long token, Greeting greeting, Http worker) implements TermMessage {
-    }
+    record Greeted(Reply reply, long token, Greeting greeting, Http worker) implements TermMessage {}
 
-    record RoundAnswered(Reply reply, long token, Transaction round) implements TermMessage {
-    }
+    record RoundAnswered(Reply reply, long token, Transaction round) implements TermMessage {}
 
-    record KeyRead(Reply reply, long token, String key) implements TermMessage {
-    }
+    record KeyRead(Reply reply, long token, String key) implements TermMessage {}
 
     /** One of the keys that a round was refused for. */
-    record RefusedRead(Reply reply, long token, String key) implements TermMessage {
-    }
+    record RefusedRead(Reply reply, long token, String key) implements TermMessage {}
 
-    record RefusedDue(long token, String key) implements TermMessage {
-    }
+    record RefusedDue(long token, String key) implements TermMessage {}
 
-    record ReadBackDue(long token) implements TermMessage {
-    }
+    record ReadBackDue(long token) implements TermMessage {}
 
-    record TypesStored(Reply reply, long token) implements TermMessage {
-    }
+    record TypesStored(Reply reply, long token) implements TermMessage {}
 
-    record CloudAnswered(Reply reply, long token, CloudCall call) implements TermMessage {
-    }
+    record CloudAnswered(Reply reply, long token, CloudCall call) implements TermMessage {}
 
-    record ListRead(Reply reply, long token, long askedMicros, List<ListedMachine> before) implements TermMessage {
-    }
+    record ListRead(Reply reply, long token, long askedMicros, List<ListedMachine> before) implements TermMessage {}
 }
--- a/src/main/java/io/micatide/node/Testimonies.java
+++ b/src/main/java/io/micatide/node/Testimonies.java
@@ -46,14 +46,19 @@
     /** A sibling's answer to news that left at {@code askedMicros}. */
     void heard(int sibling, Testimony word, long askedMicros, long now) {
         if (word != null) {
-            users.tell(new UsersActor.TakeIn(word.cancelled(), new LeaderActor.TakenIn(sibling, word, askedMicros, now)));
+            users.tell(
+                    new UsersActor.TakeIn(word.cancelled(), new LeaderActor.TakenIn(sibling, word, askedMicros, now)));
         }
     }
 
     /** What a sibling named is in the copy, and the term has been told. */
     void takenIn(LeaderActor.TakenIn message) {
         if (!proof.testified(message.sibling(), message.word(), message.askedMicros(), message.heardMicros())) {
-            LOG.debug("{} leaves a gap: lived {} us, whole {}", message.word().label(), message.word().livedMicros(), message.word().whole());
+            LOG.debug(
+                    "{} leaves a gap: lived {} us, whole {}",
+                    message.word().label(),
+                    message.word().livedMicros(),
+                    message.word().whole());
         }
     }
 
@@ -63,7 +68,8 @@
         if (may == stopped) {
             stopped = !may;
             if (stopped) {
-                LOG.warn("has read no cancellations for too long, and lacks the word of {}: workers are not answered any more",
+                LOG.warn(
+                        "has read no cancellations for too long, and lacks the word of {}: workers are not answered any more",
                         proof.missing(now));
             } else {
                 LOG.info("knows of all cancellations again: workers are answered");
@@ -79,7 +85,8 @@
         if (news.revision() < 0) {
             request.answer(200, PeerCodec.answer(answer));
         } else {
-            users.tell(new UsersActor.Testify(news.revision(), word -> request.answer(200, PeerCodec.answer(answer.with(word)))));
+            users.tell(new UsersActor.Testify(
+                    news.revision(), word -> request.answer(200, PeerCodec.answer(answer.with(word)))));
         }
     }
 
--- a/src/main/java/io/micatide/node/UsersActor.java
+++ b/src/main/java/io/micatide/node/UsersActor.java
@@ -11,8 +11,8 @@
 import io.micatide.core.StoreKeys;
 import io.micatide.core.Testimony;
 import io.micatide.net.CloudClient;
-import io.micatide.net.Request;
 import io.micatide.net.Reply;
+import io.micatide.net.Request;
 import io.micatide.net.StateClient;
 import io.micatide.wire.CloudCodec;
 import io.micatide.wire.Description;
@@ -32,107 +32,81 @@
  * older than what another node has said; the questions that came in meanwhile share the next read.
  */
 final class UsersActor extends Actor<UsersActor.Message> {
-    sealed interface Message {
-    }
+    sealed interface Message {}
 
-    record Load() implements Message {
-    }
+    record Load() implements Message {}
 
-    record Ask(Request request) implements Message {
-    }
+    record Ask(Request request) implements Message {}
 
-    record RefreshDue() implements Message {
-    }
+    record RefreshDue() implements Message {}
 
     /** A page of the full read; {@code after} null for the first. */
-    record PageRead(Reply reply, String after) implements Message {
-    }
+    record PageRead(Reply reply, String after) implements Message {}
 
-    record PageDue(String after) implements Message {
-    }
+    record PageDue(String after) implements Message {}
 
-    record ChangesRead(Reply reply, long askedMicros) implements Message {
-    }
+    record ChangesRead(Reply reply, long askedMicros) implements Message {}
 
-    record Submitted(Reply reply, Submissions.Submission submission, Row.JobRow row) implements Message {
-    }
+    record Submitted(Reply reply, Submissions.Submission submission, Row.JobRow row) implements Message {}
 
-    record Cancelled(Reply reply, Request request, Row.JobRow row, String id, int tries) implements Message {
-    }
+    record Cancelled(Reply reply, Request request, Row.JobRow row, String id, int tries) implements Message {}
 
     /** What the archive says of a job that the copy does not hold. */
-    record Located(Request request, String id, int tries, HistoryReader.Found found, Place then) implements Message {
-    }
+    record Located(Request request, String id, int tries, HistoryReader.Found found, Place then) implements Message {}
 
     /** What the archive says of one of the jobs that a submission needs. */
-    record NeedLocated(Submissions.Needs needs, String id, HistoryReader.Found found) implements Message {
-    }
+    record NeedLocated(Submissions.Needs needs, String id, HistoryReader.Found found) implements Message {}
 
     /** What the archive says of a job whose row a former version wrote. */
-    record DoubtSettled(String id, HistoryReader.Found found) implements Message {
-    }
+    record DoubtSettled(String id, HistoryReader.Found found) implements Message {}
 
-    record DoubtsDue() implements Message {
-    }
+    record DoubtsDue() implements Message {}
 
     /** The leader on this controller wants to know what may be archived. */
-    record FindEnded(long token) implements Message {
-    }
+    record FindEnded(long token) implements Message {}
 
     /** The leader on this controller wants every change from now on, beginning with all open jobs. */
-    record Follow(LeaderActor leader) implements Message {
-    }
+    record Follow(LeaderActor leader) implements Message {}
 
-    record Unfollow() implements Message {
-    }
+    record Unfollow() implements Message {}
 
-    record Progress(boolean first, List<JobProgress> jobs) implements Message {
-    }
+    record Progress(boolean first, List<JobProgress> jobs) implements Message {}
 
-    record TypesKnown(List<MachineType> types) implements Message {
-    }
+    record TypesKnown(List<MachineType> types) implements Message {}
 
-    record TypesRead(Reply reply) implements Message {
-    }
+    record TypesRead(Reply reply) implements Message {}
 
-    record TypesAnswered(Reply reply) implements Message {
-    }
+    record TypesAnswered(Reply reply) implements Message {}
 
     /** This controller follows the leader: the copy is kept fresh though nobody asks. */
-    record KeepUp() implements Message {
-    }
+    record KeepUp() implements Message {}
 
     /** Whether what is stored is of a form that this version does not know. */
-    record Blocked(boolean now) implements Message {
-    }
+    record Blocked(boolean now) implements Message {}
 
     /** Who is told of the switches, of each read and of cancellations, whether it leads or not. */
-    record BelongsTo(LeaderActor leader) implements Message {
-    }
+    record BelongsTo(LeaderActor leader) implements Message {}
 
     /** What do users of this controller know of cancellations by rows above this revision? */
-    record Testify(long revision, Consumer<Testimony> then) implements Message {
-    }
+    record Testify(long revision, Consumer<Testimony> then) implements Message {}
 
     /** A sibling knows these jobs as cancelled; {@code then}, if any, is told to the leader's actor once they are taken in. */
-    record TakeIn(List<Testimony.Cancelled> jobs, LeaderActor.Message then) implements Message {
-    }
+    record TakeIn(List<Testimony.Cancelled> jobs, LeaderActor.Message then) implements Message {}
 
     /** This process ends: users are sent to the others. */
-    record Closing() implements Message {
-    }
+    record Closing() implements Message {}
 
     /** A final row that the leader on this controller knows to be stored. */
-    record Stored(String id, Row.JobRow row, long version) implements Message {
-    }
+    record Stored(String id, Row.JobRow row, long version) implements Message {}
 
-    record LayoutKnown(long version, Row.Layout layout) implements Message {
-    }
+    record LayoutKnown(long version, Row.Layout layout) implements Message {}
 
     /** How often a question that met a change of the archive is tried again before its user is asked to come back. */
     static final int MOST_TRIES = 4;
+
     static final byte[] UNAVAILABLE = Json.error(null, "the state service does not answer");
-    private static final byte[] BLOCKED = Json.error(null, "this version does not know what is stored; another controller answers");
+    private static final byte[] BLOCKED =
+            Json.error(null, "this version does not know what is stored; another controller answers");
     private static final byte[] ENDING = Json.error(null, "this controller ends; another one answers");
     static final byte[] BUSY = Json.error(null, "too many requests");
     private static final byte[] STARTING = Json.error(null, "starting");
@@ -371,23 +345,30 @@
         } else if (!JobCodec.isId(id)) {
             request.answer(404, NO_SUCH_JOB);
         } else {
-            rows.whenFresh(request, () -> locate(request, id, 0, new Place() {
-                @Override
-                public void inCopy() {
-                    tellStatus(request, directory.get(id));
-                }
-
-                @Override
-                public void archived(Outcome outcome) {
-                    request.answer(200, JobCodec.status(id, standing(outcome),
-                            outcome.state() == JobState.DONE ? outcome.tasks() : 0, 0));
-                }
-
-                @Override
-                public void nowhere() {
-                    request.answer(404, NO_SUCH_JOB);
-                }
-            }));
+            rows.whenFresh(
+                    request,
+                    () -> locate(request, id, 0, new Place() {
+                        @Override
+                        public void inCopy() {
+                            tellStatus(request, directory.get(id));
+                        }
+
+                        @Override
+                        public void archived(Outcome outcome) {
+                            request.answer(
+                                    200,
+                                    JobCodec.status(
+                                            id,
+                                            standing(outcome),
+                                            outcome.state() == JobState.DONE ? outcome.tasks() : 0,
+                                            0));
+                        }
+
+                        @Override
+                        public void nowhere() {
+                            request.answer(404, NO_SUCH_JOB);
+                        }
+                    }));
         }
     }
 
@@ -430,9 +411,13 @@
         JobProgress counts = progress.get(entry.id());
         JobState state = directory.state(entry.id());
         boolean done = state == JobState.DONE;
-        request.answer(200, JobCodec.status(entry.id(), standing(entry),
-                done ? entry.row().tasks() : counts == null ? 0 : counts.done(),
-                done || counts == null || state == JobState.CANCELLED ? 0 : counts.running()));
+        request.answer(
+                200,
+                JobCodec.status(
+                        entry.id(),
+                        standing(entry),
+                        done ? entry.row().tasks() : counts == null ? 0 : counts.done(),
+                        done || counts == null || state == JobState.CANCELLED ? 0 : counts.running()));
     }
 
     Standing standing(JobDirectory.Entry entry) {
@@ -443,5 +428,4 @@
             case OPEN -> counts != null && counts.running() > 0 ? Standing.RUNNING : Standing.QUEUED;
         };
     }
-
 }
--- a/src/main/java/io/micatide/rehearsal/CloudStandIn.java
+++ b/src/main/java/io/micatide/rehearsal/CloudStandIn.java
@@ -23,8 +23,7 @@
 /** The cloud: rents machines that boot in their type's time, as many as there are. Used from its loop only. */
 public final class CloudStandIn {
     /** A rented machine. */
-    public record Rented(String name, MachineType type, String zone, boolean spot, long sinceMicros) {
-    }
+    public record Rented(String name, MachineType type, String zone, boolean spot, long sinceMicros) {}
 
     private static final long MEMORY_MICROS = 60 * Micros.SECOND;
 
@@ -107,7 +106,10 @@
     private void rent(Request request, CloudCall.Rent rent) {
         List<String> names = bookings.get(rent.booking());
         if (names == null) {
-            MachineType type = types.stream().filter(each -> each.name().equals(rent.type())).findFirst().orElse(null);
+            MachineType type = types.stream()
+                    .filter(each -> each.name().equals(rent.type()))
+                    .findFirst()
+                    .orElse(null);
             int count = Math.min(rent.count(), most - machines.size());
             if (type == null || !type.zones().contains(rent.zone()) || count < 1) {
                 request.answer(503, "{\"error\":\"no capacity\"}".getBytes(StandardCharsets.UTF_8));
@@ -126,12 +128,14 @@
         String name = String.format("i-%06d", ++lastMachine);
         Rented machine = new Rented(name, type, zone, spot, loop.now());
         machines.put(name, machine);
-        loop.later(() -> {
-            if (machines.containsKey(name)) {
-                booted.put(name, true);
-                up.accept(machine);
-            }
-        }, bootMicros == null ? type.bootMicros() : bootMicros.getAsLong());
+        loop.later(
+                () -> {
+                    if (machines.containsKey(name)) {
+                        booted.put(name, true);
+                        up.accept(machine);
+                    }
+                },
+                bootMicros == null ? type.bootMicros() : bootMicros.getAsLong());
         return name;
     }
 
@@ -146,15 +150,24 @@
         int at = request.path().indexOf("from=");
         String from = at < 0 ? "" : request.path().substring(at + 5).split("&")[0];
         Map.Entry<Long, List<ListedMachine>> old = past.floorEntry(loop.now() - listMicros.getAsLong());
-        List<ListedMachine> listed = (past.isEmpty() ? listed() : old == null ? List.<ListedMachine>of() : old.getValue()).stream()
-                .filter(machine -> machine.name().compareTo(from) > 0).limit(500).toList();
+        List<ListedMachine> listed = (past.isEmpty()
+                        ? listed()
+                        : old == null ? List.<ListedMachine>of() : old.getValue())
+                .stream()
+                        .filter(machine -> machine.name().compareTo(from) > 0)
+                        .limit(500)
+                        .toList();
         request.answer(200, CloudSide.list(listed, listed.size() == 500));
     }
 
     private List<ListedMachine> listed() {
         List<ListedMachine> result = new ArrayList<>();
         for (Rented machine : machines.values()) {
-            result.add(new ListedMachine(machine.name(), machine.type().name(), machine.zone(), machine.spot(),
+            result.add(new ListedMachine(
+                    machine.name(),
+                    machine.type().name(),
+                    machine.zone(),
+                    machine.spot(),
                     booted.containsKey(machine.name()) ? ListedMachine.State.RUNNING : ListedMachine.State.BOOTING,
                     loop.now() - machine.sinceMicros()));
         }
--- a/src/main/java/io/micatide/rehearsal/Deployment.java
+++ b/src/main/java/io/micatide/rehearsal/Deployment.java
@@ -65,8 +65,7 @@
         }
 
         /** A controller was started, at the beginning or again. */
-        default void started(int number, Controller controller) {
-        }
+        default void started(int number, Controller controller) {}
     }
 
     public final VirtualTime time = new VirtualTime();
@@ -86,22 +85,31 @@
     private final List<VirtualNetwork.Cut> cuts = new ArrayList<>();
     /** How many refusals are in force for each controller. */
     private final Map<Integer, Integer> refused = new HashMap<>();
+
     private final Map<VirtualTime.Process, String> machineOf = new HashMap<>();
     private final Random random;
     private final CloudStandIn cloud;
     /** Machines that are up. */
     private final Map<String, CloudStandIn.Rented> up = new LinkedHashMap<>();
+
     private final KeptReports kept;
 
     /** @param machines how many the cloud has */
-    public Deployment(Random random, int controllers, Plan plan, List<MachineType> types, int machines, StateStandIn.Limits limits,
+    public Deployment(
+            Random random,
+            int controllers,
+            Plan plan,
+            List<MachineType> types,
+            int machines,
+            StateStandIn.Limits limits,
             WorkerStandIn.Witness witness) {
         this.plan = plan;
         this.count = controllers;
         this.random = random;
         this.network = new VirtualNetwork(time, random);
         this.state = new StateStandIn(world, limits);
-        this.kept = new KeptReports(time, random, this::token, number -> network.from(world, "c" + number), controllers, this::note);
+        this.kept = new KeptReports(
+                time, random, this::token, number -> network.from(world, "c" + number), controllers, this::note);
         this.gangs = new Gangs(world, plan.settings(0));
         this.witness = witness;
         this.cloud = new CloudStandIn(world, types, machines, this::up, name -> {
@@ -129,9 +137,13 @@
     private void boot(int number) {
         VirtualTime.Process process = time.new Process();
         processes.set(number, process);
-        Controller controller = new Controller(plan.settings(number), plan.tuning(number), process,
+        Controller controller = new Controller(
+                plan.settings(number),
+                plan.tuning(number),
+                process,
                 (endpoint, most) -> plan.reaches(number, endpoint, refusing(number, endpoint, process)),
-                Archivist::new, plan::copy,
+                Archivist::new,
+                plan::copy,
                 plan.abilities(number));
         controllers.set(number, controller);
         network.listen("c" + number, process, controller::handle);
@@ -170,7 +182,10 @@
 
     /** Machines are gone from one moment to the next, with all that is on them. */
     public void takeAway(Predicate<CloudStandIn.Rented> which) {
-        List<String> names = up.values().stream().filter(which).map(CloudStandIn.Rented::name).toList();
+        List<String> names = up.values().stream()
+                .filter(which)
+                .map(CloudStandIn.Rented::name)
+                .toList();
         note("taken away " + names);
         names.forEach(cloud::delete);
     }
@@ -207,7 +222,9 @@
     public static Row row(String key, StateStandIn.Value value) {
         try {
             return StateCodec.item(("{\"k\":\"" + key + "\",\"stamp\":" + value.stamp() + ",\"data\":"
-                    + new String(value.json(), StandardCharsets.UTF_8) + "}").getBytes(StandardCharsets.UTF_8)).row();
+                                    + new String(value.json(), StandardCharsets.UTF_8) + "}")
+                            .getBytes(StandardCharsets.UTF_8))
+                    .row();
         } catch (MalformedException e) {
             throw new IllegalStateException(key, e);
         }
@@ -262,14 +279,16 @@
 
     /** Cuts a controller off from some of: the state service, the workers, its siblings. Cuts may overlap. */
     public void cut(int number, boolean fromState, boolean fromWorkers, boolean fromPeers, int seconds) {
-        note("cut c" + number + (fromState ? " state" : "") + (fromWorkers ? " workers" : "") + (fromPeers ? " peers" : "") + " "
-                + seconds);
-        cutFor((from, endpoint) -> {
-            boolean own = from == processes.get(number);
-            return fromState && own && endpoint.equals("state")
-                    || fromWorkers && endpoint.equals("c" + number) && !processes.contains(from) && from != user
-                    || fromPeers && (own && endpoint.startsWith("p") || endpoint.equals("p" + number));
-        }, seconds);
+        note("cut c" + number + (fromState ? " state" : "") + (fromWorkers ? " workers" : "")
+                + (fromPeers ? " peers" : "") + " " + seconds);
+        cutFor(
+                (from, endpoint) -> {
+                    boolean own = from == processes.get(number);
+                    return fromState && own && endpoint.equals("state")
+                            || fromWorkers && endpoint.equals("c" + number) && !processes.contains(from) && from != user
+                            || fromPeers && (own && endpoint.startsWith("p") || endpoint.equals("p" + number));
+                },
+                seconds);
     }
 
     /** What crosses it is lost for so many seconds, beside the other cuts that there are. */
@@ -287,7 +306,9 @@
 
     private Http refusing(int number, String endpoint, VirtualTime.Process process) {
         Http http = network.from(process, endpoint);
-        return endpoint.equals("state") ? new RefusedHttp(http, () -> refused.getOrDefault(number, 0) > 0, process) : http;
+        return endpoint.equals("state")
+                ? new RefusedHttp(http, () -> refused.getOrDefault(number, 0) > 0, process)
+                : http;
     }
 
     public void stateAway(int seconds) {
@@ -306,8 +327,11 @@
     /** That share of the controllers' transactions gets no answer and is carried out so much later, after newer ones. */
     public void lateWrites(double share, int leastSeconds, int mostSeconds, int seconds) {
         note("late writes " + share + " of " + leastSeconds + " to " + mostSeconds + " s " + seconds);
-        fatesFor((from, endpoint, path) -> path.equals("/txn") && random.nextDouble() < share
-                ? new VirtualNetwork.Fate(between(leastSeconds, mostSeconds), 0, false) : null, seconds);
+        fatesFor(
+                (from, endpoint, path) -> path.equals("/txn") && random.nextDouble() < share
+                        ? new VirtualNetwork.Fate(between(leastSeconds, mostSeconds), 0, false)
+                        : null,
+                seconds);
     }
 
     /**
@@ -317,8 +341,13 @@
      */
     public void lostAnswers(double share, int seconds, boolean all) {
         note("lost answers " + share + " " + seconds + (all ? " of all" : ""));
-        fatesFor((from, endpoint, path) -> (path.equals("/txn") || all && (path.startsWith("/grants") || endpoint.equals("cloud")))
-                && random.nextDouble() < share ? new VirtualNetwork.Fate(0, 0, true) : null, seconds);
+        fatesFor(
+                (from, endpoint, path) ->
+                        (path.equals("/txn") || all && (path.startsWith("/grants") || endpoint.equals("cloud")))
+                                        && random.nextDouble() < share
+                                ? new VirtualNetwork.Fate(0, 0, true)
+                                : null,
+                seconds);
     }
 
     /**
@@ -336,12 +365,16 @@
     public void lateReports(double share, int seconds) {
         note("late reports " + share + " " + seconds);
         int most = (int) (2 * plan.settings(0).leaseMicros() / Micros.SECOND);
-        fatesFor((from, endpoint, path) -> path.equals("/v1/report") && random.nextDouble() < share
-                ? new VirtualNetwork.Fate(0, between(2, most), false) : null, seconds);
+        fatesFor(
+                (from, endpoint, path) -> path.equals("/v1/report") && random.nextDouble() < share
+                        ? new VirtualNetwork.Fate(0, between(2, most), false)
+                        : null,
+                seconds);
     }
 
     private long between(int leastSeconds, int mostSeconds) {
-        return leastSeconds * Micros.SECOND + (long) (random.nextDouble() * (mostSeconds - leastSeconds) * Micros.SECOND);
+        return leastSeconds * Micros.SECOND
+                + (long) (random.nextDouble() * (mostSeconds - leastSeconds) * Micros.SECOND);
     }
 
     private void fatesFor(VirtualNetwork.Fates fates, int seconds) {
@@ -353,23 +386,33 @@
     public void deaf(double share, int seconds) {
         Set<String> names = drawn(share);
         note("deaf " + names + " " + seconds);
-        fatesFor((from, endpoint, path) -> names.contains(machineOf.getOrDefault(from, "")) ? new VirtualNetwork.Fate(0, 0, true) : null, seconds);
-        cutFor((from, endpoint) -> endpoint.endsWith(":9000") && names.contains(endpoint.substring(0, endpoint.indexOf(':'))), seconds);
+        fatesFor(
+                (from, endpoint, path) ->
+                        names.contains(machineOf.getOrDefault(from, "")) ? new VirtualNetwork.Fate(0, 0, true) : null,
+                seconds);
+        cutFor(
+                (from, endpoint) ->
+                        endpoint.endsWith(":9000") && names.contains(endpoint.substring(0, endpoint.indexOf(':'))),
+                seconds);
     }
 
     /** That share of the machines reaches no controller; direct commands reach them. */
     public void mute(double share, int seconds) {
         Set<String> names = drawn(share);
         note("mute " + names + " " + seconds);
-        cutFor((from, endpoint) -> endpoint.startsWith("c") && names.contains(machineOf.getOrDefault(from, "")), seconds);
+        cutFor(
+                (from, endpoint) -> endpoint.startsWith("c") && names.contains(machineOf.getOrDefault(from, "")),
+                seconds);
     }
 
     /** Controllers reach that share of the machines and these reach no controller, or the other way round: nothing gets through. */
     public void unreachable(double share, int seconds) {
         Set<String> names = drawn(share);
         note("unreachable " + names + " " + seconds);
-        cutFor((from, endpoint) -> names.contains(machineOf.getOrDefault(from, ""))
-                || endpoint.endsWith(":9000") && names.contains(endpoint.substring(0, endpoint.indexOf(':'))), seconds);
+        cutFor(
+                (from, endpoint) -> names.contains(machineOf.getOrDefault(from, ""))
+                        || endpoint.endsWith(":9000") && names.contains(endpoint.substring(0, endpoint.indexOf(':'))),
+                seconds);
     }
 
     /** That share of the machines hangs: what was sent to them is carried out when they go on, what runs on them ends with its lease. */
@@ -386,8 +429,12 @@
             }
         });
         for (int at = 50; at < millis; at += 50) {
-            time.at(time.now() + at * Micros.MILLISECOND, () -> names.stream().map(workers::get).filter(Objects::nonNull)
-                    .forEach(worker -> worker.endLease(time.now())));
+            time.at(
+                    time.now() + at * Micros.MILLISECOND,
+                    () -> names.stream()
+                            .map(workers::get)
+                            .filter(Objects::nonNull)
+                            .forEach(worker -> worker.endLease(time.now())));
         }
     }
 
@@ -405,7 +452,10 @@
 
     private Set<String> drawn(double share) {
         Set<String> names = new TreeSet<>();
-        workers.keySet().stream().sorted().filter(name -> random.nextDouble() < share).forEach(names::add);
+        workers.keySet().stream()
+                .sorted()
+                .filter(name -> random.nextDouble() < share)
+                .forEach(names::add);
         return names;
     }
 
@@ -429,8 +479,10 @@
     private JobSpec spec(String id) {
         byte[] body = described.get(id);
         try {
-            return body == null ? null : CloudSide.described(("{\"spec\":" + new String(body, StandardCharsets.UTF_8) + "}")
-                    .getBytes(StandardCharsets.UTF_8));
+            return body == null
+                    ? null
+                    : CloudSide.described(("{\"spec\":" + new String(body, StandardCharsets.UTF_8) + "}")
+                            .getBytes(StandardCharsets.UTF_8));
         } catch (MalformedException e) {
             throw new IllegalStateException(id, e);
         }
--- a/src/main/java/io/micatide/rehearsal/Gangs.java
+++ b/src/main/java/io/micatide/rehearsal/Gangs.java
@@ -32,16 +32,19 @@
     }
 
     void arrived(WorkerStandIn worker, WorkerStandIn.Task task) {
-        Map<WorkerStandIn.Task, WorkerStandIn> peers = present.computeIfAbsent(attempt(task), k -> new LinkedHashMap<>());
+        Map<WorkerStandIn.Task, WorkerStandIn> peers =
+                present.computeIfAbsent(attempt(task), k -> new LinkedHashMap<>());
         peers.put(task, worker);
         if (peers.size() == task.spec.tasks()) {
             peers.forEach((each, at) -> at.run(each, each.spec.estimateMicros()));
         } else {
-            loop.later(() -> {
-                if (task.state == io.micatide.core.TaskState.WAITING) {
-                    worker.exit(task, ExitCause.ALONE);
-                }
-            }, settings.gangWaitMicros());
+            loop.later(
+                    () -> {
+                        if (task.state == io.micatide.core.TaskState.WAITING) {
+                            worker.exit(task, ExitCause.ALONE);
+                        }
+                    },
+                    settings.gangWaitMicros());
         }
     }
 
@@ -58,7 +61,8 @@
             others.forEach(each -> each.getValue().exit(each.getKey(), ExitCause.DONE));
         } else {
             broken.add(attempt(task));
-            loop.later(() -> others.forEach(each -> each.getValue().exit(each.getKey(), ExitCause.PEERS)),
+            loop.later(
+                    () -> others.forEach(each -> each.getValue().exit(each.getKey(), ExitCause.PEERS)),
                     settings.gangPeerMicros());
         }
     }
--- a/src/main/java/io/micatide/rehearsal/KeptReports.java
+++ b/src/main/java/io/micatide/rehearsal/KeptReports.java
@@ -30,7 +30,13 @@
      * @param controllers how each of {@code count} is reached
      * @param log is told when the copies arrive
      */
-    KeptReports(VirtualTime time, Random random, LongSupplier token, IntFunction<Http> controllers, int count, Consumer<String> log) {
+    KeptReports(
+            VirtualTime time,
+            Random random,
+            LongSupplier token,
+            IntFunction<Http> controllers,
+            int count,
+            Consumer<String> log) {
         this.time = time;
         this.random = random;
         this.token = token;
@@ -65,8 +71,10 @@
         for (byte[] body : List.copyOf(newest.values())) {
             for (int i = 0; i < count; i++) {
                 Http to = controllers.apply(i);
-                to.post("/v1/report", body, Micros.SECOND, reply -> { });
-                time.at(time.now() + random.nextInt(AGAIN_MILLIS) * Micros.MILLISECOND, () -> to.post("/v1/report", body, Micros.SECOND, reply -> { }));
+                to.post("/v1/report", body, Micros.SECOND, reply -> {});
+                time.at(
+                        time.now() + random.nextInt(AGAIN_MILLIS) * Micros.MILLISECOND,
+                        () -> to.post("/v1/report", body, Micros.SECOND, reply -> {}));
             }
         }
         newest.clear();
--- a/src/main/java/io/micatide/rehearsal/LocalService.java
+++ b/src/main/java/io/micatide/rehearsal/LocalService.java
@@ -37,8 +37,9 @@
 public final class LocalService implements AutoCloseable {
     /** The team to submit for; it has no limit but what the machines hold. */
     public static final String TEAM = "demo";
-    private static final MachineType TYPE = new MachineType("small", Resources.of(8, 0, 32), 50, 2, 0.5, 0.2, Micros.SECOND,
-            List.of("a", "b"));
+
+    private static final MachineType TYPE =
+            new MachineType("small", Resources.of(8, 0, 32), 50, 2, 0.5, 0.2, Micros.SECOND, List.of("a", "b"));
     private static final int MACHINES = 8;
     private static final StateStandIn.Limits LIMITS = new StateStandIn.Limits(400, 200, 16 * 1024, 16);
     private static final int MOST_CONNECTIONS = 1_000;
@@ -73,8 +74,12 @@
         cloud = new CloudStandIn(time, List.of(TYPE), MACHINES, this::up, this::gone);
         int statePort = free(0);
         int cloudPort = free(0);
-        new HttpServer(state::handle, MOST_CONNECTIONS).bind(loop, local(statePort)).sync();
-        new HttpServer(cloud::handle, MOST_CONNECTIONS).bind(loop, local(cloudPort)).sync();
+        new HttpServer(state::handle, MOST_CONNECTIONS)
+                .bind(loop, local(statePort))
+                .sync();
+        new HttpServer(cloud::handle, MOST_CONNECTIONS)
+                .bind(loop, local(cloudPort))
+                .sync();
         int[] users = new int[controllers];
         int[] peers = new int[controllers];
         for (int i = 0; i < controllers; i++) {
@@ -86,7 +91,14 @@
         }
         gangs = new Gangs(time, settings.get(0));
         Tuning defaults = Tuning.defaults(settings.get(0));
-        tuning = new Tuning(defaults.leaderLeaseMicros(), defaults.idleMicros(), true, defaults.historyBatch(), true, description, true);
+        tuning = new Tuning(
+                defaults.leaderLeaseMicros(),
+                defaults.idleMicros(),
+                true,
+                defaults.historyBatch(),
+                true,
+                description,
+                true);
         for (int i = 0; i < controllers; i++) {
             nodes.add(new Node(settings.get(i), tuning));
             nodes.get(i).start();
@@ -94,7 +106,8 @@
     }
 
     /** One that nobody watches. */
-    public static LocalService start(int controllers, int port, boolean description) throws IOException, InterruptedException {
+    public static LocalService start(int controllers, int port, boolean description)
+            throws IOException, InterruptedException {
         return new LocalService(controllers, port, description, new WorkerStandIn.Witness() {
             @Override
             public void started(String task, long attempt, String machine) {
@@ -119,7 +132,8 @@
     private static int free(int wanted) throws IOException {
         for (int tries = 0; wanted == 0 && tries < PORTS; tries++) {
             try {
-                return free(FIRST_PORT + (int) ((ProcessHandle.current().pid() * 64 + NEXT_PORT.getAndIncrement()) % PORTS));
+                return free(FIRST_PORT
+                        + (int) ((ProcessHandle.current().pid() * 64 + NEXT_PORT.getAndIncrement()) % PORTS));
             } catch (IOException e) {
                 // Somebody else's.
             }
@@ -136,10 +150,32 @@
                 siblings.add(new Settings.Sibling("c" + i, "a", local(peers[i])));
             }
         }
-        return new Settings("c" + number, "a", local(users[number]), local(peers[number]), siblings, local(cloud), local(state),
-                List.of("a", "b"), 100 * Micros.MILLISECOND, Map.of(TEAM, new Team(TEAM, 0, 0, 0, 0)), List.of(),
-                Micros.SECOND, 10 * Micros.SECOND, 30 * Micros.SECOND, 5 * Micros.SECOND, 30 * Micros.SECOND, LIMITS.requests(),
-                LIMITS.changes(), LIMITS.valueBytes(), LIMITS.valueBytes(), LIMITS.transactionChanges(), 20, Micros.SECOND, 1, 256,
+        return new Settings(
+                "c" + number,
+                "a",
+                local(users[number]),
+                local(peers[number]),
+                siblings,
+                local(cloud),
+                local(state),
+                List.of("a", "b"),
+                100 * Micros.MILLISECOND,
+                Map.of(TEAM, new Team(TEAM, 0, 0, 0, 0)),
+                List.of(),
+                Micros.SECOND,
+                10 * Micros.SECOND,
+                30 * Micros.SECOND,
+                5 * Micros.SECOND,
+                30 * Micros.SECOND,
+                LIMITS.requests(),
+                LIMITS.changes(),
+                LIMITS.valueBytes(),
+                LIMITS.valueBytes(),
+                LIMITS.transactionChanges(),
+                20,
+                Micros.SECOND,
+                1,
+                256,
                 MOST_CONNECTIONS);
     }
 
@@ -158,8 +194,10 @@
 
     private void up(CloudStandIn.Rented machine) {
         Map<String, Http> controllers = new LinkedHashMap<>();
-        settings.forEach(each -> controllers.put(each.label(), new HttpClient(loop, each.bind(), CONNECTIONS_A_WORKER)));
-        WorkerStandIn worker = new WorkerStandIn(time, settings.get(0), machine, controllers, this::described, gangs, witness);
+        settings.forEach(
+                each -> controllers.put(each.label(), new HttpClient(loop, each.bind(), CONNECTIONS_A_WORKER)));
+        WorkerStandIn worker =
+                new WorkerStandIn(time, settings.get(0), machine, controllers, this::described, gangs, witness);
         workers.put(machine.name(), worker);
         worker.start();
     }
--- a/src/main/java/io/micatide/rehearsal/RuleChecker.java
+++ b/src/main/java/io/micatide/rehearsal/RuleChecker.java
@@ -23,7 +23,12 @@
  */
 public final class RuleChecker implements WorkerStandIn.Witness {
     /** What a user has been told of a job, in the order in which nothing may follow that is further left. */
-    private enum Told { NOTHING, ACCEPTED, CANCELLED, DONE }
+    private enum Told {
+        NOTHING,
+        ACCEPTED,
+        CANCELLED,
+        DONE
+    }
 
     private static final class Job {
         final int tasks;
@@ -35,15 +40,19 @@
         boolean late;
         /** When its user first heard that it is accepted, and that it is over. */
         long toldMicros = NEVER;
+
         long overMicros = NEVER;
         /** Since when its user has asked without an answer. */
         long waitsMicros = NEVER;
+
         boolean forgotten;
         /** It lacks a field or fits nowhere: whoever accepts it is wrong. */
         boolean invalid;
+
         boolean waitedTooLong;
         /** Since when it has waited beside room that fits. */
         long besideRoomMicros = NEVER;
+
         JobSpec spec;
 
         Job(int tasks, boolean service) {
@@ -60,12 +69,10 @@
     private static final long UNANSWERED_MICROS = 75 * Micros.SECOND;
     private static final long BESIDE_ROOM_MICROS = 90 * Micros.SECOND;
 
-    private record Run(String machine, long attempt) {
-    }
+    private record Run(String machine, long attempt) {}
 
     /** What holds a part of a machine: fetching, waiting, running, stopping; hung and cut off as well. */
-    private record Held(JobSpec spec, CloudStandIn.Rented machine) {
-    }
+    private record Held(JobSpec spec, CloudStandIn.Rented machine) {}
 
     private final VirtualTime time;
     private final long cancelMicros;
@@ -78,6 +85,7 @@
     private final Map<String, Team> teams;
     /** By task, attempt and machine. */
     private final Map<String, Held> held = new LinkedHashMap<>();
+
     private final Map<String, Resources> used = new HashMap<>();
     private Supplier<Collection<CloudStandIn.Rented>> machines = List::of;
 
@@ -114,7 +122,9 @@
 
     /** How many tasks of a job are on machines now. */
     public int running(String job) {
-        return (int) running.keySet().stream().filter(task -> task.startsWith(job + "/")).count();
+        return (int) running.keySet().stream()
+                .filter(task -> task.startsWith(job + "/"))
+                .count();
     }
 
     /** Machines on which tasks of a job are now. */
@@ -175,7 +185,9 @@
         JobSpec spec = mine.spec();
         CloudStandIn.Rented there = mine.machine();
         if (!spec.allowsMachine(there.type().name(), there.zone(), there.spot())) {
-            broke("wrong_place", task + " on " + there.type().name() + " in " + there.zone() + (there.spot() ? " (spot)" : ""));
+            broke(
+                    "wrong_place",
+                    task + " on " + there.type().name() + " in " + there.zone() + (there.spot() ? " (spot)" : ""));
         }
         int together = 0;
         boolean apart = false;
@@ -233,7 +245,8 @@
     /** To be called often: what should be gone by now, and who has waited for too long for an answer? */
     public void look() {
         jobs.forEach((id, job) -> {
-            if (job.told != Told.NOTHING && !job.forgotten
+            if (job.told != Told.NOTHING
+                    && !job.forgotten
                     && time.now() > Math.max(calmMicros, job.waitsMicros) + UNANSWERED_MICROS) {
                 broke("forgotten", id + " has been asked for in vain");
                 job.forgotten = true;
@@ -251,8 +264,14 @@
 
     /** Tasks that wait while one of them would fit somewhere; gangs are left to the verdict, which wants them done. */
     private void lookBesideRoom(String id, Job job) {
-        if (job.spec == null || job.spec.kind() == JobKind.GANG || job.spec.oneZone() || job.spec.spread() || job.waitedTooLong
-                || job.told != Told.ACCEPTED || job.cancelAsked || time.now() <= calmMicros) {
+        if (job.spec == null
+                || job.spec.kind() == JobKind.GANG
+                || job.spec.oneZone()
+                || job.spec.spread()
+                || job.waitedTooLong
+                || job.told != Told.ACCEPTED
+                || job.cancelAsked
+                || time.now() <= calmMicros) {
             return;
         }
         Set<String> there = new HashSet<>();
@@ -264,20 +283,29 @@
         boolean waits = there.size() + job.finished.size() < job.tasks && fitsSomewhere(job.spec);
         job.besideRoomMicros = waits ? Math.min(job.besideRoomMicros, time.now()) : NEVER;
         if (time.now() - job.besideRoomMicros > BESIDE_ROOM_MICROS) {
-            broke("waits_beside_room", id + " with " + there.size() + " of " + job.tasks + " on machines, " + job.finished.size() + " done");
+            broke(
+                    "waits_beside_room",
+                    id + " with " + there.size() + " of " + job.tasks + " on machines, " + job.finished.size()
+                            + " done");
             job.waitedTooLong = true;
         }
     }
 
     private boolean fitsSomewhere(JobSpec spec) {
         Team team = teams.get(spec.team());
-        if (team != null && !team.allows(used.getOrDefault(spec.team(), Resources.NONE).plus(spec.each()))) {
+        if (team != null
+                && !team.allows(used.getOrDefault(spec.team(), Resources.NONE).plus(spec.each()))) {
             return false;
         }
         Map<String, Resources> taken = new HashMap<>();
-        held.values().forEach(each -> taken.merge(each.machine().name(), each.spec().each(), Resources::plus));
-        return machines.get().stream().anyMatch(machine -> spec.allowsMachine(machine.type().name(), machine.zone(), machine.spot())
-                && spec.each().fitsIn(machine.type().size().minus(taken.getOrDefault(machine.name(), Resources.NONE))));
+        held.values()
+                .forEach(each -> taken.merge(each.machine().name(), each.spec().each(), Resources::plus));
+        return machines.get().stream()
+                .anyMatch(machine -> spec.allowsMachine(machine.type().name(), machine.zone(), machine.spot())
+                        && spec.each()
+                                .fitsIn(machine.type()
+                                        .size()
+                                        .minus(taken.getOrDefault(machine.name(), Resources.NONE))));
     }
 
     // ---- users
--- a/src/main/java/io/micatide/rehearsal/StartMeasure.java
+++ b/src/main/java/io/micatide/rehearsal/StartMeasure.java
@@ -41,23 +41,24 @@
  */
 public final class StartMeasure {
     private static final StateStandIn.Limits LIMITS = new StateStandIn.Limits(80, 30, 16 * 1024, 16);
-    private static final MachineType TYPE = new MachineType("g8", Resources.of(8, 0, 64), 25, 0.3, 0.5, 0.2, 30 * Micros.SECOND,
-            List.of("a"));
+    private static final MachineType TYPE =
+            new MachineType("g8", Resources.of(8, 0, 64), 25, 0.3, 0.5, 0.2, 30 * Micros.SECOND, List.of("a"));
     private static final int PATIENCE_S = 60;
     /** Until filters are built: a segment every 50 ms and more. */
     private static final int SETTLES_S = 25;
+
     private static final int POLLS_S = 5;
     private static final int USERS = 8;
 
-    private StartMeasure() {
-    }
+    private StartMeasure() {}
 
     /** @param args the service's command without its settings file, as one word; {@code rows} or {@code archive}; numbers of jobs */
     public static void main(String[] args) throws Exception {
         List<String> command = List.of(args[0].split(" "));
-        System.out.println("finished jobs | in | start until healthy (s) | resident 25 s later (MB) | requests until then"
-                + " | values of the archive | changes for a job | polls answered a second, and with 503 | resident then"
-                + " | take-over, claim to rebuilt (s)");
+        System.out.println(
+                "finished jobs | in | start until healthy (s) | resident 25 s later (MB) | requests until then"
+                        + " | values of the archive | changes for a job | polls answered a second, and with 503 | resident then"
+                        + " | take-over, claim to rebuilt (s)");
         for (int i = 2; i < args.length; i++) {
             System.out.println(measure(command, args[1].equals("archive"), Integer.parseInt(args[i])));
         }
@@ -70,19 +71,23 @@
         StateStandIn[] state = new StateStandIn[1];
         long[] changes = new long[1];
         loop.submit(() -> {
-            state[0] = new StateStandIn(new NettyLoop(loop), LIMITS);
-            changes[0] = fill(state[0], archived, jobs);
-        }).get();
+                    state[0] = new StateStandIn(new NettyLoop(loop), LIMITS);
+                    changes[0] = fill(state[0], archived, jobs);
+                })
+                .get();
         int[] ports = new int[6];
         for (int i = 0; i < ports.length; i++) {
             try (ServerSocket free = new ServerSocket(0)) {
                 ports[i] = free.getLocalPort();
             }
         }
-        new HttpServer(state[0]::handle, 1000).bind(loop, "127.0.0.1:" + ports[0]).sync();
-        CloudStandIn cloud = new CloudStandIn(new NettyLoop(loop), List.of(TYPE), 0, machine -> { }, name -> { });
+        new HttpServer(state[0]::handle, 1000)
+                .bind(loop, "127.0.0.1:" + ports[0])
+                .sync();
+        CloudStandIn cloud = new CloudStandIn(new NettyLoop(loop), List.of(TYPE), 0, machine -> {}, name -> {});
         new HttpServer(cloud::handle, 1000).bind(loop, "127.0.0.1:" + ports[1]).sync();
-        loop.submit(() -> state[0].preset(StoreKeys.TYPES, json(new Row.Types(List.of(TYPE))))).get();
+        loop.submit(() -> state[0].preset(StoreKeys.TYPES, json(new Row.Types(List.of(TYPE)))))
+                .get();
         List<String> log = new ArrayList<>();
         long[] requests = new long[1];
         List<Process> processes = new ArrayList<>();
@@ -116,10 +121,24 @@
             processes.forEach(Process::destroyForcibly);
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
         }
-        long values = state[0].values().tailMap(StoreKeys.SEGMENTS).headMap(StoreKeys.SEGMENTS + "~").size();
-        return String.format(Locale.ROOT, "%d | %s | %.2f | %.1f | %d | %d | %.3f | %.0f, %.0f | %.1f | %.2f", jobs,
-                archived ? "archive" : "rows", healthy, resident, requests[0], values,
-                archived && jobs > 0 ? 1 + (double) changes[0] / jobs : 0, polls[0], polls[1], afterwards, takeOver);
+        long values = state[0].values()
+                .tailMap(StoreKeys.SEGMENTS)
+                .headMap(StoreKeys.SEGMENTS + "~")
+                .size();
+        return String.format(
+                Locale.ROOT,
+                "%d | %s | %.2f | %.1f | %d | %d | %.3f | %.0f, %.0f | %.1f | %.2f",
+                jobs,
+                archived ? "archive" : "rows",
+                healthy,
+                resident,
+                requests[0],
+                values,
+                archived && jobs > 0 ? 1 + (double) changes[0] / jobs : 0,
+                polls[0],
+                polls[1],
+                afterwards,
+                takeOver);
     }
 
     // ---- what is stored at the beginning
@@ -133,17 +152,22 @@
     private static long fill(StateStandIn state, boolean archived, int jobs) {
         if (!archived) {
             for (int i = 0; i < jobs; i++) {
-                state.preset(StoreKeys.job(id(i)), json(new Row.JobRow(JobState.DONE, null, 1_790_000_000_000_000L + i, 16,
-                        1_790_000_060_000_000L + i, 0)));
+                state.preset(
+                        StoreKeys.job(id(i)),
+                        json(new Row.JobRow(
+                                JobState.DONE, null, 1_790_000_000_000_000L + i, 16, 1_790_000_060_000_000L + i, 0)));
             }
             return 0;
         }
         Row.History manifest = Archivist.first(17, 4711);
         long version = 1;
         long changes = 0;
-        Archivist archivist = new Archivist(1, LIMITS.valueBytes(), LIMITS.transactionChanges(), 256, manifest, version);
+        Archivist archivist =
+                new Archivist(1, LIMITS.valueBytes(), LIMITS.transactionChanges(), 256, manifest, version);
         int next = 0;
-        for (Archivist.Step step = archivist.next(LIMITS.transactionChanges()); step != null || next < jobs; step = archivist.next(LIMITS.transactionChanges())) {
+        for (Archivist.Step step = archivist.next(LIMITS.transactionChanges());
+                step != null || next < jobs;
+                step = archivist.next(LIMITS.transactionChanges())) {
             if (step == null) {
                 List<Archivist.Ended> some = new ArrayList<>();
                 for (int end = Math.min(jobs, next + 256); next < end; next++) {
@@ -173,10 +197,10 @@
 
     private static void segment(StateStandIn state, Archivist archivist, String key) {
         try {
-            String value = "{\"k\":\"" + key + "\",\"data\":" + new String(state.values().get(key).json(), StandardCharsets.UTF_8)
-                    + ",\"stamp\":1}";
-            archivist.segment(key, Segments.unpack(key,
-                    (Row.Segment) StateCodec.item(value.getBytes(StandardCharsets.UTF_8)).row()));
+            String value = "{\"k\":\"" + key + "\",\"data\":"
+                    + new String(state.values().get(key).json(), StandardCharsets.UTF_8) + ",\"stamp\":1}";
+            archivist.segment(key, Segments.unpack(key, (Row.Segment)
+                    StateCodec.item(value.getBytes(StandardCharsets.UTF_8)).row()));
         } catch (MalformedException | DamagedException e) {
             throw new IllegalStateException(e);
         }
@@ -184,8 +208,13 @@
 
     private static byte[] json(Row row) {
         try {
-            return Json.tree(StateCodec.transaction(new Transaction(List.of(), List.of(new Transaction.Write("k", row, 0)))))
-                    .path("writes").get(0).path("data").toString().getBytes(StandardCharsets.UTF_8);
+            return Json.tree(StateCodec.transaction(
+                            new Transaction(List.of(), List.of(new Transaction.Write("k", row, 0)))))
+                    .path("writes")
+                    .get(0)
+                    .path("data")
+                    .toString()
+                    .getBytes(StandardCharsets.UTF_8);
         } catch (MalformedException e) {
             throw new IllegalStateException(e);
         }
@@ -228,8 +257,16 @@
                 cores = 0.34
                 memory_mb = 148.0
                 max_connections = 500
-                """.formatted(number, ports[2 + 2 * number], ports[3 + 2 * number], 1 - number, ports[3 + 2 * (1 - number)],
-                ports[1], ports[0], LIMITS.requests(), LIMITS.changes());
+                """.formatted(
+                        number,
+                        ports[2 + 2 * number],
+                        ports[3 + 2 * number],
+                        1 - number,
+                        ports[3 + 2 * (1 - number)],
+                        ports[1],
+                        ports[0],
+                        LIMITS.requests(),
+                        LIMITS.changes());
         Path file = Files.createTempFile("micatide", ".toml");
         Files.writeString(file, settings);
         file.toFile().deleteOnExit();
@@ -240,15 +277,19 @@
         builder.environment().put("LOG_LEVEL", "info");
         builder.redirectOutput(ProcessBuilder.Redirect.DISCARD);
         builder.redirectError(log == null ? ProcessBuilder.Redirect.DISCARD : ProcessBuilder.Redirect.to(log));
-        builder.environment().put("JAVA_TOOL_OPTIONS", "-Dorg.slf4j.simpleLogger.showDateTime=true"
-                + " -Dorg.slf4j.simpleLogger.dateTimeFormat=ss.SSS");
+        builder.environment()
+                .put(
+                        "JAVA_TOOL_OPTIONS",
+                        "-Dorg.slf4j.simpleLogger.showDateTime=true"
+                                + " -Dorg.slf4j.simpleLogger.dateTimeFormat=ss.SSS");
         return builder.start();
     }
 
     private static double healthy(int port, Process process, long began) throws InterruptedException {
         while (System.nanoTime() - began < TimeUnit.SECONDS.toNanos(PATIENCE_S) && process.isAlive()) {
             try {
-                HttpURLConnection ask = (HttpURLConnection) URI.create("http://127.0.0.1:" + port + "/healthz").toURL()
+                HttpURLConnection ask = (HttpURLConnection) URI.create("http://127.0.0.1:" + port + "/healthz")
+                        .toURL()
                         .openConnection();
                 ask.setConnectTimeout(500);
                 ask.setReadTimeout(1000);
@@ -289,7 +330,8 @@
 
     private static int ask(int port, String path) {
         try {
-            HttpURLConnection ask = (HttpURLConnection) URI.create("http://127.0.0.1:" + port + path).toURL().openConnection();
+            HttpURLConnection ask = (HttpURLConnection)
+                    URI.create("http://127.0.0.1:" + port + path).toURL().openConnection();
             ask.setConnectTimeout(500);
             ask.setReadTimeout(2000);
             int status = ask.getResponseCode();
@@ -319,7 +361,10 @@
     }
 
     private static double at(List<String> log, String words) {
-        return log.stream().filter(line -> line.contains(words)).findFirst()
-                .map(line -> Double.parseDouble(line.substring(0, line.indexOf(' ')))).orElse(-1.0);
+        return log.stream()
+                .filter(line -> line.contains(words))
+                .findFirst()
+                .map(line -> Double.parseDouble(line.substring(0, line.indexOf(' '))))
+                .orElse(-1.0);
     }
 }
--- a/src/main/java/io/micatide/rehearsal/StateStandIn.java
+++ b/src/main/java/io/micatide/rehearsal/StateStandIn.java
@@ -23,16 +23,13 @@
 /** The state service: a consistent store with leases, conditions, watches and its limits. Used from its loop only. */
 public final class StateStandIn {
     /** What the service allows; rates a second. */
-    public record Limits(double requests, double changes, int valueBytes, int transactionChanges) {
-    }
+    public record Limits(double requests, double changes, int valueBytes, int transactionChanges) {}
 
     /** A stored value; {@code hold} 0 without a lease. */
-    public record Value(byte[] json, long stamp, long hold) {
-    }
+    public record Value(byte[] json, long stamp, long hold) {}
 
     /** A change; {@code json} null of a deletion. */
-    private record Event(String key, byte[] json, long stamp) {
-    }
+    private record Event(String key, byte[] json, long stamp) {}
 
     private static final class Lease {
         final long ttlMicros;
@@ -44,8 +41,7 @@
         }
     }
 
-    private record Watch(Request request, String prefix, long from) {
-    }
+    private record Watch(Request request, String prefix, long from) {}
 
     private static final int KEPT_EVENTS = 10_000;
     private static final int MOST_ITEMS = 1_000;
@@ -68,8 +64,8 @@
     private long requestCount;
     private long changeCount;
     private boolean away;
-    private LongConsumer witness = revision -> { };
-    private Consumer<JsonNode> transactions = body -> { };
+    private LongConsumer witness = revision -> {};
+    private Consumer<JsonNode> transactions = body -> {};
 
     public StateStandIn(Loop loop, Limits limits) {
         this.loop = loop;
@@ -203,8 +199,8 @@
         String from = query.get("from");
         int most = Math.min(MOST_ITEMS, Integer.parseInt(query.getOrDefault("most", "1000")));
         StringBuilder out = new StringBuilder("{\"items\":[");
-        SortedMap<String, Value> rest = from == null || from.compareTo(prefix) < 0 ? values.tailMap(prefix)
-                : values.tailMap(from, false);
+        SortedMap<String, Value> rest =
+                from == null || from.compareTo(prefix) < 0 ? values.tailMap(prefix) : values.tailMap(from, false);
         int count = 0;
         boolean more = false;
         for (Map.Entry<String, Value> each : rest.entrySet()) {
@@ -215,9 +211,18 @@
                 more = true;
                 break;
             }
-            out.append(count++ == 0 ? "{" : ",{").append(item(each.getKey(), each.getValue())).append('}');
+            out.append(count++ == 0 ? "{" : ",{")
+                    .append(item(each.getKey(), each.getValue()))
+                    .append('}');
         }
-        ok(request, out.append("],\"truncated\":").append(more).append(",\"ledger\":").append(revision).append('}').toString());
+        ok(
+                request,
+                out.append("],\"truncated\":")
+                        .append(more)
+                        .append(",\"ledger\":")
+                        .append(revision)
+                        .append('}')
+                        .toString());
     }
 
     private void changes(Request request, Map<String, String> query) {
@@ -234,17 +239,19 @@
         }
         Watch watch = new Watch(request, prefix, from);
         watches.add(watch);
-        loop.later(() -> {
-            if (watches.remove(watch)) {
-                tell(request, prefix, from);
-            }
-        }, wait * Micros.MILLISECOND);
+        loop.later(
+                () -> {
+                    if (watches.remove(watch)) {
+                        tell(request, prefix, from);
+                    }
+                },
+                wait * Micros.MILLISECOND);
     }
 
     /** The newest first. */
     private List<Event> since(String prefix, long from) {
         List<Event> result = new ArrayList<>();
-        for (Iterator<Event> newest = events.descendingIterator(); newest.hasNext();) {
+        for (Iterator<Event> newest = events.descendingIterator(); newest.hasNext(); ) {
             Event event = newest.next();
             if (event.stamp() <= from) {
                 break;
@@ -260,8 +267,12 @@
         StringBuilder out = new StringBuilder("{\"ledger\":").append(revision).append(",\"events\":[");
         String comma = "";
         for (Event event : since(prefix, from)) {
-            out.append(comma).append("{\"").append(event.json() == null ? "delete" : "put").append("\":\"")
-                    .append(event.key()).append('"');
+            out.append(comma)
+                    .append("{\"")
+                    .append(event.json() == null ? "delete" : "put")
+                    .append("\":\"")
+                    .append(event.key())
+                    .append('"');
             if (event.json() != null) {
                 out.append(",\"data\":").append(new String(event.json(), StandardCharsets.UTF_8));
             }
@@ -277,7 +288,8 @@
         JsonNode writes = body.path("writes");
         JsonNode conditions = body.path("if");
         transactions.accept(body);
-        if (writes.size() > limits.transactionChanges() || conditions.size() > CONDITIONS_A_CHANGE * limits.transactionChanges()
+        if (writes.size() > limits.transactionChanges()
+                || conditions.size() > CONDITIONS_A_CHANGE * limits.transactionChanges()
                 || request.body().length > MOST_TRANSACTION_BYTES) {
             throw new MalformedException("writes", "is larger than the limits");
         }
@@ -344,7 +356,8 @@
 
     private void notifyWatches() {
         for (Watch watch : List.copyOf(watches)) {
-            boolean any = !since(watch.prefix(), Math.max(watch.from(), revision - 1)).isEmpty();
+            boolean any =
+                    !since(watch.prefix(), Math.max(watch.from(), revision - 1)).isEmpty();
             if (any && watches.remove(watch)) {
                 tell(watch.request(), watch.prefix(), watch.from());
             }
--- a/src/main/java/io/micatide/rehearsal/TakeOverMeasure.java
+++ b/src/main/java/io/micatide/rehearsal/TakeOverMeasure.java
@@ -6,8 +6,8 @@
 import io.micatide.core.Resources;
 import io.micatide.core.Settings;
 import io.micatide.core.StoreKeys;
-import io.micatide.core.Team;
 import io.micatide.core.TakeOverTimes;
+import io.micatide.core.Team;
 import io.micatide.core.Tuning;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -28,8 +28,8 @@
     private static final int CONTROLLERS = 5;
     private static final int CPUS = 8;
     private static final int TASKS = 100;
-    private static final MachineType TYPE = new MachineType("small", Resources.of(CPUS, 0, 64), 25, 0.5, 0.5, 0.2, Micros.SECOND,
-            List.of("a", "b"));
+    private static final MachineType TYPE =
+            new MachineType("small", Resources.of(CPUS, 0, 64), 25, 0.5, 0.5, 0.2, Micros.SECOND, List.of("a", "b"));
     private static final int FILL_S = 3_000;
     private static final int SETTLE_S = 40;
     private static final int WATCH_S = 15;
@@ -55,8 +55,14 @@
     private TakeOverMeasure(int machines, boolean standby) {
         this.machines = machines;
         this.standby = standby;
-        this.deployment = new Deployment(new Random(machines), CONTROLLERS, this, List.of(TYPE), machines,
-                new StateStandIn.Limits(300, 120, 16 * 1024, 16), new WorkerStandIn.Witness() {
+        this.deployment = new Deployment(
+                new Random(machines),
+                CONTROLLERS,
+                this,
+                List.of(TYPE),
+                machines,
+                new StateStandIn.Limits(300, 120, 16 * 1024, 16),
+                new WorkerStandIn.Witness() {
                     @Override
                     public void started(String task, long attempt, String machine) {
                         tasks[0]++;
@@ -77,9 +83,33 @@
                 siblings.add(new Settings.Sibling("c" + i, zone(i), "p" + i));
             }
         }
-        return new Settings("c" + number, zone(number), "c" + number, "p" + number, siblings, "cloud", "state", List.of("a", "b"), 0,
-                Map.of("blue", new Team("blue", 0, 0, 0, 0)), List.of(), 3 * Micros.SECOND, Micros.ofSeconds(17.5), 30 * Micros.SECOND,
-                5 * Micros.SECOND, Micros.ofSeconds(37.5), 300, 120, 16 * 1024, 16 * 1024, 16, 18, Micros.SECOND, 1.5, 306, 2_545);
+        return new Settings(
+                "c" + number,
+                zone(number),
+                "c" + number,
+                "p" + number,
+                siblings,
+                "cloud",
+                "state",
+                List.of("a", "b"),
+                0,
+                Map.of("blue", new Team("blue", 0, 0, 0, 0)),
+                List.of(),
+                3 * Micros.SECOND,
+                Micros.ofSeconds(17.5),
+                30 * Micros.SECOND,
+                5 * Micros.SECOND,
+                Micros.ofSeconds(37.5),
+                300,
+                120,
+                16 * 1024,
+                16 * 1024,
+                16,
+                18,
+                Micros.SECOND,
+                1.5,
+                306,
+                2_545);
     }
 
     private static String zone(int controller) {
@@ -90,8 +120,14 @@
     public Tuning tuning(int number) {
         Settings settings = settings(number);
         Tuning defaults = Tuning.defaults(settings);
-        return new Tuning(standby ? Tuning.leaseWithStandby(settings) : defaults.leaderLeaseMicros(), 600 * Micros.SECOND, true,
-                defaults.historyBatch(), standby, false, false);
+        return new Tuning(
+                standby ? Tuning.leaseWithStandby(settings) : defaults.leaderLeaseMicros(),
+                600 * Micros.SECOND,
+                true,
+                defaults.historyBatch(),
+                standby,
+                false,
+                false);
     }
 
     public static void main(String[] args) {
@@ -122,16 +158,40 @@
             takeOver(orderly);
         }
         String end = orderly ? "stop" : "kill";
-        phases.forEach((phase, times1) -> System.out.printf(Locale.ROOT, "%d | %s | %s | %.3f | %.3f | %.3f%n", machines, end, phase,
-                times1.getValueAtPercentile(50) / 1e6, times1.getValueAtPercentile(90) / 1e6, times1.getMaxValue() / 1e6));
+        phases.forEach((phase, times1) -> System.out.printf(
+                Locale.ROOT,
+                "%d | %s | %s | %.3f | %.3f | %.3f%n",
+                machines,
+                end,
+                phase,
+                times1.getValueAtPercentile(50) / 1e6,
+                times1.getValueAtPercentile(90) / 1e6,
+                times1.getMaxValue() / 1e6));
         for (int index = 0; index < latencies.length; index++) {
-            System.out.printf(Locale.ROOT, "%d | %s | users in second %d: %d of %d answered, p50 %.3f, p99 %.3f s%n", machines, end,
-                    index + SEEN_FROM_S, answered[index], asked[index], latencies[index].getValueAtPercentile(50) / 1e6,
+            System.out.printf(
+                    Locale.ROOT,
+                    "%d | %s | users in second %d: %d of %d answered, p50 %.3f, p99 %.3f s%n",
+                    machines,
+                    end,
+                    index + SEEN_FROM_S,
+                    answered[index],
+                    asked[index],
+                    latencies[index].getValueAtPercentile(50) / 1e6,
                     latencies[index].getValueAtPercentile(99) / 1e6);
         }
-        System.out.printf(Locale.ROOT, "%d | %s | longest piece of a new leader's work %.1f ms of this machine%n", machines, end,
+        System.out.printf(
+                Locale.ROOT,
+                "%d | %s | longest piece of a new leader's work %.1f ms of this machine%n",
+                machines,
+                end,
                 longestMillis);
-        System.out.printf(Locale.ROOT, "%d | %s | tasks before and after: %d, %d on %d machines%n", machines, end, wanted, tasks[0],
+        System.out.printf(
+                Locale.ROOT,
+                "%d | %s | tasks before and after: %d, %d on %d machines%n",
+                machines,
+                end,
+                wanted,
+                tasks[0],
                 deployment.machines());
     }
 
@@ -139,7 +199,9 @@
         byte[] body = deployment.describe(id, "batch", count, 2.0, 1_000_000);
         int[] status = new int[1];
         for (int tries = 0; tries < 50 && status[0] != 201; tries++) {
-            deployment.toController(tries % CONTROLLERS).post("/v1/jobs", body, 5 * Micros.SECOND, reply -> status[0] = reply.status());
+            deployment
+                    .toController(tries % CONTROLLERS)
+                    .post("/v1/jobs", body, 5 * Micros.SECOND, reply -> status[0] = reply.status());
             deployment.time.run(50 * Micros.MILLISECOND);
         }
     }
@@ -153,10 +215,16 @@
         long[] after = busy();
         StringBuilder line = new StringBuilder();
         for (int i = 0; i < CONTROLLERS; i++) {
-            String what = i == deployment.leader() ? "leads" : deployment.controller(i).follows() ? "follows" : "waits";
+            String what = i == deployment.leader()
+                    ? "leads"
+                    : deployment.controller(i).follows() ? "follows" : "waits";
             line.append(String.format(Locale.ROOT, " c%d %s %.2f%%", i, what, (after[i] - before[i]) / 1e7 / STEADY_S));
         }
-        System.out.printf(Locale.ROOT, "%d | steady: of a core%s; %.1f requests a second of the state service%n", machines, line,
+        System.out.printf(
+                Locale.ROOT,
+                "%d | steady: of a core%s; %.1f requests a second of the state service%n",
+                machines,
+                line,
                 (deployment.state.requestCount() - requests) / (double) STEADY_S);
     }
 
@@ -192,9 +260,12 @@
             if (claimed >= 0 && times == null) {
                 deployment.process(deployment.leader()).longestNanos();
             }
-            times = claimed < 0 ? null : deployment.controller(deployment.leader()).takeOver();
+            times = claimed < 0
+                    ? null
+                    : deployment.controller(deployment.leader()).takeOver();
         }
-        longestMillis = Math.max(longestMillis, deployment.process(deployment.leader()).longestNanos() / 1e6);
+        longestMillis =
+                Math.max(longestMillis, deployment.process(deployment.leader()).longestNanos() / 1e6);
         record("end to claim", claimed - began);
         record("claim to rebuilt", times.rebuiltMicros());
         record("claim to 50% confirmed", times.confirmedMicros(0));
@@ -221,10 +292,14 @@
                 }
                 if (poll) {
                     String job = "wk-" + (1 + random.nextInt(Math.max(1, machines * CPUS / 2 / TASKS)));
-                    deployment.toController(to).get("/v1/jobs/" + job, 2 * Micros.SECOND, reply -> seen(second, at, reply.status()));
+                    deployment
+                            .toController(to)
+                            .get("/v1/jobs/" + job, 2 * Micros.SECOND, reply -> seen(second, at, reply.status()));
                 } else {
                     byte[] body = deployment.describe("wk-" + (1_000_000 + ++submissions), "batch", 1, 1.0, 1);
-                    deployment.toController(to).post("/v1/jobs", body, 5 * Micros.SECOND, reply -> seen(second, at, reply.status()));
+                    deployment
+                            .toController(to)
+                            .post("/v1/jobs", body, 5 * Micros.SECOND, reply -> seen(second, at, reply.status()));
                 }
             });
         }
--- a/src/main/java/io/micatide/rehearsal/VirtualNetwork.java
+++ b/src/main/java/io/micatide/rehearsal/VirtualNetwork.java
@@ -46,8 +46,7 @@
     }
 
     /** What listens at an endpoint. */
-    private record Host(VirtualTime.Process process, Consumer<Request> handler) {
-    }
+    private record Host(VirtualTime.Process process, Consumer<Request> handler) {}
 
     private static final long LEAST_DELAY_MICROS = 200;
     private static final int DELAY_MICROS = 3_000;
@@ -176,11 +175,17 @@
             Fate fate = fate(from, endpoint, path);
             unheard = fate.unheard();
             if (fate.again() > 0) {
-                Call copy = new Call(from, endpoint, method, path, body, reply -> { });
+                Call copy = new Call(from, endpoint, method, path, body, reply -> {});
                 copy.over = true;
                 time.at(time.now() + fate.again(), copy::arrive);
             }
-            time.at(time.now() + (fate.late() > 0 ? Math.max(timeoutMicros, fate.late()) : arrivesLate ? timeoutMicros + random.nextInt(LATE_SECONDS) * Micros.SECOND : delay()),
+            time.at(
+                    time.now()
+                            + (fate.late() > 0
+                                    ? Math.max(timeoutMicros, fate.late())
+                                    : arrivesLate
+                                            ? timeoutMicros + random.nextInt(LATE_SECONDS) * Micros.SECOND
+                                            : delay()),
                     this::arrive);
             time.at(time.now() + timeoutMicros, () -> reply(Reply.UNANSWERED));
         }
--- a/src/main/java/io/micatide/rehearsal/Wishes.java
+++ b/src/main/java/io/micatide/rehearsal/Wishes.java
@@ -23,10 +23,14 @@
      * @param seconds that a task runs, as its user has it
      */
     byte[] body(String id, String form, int tasks, double cpus, double seconds) {
-        return ("{\"nameId\":\"" + id + "\",\"roster\":\"x\",\"crew\":\"" + team + "\",\"form\":\"" + form + "\",\"rank\":\""
-                + (form.equals("daemon") ? "high" : "normal") + "\",\"legs\":" + tasks + ",\"cpus\":" + cpus
-                + ",\"cards\":0.0,\"memGb\":1.0,\"kit\":\"i\",\"sizeGb\":0.1,\"builds\":" + (type == null ? "null" : "[" + quoted(type) + "]")
-                + ",\"ground\":" + quoted(zone) + ",\"samePlace\":" + oneZone + ",\"scatter\":" + spread + ",\"loaners\":" + spot
-                + ",\"runtimeS\":" + seconds + ",\"halftimeS\":0.0,\"stowS\":0.0}").getBytes(StandardCharsets.UTF_8);
+        return ("{\"nameId\":\"" + id + "\",\"roster\":\"x\",\"crew\":\"" + team + "\",\"form\":\"" + form
+                        + "\",\"rank\":\""
+                        + (form.equals("daemon") ? "high" : "normal") + "\",\"legs\":" + tasks + ",\"cpus\":" + cpus
+                        + ",\"cards\":0.0,\"memGb\":1.0,\"kit\":\"i\",\"sizeGb\":0.1,\"builds\":"
+                        + (type == null ? "null" : "[" + quoted(type) + "]")
+                        + ",\"ground\":" + quoted(zone) + ",\"samePlace\":" + oneZone + ",\"scatter\":" + spread
+                        + ",\"loaners\":" + spot
+                        + ",\"runtimeS\":" + seconds + ",\"halftimeS\":0.0,\"stowS\":0.0}")
+                .getBytes(StandardCharsets.UTF_8);
     }
 }
--- a/src/main/java/io/micatide/rehearsal/WorkerStandIn.java
+++ b/src/main/java/io/micatide/rehearsal/WorkerStandIn.java
@@ -33,12 +33,10 @@
         void over(String task, long attempt, String machine, ExitCause cause);
 
         /** A start was taken: from now on the task holds its part of the machine, also while its image is fetched. */
-        default void taken(JobSpec spec, String task, long attempt, CloudStandIn.Rented machine) {
-        }
+        default void taken(JobSpec spec, String task, long attempt, CloudStandIn.Rented machine) {}
 
         /** It holds nothing any more, whether it ever was on its machine or not. */
-        default void released(String task, long attempt, CloudStandIn.Rented machine) {
-        }
+        default void released(String task, long attempt, CloudStandIn.Rented machine) {}
     }
 
     /** How long a task runs. */
@@ -103,8 +101,14 @@
      * @param controllers by label, in the order in which they are tried
      * @param described the job as its user described it, null if nobody submitted it
      */
-    public WorkerStandIn(Loop loop, Settings settings, CloudStandIn.Rented machine, Map<String, Http> controllers,
-            Function<String, JobSpec> described, Gangs gangs, Witness witness) {
+    public WorkerStandIn(
+            Loop loop,
+            Settings settings,
+            CloudStandIn.Rented machine,
+            Map<String, Http> controllers,
+            Function<String, JobSpec> described,
+            Gangs gangs,
+            Witness witness) {
         this.loop = loop;
         this.settings = settings;
         this.machine = machine;
@@ -140,13 +144,15 @@
     }
 
     private void watchLease() {
-        loop.later(() -> {
-            if (deleted) {
-                return;
-            }
-            endLease(loop.now());
-            watchLease();
-        }, 100 * Micros.MILLISECOND);
+        loop.later(
+                () -> {
+                    if (deleted) {
+                        return;
+                    }
+                    endLease(loop.now());
+                    watchLease();
+                },
+                100 * Micros.MILLISECOND);
     }
 
     /** If it is over: a machine that hangs finds that before it does anything else, so others may call this while it does. */
@@ -167,12 +173,14 @@
     // ---- reports
 
     private void tick() {
-        loop.later(() -> {
-            if (!deleted) {
-                report();
-                tick();
-            }
-        }, settings.reportMicros());
+        loop.later(
+                () -> {
+                    if (!deleted) {
+                        report();
+                        tick();
+                    }
+                },
+                settings.reportMicros());
     }
 
     private void changed() {
@@ -180,10 +188,12 @@
             return;
         }
         due = true;
-        loop.later(() -> {
-            due = false;
-            report();
-        }, Math.max(0, sentMicros + MINIMUM_GAP_MICROS - loop.now()));
+        loop.later(
+                () -> {
+                    due = false;
+                    report();
+                },
+                Math.max(0, sentMicros + MINIMUM_GAP_MICROS - loop.now()));
     }
 
     private void report() {
@@ -194,18 +204,37 @@
         long sent = loop.now();
         long ofSession = session;
         sentMicros = sent;
-        controllers.get(labels.get(at)).post("/v1/report", WorkerSide.report(newReport()), PATIENCE_MICROS,
-                reply -> answered(reply, sent, ofSession));
+        controllers
+                .get(labels.get(at))
+                .post(
+                        "/v1/report",
+                        WorkerSide.report(newReport()),
+                        PATIENCE_MICROS,
+                        reply -> answered(reply, sent, ofSession));
     }
 
     private MachineReport newReport() {
         List<TaskReport> lines = new ArrayList<>();
         for (Task task : tasks.values()) {
-            lines.add(new TaskReport(task.job, task.index, task.attempt, task.over() ? TaskState.EXITED : task.state,
-                    task.cause, task.saved));
+            lines.add(new TaskReport(
+                    task.job,
+                    task.index,
+                    task.attempt,
+                    task.over() ? TaskState.EXITED : task.state,
+                    task.cause,
+                    task.saved));
         }
-        return new MachineReport(machine.name(), machine.name() + ":9000", machine.type().name(), machine.zone(),
-                machine.spot(), session, ++sequence, highestToken, -1, lines);
+        return new MachineReport(
+                machine.name(),
+                machine.name() + ":9000",
+                machine.type().name(),
+                machine.zone(),
+                machine.spot(),
+                session,
+                ++sequence,
+                highestToken,
+                -1,
+                lines);
     }
 
     private void answered(Reply reply, long sent, long ofSession) {
@@ -249,7 +278,8 @@
         }
         try {
             WorkerSide.Answer direct = WorkerSide.answer(request.body());
-            boolean executed = request.path().equals("/commands") && direct.token() >= highestToken
+            boolean executed = request.path().equals("/commands")
+                    && direct.token() >= highestToken
                     && WorkerSide.session(request.body()) == session;
             if (executed) {
                 if (direct.token() > highestToken) {
@@ -287,13 +317,16 @@
             task.cause = ExitCause.UNKNOWN;
         } else if (!room(task)) {
             task.cause = ExitCause.NO_ROOM;
-        } else if (tasks.values().stream().anyMatch(each -> each != task && !each.over() && each.name().equals(task.name()))) {
+        } else if (tasks.values().stream()
+                .anyMatch(each -> each != task && !each.over() && each.name().equals(task.name()))) {
             task.cause = ExitCause.BUSY;
         } else {
             witness.taken(spec, task.name(), task.attempt, machine);
             task.holds = true;
             long fetch = machine.type().fetchGbPerSecond() > 0
-                    ? Micros.ofSeconds(Math.min(spec.imageGb(), 100) / machine.type().fetchGbPerSecond()) : 0;
+                    ? Micros.ofSeconds(
+                            Math.min(spec.imageGb(), 100) / machine.type().fetchGbPerSecond())
+                    : 0;
             loop.later(() -> fetched(task), fetch);
         }
     }
@@ -327,22 +360,28 @@
     void run(Task task, long micros) {
         task.state = TaskState.RUNNING;
         if (task.spec.kind() != JobKind.SERVICE) {
-            loop.later(() -> {
-                if (task.spec.kind() != JobKind.GANG || !gangs.broken(task)) {
-                    exit(task, ExitCause.DONE);
-                }
-            }, micros);
+            loop.later(
+                    () -> {
+                        if (task.spec.kind() != JobKind.GANG || !gangs.broken(task)) {
+                            exit(task, ExitCause.DONE);
+                        }
+                    },
+                    micros);
         }
         changed();
     }
 
     private void stop(Task task, long graceMicros) {
-        if (task.state == TaskState.RUNNING && task.spec.checkpointMicros() > 0 && graceMicros >= task.spec.saveMicros()) {
+        if (task.state == TaskState.RUNNING
+                && task.spec.checkpointMicros() > 0
+                && graceMicros >= task.spec.saveMicros()) {
             task.state = TaskState.SAVING;
-            loop.later(() -> {
-                task.saved = !task.over();
-                exit(task, ExitCause.STOPPED);
-            }, task.spec.saveMicros());
+            loop.later(
+                    () -> {
+                        task.saved = !task.over();
+                        exit(task, ExitCause.STOPPED);
+                    },
+                    task.spec.saveMicros());
             changed();
         } else {
             exit(task, ExitCause.STOPPED);
--- a/src/main/java/io/micatide/rollout/Abilities.java
+++ b/src/main/java/io/micatide/rollout/Abilities.java
@@ -16,7 +16,11 @@
 
     /** As a version with switches that does not know these features yet. */
     public static Abilities without(Feature... features) {
-        return new Abilities(ALL.knows().stream().filter(each -> !Arrays.asList(features).contains(each)).toList(), true);
+        return new Abilities(
+                ALL.knows().stream()
+                        .filter(each -> !Arrays.asList(features).contains(each))
+                        .toList(),
+                true);
     }
 
     /** Names of what it knows. */
--- a/src/main/java/io/micatide/rollout/Plan.java
+++ b/src/main/java/io/micatide/rollout/Plan.java
@@ -27,7 +27,9 @@
             }
             Stage now = switches.stage(feature);
             Row.Wish wish = roster.asked(feature);
-            Stage to = wish == Row.Wish.BACK ? feature.before(now) : wish == Row.Wish.HOLD || !forward ? null : feature.next(now);
+            Stage to = wish == Row.Wish.BACK
+                    ? feature.before(now)
+                    : wish == Row.Wish.HOLD || !forward ? null : feature.next(now);
             if (to == null) {
                 if (wish == Row.Wish.HOLD && feature.next(now) != null) {
                     waits.add(feature.key() + " is held at " + now);
--- a/src/main/java/io/micatide/rollout/Registration.java
+++ b/src/main/java/io/micatide/rollout/Registration.java
@@ -13,7 +13,11 @@
  */
 public final class Registration {
     /** What to do next; every wish but NOTHING must be followed by its outcome. */
-    public enum Wish { NOTHING, READ, PUT }
+    public enum Wish {
+        NOTHING,
+        READ,
+        PUT
+    }
 
     private static final long PAUSE_MICROS = 300 * Micros.MILLISECOND;
 
@@ -25,6 +29,7 @@
     private long againMicros = Long.MIN_VALUE / 2;
     /** Of the own row; -1 before it was read. */
     private long rowVersion = -1;
+
     private long askedLease;
     private long askedActs;
     private long lease;
@@ -51,7 +56,12 @@
      * @param actsNow version of the switches by which it acts, -1 while they are not known
      */
     public Wish next(long leaseNow, long actsNow, long nowMicros) {
-        if (!abilities.registers() || waiting || nowMicros < againMicros || leaseNow == 0 || actsNow < 0 || leaseNow == lease && actsNow == acts) {
+        if (!abilities.registers()
+                || waiting
+                || nowMicros < againMicros
+                || leaseNow == 0
+                || actsNow < 0
+                || leaseNow == lease && actsNow == acts) {
             return Wish.NOTHING;
         }
         waiting = true;
@@ -62,8 +72,12 @@
 
     /** What to write after {@link Wish#PUT}. */
     public Transaction put() {
-        return new Transaction(List.of(new Transaction.Compare(StoreKeys.FEATURES, askedActs), new Transaction.Compare(key, rowVersion)),
-                List.of(new Transaction.Write(key, new Row.Here(build, abilities.names(), askedActs, sinceWall), askedLease)));
+        return new Transaction(
+                List.of(
+                        new Transaction.Compare(StoreKeys.FEATURES, askedActs),
+                        new Transaction.Compare(key, rowVersion)),
+                List.of(new Transaction.Write(
+                        key, new Row.Here(build, abilities.names(), askedActs, sinceWall), askedLease)));
     }
 
     /** The own row as read, version 0 if there is none. */
--- a/src/main/java/io/micatide/rollout/Switches.java
+++ b/src/main/java/io/micatide/rollout/Switches.java
@@ -59,7 +59,10 @@
         row.stages().forEach((name, word) -> {
             Stage stage = stage(word);
             Feature feature = Feature.of(name);
-            if (stage != Stage.OFF && (stage == null || !abilities.knows().contains(feature) || !feature.path().contains(stage))) {
+            if (stage != Stage.OFF
+                    && (stage == null
+                            || !abilities.knows().contains(feature)
+                            || !feature.path().contains(stage))) {
                 result.add(name + " (" + word + ")");
             }
         });
--- a/src/main/java/io/micatide/snapshot/Image.java
+++ b/src/main/java/io/micatide/snapshot/Image.java
@@ -14,14 +14,24 @@
  */
 public record Image(long revision, SortedMap<String, RawState.Value> values) {
     /** One for each owner of the writes; {@link StoreKeys#LEADER} and registrations are left out: they are bound to leases. */
-    static final List<String> PREFIXES = List.of(StoreKeys.BOOKINGS, StoreKeys.FENCE, StoreKeys.LEARNED, StoreKeys.RETURNS, StoreKeys.ASKED, StoreKeys.SEGMENTS, StoreKeys.JOBS, StoreKeys.LEDGERS,
+    static final List<String> PREFIXES = List.of(
+            StoreKeys.BOOKINGS,
+            StoreKeys.FENCE,
+            StoreKeys.LEARNED,
+            StoreKeys.RETURNS,
+            StoreKeys.ASKED,
+            StoreKeys.SEGMENTS,
+            StoreKeys.JOBS,
+            StoreKeys.LEDGERS,
             StoreKeys.TYPES);
 
     /** How many values there are of each prefix. */
     public Map<String, Integer> counts() {
         Map<String, Integer> counts = new TreeMap<>();
         for (String prefix : PREFIXES) {
-            counts.put(prefix, (int) values.keySet().stream().filter(key -> key.startsWith(prefix)).count());
+            counts.put(prefix, (int) values.keySet().stream()
+                    .filter(key -> key.startsWith(prefix))
+                    .count());
         }
         return counts;
     }
--- a/src/main/java/io/micatide/snapshot/ImageTaker.java
+++ b/src/main/java/io/micatide/snapshot/ImageTaker.java
@@ -22,6 +22,7 @@
     private final TreeMap<String, RawState.Value> values = new TreeMap<>();
     /** Keys that went while they were read: a page that is older may still show them. */
     private final Map<String, Long> deleted = new HashMap<>();
+
     private final Map<String, Long> readTo = new HashMap<>();
 
     /** @param progress is told a line now and then */
@@ -54,7 +55,8 @@
         int pages = 0;
         boolean more = true;
         while (more) {
-            RawState.Values page = read("/store?starts=" + prefix + (after == null ? "" : "&from=" + after) + "&most=" + PAGE, true);
+            RawState.Values page =
+                    read("/store?starts=" + prefix + (after == null ? "" : "&from=" + after) + "&most=" + PAGE, true);
             readTo.putIfAbsent(prefix, page.revision());
             for (RawState.Value value : page.values()) {
                 put(value);
@@ -111,7 +113,8 @@
                 throw new SnapshotException(path + ": " + e.getMessage());
             }
             if (status == 410) {
-                throw new SnapshotException(path + ": the state service has forgotten changes that are needed; read faster");
+                throw new SnapshotException(
+                        path + ": the state service has forgotten changes that are needed; read faster");
             }
             calls.pause();
         }
--- a/src/main/java/io/micatide/snapshot/Restorer.java
+++ b/src/main/java/io/micatide/snapshot/Restorer.java
@@ -21,6 +21,7 @@
     static final String MARKER = StoreKeys.JOBS + "being-restored";
     /** Stays behind, so that a restore which ended without an answer may be repeated as well. */
     static final String RESTORED = "restored";
+
     private static final int MOST_TRIES = 50;
     private static final int MOST_BYTES = 40_000;
     private static final int NO_ANSWER = 0;
@@ -49,7 +50,8 @@
     public void restore(Image image, String digest, boolean advance) throws SnapshotException {
         for (RawState.Value value : image.values().values()) {
             if (value.json().getBytes(StandardCharsets.UTF_8).length > mostValueBytes) {
-                throw new SnapshotException(value.key() + ": is larger than a value of this service may be, nothing was written");
+                throw new SnapshotException(
+                        value.key() + ": is larger than a value of this service may be, nothing was written");
             }
         }
         if (restored(digest)) {
@@ -99,13 +101,15 @@
         if (there == null) {
             String found = anything();
             if (found != null) {
-                throw new SnapshotException("the state service is not empty: it holds " + found + "; nothing was written");
+                throw new SnapshotException(
+                        "the state service is not empty: it holds " + found + "; nothing was written");
             }
             post(RawState.putNew(List.of(marker(digest)), null, 0));
             there = read(MARKER);
         }
         if (there == null || !there.json().equals(marker(digest).json())) {
-            throw new SnapshotException("another snapshot is being restored into this state service; nothing was written");
+            throw new SnapshotException(
+                    "another snapshot is being restored into this state service; nothing was written");
         }
         return there.stamp();
     }
@@ -115,7 +119,9 @@
         prefixes.add(StoreKeys.LEADER);
         for (String prefix : prefixes) {
             try {
-                List<RawState.Value> values = RawState.page(get("/store?starts=" + prefix + "&most=1").body()).values();
+                List<RawState.Value> values = RawState.page(
+                                get("/store?starts=" + prefix + "&most=1").body())
+                        .values();
                 if (!values.isEmpty()) {
                     return values.get(0).key();
                 }
@@ -179,7 +185,8 @@
     }
 
     private void end(String digest, long marker) throws SnapshotException {
-        Reply reply = post(RawState.replace(MARKER, marker, new RawState.Value(RESTORED, marker(digest).json(), 0)));
+        Reply reply = post(RawState.replace(
+                MARKER, marker, new RawState.Value(RESTORED, marker(digest).json(), 0)));
         if (!reply.ok() && read(MARKER) != null) {
             throw new SnapshotException(MARKER + ": could not be removed, " + reply.status());
         }
--- a/src/main/java/io/micatide/snapshot/SnapshotFile.java
+++ b/src/main/java/io/micatide/snapshot/SnapshotFile.java
@@ -35,15 +35,12 @@
  */
 public final class SnapshotFile {
     /** What a file says of itself. */
-    public record Summary(long revision, String taken, Map<String, Integer> counts, int parts, boolean signed) {
-    }
+    public record Summary(long revision, String taken, Map<String, Integer> counts, int parts, boolean signed) {}
 
     /** A file that was read whole and found sound. */
-    public record Content(Summary summary, Image image, String digest) {
-    }
+    public record Content(Summary summary, Image image, String digest) {}
 
-    private record Part(String name, int lines, String sha256) {
-    }
+    private record Part(String name, int lines, String sha256) {}
 
     private static final int FORMAT = 1;
     private static final int LINES_A_PART = 10_000;
@@ -51,8 +48,7 @@
     private static final String MANIFEST = "manifest.json";
     private static final String MAC = "manifest.mac";
 
-    private SnapshotFile() {
-    }
+    private SnapshotFile() {}
 
     // ---- writing
 
@@ -95,7 +91,8 @@
         }
     }
 
-    private static Part part(TarArchiveOutputStream tar, int number, StringBuilder lines, int count) throws IOException {
+    private static Part part(TarArchiveOutputStream tar, int number, StringBuilder lines, int count)
+            throws IOException {
         byte[] bytes = lines.toString().getBytes(StandardCharsets.UTF_8);
         String name = String.format("values/%06d.jsonl", number);
         entry(tar, name, bytes);
@@ -173,7 +170,8 @@
             throw new SnapshotException(file + ": is not signed, " + MAC + " is missing");
         }
         if (key != null && !MessageDigest.isEqual(mac(key, manifest).getBytes(StandardCharsets.US_ASCII), mac)) {
-            throw new SnapshotException(file + ": " + MAC + " does not fit the key: another key, or a changed " + MANIFEST);
+            throw new SnapshotException(
+                    file + ": " + MAC + " does not fit the key: another key, or a changed " + MANIFEST);
         }
         try {
             return content(file, entries, manifest, mac != null);
@@ -214,7 +212,8 @@
             throw new SnapshotException(file + ": format is " + tree.path("format") + ", this version reads " + FORMAT);
         }
         if (tree.path("signed").asBoolean() != signed) {
-            throw new SnapshotException(file + ": " + MAC + (signed ? " is there though nothing was signed" : " is missing"));
+            throw new SnapshotException(
+                    file + ": " + MAC + (signed ? " is there though nothing was signed" : " is missing"));
         }
         TreeMap<String, RawState.Value> values = new TreeMap<>();
         for (JsonNode part : tree.path("parts")) {
@@ -228,7 +227,8 @@
             }
             String[] lines = new String(bytes, StandardCharsets.UTF_8).split("\n");
             if (lines.length != part.path("lines").asInt()) {
-                throw new SnapshotException(file + ": " + name + " has " + lines.length + " values and not " + part.path("lines"));
+                throw new SnapshotException(
+                        file + ": " + name + " has " + lines.length + " values and not " + part.path("lines"));
             }
             for (String line : lines) {
                 RawState.Value value = RawState.value(line.getBytes(StandardCharsets.UTF_8));
@@ -236,12 +236,22 @@
             }
         }
         Map<String, Integer> counts = new TreeMap<>();
-        tree.path("counts").fields().forEachRemaining(each -> counts.put(each.getKey(), each.getValue().asInt()));
+        tree.path("counts")
+                .fields()
+                .forEachRemaining(
+                        each -> counts.put(each.getKey(), each.getValue().asInt()));
         Image image = new Image(tree.path("revision").asLong(), values);
         if (!counts.equals(image.counts())) {
             throw new SnapshotException(file + ": holds " + image.counts() + " and not " + counts);
         }
-        return new Content(new Summary(image.revision(), tree.path("taken").asText(), counts, tree.path("parts").size(), signed),
-                image, DigestUtils.sha256Hex(manifest));
+        return new Content(
+                new Summary(
+                        image.revision(),
+                        tree.path("taken").asText(),
+                        counts,
+                        tree.path("parts").size(),
+                        signed),
+                image,
+                DigestUtils.sha256Hex(manifest));
     }
 }
--- a/src/main/java/io/micatide/standby/Copy.java
+++ b/src/main/java/io/micatide/standby/Copy.java
@@ -14,8 +14,7 @@
  */
 public class Copy {
     /** A key with its row and the revision of its last change; {@code row} null of a deletion. */
-    public record Entry(String key, Row row, long version) {
-    }
+    public record Entry(String key, Row row, long version) {}
 
     /** Makes a prefix's copy; a rehearsal plants another one. */
     @FunctionalInterface
@@ -24,7 +23,11 @@
     }
 
     /** Why a copy is worth nothing; null while it is worth something. */
-    public enum Flaw { TOO_LARGE, WENT_BACK, MISSED_CHANGES }
+    public enum Flaw {
+        TOO_LARGE,
+        WENT_BACK,
+        MISSED_CHANGES
+    }
 
     private static final int ENTRY_BYTES = 160;
     /** A reference to a name that all ledgers share. */
@@ -40,6 +43,7 @@
     private long revision;
     /** Pages of one read are of rising revisions: up to the last of them a change may be older than what a page has shown. */
     private long pagesRevision;
+
     private boolean whole;
     private Flaw flaw;
 
@@ -157,7 +161,8 @@
             entries.remove(item.key());
             return;
         }
-        Entry kept = item.row() instanceof Row.Ledger ledger ? new Entry(item.key(), shared(ledger), item.version()) : item;
+        Entry kept =
+                item.row() instanceof Row.Ledger ledger ? new Entry(item.key(), shared(ledger), item.version()) : item;
         entries.put(item.key(), kept);
         bytes += bytes(kept);
         if (bytes > mostBytes) {
@@ -171,13 +176,19 @@
         if (names.size() > MOST_NAMES) {
             names.clear();
         }
-        return new Row.Ledger(ledger.machines().stream().map(name -> names.computeIfAbsent(name, k -> k)).toList(),
-                ledger.gangAttempt(), ledger.done(), ledger.dense());
+        return new Row.Ledger(
+                ledger.machines().stream()
+                        .map(name -> names.computeIfAbsent(name, k -> k))
+                        .toList(),
+                ledger.gangAttempt(),
+                ledger.done(),
+                ledger.dense());
     }
 
     private static long bytes(Entry entry) {
         long rest = entry.row() instanceof Row.Ledger ledger
-                ? (long) ledger.machines().size() * NAME_BYTES + ledger.done().length() : 0;
+                ? (long) ledger.machines().size() * NAME_BYTES + ledger.done().length()
+                : 0;
         return ENTRY_BYTES + entry.key().length() + rest;
     }
 }
--- a/src/main/java/io/micatide/standby/Heirs.java
+++ b/src/main/java/io/micatide/standby/Heirs.java
@@ -54,10 +54,12 @@
     /** How many labels after this controller's a sibling's comes, in a ring. */
     private int behind(int sibling) {
         Comparator<String> order = Comparator.comparingInt(String::length).thenComparing(Comparator.naturalOrder());
-        List<String> ring = new ArrayList<>(settings.siblings().stream().map(Settings.Sibling::label).toList());
+        List<String> ring = new ArrayList<>(
+                settings.siblings().stream().map(Settings.Sibling::label).toList());
         ring.add(settings.label());
         ring.sort(order);
-        return Math.floorMod(ring.indexOf(settings.siblings().get(sibling).label()) - ring.indexOf(settings.label()), ring.size());
+        return Math.floorMod(
+                ring.indexOf(settings.siblings().get(sibling).label()) - ring.indexOf(settings.label()), ring.size());
     }
 
     private boolean fit(int sibling, long nowMicros) {
@@ -82,7 +84,8 @@
         fit.sort(Comparator.comparing((Integer each) -> !before.contains(each))
                 .thenComparing(each -> settings.siblings().get(each).zone().equals(settings.zone()))
                 .thenComparing(this::behind));
-        List<Integer> now = new ArrayList<>(fit.subList(0, Math.min(fit.size(), settings.stateRate() < RATE_OF_TWO ? 1 : 2)));
+        List<Integer> now =
+                new ArrayList<>(fit.subList(0, Math.min(fit.size(), settings.stateRate() < RATE_OF_TWO ? 1 : 2)));
         // A warm one goes before one that still reads, and otherwise the order stays.
         now.sort(Comparator.comparing((Integer each) -> warmth[each] != Warmth.WARM)
                 .thenComparing(each -> before.contains(each) ? before.indexOf(each) : before.size()));
--- a/src/main/java/io/micatide/standby/HintSender.java
+++ b/src/main/java/io/micatide/standby/HintSender.java
@@ -19,8 +19,7 @@
      * @param base number of the picture that it is a difference to, 0 for a whole one
      * @param gone names that hold no more; with a whole one empty
      */
-    public record Part(long token, long number, long base, int index, int parts, List<Hint> hints, List<String> gone) {
-    }
+    public record Part(long token, long number, long base, int index, int parts, List<Hint> hints, List<String> gone) {}
 
     private final long token;
     private final long[] held;
@@ -67,8 +66,14 @@
         List<Part> result = new ArrayList<>();
         int parts = Math.max(1, (all.size() + PART - 1) / PART);
         for (int index = 0; index < parts; index++) {
-            result.add(new Part(token, number, difference ? number - 1 : 0, index, parts,
-                    all.subList(index * PART, Math.min(all.size(), (index + 1) * PART)), index == 0 ? away : List.of()));
+            result.add(new Part(
+                    token,
+                    number,
+                    difference ? number - 1 : 0,
+                    index,
+                    parts,
+                    all.subList(index * PART, Math.min(all.size(), (index + 1) * PART)),
+                    index == 0 ? away : List.of()));
         }
         return result;
     }
--- a/src/main/java/io/micatide/wire/CloudCodec.java
+++ b/src/main/java/io/micatide/wire/CloudCodec.java
@@ -12,12 +12,10 @@
 
 /** The cloud's messages. */
 public final class CloudCodec {
-    private CloudCodec() {
-    }
+    private CloudCodec() {}
 
     /** A page of the list. */
-    public record Page(List<ListedMachine> machines, boolean more) {
-    }
+    public record Page(List<ListedMachine> machines, boolean more) {}
 
     public static List<MachineType> types(byte[] body) throws MalformedException {
         List<MachineType> types = new ArrayList<>();
@@ -28,10 +26,15 @@
     }
 
     static MachineType type(Fields in) throws MalformedException {
-        return new MachineType(in.text("label"), StateCodec.size(in),
-                in.has("localGb") ? in.amount("localGb") : 0, in.has("pullGbPerS") ? in.amount("pullGbPerS") : 0,
-                in.amount("hourly"), in.has("marketPrice") ? in.amount("marketPrice") : in.amount("hourly"),
-                in.seconds("bootS"), in.texts("grounds"));
+        return new MachineType(
+                in.text("label"),
+                StateCodec.size(in),
+                in.has("localGb") ? in.amount("localGb") : 0,
+                in.has("pullGbPerS") ? in.amount("pullGbPerS") : 0,
+                in.amount("hourly"),
+                in.has("marketPrice") ? in.amount("marketPrice") : in.amount("hourly"),
+                in.seconds("bootS"),
+                in.texts("grounds"));
     }
 
     static void writeType(JsonGenerator out, MachineType type) throws IOException {
@@ -94,8 +97,13 @@
         JsonNode tree = Json.tree(body);
         List<ListedMachine> machines = new ArrayList<>();
         for (Fields in : new Fields(tree, "").objects("berths")) {
-            machines.add(new ListedMachine(in.text("nameId"), in.text("build"), in.text("ground"), in.flag("loaners"),
-                    state(in.text("standing")), in.has("heldS") ? in.seconds("heldS") : 0));
+            machines.add(new ListedMachine(
+                    in.text("nameId"),
+                    in.text("build"),
+                    in.text("ground"),
+                    in.flag("loaners"),
+                    state(in.text("standing")),
+                    in.has("heldS") ? in.seconds("heldS") : 0));
         }
         return new Page(machines, tree.path("truncated").asBoolean());
     }
--- a/src/main/java/io/micatide/wire/CloudSide.java
+++ b/src/main/java/io/micatide/wire/CloudSide.java
@@ -10,8 +10,7 @@
 
 /** The protocol of the cloud as the cloud sees it: for its stand-in. */
 public final class CloudSide {
-    private CloudSide() {
-    }
+    private CloudSide() {}
 
     public static byte[] types(List<MachineType> types) {
         return Json.bytes(out -> {
@@ -27,8 +26,8 @@
 
     public static CloudCall.Rent rent(byte[] body) throws MalformedException {
         Fields in = new Fields(Json.tree(body), "");
-        return new CloudCall.Rent(in.text("booking"), in.text("build"), in.text("ground"), in.flag("loaners"),
-                (int) in.count("howMany", 1, 50));
+        return new CloudCall.Rent(in.text("booking"), in.text("build"), in.text("ground"), in.flag("loaners"), (int)
+                in.count("howMany", 1, 50));
     }
 
     public static CloudCall.Delete delete(byte[] body) throws MalformedException {
--- a/src/main/java/io/micatide/wire/Description.java
+++ b/src/main/java/io/micatide/wire/Description.java
@@ -8,6 +8,7 @@
 public final class Description {
     /** Where controllers serve it, if they do. */
     public static final String PATH = "/v1/openapi.json";
+
     private static final String RESOURCE = "/openapi/micatide-v1.json";
 
     private byte[] bytes;
--- a/src/main/java/io/micatide/wire/HintCodec.java
+++ b/src/main/java/io/micatide/wire/HintCodec.java
@@ -19,8 +19,7 @@
     private static final int FAULTY = 2;
     private static final int GONE = 4;
 
-    private HintCodec() {
-    }
+    private HintCodec() {}
 
     public static byte[] part(Part part) {
         return Json.bytes(out -> {
@@ -79,8 +78,13 @@
     public static Part part(byte[] body) throws MalformedException {
         JsonNode tree = Json.tree(body);
         Fields in = new Fields(tree, "");
-        return new Part(in.count("token", 1, Long.MAX_VALUE), in.count("number", 1, Long.MAX_VALUE),
-                in.count("base", 0, Long.MAX_VALUE), (int) in.count("index", 0, 10_000), (int) in.count("parts", 1, 10_000), hints(tree),
+        return new Part(
+                in.count("token", 1, Long.MAX_VALUE),
+                in.count("number", 1, Long.MAX_VALUE),
+                in.count("base", 0, Long.MAX_VALUE),
+                (int) in.count("index", 0, 10_000),
+                (int) in.count("parts", 1, 10_000),
+                hints(tree),
                 in.texts("gone"));
     }
 
@@ -91,9 +95,16 @@
             String name = each.path(1).asText();
             switch (each.path(0).asText()) {
                 case "m" -> hints.add(machine(name, each));
-                case "j" -> hints.add(new Hint.OfJob(name, Math.max(0, each.path(2).asLong()), Math.max(0, each.path(3).asInt()),
-                        each.path(4).asInt(-1) >= 0, Math.max(0, each.path(4).asInt(-1))));
-                case "c" -> hints.add(new Hint.OfClass(name, each.path(2).asDouble(1), each.path(3).asDouble()));
+                case "j" ->
+                    hints.add(new Hint.OfJob(
+                            name,
+                            Math.max(0, each.path(2).asLong()),
+                            Math.max(0, each.path(3).asInt()),
+                            each.path(4).asInt(-1) >= 0,
+                            Math.max(0, each.path(4).asInt(-1))));
+                case "c" ->
+                    hints.add(new Hint.OfClass(
+                            name, each.path(2).asDouble(1), each.path(3).asDouble()));
                 default -> {
                     // Of a later version.
                 }
@@ -110,7 +121,15 @@
             sizes.add(each.path(i + 1).asDouble());
         }
         int flags = each.path(4).asInt();
-        return new Hint.OfMachine(name, each.path(2).asText(), Math.max(0, each.path(3).asLong()), images, sizes, (flags & SLOW) != 0, (flags & FAULTY) != 0, (flags & GONE) != 0);
+        return new Hint.OfMachine(
+                name,
+                each.path(2).asText(),
+                Math.max(0, each.path(3).asLong()),
+                images,
+                sizes,
+                (flags & SLOW) != 0,
+                (flags & FAULTY) != 0,
+                (flags & GONE) != 0);
     }
 
     /** The picture that an heir holds. */
--- a/src/main/java/io/micatide/wire/HistoryCodec.java
+++ b/src/main/java/io/micatide/wire/HistoryCodec.java
@@ -12,10 +12,10 @@
 final class HistoryCodec {
     /** The format of the archive; a reader that does not know it must not go on. */
     private static final int FORMAT = 1;
+
     private static final int RUN_FIELDS = 4;
 
-    private HistoryCodec() {
-    }
+    private HistoryCodec() {}
 
     static void write(JsonGenerator out, Row.History history) throws IOException {
         out.writeNumberField("history", FORMAT);
@@ -44,12 +44,21 @@
         }
         List<Row.Run> runs = new ArrayList<>();
         for (JsonNode each : data.path("runs")) {
-            if (each.size() != RUN_FIELDS || !each.get(0).isTextual() || each.get(1).asInt() < 1) {
+            if (each.size() != RUN_FIELDS
+                    || !each.get(0).isTextual()
+                    || each.get(1).asInt() < 1) {
                 throw new MalformedException(in.path("runs"), "must be lists of name, segments, jobs and bytes");
             }
-            runs.add(new Row.Run(each.get(0).textValue(), each.get(1).asInt(), each.get(2).asLong(), each.get(3).asLong()));
+            runs.add(new Row.Run(
+                    each.get(0).textValue(),
+                    each.get(1).asInt(),
+                    each.get(2).asLong(),
+                    each.get(3).asLong()));
         }
-        return new Row.History(in.count("since", 0, Long.MAX_VALUE), salt.get(0).asLong(), salt.get(1).asLong(),
+        return new Row.History(
+                in.count("since", 0, Long.MAX_VALUE),
+                salt.get(0).asLong(),
+                salt.get(1).asLong(),
                 List.copyOf(runs));
     }
 
--- a/src/main/java/io/micatide/wire/JobCodec.java
+++ b/src/main/java/io/micatide/wire/JobCodec.java
@@ -19,7 +19,10 @@
 
     /** What a user is told of a job. */
     public enum Standing {
-        QUEUED("queued"), RUNNING("running"), DONE("done"), CANCELLED("withdrawn");
+        QUEUED("queued"),
+        RUNNING("running"),
+        DONE("done"),
+        CANCELLED("withdrawn");
 
         private final String word;
 
@@ -28,8 +31,7 @@
         }
     }
 
-    private JobCodec() {
-    }
+    private JobCodec() {}
 
     public static boolean isId(String id) {
         return ID.matcher(id).matches();
@@ -46,14 +48,26 @@
 
     public static JobSpec spec(JsonNode body) throws MalformedException {
         Fields in = new Fields(body, "");
-        return new JobSpec(id(body), in.text("roster"), in.text("crew"), kind(in.text("form")),
-                priority(in.text("rank")), (int) in.count("legs", 1, MOST_TASKS),
+        return new JobSpec(
+                id(body),
+                in.text("roster"),
+                in.text("crew"),
+                kind(in.text("form")),
+                priority(in.text("rank")),
+                (int) in.count("legs", 1, MOST_TASKS),
                 Resources.of(in.amount("cpus"), in.amount("cards"), in.amount("memGb")),
-                in.text("kit"), in.amount("sizeGb"),
-                in.has("builds") ? in.texts("builds") : List.of(), in.textOrNull("ground"),
-                in.flag("samePlace"), in.flag("scatter"), in.flag("loaners"),
-                in.seconds("runtimeS"), in.seconds("halftimeS"), in.seconds("stowS"),
-                in.has("whistleS") ? in.seconds("whistleS") : -1, needs(in));
+                in.text("kit"),
+                in.amount("sizeGb"),
+                in.has("builds") ? in.texts("builds") : List.of(),
+                in.textOrNull("ground"),
+                in.flag("samePlace"),
+                in.flag("scatter"),
+                in.flag("loaners"),
+                in.seconds("runtimeS"),
+                in.seconds("halftimeS"),
+                in.seconds("stowS"),
+                in.has("whistleS") ? in.seconds("whistleS") : -1,
+                needs(in));
     }
 
     /** Names of other jobs, each once. */
--- a/src/main/java/io/micatide/wire/Json.java
+++ b/src/main/java/io/micatide/wire/Json.java
@@ -13,8 +13,7 @@
     static final ObjectMapper MAPPER = new ObjectMapper();
     static final JsonFactory FACTORY = MAPPER.getFactory();
 
-    private Json() {
-    }
+    private Json() {}
 
     /** Something that writes one JSON value. */
     @FunctionalInterface
--- a/src/main/java/io/micatide/wire/PeerCodec.java
+++ b/src/main/java/io/micatide/wire/PeerCodec.java
@@ -11,8 +11,7 @@
 
 /** What controllers tell each other: who leads, the counts that users are shown, and which jobs are known as cancelled. */
 public final class PeerCodec {
-    private PeerCodec() {
-    }
+    private PeerCodec() {}
 
     /**
      * {@code stateServed}: the sender has had answers of the state service just now; {@code silentMicros}: how long no
@@ -20,18 +19,31 @@
      * nobody; {@code first}: the counts of earlier messages of this sender are replaced; {@code revision}: up to which the sender has read
      * the state service, -1 from a version that does not ask for testimony.
      */
-    public record News(long token, String leader, boolean stateServed, long silentMicros, List<String> heirs,
-            boolean first, List<JobProgress> jobs, long switches, long revision) {
+    public record News(
+            long token,
+            String leader,
+            boolean stateServed,
+            long silentMicros,
+            List<String> heirs,
+            boolean first,
+            List<JobProgress> jobs,
+            long switches,
+            long revision) {
         /** As versions before the switches tell them. */
-        public News(long token, String leader, boolean stateServed, long silentMicros, List<String> heirs, boolean first,
+        public News(
+                long token,
+                String leader,
+                boolean stateServed,
+                long silentMicros,
+                List<String> heirs,
+                boolean first,
                 List<JobProgress> jobs) {
             this(token, leader, stateServed, silentMicros, heirs, first, jobs, 0, -1);
         }
     }
 
     /** A controller's word, unasked, that these jobs are cancelled. */
-    public record Withdrawn(List<Testimony.Cancelled> jobs) {
-    }
+    public record Withdrawn(List<Testimony.Cancelled> jobs) {}
 
     /**
      * What a sibling answers: the highest token that it knows of, and how long ago a worker that had lost the leader came to
@@ -39,7 +51,8 @@
      * it, which versions before layout 3 do not say; how warm it is, null of one that follows nobody; its testimony, null where none was
      * asked for or from a version that gives none.
      */
-    public record Answer(long token, long strayedAgoMicros, int layout, boolean served, Warmth warmth, Testimony testimony) {
+    public record Answer(
+            long token, long strayedAgoMicros, int layout, boolean served, Warmth warmth, Testimony testimony) {
         public Answer(long token, long strayedAgoMicros, int layout, boolean served, Warmth warmth) {
             this(token, strayedAgoMicros, layout, served, warmth, null);
         }
@@ -88,12 +101,19 @@
         Fields in = new Fields(tree, "");
         List<JobProgress> jobs = new ArrayList<>();
         for (JsonNode job : tree.path("jobs")) {
-            jobs.add(new JobProgress(job.path(0).asText(), job.path(1).asInt(), job.path(2).asInt()));
+            jobs.add(new JobProgress(
+                    job.path(0).asText(), job.path(1).asInt(), job.path(2).asInt()));
         }
-        return new News(in.count("token", 1, Long.MAX_VALUE), in.text("leader"),
+        return new News(
+                in.count("token", 1, Long.MAX_VALUE),
+                in.text("leader"),
                 in.has("stateServed") && in.flag("stateServed"),
-                tree.path("silentUs").asLong(0), in.has("heirs") ? in.texts("heirs") : null, in.flag("first"), jobs,
-                tree.path("switches").asLong(0), in.has("revision") ? in.count("revision", 0, Long.MAX_VALUE) : -1);
+                tree.path("silentUs").asLong(0),
+                in.has("heirs") ? in.texts("heirs") : null,
+                in.flag("first"),
+                jobs,
+                tree.path("switches").asLong(0),
+                in.has("revision") ? in.count("revision", 0, Long.MAX_VALUE) : -1);
     }
 
     public static byte[] answer(Answer answer) {
@@ -124,13 +144,21 @@
     public static Answer answer(byte[] body) throws MalformedException {
         JsonNode tree = Json.tree(body);
         Fields in = new Fields(tree, "");
-        return new Answer(in.count("token", 0, Long.MAX_VALUE), tree.path("strayedUs").asLong(-1),
-                tree.path("layout").asInt(1), tree.path("served").asBoolean(false), warmth(tree),
+        return new Answer(
+                in.count("token", 0, Long.MAX_VALUE),
+                tree.path("strayedUs").asLong(-1),
+                tree.path("layout").asInt(1),
+                tree.path("served").asBoolean(false),
+                warmth(tree),
                 in.has("testimony") ? testimony(in.object("testimony"), tree.path("testimony")) : null);
     }
 
     private static Testimony testimony(Fields in, JsonNode tree) throws MalformedException {
-        return new Testimony(in.text("by"), in.count("livedUs", 0, Long.MAX_VALUE), in.flag("whole"), cancelled(tree, in.path("cancelled")));
+        return new Testimony(
+                in.text("by"),
+                in.count("livedUs", 0, Long.MAX_VALUE),
+                in.flag("whole"),
+                cancelled(tree, in.path("cancelled")));
     }
 
     private static void writeCancelled(JsonGenerator out, List<Testimony.Cancelled> jobs) throws IOException {
@@ -152,8 +180,11 @@
         List<Testimony.Cancelled> result = new ArrayList<>();
         for (JsonNode each : list) {
             String job = each.path(0).asText("");
-            if (!JobCodec.isId(job) || !each.path(1).isIntegralNumber() || each.path(1).asLong() < 1) {
-                throw new MalformedException(path + "[" + result.size() + "]", "must be a job's id and its row's version");
+            if (!JobCodec.isId(job)
+                    || !each.path(1).isIntegralNumber()
+                    || each.path(1).asLong() < 1) {
+                throw new MalformedException(
+                        path + "[" + result.size() + "]", "must be a job's id and its row's version");
             }
             result.add(new Testimony.Cancelled(job, each.path(1).asLong()));
         }
