--- a/src/main/java/io/micatide/wire/RawState.java
+++ b/src/main/java/io/micatide/wire/RawState.java
@@ -8,22 +8,22 @@
 
 /** The state service's messages with values as they are stored, whatever they mean: for copies that have to be exact. */
 public final class RawState {
-    private RawState() {
-    }
+    private RawState() {}
 
     /** A value as compact JSON; {@code json} null of a deletion. */
-    public record Value(String key, String json, long stamp) {
-    }
+    public record Value(String key, String json, long stamp) {}
 
     /** A page of keys, or the changes since a revision in the order in which they were made. */
-    public record Values(List<Value> values, boolean more, long revision) {
-    }
+    public record Values(List<Value> values, boolean more, long revision) {}
 
     public static Values page(byte[] body) throws MalformedException {
         JsonNode tree = Json.tree(body);
         List<Value> values = new ArrayList<>();
         for (JsonNode each : tree.path("items")) {
-            values.add(new Value(each.path("k").asText(), each.path("data").toString(), each.path("stamp").asLong()));
+            values.add(new Value(
+                    each.path("k").asText(),
+                    each.path("data").toString(),
+                    each.path("stamp").asLong()));
         }
         return new Values(values, tree.path("truncated").asBoolean(), StateCodec.revision(body));
     }
@@ -32,7 +32,9 @@
         List<Value> values = new ArrayList<>();
         for (JsonNode each : Json.tree(body).path("events")) {
             boolean put = each.hasNonNull("put");
-            values.add(new Value(each.path(put ? "put" : "delete").asText(), put ? each.path("data").toString() : null,
+            values.add(new Value(
+                    each.path(put ? "put" : "delete").asText(),
+                    put ? each.path("data").toString() : null,
                     each.path("stamp").asLong()));
         }
         values.sort(Comparator.comparingLong(Value::stamp));
@@ -42,7 +44,10 @@
     /** A value read by its key. */
     public static Value value(byte[] body) throws MalformedException {
         JsonNode tree = Json.tree(body);
-        return new Value(tree.path("k").asText(), tree.path("data").toString(), tree.path("stamp").asLong());
+        return new Value(
+                tree.path("k").asText(),
+                tree.path("data").toString(),
+                tree.path("stamp").asLong());
     }
 
     /** Puts values that must not exist yet; {@code marker} must have its version, 0 for no such condition. */
@@ -50,7 +55,11 @@
         StringBuilder out = new StringBuilder("{\"if\":[");
         String comma = "";
         if (marker != null) {
-            out.append("{\"k\":\"").append(marker).append("\",\"stamp\":").append(markerVersion).append('}');
+            out.append("{\"k\":\"")
+                    .append(marker)
+                    .append("\",\"stamp\":")
+                    .append(markerVersion)
+                    .append('}');
             comma = ",";
         }
         for (Value value : values) {
@@ -62,7 +71,12 @@
         out.append("],\"writes\":[");
         comma = "";
         for (Value value : values) {
-            out.append(comma).append("{\"put\":\"").append(value.key()).append("\",\"data\":").append(value.json()).append('}');
+            out.append(comma)
+                    .append("{\"put\":\"")
+                    .append(value.key())
+                    .append("\",\"data\":")
+                    .append(value.json())
+                    .append('}');
             comma = ",";
         }
         return out.append("]}").toString().getBytes(StandardCharsets.UTF_8);
@@ -70,14 +84,16 @@
 
     /** Deletes a key that has this version. */
     public static byte[] delete(String key, long version) {
-        return ("{\"if\":[{\"k\":\"" + key + "\",\"stamp\":" + version + "}],\"writes\":[{\"delete\":\"" + key + "\"}]}")
+        return ("{\"if\":[{\"k\":\"" + key + "\",\"stamp\":" + version + "}],\"writes\":[{\"delete\":\"" + key
+                        + "\"}]}")
                 .getBytes(StandardCharsets.UTF_8);
     }
 
     /** Deletes a key that has this version and puts another. */
     public static byte[] replace(String key, long version, Value other) {
-        return ("{\"if\":[{\"k\":\"" + key + "\",\"stamp\":" + version + "}],\"writes\":[{\"delete\":\"" + key + "\"},{\"put\":\""
-                + other.key() + "\",\"data\":" + other.json() + "}]}").getBytes(StandardCharsets.UTF_8);
+        return ("{\"if\":[{\"k\":\"" + key + "\",\"stamp\":" + version + "}],\"writes\":[{\"delete\":\"" + key
+                        + "\"},{\"put\":\"" + other.key() + "\",\"data\":" + other.json() + "}]}")
+                .getBytes(StandardCharsets.UTF_8);
     }
 
     /** A line of a file of values. */
--- a/src/main/java/io/micatide/wire/RolloutCodec.java
+++ b/src/main/java/io/micatide/wire/RolloutCodec.java
@@ -11,12 +11,14 @@
 
 /** Rows of the roll-out and of the features that came with it. None of them has a field {@code state}, which former versions ask job rows for. */
 final class RolloutCodec {
-    private RolloutCodec() {
-    }
+    private RolloutCodec() {}
 
     static boolean isFor(String key) {
-        return key.equals(StoreKeys.FEATURES) || key.startsWith(StoreKeys.ROLLOUT) || key.equals(StoreKeys.FENCE)
-                || key.startsWith(StoreKeys.LEARNED) || key.startsWith(StoreKeys.RETURNS);
+        return key.equals(StoreKeys.FEATURES)
+                || key.startsWith(StoreKeys.ROLLOUT)
+                || key.equals(StoreKeys.FENCE)
+                || key.startsWith(StoreKeys.LEARNED)
+                || key.startsWith(StoreKeys.RETURNS);
     }
 
     static void write(JsonGenerator out, Row row) throws IOException {
@@ -53,14 +55,19 @@
     static Row row(String key, Fields in, JsonNode data) throws MalformedException {
         if (key.equals(StoreKeys.FEATURES)) {
             Map<String, String> stages = new TreeMap<>();
-            for (Iterator<Map.Entry<String, JsonNode>> each = data.path("features").fields(); each.hasNext();) {
+            for (Iterator<Map.Entry<String, JsonNode>> each =
+                            data.path("features").fields();
+                    each.hasNext(); ) {
                 Map.Entry<String, JsonNode> feature = each.next();
                 stages.put(feature.getKey(), feature.getValue().asText());
             }
             return new Row.Features(stages);
         }
         if (key.startsWith(StoreKeys.HERE)) {
-            return new Row.Here(in.text("build"), in.texts("knows"), in.count("acts", 0, Long.MAX_VALUE),
+            return new Row.Here(
+                    in.text("build"),
+                    in.texts("knows"),
+                    in.count("acts", 0, Long.MAX_VALUE),
                     in.count("since", 0, Long.MAX_VALUE));
         }
         if (key.startsWith(StoreKeys.ASKED)) {
--- a/src/main/java/io/micatide/wire/SettingsReader.java
+++ b/src/main/java/io/micatide/wire/SettingsReader.java
@@ -14,8 +14,7 @@
 
 /** The platform's settings file. Unknown fields are ignored; missing or wrong ones are named. */
 public final class SettingsReader {
-    private SettingsReader() {
-    }
+    private SettingsReader() {}
 
     public static Settings read(Path file) throws MalformedException {
         String text;
@@ -32,8 +31,10 @@
         try {
             tree = new TomlMapper().readTree(text);
         } catch (IOException e) {
-            throw new MalformedException("file", "is not TOML: "
-                    + String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
+            throw new MalformedException(
+                    "file",
+                    "is not TOML: "
+                            + String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
         }
         Fields in = new Fields(tree, "");
         List<Settings.Sibling> siblings = new ArrayList<>();
@@ -44,12 +45,20 @@
         Fields deployment = in.object("deployment");
         Map<String, Team> teams = new LinkedHashMap<>();
         for (Fields each : deployment.objects("teams")) {
-            teams.put(each.text("name"), new Team(each.text("name"), thousandths(each, "cpus"),
-                    thousandths(each, "gpus"), thousandths(each, "cpus_max"), thousandths(each, "gpus_max")));
+            teams.put(
+                    each.text("name"),
+                    new Team(
+                            each.text("name"),
+                            thousandths(each, "cpus"),
+                            thousandths(each, "gpus"),
+                            thousandths(each, "cpus_max"),
+                            thousandths(each, "gpus_max")));
         }
         List<Settings.Objective> objectives = new ArrayList<>();
         for (Fields each : deployment.objects("objectives")) {
-            objectives.add(new Settings.Objective(each.text("kind"), each.has("class") ? each.text("class") : "",
+            objectives.add(new Settings.Objective(
+                    each.text("kind"),
+                    each.has("class") ? each.text("class") : "",
                     each.has("within_s") ? each.seconds("within_s") : -1,
                     each.has("share") ? each.amount("share") : 1));
         }
@@ -58,16 +67,33 @@
         Fields next = state.has("next") ? state.object("next") : null;
         Fields cloud = deployment.object("cloud");
         Fields limits = deployment.object("limits");
-        return new Settings(in.text("label"), in.text("site"), address(in, "bind"), address(in, "peer_bind"), siblings,
-                address(services, "cloud"), address(services, "state"), deployment.texts("zones"),
-                Math.round(deployment.amount("clock_off_ms") * 1000), teams, objectives,
-                positive(workers, "report_s"), positive(workers, "lease_s"), positive(workers, "gang_wait_s"),
-                positive(workers, "gang_peer_s"), positive(workers, "cancel_s"),
-                smaller(state, next, "rps", SettingsReader::rate), smaller(state, next, "write_rps", SettingsReader::rate),
-                valueBytes(state, "value_kb"), (int) smaller(state, next, "value_kb", SettingsReader::valueBytes),
+        return new Settings(
+                in.text("label"),
+                in.text("site"),
+                address(in, "bind"),
+                address(in, "peer_bind"),
+                siblings,
+                address(services, "cloud"),
+                address(services, "state"),
+                deployment.texts("zones"),
+                Math.round(deployment.amount("clock_off_ms") * 1000),
+                teams,
+                objectives,
+                positive(workers, "report_s"),
+                positive(workers, "lease_s"),
+                positive(workers, "gang_wait_s"),
+                positive(workers, "gang_peer_s"),
+                positive(workers, "cancel_s"),
+                smaller(state, next, "rps", SettingsReader::rate),
+                smaller(state, next, "write_rps", SettingsReader::rate),
+                valueBytes(state, "value_kb"),
+                (int) smaller(state, next, "value_kb", SettingsReader::valueBytes),
                 (int) smaller(state, next, "txn_ops", (from, name) -> from.count(name, 3, 100_000)),
-                rate(cloud, "rps"), cloud.seconds("list_lag_s"),
-                limits.amount("cores"), limits.amount("memory_mb"), (int) limits.count("max_connections", 10, 1 << 30));
+                rate(cloud, "rps"),
+                cloud.seconds("list_lag_s"),
+                limits.amount("cores"),
+                limits.amount("memory_mb"),
+                (int) limits.count("max_connections", 10, 1 << 30));
     }
 
     private static long positive(Fields in, String name) throws MalformedException {
--- a/src/main/java/io/micatide/wire/StateCodec.java
+++ b/src/main/java/io/micatide/wire/StateCodec.java
@@ -19,16 +19,13 @@
     /** What the frame of a list of names and the number of further rows take at most. */
     private static final int FURTHER_BYTES = 48;
 
-    private StateCodec() {
-    }
+    private StateCodec() {}
 
     /** A key with its row; {@code row} is null if the key does not exist or was deleted. */
-    public record Item(String key, Row row, long version) {
-    }
+    public record Item(String key, Row row, long version) {}
 
     /** A page of keys, or the changes since a revision. */
-    public record Items(List<Item> items, boolean more, long revision) {
-    }
+    public record Items(List<Item> items, boolean more, long revision) {}
 
     public static byte[] transaction(Transaction transaction) {
         return Json.bytes(out -> {
@@ -109,8 +106,12 @@
             out.writeStringField("zone", booking.zone());
             out.writeBooleanField("spot", booking.spot());
             out.writeNumberField("count", booking.count());
-        } else if (row instanceof Row.Features || row instanceof Row.Here || row instanceof Row.Ask || row instanceof Row.Fence
-                || row instanceof Row.Learned || row instanceof Row.Returned) {
+        } else if (row instanceof Row.Features
+                || row instanceof Row.Here
+                || row instanceof Row.Ask
+                || row instanceof Row.Fence
+                || row instanceof Row.Learned
+                || row instanceof Row.Returned) {
             RolloutCodec.write(out, row);
         } else if (row instanceof Row.Types types) {
             out.writeArrayFieldStart("types");
@@ -162,8 +163,8 @@
             return new Row.Leader(in.text("owner"));
         }
         if (key.equals(StoreKeys.LAYOUT)) {
-            return new Row.Layout((int) in.count("layout", 1, Integer.MAX_VALUE),
-                    (int) in.count("pageTasks", 1, Integer.MAX_VALUE));
+            return new Row.Layout(
+                    (int) in.count("layout", 1, Integer.MAX_VALUE), (int) in.count("pageTasks", 1, Integer.MAX_VALUE));
         }
         if (key.equals(StoreKeys.HISTORY)) {
             return HistoryCodec.manifest(in, data);
@@ -179,20 +180,26 @@
         }
         if (key.startsWith(StoreKeys.JOBS)) {
             JobState state = JobState.valueOf(in.text("state"));
-            return new Row.JobRow(state, state.isFinal() && !in.has("spec") ? null : JobCodec.spec(data.get("spec")),
-                    in.count("submitted", 0, Long.MAX_VALUE), (int) in.count("tasks", 0, Integer.MAX_VALUE),
+            return new Row.JobRow(
+                    state,
+                    state.isFinal() && !in.has("spec") ? null : JobCodec.spec(data.get("spec")),
+                    in.count("submitted", 0, Long.MAX_VALUE),
+                    (int) in.count("tasks", 0, Integer.MAX_VALUE),
                     in.has("ended") ? in.count("ended", 0, Long.MAX_VALUE) : -1,
                     in.has("furtherNeeds") ? (int) in.count("furtherNeeds", 0, Integer.MAX_VALUE) : 0,
                     in.has("checked") && in.flag("checked"));
         }
         if (key.startsWith(StoreKeys.LEDGERS)) {
             boolean dense = in.has("fleet");
-            return new Row.Ledger(dense ? fleet(in) : in.texts("machines"), in.count("gang", 0, Long.MAX_VALUE),
-                    data.path("done").asText(""), dense);
+            return new Row.Ledger(
+                    dense ? fleet(in) : in.texts("machines"),
+                    in.count("gang", 0, Long.MAX_VALUE),
+                    data.path("done").asText(""),
+                    dense);
         }
         if (key.startsWith(StoreKeys.BOOKINGS)) {
-            return new Row.Booking(in.text("state"), in.text("type"), in.text("zone"), in.flag("spot"),
-                    (int) in.count("count", 0, 1000));
+            return new Row.Booking(in.text("state"), in.text("type"), in.text("zone"), in.flag("spot"), (int)
+                    in.count("count", 0, 1000));
         }
         if (key.equals(StoreKeys.TYPES)) {
             List<MachineType> types = new ArrayList<>();
@@ -239,7 +246,8 @@
         List<Item> items = new ArrayList<>();
         for (JsonNode each : tree.path("items")) {
             String key = each.path("k").asText();
-            items.add(new Item(key, row(key, each.get("data")), each.path("stamp").asLong()));
+            items.add(
+                    new Item(key, row(key, each.get("data")), each.path("stamp").asLong()));
         }
         return new Items(items, tree.path("truncated").asBoolean(), in.count("ledger", 0, Long.MAX_VALUE));
     }
@@ -251,7 +259,10 @@
         for (JsonNode each : tree.path("events")) {
             boolean put = each.hasNonNull("put");
             String key = each.path(put ? "put" : "delete").asText();
-            items.add(new Item(key, put ? row(key, each.get("data")) : null, each.path("stamp").asLong()));
+            items.add(new Item(
+                    key,
+                    put ? row(key, each.get("data")) : null,
+                    each.path("stamp").asLong()));
         }
         return new Items(items, false, in.count("ledger", 0, Long.MAX_VALUE));
     }
--- a/src/main/java/io/micatide/wire/TuningReader.java
+++ b/src/main/java/io/micatide/wire/TuningReader.java
@@ -12,10 +12,10 @@
 
 /** The operators' own settings. Unlike the platform's file, a key that is not known is an error: it is a typo. */
 public final class TuningReader {
-    private static final Set<String> KEYS = Set.of("description", "leader_lease_s", "idle_s", "history", "history_batch", "rollout", "standby");
+    private static final Set<String> KEYS =
+            Set.of("description", "leader_lease_s", "idle_s", "history", "history_batch", "rollout", "standby");
 
-    private TuningReader() {
-    }
+    private TuningReader() {}
 
     public static Tuning read(Path file, Settings settings) throws MalformedException {
         try {
@@ -32,23 +32,30 @@
         } catch (IOException e) {
             throw new MalformedException("file", "is not TOML");
         }
-        for (Iterator<String> names = tree.fieldNames(); names.hasNext();) {
+        for (Iterator<String> names = tree.fieldNames(); names.hasNext(); ) {
             String name = names.next();
             if (!KEYS.contains(name)) {
-                throw new MalformedException(name, "is not a setting; known are description, history, history_batch, idle_s, leader_lease_s, rollout and standby");
+                throw new MalformedException(
+                        name,
+                        "is not a setting; known are description, history, history_batch, idle_s, leader_lease_s, rollout and standby");
             }
         }
         Fields in = new Fields(tree, "");
         Tuning defaults = Tuning.defaults(settings);
         boolean standby = in.has("standby") && in.flag("standby");
-        long lease = in.has("leader_lease_s") ? in.seconds("leader_lease_s")
+        long lease = in.has("leader_lease_s")
+                ? in.seconds("leader_lease_s")
                 : standby ? Tuning.leaseWithStandby(settings) : defaults.leaderLeaseMicros();
         if (lease < settings.leaseMicros() / 20 || lease > settings.leaseMicros() / 2) {
             throw new MalformedException("leader_lease_s", "must be from a twentieth to half of the workers' lease");
         }
-        return new Tuning(lease, in.has("idle_s") ? in.seconds("idle_s") : defaults.idleMicros(),
+        return new Tuning(
+                lease,
+                in.has("idle_s") ? in.seconds("idle_s") : defaults.idleMicros(),
                 in.has("history") && in.flag("history"),
                 in.has("history_batch") ? (int) in.count("history_batch", 1, 4096) : defaults.historyBatch(),
-                standby, in.has("description") && in.flag("description"), in.has("rollout") && in.flag("rollout"));
+                standby,
+                in.has("description") && in.flag("description"),
+                in.has("rollout") && in.flag("rollout"));
     }
 }
--- a/src/main/java/io/micatide/wire/WorkerCodec.java
+++ b/src/main/java/io/micatide/wire/WorkerCodec.java
@@ -14,8 +14,7 @@
 
 /** Reports of the workers and the answers to them. Reports are most of the traffic, so they are read as a stream. */
 public final class WorkerCodec {
-    private WorkerCodec() {
-    }
+    private WorkerCodec() {}
 
     public static MachineReport report(byte[] body) throws MalformedException {
         try (JsonParser in = Json.FACTORY.createParser(body)) {
@@ -111,8 +110,8 @@
         if (state == TaskState.EXITED && cause == null) {
             cause = ExitCause.ERROR;
         }
-        return new TaskReport(task.substring(0, slash), Integer.parseInt(task.substring(slash + 1)), attempt, state,
-                cause, saved);
+        return new TaskReport(
+                task.substring(0, slash), Integer.parseInt(task.substring(slash + 1)), attempt, state, cause, saved);
     }
 
     private static TaskState state(String word) throws MalformedException {
--- a/src/main/java/io/micatide/wire/WorkerSide.java
+++ b/src/main/java/io/micatide/wire/WorkerSide.java
@@ -12,12 +12,10 @@
 
 /** The protocol between workers and controllers as a worker sees it: for stand-ins of workers. */
 public final class WorkerSide {
-    private WorkerSide() {
-    }
+    private WorkerSide() {}
 
     /** What a controller answers; {@code token} -1 if there is none. */
-    public record Answer(long token, List<Command> commands) {
-    }
+    public record Answer(long token, List<Command> commands) {}
 
     public static byte[] report(MachineReport report) {
         return Json.bytes(out -> {
@@ -84,11 +82,17 @@
             String job = task.substring(0, slash);
             int index = Integer.parseInt(task.substring(slash + 1));
             long attempt = call.path("throwIn").asLong();
-            commands.add(switch (call.path("call").asText()) {
-                case "start" -> new Command.Start(job, index, attempt);
-                case "halt" -> new Command.Stop(job, index, attempt, Micros.ofSeconds(call.path("stoppageS").asDouble()));
-                default -> new Command.Forget(job, index, attempt);
-            });
+            commands.add(
+                    switch (call.path("call").asText()) {
+                        case "start" -> new Command.Start(job, index, attempt);
+                        case "halt" ->
+                            new Command.Stop(
+                                    job,
+                                    index,
+                                    attempt,
+                                    Micros.ofSeconds(call.path("stoppageS").asDouble()));
+                        default -> new Command.Forget(job, index, attempt);
+                    });
         }
         return new Answer(tree.path("armband").asLong(-1), commands);
     }
--- a/src/test/java/io/micatide/KnownRed.java
+++ b/src/test/java/io/micatide/KnownRed.java
@@ -37,8 +37,12 @@
             try {
                 for (Method each : Class.forName(type).getDeclaredMethods()) {
                     CsvSource table = each.getAnnotation(CsvSource.class);
-                    if (each.getName().equals(method) && (number == 0 ? each.isAnnotationPresent(Test.class)
-                            : each.isAnnotationPresent(ParameterizedTest.class) && table != null && number <= table.value().length)) {
+                    if (each.getName().equals(method)
+                            && (number == 0
+                                    ? each.isAnnotationPresent(Test.class)
+                                    : each.isAnnotationPresent(ParameterizedTest.class)
+                                            && table != null
+                                            && number <= table.value().length)) {
                         return null;
                     }
                 }
@@ -65,15 +69,22 @@
         List<Line> result = new ArrayList<>();
         for (String line : text.lines().filter(each -> !each.isBlank()).toList()) {
             Matcher match = LINE.matcher(line.strip());
-            result.add(match.matches() ? new Line(line, match.group(1), match.group(2), match.group(3) == null ? 0 : Integer.parseInt(match.group(3)))
-                    : new Line(line, line, "", 0));
+            result.add(
+                    match.matches()
+                            ? new Line(
+                                    line,
+                                    match.group(1),
+                                    match.group(2),
+                                    match.group(3) == null ? 0 : Integer.parseInt(match.group(3)))
+                            : new Line(line, line, "", 0));
         }
         return result;
     }
 
     /** What is wrong with the file, nothing if it may stand. */
     static List<String> problems(List<Line> lines) {
-        List<String> result = new ArrayList<>(lines.stream().map(Line::problem).filter(each -> each != null).toList());
+        List<String> result = new ArrayList<>(
+                lines.stream().map(Line::problem).filter(each -> each != null).toList());
         if (lines.size() > MOST) {
             result.add(lines.size() + " lines, and " + MOST + " are the most");
         }
@@ -81,21 +92,32 @@
     }
 
     @Override
-    public void interceptTestMethod(Invocation<Void> invocation, ReflectiveInvocationContext<Method> test, ExtensionContext context)
+    public void interceptTestMethod(
+            Invocation<Void> invocation, ReflectiveInvocationContext<Method> test, ExtensionContext context)
             throws Throwable {
         run(invocation, test.getExecutable(), 0);
     }
 
     @Override
-    public void interceptTestTemplateMethod(Invocation<Void> invocation, ReflectiveInvocationContext<Method> test, ExtensionContext context)
+    public void interceptTestTemplateMethod(
+            Invocation<Void> invocation, ReflectiveInvocationContext<Method> test, ExtensionContext context)
             throws Throwable {
         Matcher number = CASE.matcher(context.getUniqueId());
         run(invocation, test.getExecutable(), number.find() ? Integer.parseInt(number.group(1)) : -1);
     }
 
     private void run(Invocation<Void> invocation, Method test, int number) throws Throwable {
-        run(invocation, lines.stream().limit(MOST).filter(line -> line.type().equals(test.getDeclaringClass().getName())
-                && line.method().equals(test.getName()) && line.number() == number).findFirst().orElse(null), System.out::println);
+        run(
+                invocation,
+                lines.stream()
+                        .limit(MOST)
+                        .filter(line ->
+                                line.type().equals(test.getDeclaringClass().getName())
+                                        && line.method().equals(test.getName())
+                                        && line.number() == number)
+                        .findFirst()
+                        .orElse(null),
+                System.out::println);
     }
 
     /**
--- a/src/test/java/io/micatide/KnownRedTest.java
+++ b/src/test/java/io/micatide/KnownRedTest.java
@@ -19,12 +19,21 @@
 
     /** Lines by number of a good one, or as they stand; how much is wrong. */
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "0 | 0", "1 | 0", "3 | 0", "4 | 1", "io.micatide.KnownRedTest#aLineIsJudged[2], a cause, with a comma, 43 | 0",
-        "io.micatide.KnownRedTest#aLineIsJudged[99], cause, 43 | 1", "io.micatide.KnownRedTest#aLineIsJudged, cause, 43 | 1",
-        "io.micatide.KnownRedTest#nothing, cause, 43 | 1", "io.micatide.NoSuchTest#nothing, cause, 43 | 1",
-        "io.micatide.KnownRedTest#theFileMayStand | 1", "io.micatide.KnownRedTest#theFileMayStand, cause | 1",
-    })
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "0 | 0",
+                "1 | 0",
+                "3 | 0",
+                "4 | 1",
+                "io.micatide.KnownRedTest#aLineIsJudged[2], a cause, with a comma, 43 | 0",
+                "io.micatide.KnownRedTest#aLineIsJudged[99], cause, 43 | 1",
+                "io.micatide.KnownRedTest#aLineIsJudged, cause, 43 | 1",
+                "io.micatide.KnownRedTest#nothing, cause, 43 | 1",
+                "io.micatide.NoSuchTest#nothing, cause, 43 | 1",
+                "io.micatide.KnownRedTest#theFileMayStand | 1",
+                "io.micatide.KnownRedTest#theFileMayStand, cause | 1",
+            })
     void aFileIsJudged(String lines, int problems) {
         String text = lines.length() == 1 ? (GOOD + "\n").repeat(Integer.parseInt(lines)) : lines;
         assertEquals(problems, KnownRed.problems(KnownRed.parse(text)).size());
@@ -36,12 +45,15 @@
     void aLineIsJudged(boolean passes, boolean named, String told) throws Throwable {
         String verdict = "passes";
         try {
-            KnownRed.run(() -> {
-                if (!passes) {
-                    throw new AssertionError("red");
-                }
-                return null;
-            }, named ? KnownRed.parse(GOOD).get(0) : null, line -> { });
+            KnownRed.run(
+                    () -> {
+                        if (!passes) {
+                            throw new AssertionError("red");
+                        }
+                        return null;
+                    },
+                    named ? KnownRed.parse(GOOD).get(0) : null,
+                    line -> {});
         } catch (TestAbortedException e) {
             verdict = "passed over";
         } catch (AssertionError e) {
--- a/src/test/java/io/micatide/core/CancelProofTest.java
+++ b/src/test/java/io/micatide/core/CancelProofTest.java
@@ -13,10 +13,33 @@
  * that a case allows is held against what it could prolong.
  */
 class CancelProofTest {
-    private static final Settings SETTINGS = new Settings("c0", "a", "x:1", "x:2", List.of(new Settings.Sibling("c1", "a", "x:3"),
-            new Settings.Sibling("c2", "b", "x:4")), "x:5", "x:6", List.of("a", "b"), 0, Map.of(), List.of(),
-            Micros.SECOND, 10 * Micros.SECOND, 30 * Micros.SECOND, 5 * Micros.SECOND, 30 * Micros.SECOND, 80, 30, 2048, 2048, 5,
-            8, Micros.SECOND, 1, 100, 100);
+    private static final Settings SETTINGS = new Settings(
+            "c0",
+            "a",
+            "x:1",
+            "x:2",
+            List.of(new Settings.Sibling("c1", "a", "x:3"), new Settings.Sibling("c2", "b", "x:4")),
+            "x:5",
+            "x:6",
+            List.of("a", "b"),
+            0,
+            Map.of(),
+            List.of(),
+            Micros.SECOND,
+            10 * Micros.SECOND,
+            30 * Micros.SECOND,
+            5 * Micros.SECOND,
+            30 * Micros.SECOND,
+            80,
+            30,
+            2048,
+            2048,
+            5,
+            8,
+            Micros.SECOND,
+            1,
+            100,
+            100);
 
     /**
      * Steps in seconds: {@code r100} a read that was asked for then; {@code 0@130-131/200} the first sibling's testimony, asked for at 130
@@ -26,9 +49,13 @@
     @ParameterizedTest
     @CsvSource({
         // Nothing was ever read: no former life's word, no sibling's, is known.
-        "a0, n", "0@1-1/500 1@1-1/500 a2, n",
+        "a0, n",
+        "0@1-1/500 1@1-1/500 a2, n",
         // Reads count from when they were asked for, and do not go back.
-        "r100 a118 a119, yn", "r100 r90 a118, y", "r100 a119 r119 a120, ny", "r100 a118 a119 r118 a136 a137 a138, ynynn",
+        "r100 a118 a119, yn",
+        "r100 r90 a118, y",
+        "r100 a119 r119 a120, ny",
+        "r100 a118 a119 r118 a136 a137 a138, ynynn",
         // All testify without a gap: for as long as they do, an outage of any length.
         "r100 0@117-117/500 1@117-117/500 a135 0@135-135/520 1@135-135/520 a150 a154, yyn",
         // One of them does not.
@@ -36,15 +63,21 @@
         // From when the question left, not from when the answer came.
         "r100 0@101-118/500 1@101-118/500 a119 a120, yn",
         // Started again since the last read: what its former life confirmed is not known. A read mends that.
-        "r100 0@110-110/5 1@110-110/500 a118 a119, yn", "r100 0@110-110/5 1@110-110/500 r120 0@125-125/20 1@125-125/20 a143, y",
+        "r100 0@110-110/5 1@110-110/500 a118 a119, yn",
+        "r100 0@110-110/5 1@110-110/500 r120 0@125-125/20 1@125-125/20 a143, y",
         // Started again between two testimonies: all is known up to the former life's last one.
         "r100 0@110-110/500 1@110-110/500 0@118-118/3 1@118-118/508 a128 a129, yn",
-        // Born just before and just after the moment up to which all is known; clocks drift, so a second of some minutes is not told apart.
-        "r100 0@130-130/31 1@130-130/31 a131, y", "r100 0@130-130/29 1@130-130/31 a131, n", "r100 0@1100-1100/1000.5 1@1100-1100/1003 a1101, n",
+        // Born just before and just after the moment up to which all is known; clocks drift, so a second of some
+        // minutes is not told apart.
+        "r100 0@130-130/31 1@130-130/31 a131, y",
+        "r100 0@130-130/29 1@130-130/31 a131, n",
+        "r100 0@1100-1100/1000.5 1@1100-1100/1003 a1101, n",
         // The answer came late: it may have been born as late as that.
-        "r100 0@105-130/31 1@105-105/500 a119 a123, yy", "r100 0@105-130/20 1@105-105/500 a119, n",
+        "r100 0@105-130/31 1@105-105/500 a119 a123, yy",
+        "r100 0@105-130/20 1@105-105/500 a119, n",
         // More names than fit, or another process in its place: a gap.
-        "r100 0@110-110/500! 1@110-110/500 a119, n", "r100 0@110-110/500? 1@110-110/500 a119, n",
+        "r100 0@110-110/500! 1@110-110/500 a119, n",
+        "r100 0@110-110/500? 1@110-110/500 a119, n",
         // Words that overtake each other.
         "r100 0@115-116/500 1@115-115/500 0@105-117/500 a133, y",
     })
@@ -59,8 +92,15 @@
             } else {
                 String[] word = step.substring(2).replaceAll("[!?]", "").split("[-/]");
                 int sibling = step.charAt(0) - '0';
-                proof.testified(sibling, new Testimony(step.endsWith("?") ? "c9" : "c" + (sibling + 1), micros(word[2]), !step.endsWith("!"),
-                        List.of()), micros(word[0]), micros(word[1]));
+                proof.testified(
+                        sibling,
+                        new Testimony(
+                                step.endsWith("?") ? "c9" : "c" + (sibling + 1),
+                                micros(word[2]),
+                                !step.endsWith("!"),
+                                List.of()),
+                        micros(word[0]),
+                        micros(word[1]));
             }
         }
         assertEquals(told, text.toString());
@@ -69,9 +109,33 @@
     /** Alone there is no sibling to hear, but a former process in its own place may have told users. */
     @Test
     void aControllerOnItsOwnReadsOnce() {
-        Settings alone = new Settings("c0", "a", "x:1", "x:2", List.of(), "x:5", "x:6", List.of("a"), 0, Map.of(), List.of(),
-                Micros.SECOND, 10 * Micros.SECOND, 30 * Micros.SECOND, 5 * Micros.SECOND, 30 * Micros.SECOND, 80, 30, 2048, 2048, 5,
-                8, Micros.SECOND, 1, 100, 100);
+        Settings alone = new Settings(
+                "c0",
+                "a",
+                "x:1",
+                "x:2",
+                List.of(),
+                "x:5",
+                "x:6",
+                List.of("a"),
+                0,
+                Map.of(),
+                List.of(),
+                Micros.SECOND,
+                10 * Micros.SECOND,
+                30 * Micros.SECOND,
+                5 * Micros.SECOND,
+                30 * Micros.SECOND,
+                80,
+                30,
+                2048,
+                2048,
+                5,
+                8,
+                Micros.SECOND,
+                1,
+                100,
+                100);
         CancelProof proof = new CancelProof(alone);
         assertEquals(false, proof.mayAnswer(Micros.SECOND));
         proof.read(Micros.SECOND);
@@ -80,11 +144,36 @@
 
     /** Settings that leave less than a take-over needs are told to the operator; a margin of a second and the drift of clocks count. */
     @ParameterizedTest
-    @CsvSource({"10, 30, true", "30, 55, true", "10, 15.1, true", "10, 15.0, false", "17.5, 20, false", "30, 10, false"})
+    @CsvSource({"10, 30, true", "30, 55, true", "10, 15.1, true", "10, 15.0, false", "17.5, 20, false", "30, 10, false"
+    })
     void settingsThatCannotBeKeptAreTold(double lease, double cancel, boolean kept) {
-        Settings settings = new Settings("c0", "a", "x:1", "x:2", List.of(), "x:5", "x:6", List.of("a"), 0, Map.of(), List.of(),
-                Micros.SECOND, Micros.ofSeconds(lease), 30 * Micros.SECOND, 5 * Micros.SECOND, Micros.ofSeconds(cancel), 80, 30, 2048, 2048, 5,
-                8, Micros.SECOND, 1, 100, 100);
+        Settings settings = new Settings(
+                "c0",
+                "a",
+                "x:1",
+                "x:2",
+                List.of(),
+                "x:5",
+                "x:6",
+                List.of("a"),
+                0,
+                Map.of(),
+                List.of(),
+                Micros.SECOND,
+                Micros.ofSeconds(lease),
+                30 * Micros.SECOND,
+                5 * Micros.SECOND,
+                Micros.ofSeconds(cancel),
+                80,
+                30,
+                2048,
+                2048,
+                5,
+                8,
+                Micros.SECOND,
+                1,
+                100,
+                100);
         assertEquals(kept, CancelProof.unkept(settings) == null, CancelProof.unkept(settings));
     }
 
@@ -95,9 +184,17 @@
     /** What a controller names: rows above the revision asked for, whole unless something above it may be missing. */
     @ParameterizedTest
     @CsvSource({
-        // c a cancellation at a revision, l all rows read as of one, n so many cancellations from one on; then the revision asked for
-        "c5 c9 c7, 6, true 2", "c5 c9, 9, true 0", "l4 c5, 4, true 1", "l4 c5, 3, false 1", "n1000@1, 0, true 1000",
-        "n1001@1, 0, false 1000", "n1001@1, 1, true 1000", "c900 n1000@1, 899, false 101", "c2000 c3 n999@4, 1500, false 0",
+        // c a cancellation at a revision, l all rows read as of one, n so many cancellations from one on; then the
+        // revision asked for
+        "c5 c9 c7, 6, true 2",
+        "c5 c9, 9, true 0",
+        "l4 c5, 4, true 1",
+        "l4 c5, 3, false 1",
+        "n1000@1, 0, true 1000",
+        "n1001@1, 0, false 1000",
+        "n1001@1, 1, true 1000",
+        "c900 n1000@1, 899, false 101",
+        "c2000 c3 n999@4, 1500, false 0",
     })
     void whatIsNamed(String steps, long revision, String told) {
         CancelLog log = new CancelLog();
--- a/src/test/java/io/micatide/core/CancelledUseTest.java
+++ b/src/test/java/io/micatide/core/CancelledUseTest.java
@@ -33,9 +33,12 @@
     private void report(String machine, String tasks) {
         List<TaskReport> lines = new ArrayList<>();
         String[] parts = tasks.split("/", -1);
-        parts[0].chars().forEach(each -> lines.add(new TaskReport("wk-1", each - '0', 7, TaskState.RUNNING, null, false)));
+        parts[0].chars()
+                .forEach(each -> lines.add(new TaskReport("wk-1", each - '0', 7, TaskState.RUNNING, null, false)));
         if (parts.length > 1) {
-            parts[1].chars().forEach(each -> lines.add(new TaskReport("wk-1", each - '0', 7, TaskState.EXITED, ExitCause.DONE, false)));
+            parts[1].chars()
+                    .forEach(each ->
+                            lines.add(new TaskReport("wk-1", each - '0', 7, TaskState.EXITED, ExitCause.DONE, false)));
         }
         leader.report(new MachineReport(machine, "x:1", "small", "a", false, 1, ++sequence, TOKEN, -1, lines), now);
     }
@@ -69,17 +72,25 @@
         // Cancelled with nothing else in its ledger to write.
         "o l + a012 b34 w c w, 10, true",
         // Dirty for another reason: a task had just ended, on the same machine or on the other.
-        "o l + a012 b34 w a01/2 c w, 8, true", "o l + a012 b34 w b3/4 c w, 8, true",
+        "o l + a012 b34 w a01/2 c w, 8, true",
+        "o l + a012 b34 w b3/4 c w, 8, true",
         // A round is in flight at the cancellation, and is answered or not executed.
-        "o l + a012 b34 w a01/2 f c w, 8, true", "o l + a012 b34 w a01/2 f c u w, 8, true",
+        "o l + a012 b34 w a01/2 f c w, 8, true",
+        "o l + a012 b34 w a01/2 f c u w, 8, true",
         // What a machine goes on reporting counts, however many rounds there were meanwhile.
         "o l + a012 b34 w a01/2 c w a01 w b34 w, 8, true",
         // Cancelled while the leader loads: before and after its ledger was read, and known as cancelled only.
-        "o c l + w, 0, true", "o l c + w, 0, true", "c l + w, 0, true", "o c l + a012 w, 6, true", "c l + a012 w, 6, true",
+        "o c l + w, 0, true",
+        "o l c + w, 0, true",
+        "c l + w, 0, true",
+        "o c l + a012 w, 6, true",
+        "c l + a012 w, 6, true",
         // A former version took the ledger away too early: what is reported counts all the same.
         "c + a012 w, 6, false",
-        // Done elsewhere, as an older report of the other machine tells: the job is over, and what still runs counts until it is gone.
-        "o l + a01234 b/01234 w a01234 w, 10, false", "o l + a01234 b/01234 w a012 w, 6, false",
+        // Done elsewhere, as an older report of the other machine tells: the job is over, and what still runs counts
+        // until it is gone.
+        "o l + a01234 b/01234 w a01234 w, 10, false",
+        "o l + a01234 b/01234 w a012 w, 6, false",
     })
     void countsUntilNothingIsAnywhere(String steps, int used, boolean ledger) {
         leader.typesKnown(List.of(World.TYPE), 0);
--- a/src/test/java/io/micatide/core/DeadlinesTest.java
+++ b/src/test/java/io/micatide/core/DeadlinesTest.java
@@ -31,8 +31,12 @@
             int tasks = Integer.parseInt(part[0]);
             long length = Integer.parseInt(part[1]) * Micros.SECOND;
             Job job = new Job(World.job("wk-" + each, JobKind.ARRAY, "blue", Priority.NORMAL, tasks, 1), 1, 0, 0, 0);
-            entries.add(new Deadlines.Entry(job, (double) tasks * length, length,
-                    Integer.parseInt(part[2]) * Micros.SECOND, part.length > 3 ? Integer.parseInt(part[3]) : 1));
+            entries.add(new Deadlines.Entry(
+                    job,
+                    (double) tasks * length,
+                    length,
+                    Integer.parseInt(part[2]) * Micros.SECOND,
+                    part.length > 3 ? Integer.parseInt(part[3]) : 1));
         }
         List<String> kept = new ArrayList<>();
         for (Deadlines.Entry entry : Deadlines.decide(entries, cpus, 0)) {
--- a/src/test/java/io/micatide/core/DependenciesTest.java
+++ b/src/test/java/io/micatide/core/DependenciesTest.java
@@ -23,7 +23,9 @@
             version++;
             if (step.startsWith("+") || step.startsWith("-")) {
                 JobState state = step.startsWith("+") ? JobState.DONE : JobState.CANCELLED;
-                directory.apply(step.substring(1), new Row.JobRow(state, null, 0, 2, state == JobState.DONE ? version : -1, 0),
+                directory.apply(
+                        step.substring(1),
+                        new Row.JobRow(state, null, 0, 2, state == JobState.DONE ? version : -1, 0),
                         version);
             } else {
                 String[] parts = step.split("<");
@@ -38,8 +40,10 @@
         StringBuilder text = new StringBuilder();
         for (String name : names.split("")) {
             JobDirectory.View view = directory.view(name);
-            text.append(view.state() == JobState.DONE ? 'd' : view.state() == JobState.CANCELLED ? 'x'
-                    : view.waits() ? 'w' : 'r');
+            text.append(
+                    view.state() == JobState.DONE
+                            ? 'd'
+                            : view.state() == JobState.CANCELLED ? 'x' : view.waits() ? 'w' : 'r');
         }
         return text.toString();
     }
@@ -93,8 +97,8 @@
             steps.add("j" + i + "<j" + (i - 1));
         }
         play(directory, steps, 0);
-        List<String> changed = directory.apply("j0",
-                new Row.JobRow(cancel ? JobState.CANCELLED : JobState.DONE, null, 0, 2), length + 1);
+        List<String> changed = directory.apply(
+                "j0", new Row.JobRow(cancel ? JobState.CANCELLED : JobState.DONE, null, 0, 2), length + 1);
         assertEquals(cancel ? length : 2, changed.size());
         assertEquals(cancel ? JobState.CANCELLED : JobState.OPEN, directory.state("j" + (length - 1)));
     }
@@ -125,12 +129,18 @@
     void submissions(String rows, boolean marked, String needs, String outcome) {
         JobDirectory directory = new JobDirectory();
         play(directory, List.of(rows.split(" ")), 0);
-        directory.apply("s", new Row.JobRow(JobState.OPEN,
-                World.job("s", JobKind.SERVICE, "blue", Priority.NORMAL, 2, 0), 0, 2), 50);
+        directory.apply(
+                "s",
+                new Row.JobRow(JobState.OPEN, World.job("s", JobKind.SERVICE, "blue", Priority.NORMAL, 2, 0), 0, 2),
+                50);
         directory.layoutMarked(marked ? 7 : 0, new Row.Layout(2, 2048));
         PipelineAdmission said = PipelineAdmission.of(spec("x", List.of(needs.split("&"))), directory);
-        String text = said instanceof PipelineAdmission.Accepted accepted ? accepted.state() + " "
-                + (accepted.stored() == null ? 0 : accepted.stored().needs().size()) : said.getClass().getSimpleName();
+        String text = said instanceof PipelineAdmission.Accepted accepted
+                ? accepted.state() + " "
+                        + (accepted.stored() == null
+                                ? 0
+                                : accepted.stored().needs().size())
+                : said.getClass().getSimpleName();
         assertEquals(outcome, text);
         assertInstanceOf(PipelineAdmission.Refused.class, PipelineAdmission.of(spec("x", List.of("s")), directory));
     }
@@ -159,8 +169,26 @@
             String[] parts = step.split("<");
             JobSpec waiting = spec(parts[0], List.of(parts[1].split("&")));
             if (parts[0].equals("d")) {
-                waiting = new JobSpec("d", "class", "blue", JobKind.ARRAY, Priority.HIGH, 2, waiting.each(), "img-1", 1,
-                        List.of(), null, false, false, true, 5 * Micros.SECOND, 0, 0, 100 * Micros.SECOND, waiting.needs());
+                waiting = new JobSpec(
+                        "d",
+                        "class",
+                        "blue",
+                        JobKind.ARRAY,
+                        Priority.HIGH,
+                        2,
+                        waiting.each(),
+                        "img-1",
+                        1,
+                        List.of(),
+                        null,
+                        false,
+                        false,
+                        true,
+                        5 * Micros.SECOND,
+                        0,
+                        0,
+                        100 * Micros.SECOND,
+                        waiting.needs());
             }
             pipelines.waits(waiting, ++version, 0);
         }
@@ -170,7 +198,8 @@
         if (steps == 0) {
             assertEquals(Long.MAX_VALUE, first.neededByMicros);
         } else {
-            assertTrue(before >= steps * 5 * Micros.SECOND && before <= steps * 12 * Micros.SECOND, "before: " + before);
+            assertTrue(
+                    before >= steps * 5 * Micros.SECOND && before <= steps * 12 * Micros.SECOND, "before: " + before);
         }
         pipelines.waitsNoMore("d");
         pipelines.refresh(0);
--- a/src/test/java/io/micatide/core/FailureTest.java
+++ b/src/test/java/io/micatide/core/FailureTest.java
@@ -30,7 +30,9 @@
         assertTrue(world.leader.summary(world.now).contains("unsettled=0"), what + world.leader.summary(world.now));
         // Nothing of what is over stays behind: only the replicas run and only their ledger is kept.
         List<String> kept = new ArrayList<>();
-        world.rows.keySet().stream().filter(key -> key.startsWith(StoreKeys.LEDGERS)).forEach(kept::add);
+        world.rows.keySet().stream()
+                .filter(key -> key.startsWith(StoreKeys.LEDGERS))
+                .forEach(kept::add);
         assertEquals(List.of(StoreKeys.ledger("wk-3", 0)), kept, what);
     }
 
@@ -50,7 +52,9 @@
             world.run(150 * Micros.SECOND);
             assertTrue(world.interactions > kill || world.takeOvers > 1, "the kill was not reached");
             assertSound(world, "kill " + kill + " lost " + lostAnswers);
-            duplicates += (int) world.broken.stream().filter(rule -> rule.startsWith("ran_twice")).count();
+            duplicates += (int) world.broken.stream()
+                    .filter(rule -> rule.startsWith("ran_twice"))
+                    .count();
         }
         assertEquals(0, duplicates);
     }
@@ -118,11 +122,23 @@
             world.killAfter = 20 + 7 * seed;
             List<Hint> lies = new ArrayList<>(List.of(new Hint.OfClass("class", 9, 3), new Hint.OfClass("x", -4, -1)));
             for (int job = 0; job <= 6; job++) {
-                lies.add(new Hint.OfJob("wk-" + job, world.random.nextInt(90) * Micros.SECOND, world.random.nextInt(50), job % 2 == 0, job));
+                lies.add(new Hint.OfJob(
+                        "wk-" + job,
+                        world.random.nextInt(90) * Micros.SECOND,
+                        world.random.nextInt(50),
+                        job % 2 == 0,
+                        job));
             }
             for (int machine = 0; machine < 12; machine++) {
-                lies.add(new Hint.OfMachine(String.format("i-%06d", machine), "x:1", 3, List.of("img-1", "img-9", "img-1"), List.of(2.0, 90.0, 5.0),
-                        world.random.nextBoolean(), world.random.nextInt(4) == 0, world.random.nextInt(6) == 0));
+                lies.add(new Hint.OfMachine(
+                        String.format("i-%06d", machine),
+                        "x:1",
+                        3,
+                        List.of("img-1", "img-9", "img-1"),
+                        List.of(2.0, 90.0, 5.0),
+                        world.random.nextBoolean(),
+                        world.random.nextInt(4) == 0,
+                        world.random.nextInt(6) == 0));
             }
             world.hints = lies;
             world.takeOver();
@@ -149,8 +165,8 @@
         "2, 12, 30, 0, 0, 0, 60",
         "0, 0, 50, 2, 30, 0, 40",
     })
-    void hangsAndOutagesOverATakeOver(int hangAt, int hangFor, int kill, int outageAt, int outageFor, int cloudAt,
-            int cloudFor) {
+    void hangsAndOutagesOverATakeOver(
+            int hangAt, int hangFor, int kill, int outageAt, int outageFor, int cloudAt, int cloudFor) {
         for (int seed = 0; seed < 12; seed++) {
             World world = new World(seed, 4);
             world.killAfter = kill + seed * 5;
@@ -228,10 +244,13 @@
         world.submit(World.job("wk-6", JobKind.ARRAY, "blue", Priority.NORMAL, 3 * machines, 60));
         world.run(15 * Micros.SECOND);
         int starts = world.starts;
-        long returned = world.workers.values().stream().filter(worker -> worker.deleted).count();
+        long returned =
+                world.workers.values().stream().filter(worker -> worker.deleted).count();
         world.stall(seconds * Micros.SECOND);
         world.run(8 * Micros.SECOND);
-        assertEquals(returned, world.workers.values().stream().filter(worker -> worker.deleted).count());
+        assertEquals(
+                returned,
+                world.workers.values().stream().filter(worker -> worker.deleted).count());
         assertEquals(List.of(), world.broken);
         assertEquals(tasksLive, starts == world.starts, world.starts + " starts");
         world.run(90 * Micros.SECOND);
--- a/src/test/java/io/micatide/core/HealthTest.java
+++ b/src/test/java/io/micatide/core/HealthTest.java
@@ -73,8 +73,8 @@
         Health health = new Health(new RunTimes());
         for (String outcome : outcomes.split(",")) {
             String[] part = outcome.replace("+", "").split(":");
-            Job job = allJobs.computeIfAbsent(part[0],
-                    k -> new Job(World.job(k, JobKind.ARRAY, "blue", Priority.NORMAL, 50, 10), 1, 0, 0, 0));
+            Job job = allJobs.computeIfAbsent(
+                    part[0], k -> new Job(World.job(k, JobKind.ARRAY, "blue", Priority.NORMAL, 50, 10), 1, 0, 0, 0));
             if (outcome.startsWith("+")) {
                 job.finish(job.nextWaiting());
                 health.succeeded(allMachines.get(part[1]), job);
--- a/src/test/java/io/micatide/core/JobBookTest.java
+++ b/src/test/java/io/micatide/core/JobBookTest.java
@@ -16,8 +16,17 @@
 class JobBookTest {
     /** Every n-th task of a job is finished: its rounds keep the limits, and the next leader reads back the same. */
     @ParameterizedTest
-    @CsvSource({"10, 1, 16384", "5000, 3, 16384", "100000, 1, 16384", "100000, 2, 16384", "100000, 7, 16384",
-        "5000, 1, 2048", "5000, 2, 2048", "100000, 3, 2048", "100000, 100, 2048"})
+    @CsvSource({
+        "10, 1, 16384",
+        "5000, 3, 16384",
+        "100000, 1, 16384",
+        "100000, 2, 16384",
+        "100000, 7, 16384",
+        "5000, 1, 2048",
+        "5000, 2, 2048",
+        "100000, 3, 2048",
+        "100000, 100, 2048"
+    })
     void largeFragmentedJobsKeepTheLimits(int tasks, int step, int bytes) {
         Settings settings = new World(1, 0, bytes, 16).settings;
         JobBook book = new JobBook(settings, 5);
@@ -28,8 +37,15 @@
         }
         Map<String, Row.Ledger> stored = new HashMap<>();
         int rounds = 0;
-        for (long now = 10 * Micros.SECOND;; now += 10 * Micros.SECOND) {
-            JobBook.Round round = book.nextRound(now, now, settings.transactionOps(), settings.transactionOps(), List.of(), List.of(), List.of(),
+        for (long now = 10 * Micros.SECOND; ; now += 10 * Micros.SECOND) {
+            JobBook.Round round = book.nextRound(
+                    now,
+                    now,
+                    settings.transactionOps(),
+                    settings.transactionOps(),
+                    List.of(),
+                    List.of(),
+                    List.of(),
                     (any, most) -> List.of());
             if (round == null) {
                 break;
@@ -55,7 +71,9 @@
             assertEquals(job.finished, job.recorded);
         } else {
             // The rest stays with the workers; what fits is recorded once and not written again.
-            assertTrue(job.recorded.cardinality() > Math.min(tasks / step - 2, 300), "recorded: " + job.recorded.cardinality());
+            assertTrue(
+                    job.recorded.cardinality() > Math.min(tasks / step - 2, 300),
+                    "recorded: " + job.recorded.cardinality());
         }
         JobBook next = new JobBook(settings, 900);
         Job found = next.add(spec, 7, 0, 0, 0);
@@ -94,8 +112,11 @@
         }
         int size = settings.pageTasks();
         for (int page = 0; page * size < tasks; page++) {
-            assertTrue(book.load(StoreKeys.ledger("wk-1", page), new Row.Ledger(page == 0 ? names : List.of(), 0,
-                    Ranges.format(before, page * size, (page + 1) * size)), 5));
+            assertTrue(book.load(
+                    StoreKeys.ledger("wk-1", page),
+                    new Row.Ledger(
+                            page == 0 ? names : List.of(), 0, Ranges.format(before, page * size, (page + 1) * size)),
+                    5));
         }
         assertEquals(before, job.recorded);
         int written = 0;
@@ -110,7 +131,14 @@
             if (second < 200) {
                 book.finished(job, (second * 7919) % tasks, now);
             }
-            JobBook.Round round = book.nextRound(now, now, settings.transactionOps(), settings.transactionOps() - 2, List.of(), List.of(), List.of(),
+            JobBook.Round round = book.nextRound(
+                    now,
+                    now,
+                    settings.transactionOps(),
+                    settings.transactionOps() - 2,
+                    List.of(),
+                    List.of(),
+                    List.of(),
                     (any, most) -> names);
             idle = round == null ? idle + 1 : 0;
             if (round == null) {
@@ -125,8 +153,9 @@
                     assertTrue(((Row.Ledger) write.row()).machines().containsAll(job.unsettledMachines));
                     // Names in short are written on condition that everybody reads them.
                     assertEquals(dense, ((Row.Ledger) write.row()).dense());
-                    assertEquals(dense, round.transaction().conditions()
-                            .contains(new Transaction.Compare(StoreKeys.LAYOUT, 44)));
+                    assertEquals(
+                            dense,
+                            round.transaction().conditions().contains(new Transaction.Compare(StoreKeys.LAYOUT, 44)));
                 }
             }
             book.confirmed(round, 1000 + second, now);
@@ -138,7 +167,14 @@
         for (int i = 0; i < tasks; i++) {
             book.finished(job, i, 500 * Micros.SECOND);
         }
-        JobBook.Round last = book.nextRound(510 * Micros.SECOND, 510 * Micros.SECOND, ops, ops, List.of(), List.of(), List.of(),
+        JobBook.Round last = book.nextRound(
+                510 * Micros.SECOND,
+                510 * Micros.SECOND,
+                ops,
+                ops,
+                List.of(),
+                List.of(),
+                List.of(),
                 (any, most) -> List.of());
         assertTrue(last.transaction().writes().get(0).row() instanceof Row.JobRow row && row.state() == JobState.DONE);
         assertTrue(last.transaction().writes().size() <= ops);
@@ -146,8 +182,13 @@
 
     /** A job goes to no more machines than a small ledger can name. */
     @ParameterizedTest
-    @CsvSource({"2048, 112, 1, false", "16384, 927, 1, false", "2048, 1000, 1, true", "2048, 615, 2, true",
-        "2048, 248, 1000, true"})
+    @CsvSource({
+        "2048, 112, 1, false",
+        "16384, 927, 1, false",
+        "2048, 1000, 1, true",
+        "2048, 615, 2, true",
+        "2048, 248, 1000, true"
+    })
     void namesNoMoreMachinesThanFit(int bytes, int most, int apart, boolean dense) {
         JobBook book = new JobBook(new World(1, 0, bytes, 5).settings, 900);
         book.layoutMarked(dense ? 44 : 0, book.pageTasks());
@@ -176,11 +217,15 @@
         book.refused(round, 0);
         book.resolved(round, 0);
         book.needMachine(second, new Machine("i-1", 0), 0);
-        JobBook.Round next = book.nextRound(100, 100, 5, 5, List.of(), List.of(), List.of(), (any, likely) -> List.of());
-        assertEquals(List.of(second), next.parts().stream().map(JobBook.Part::job).toList());
+        JobBook.Round next =
+                book.nextRound(100, 100, 5, 5, List.of(), List.of(), List.of(), (any, likely) -> List.of());
+        assertEquals(
+                List.of(second), next.parts().stream().map(JobBook.Part::job).toList());
         assertTrue(first.ledgerFull, "what waits for that write is given back");
-        JobBook.Round later = book.nextRound(20 * Micros.SECOND, 0, 5, 5, List.of(), List.of(), List.of(), (any, likely) -> List.of());
-        assertEquals(List.of(first), later.parts().stream().map(JobBook.Part::job).toList());
+        JobBook.Round later = book.nextRound(
+                20 * Micros.SECOND, 0, 5, 5, List.of(), List.of(), List.of(), (any, likely) -> List.of());
+        assertEquals(
+                List.of(first), later.parts().stream().map(JobBook.Part::job).toList());
     }
 
     /**
@@ -200,12 +245,16 @@
         assertEquals(jobs, round.parts().stream().map(JobBook.Part::job).toList());
         assertEquals(List.of(refused), book.refusedBy(round, List.of(refused), 0));
         JobBook.Round next = book.nextRound(0, 0, 5, 5, List.of(), List.of(), List.of(), (any, likely) -> List.of());
-        assertEquals(List.of(jobs.get(0), jobs.get(2)), next.parts().stream().map(JobBook.Part::job).toList());
+        assertEquals(
+                List.of(jobs.get(0), jobs.get(2)),
+                next.parts().stream().map(JobBook.Part::job).toList());
         book.confirmed(next, 1000, 0);
         assertEquals(null, book.nextRound(0, 0, 5, 5, List.of(), List.of(), List.of(), (any, likely) -> List.of()));
         book.keyKnown(refused, 0);
         JobBook.Round later = book.nextRound(0, 0, 5, 5, List.of(), List.of(), List.of(), (any, likely) -> List.of());
-        assertEquals(List.of(jobs.get(1)), later.parts().stream().map(JobBook.Part::job).toList());
+        assertEquals(
+                List.of(jobs.get(1)),
+                later.parts().stream().map(JobBook.Part::job).toList());
     }
 
     /** Finished tasks wait at their workers while the rate is short; what starts or ends a job is written all the same. */
@@ -213,16 +262,22 @@
     void finishedTasksLeaveTheRateToWhatStarts() {
         JobBook book = new JobBook(new World(1, 0, 2048, 5).settings, 900);
         for (int i = 0; i < 8; i++) {
-            book.finished(book.add(World.job("wk-" + i, JobKind.ARRAY, "blue", Priority.NORMAL, 10, 5), 7, 0, 0, 0), 3, 0);
+            book.finished(
+                    book.add(World.job("wk-" + i, JobKind.ARRAY, "blue", Priority.NORMAL, 10, 5), 7, 0, 0, 0), 3, 0);
         }
         Job starting = book.add(World.job("wk-8", JobKind.ARRAY, "blue", Priority.NORMAL, 10, 5), 7, 0, 0, 0);
         book.needMachine(starting, new Machine("i-1", 0), 0);
         long now = 5 * Micros.SECOND;
         JobBook.Round round = book.nextRound(now, 0, 4, 0, List.of(), List.of(), List.of(), (any, likely) -> List.of());
-        assertEquals(List.of(starting), round.parts().stream().map(JobBook.Part::job).toList());
+        assertEquals(
+                List.of(starting), round.parts().stream().map(JobBook.Part::job).toList());
         book.confirmed(round, 1000, now);
         assertEquals(null, book.nextRound(now, 0, 4, 0, List.of(), List.of(), List.of(), (any, likely) -> List.of()));
-        assertEquals(3, book.nextRound(now, 0, 4, 3, List.of(), List.of(), List.of(), (any, likely) -> List.of()).parts().size());
+        assertEquals(
+                3,
+                book.nextRound(now, 0, 4, 3, List.of(), List.of(), List.of(), (any, likely) -> List.of())
+                        .parts()
+                        .size());
     }
 
     /** Pages that were written under one limit are read with their own size, also where the settings name another since. */
@@ -234,7 +289,8 @@
         book.load(StoreKeys.ledger("wk-1", 2), new Row.Ledger(List.of(), 0, "0-9", true), 5);
         assertEquals("512-521", Ranges.format(job.finished, 0, 1000));
         book.finished(job, 600, 0);
-        JobBook.Round round = book.nextRound(5 * Micros.SECOND, 0, 5, 5, List.of(), List.of(), List.of(), (any, likely) -> List.of());
+        JobBook.Round round =
+                book.nextRound(5 * Micros.SECOND, 0, 5, 5, List.of(), List.of(), List.of(), (any, likely) -> List.of());
         assertEquals("0-9,88", ((Row.Ledger) round.transaction().writes().get(1).row()).done());
     }
 }
--- a/src/test/java/io/micatide/core/MachineNamesTest.java
+++ b/src/test/java/io/micatide/core/MachineNamesTest.java
@@ -15,14 +15,16 @@
 
 class MachineNamesTest {
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "i-000231|i-/6/231",
-        "i-000231 i-000232 i-000233 i-000240|i-/6/231+2,7",
-        "i-000000 i-000001|i-/6/0+1",
-        "i-999999 i-1000000|i-/6/999999 i-/7/1000000",
-        "a/b-7 a/b-07 a/b|a/b/0/ a/b-/1/7 a/b-/2/7",
-        "x12345678901|x12/9/345678901",
-    })
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "i-000231|i-/6/231",
+                "i-000231 i-000232 i-000233 i-000240|i-/6/231+2,7",
+                "i-000000 i-000001|i-/6/0+1",
+                "i-999999 i-1000000|i-/6/999999 i-/7/1000000",
+                "a/b-7 a/b-07 a/b|a/b/0/ a/b-/1/7 a/b-/2/7",
+                "x12345678901|x12/9/345678901",
+            })
     void shortAndBack(String names, String groups) {
         List<String> list = List.of(names.split(" "));
         assertEquals(List.of(groups.split(" ")), MachineNames.shorten(list));
--- a/src/test/java/io/micatide/core/PlannerTest.java
+++ b/src/test/java/io/micatide/core/PlannerTest.java
@@ -9,15 +9,33 @@
 
 class PlannerTest {
     private static JobSpec due(JobSpec job, int seconds) {
-        return new JobSpec(job.id(), job.jobClass(), job.team(), job.kind(), job.priority(), job.tasks(), job.each(),
-                job.image(), job.imageGb(), job.types(), job.zone(), false, false, job.spot(), job.estimateMicros(), 0, 0,
+        return new JobSpec(
+                job.id(),
+                job.jobClass(),
+                job.team(),
+                job.kind(),
+                job.priority(),
+                job.tasks(),
+                job.each(),
+                job.image(),
+                job.imageGb(),
+                job.types(),
+                job.zone(),
+                false,
+                false,
+                job.spot(),
+                job.estimateMicros(),
+                0,
+                0,
                 seconds * Micros.SECOND);
     }
 
     private static long live(World world, String job) {
-        return world.workers.values().stream().filter(worker -> !worker.deleted)
+        return world.workers.values().stream()
+                .filter(worker -> !worker.deleted)
                 .flatMap(worker -> worker.tasks.values().stream())
-                .filter(task -> task.job.equals(job) && task.cause == null).count();
+                .filter(task -> task.job.equals(job) && task.cause == null)
+                .count();
     }
 
     /**
@@ -85,8 +103,12 @@
         world.submit(World.job("wk-29", JobKind.SERVICE, "blue", Priority.HIGH, 1, 0));
         world.run(6 * Micros.SECOND);
         assertEquals(4 - there, live(world, "wk-3"));
-        long most = world.workers.values().stream().mapToLong(worker -> worker.tasks.values().stream()
-                .filter(task -> task.job.startsWith("wk-2")).count()).max().orElse(0);
+        long most = world.workers.values().stream()
+                .mapToLong(worker -> worker.tasks.values().stream()
+                        .filter(task -> task.job.startsWith("wk-2"))
+                        .count())
+                .max()
+                .orElse(0);
         assertEquals(together, most);
     }
 
@@ -123,7 +145,10 @@
         assertEquals(JobState.DONE, world.state("wk-1"));
         world.run(6 * Micros.SECOND);
         assertTrue(world.workers.size() > 2, "none was rented");
-        long there = world.workers.values().stream().skip(2).filter(worker -> !worker.deleted).count();
+        long there = world.workers.values().stream()
+                .skip(2)
+                .filter(worker -> !worker.deleted)
+                .count();
         assertEquals(returned, there == 0);
     }
 }
--- a/src/test/java/io/micatide/core/RentalsTest.java
+++ b/src/test/java/io/micatide/core/RentalsTest.java
@@ -15,8 +15,12 @@
     private static Transaction round(Rentals rentals, List<Rentals.Booking> some) {
         List<Transaction.Write> writes = new java.util.ArrayList<>();
         for (Rentals.Booking booking : some) {
-            writes.add(new Transaction.Write(StoreKeys.booking(booking.name), booking.state == Rentals.State.DONE ? null
-                    : new Row.Booking("claimed", booking.type, booking.zone, booking.spot, booking.count), 0));
+            writes.add(new Transaction.Write(
+                    StoreKeys.booking(booking.name),
+                    booking.state == Rentals.State.DONE
+                            ? null
+                            : new Row.Booking("claimed", booking.type, booking.zone, booking.spot, booking.count),
+                    0));
         }
         if (rentals.fence(some) != null) {
             writes.add(rentals.fence(some));
--- a/src/test/java/io/micatide/core/WorkerReachTest.java
+++ b/src/test/java/io/micatide/core/WorkerReachTest.java
@@ -40,8 +40,8 @@
         // It was we who stood still.
         "60, 20, 0.5, 0.1, true, false",
     })
-    void givesUpOnlyForASiblingThatIsReached(double began, double heard, double strayed, double stalled, boolean served,
-            boolean givesUp) {
+    void givesUpOnlyForASiblingThatIsReached(
+            double began, double heard, double strayed, double stalled, boolean served, boolean givesUp) {
         WorkerReach reach = new WorkerReach(SETTINGS, 0);
         reach.begin(ago(began));
         if (heard >= 0) {
@@ -71,7 +71,8 @@
         "0, 5, 4, 1, true, true",
         "0, 1, 4, 1, false, false",
     })
-    void tellsWorkersThatLostTheLeader(long seen, double sentAgo, double silent, int workers, boolean stray, boolean lost) {
+    void tellsWorkersThatLostTheLeader(
+            long seen, double sentAgo, double silent, int workers, boolean stray, boolean lost) {
         WorkerReach reach = new WorkerReach(SETTINGS, 0);
         for (int i = 0; i < workers; i++) {
             if (sentAgo >= 0) {
--- a/src/test/java/io/micatide/core/World.java
+++ b/src/test/java/io/micatide/core/World.java
@@ -24,8 +24,8 @@
  */
 final class World {
     static final long STEP = 100 * Micros.MILLISECOND;
-    static final MachineType TYPE = new MachineType("small", Resources.of(8, 0, 64), 25, 0.5, 0.5, 0.2,
-            10 * Micros.SECOND, List.of("a", "b"));
+    static final MachineType TYPE =
+            new MachineType("small", Resources.of(8, 0, 64), 25, 0.5, 0.5, 0.2, 10 * Micros.SECOND, List.of("a", "b"));
 
     final Settings settings;
     final Random random;
@@ -45,17 +45,20 @@
     long token;
     /** Interactions until the leader is killed; negative: never. */
     int killAfter = -1;
+
     int interactions;
     long deadUntil = -1;
     /** Transactions of dead leaders that the state service has still to receive. */
     final Deque<Transaction> late = new ArrayDeque<>();
     /** A leader that is cut off from the state service and its successor, and goes on answering zone a. */
     Scheduler zombie;
+
     long zombieToken;
     long zombieUntil;
     double lostAnswers;
     /** Boots take this many times as long as the type says. */
     int bootFactor = 1;
+
     int returned;
     /** Workers are greeted whenever they report. */
     boolean greets;
@@ -67,10 +70,12 @@
     boolean recorded = true;
     /** Deletions are carried out so much later, and nobody hears of it; 0 for as they should be. */
     long deletionsLateMicros;
+
     private final TreeMap<Long, List<String>> lateDeletions = new TreeMap<>();
     int lostToDeletions;
     /** Jobs submitted with a mistake and machines that are faulty: what runs there fails after a second. */
     final Set<String> faultyJobs = new HashSet<>();
+
     final Set<String> faultyMachines = new HashSet<>();
     final Map<String, Integer> startsOf = new HashMap<>();
     boolean stateOutage;
@@ -79,6 +84,7 @@
 
     /** The state service's limits as they are now; {@code settings} may know smaller ones that are to come. */
     int valueLimit = 16 * 1024;
+
     int opsLimit = 16;
     int refused;
     /** Every controller reads the present layout, as the next leader finds. */
@@ -93,10 +99,33 @@
         Map<String, Team> teams = new LinkedHashMap<>();
         teams.put("red", new Team("red", 16_000, 0, 24_000, 0));
         teams.put("blue", new Team("blue", 0, 0, 0, 0));
-        settings = new Settings("c0", "a", "127.0.0.1:1", "127.0.0.1:2", List.of(), "127.0.0.1:3", "127.0.0.1:4",
-                List.of("a", "b"), 0, teams, List.of(), 800 * Micros.MILLISECOND, 10 * Micros.SECOND,
-                30 * Micros.SECOND, 5 * Micros.SECOND, 30 * Micros.SECOND, 80, 30, 16 * 1024, writableBytes, ops, 8,
-                5 * Micros.SECOND, 0.4, 150, 700);
+        settings = new Settings(
+                "c0",
+                "a",
+                "127.0.0.1:1",
+                "127.0.0.1:2",
+                List.of(),
+                "127.0.0.1:3",
+                "127.0.0.1:4",
+                List.of("a", "b"),
+                0,
+                teams,
+                List.of(),
+                800 * Micros.MILLISECOND,
+                10 * Micros.SECOND,
+                30 * Micros.SECOND,
+                5 * Micros.SECOND,
+                30 * Micros.SECOND,
+                80,
+                30,
+                16 * 1024,
+                writableBytes,
+                ops,
+                8,
+                5 * Micros.SECOND,
+                0.4,
+                150,
+                700);
         for (int i = 0; i < machines; i++) {
             boot(i % 2 == 0 ? "a" : "b", false, 0);
         }
@@ -283,7 +312,9 @@
         Row.JobRow row = (Row.JobRow) rows.get(StoreKeys.job(id));
         if (row != null && row.state() == JobState.OPEN) {
             cancelledAt.put(id, now);
-            put(StoreKeys.job(id), new Row.JobRow(JobState.CANCELLED, row.spec(), row.submittedWall(), row.tasks()),
+            put(
+                    StoreKeys.job(id),
+                    new Row.JobRow(JobState.CANCELLED, row.spec(), row.submittedWall(), row.tasks()),
                     ++revision);
         }
     }
@@ -306,10 +337,14 @@
     /** What is stored is text: a leader reads what the one before it wrote, not its objects. */
     private static Row throughText(String key, Row row, long at) {
         try {
-            JsonNode data = Json.tree(StateCodec.transaction(new Transaction(List.of(),
-                    List.of(new Transaction.Write(key, row, 0))))).path("writes").get(0).path("data");
+            JsonNode data = Json.tree(StateCodec.transaction(
+                            new Transaction(List.of(), List.of(new Transaction.Write(key, row, 0)))))
+                    .path("writes")
+                    .get(0)
+                    .path("data");
             return StateCodec.item(("{\"k\":\"" + key + "\",\"data\":" + data + ",\"stamp\":" + at + "}")
-                    .getBytes(StandardCharsets.UTF_8)).row();
+                            .getBytes(StandardCharsets.UTF_8))
+                    .row();
         } catch (MalformedException e) {
             throw new IllegalStateException(key + ": " + e.getMessage(), e);
         }
@@ -364,7 +399,10 @@
         leader.typesKnown(List.of(TYPE), now);
         directory.openAndCancelled().forEach(view -> leader.jobSeen(view, now, now));
         if (marked) {
-            put(StoreKeys.LAYOUT, new Row.Layout(Settings.LAYOUT, settings.pageTasks()), versions.getOrDefault(StoreKeys.LAYOUT, ++revision));
+            put(
+                    StoreKeys.LAYOUT,
+                    new Row.Layout(Settings.LAYOUT, settings.pageTasks()),
+                    versions.getOrDefault(StoreKeys.LAYOUT, ++revision));
             leader.layoutMarked(versions.get(StoreKeys.LAYOUT), (Row.Layout) rows.get(StoreKeys.LAYOUT));
         }
         rows.forEach((key, row) -> {
@@ -376,7 +414,9 @@
                 leader.bookingLoaded(key.substring(StoreKeys.BOOKINGS.length()), booking, versions.get(key), now);
             }
         });
-        leader.fenceKnown(versions.getOrDefault(StoreKeys.FENCE, 0L), rows.get(StoreKeys.FENCE) instanceof Row.Fence fence ? fence.number() : 0);
+        leader.fenceKnown(
+                versions.getOrDefault(StoreKeys.FENCE, 0L),
+                rows.get(StoreKeys.FENCE) instanceof Row.Fence fence ? fence.number() : 0);
         leader.switches(versions.getOrDefault(StoreKeys.FEATURES, 0L), fenced, recorded);
         leader.loaded(now);
     }
@@ -591,7 +631,9 @@
                 return;
             }
             if (deletionsLateMicros > 0) {
-                lateDeletions.computeIfAbsent(now + deletionsLateMicros, k -> new ArrayList<>()).addAll(delete.machines());
+                lateDeletions
+                        .computeIfAbsent(now + deletionsLateMicros, k -> new ArrayList<>())
+                        .addAll(delete.machines());
                 return;
             }
             returned += delete.machines().size();
@@ -613,8 +655,13 @@
             List<ListedMachine> list = new ArrayList<>();
             for (Worker worker : workers.values()) {
                 if (!worker.deleted) {
-                    list.add(new ListedMachine(worker.name, TYPE.name(), worker.zone, worker.spot,
-                            worker.upAt > now ? ListedMachine.State.BOOTING : ListedMachine.State.RUNNING, 0));
+                    list.add(new ListedMachine(
+                            worker.name,
+                            TYPE.name(),
+                            worker.zone,
+                            worker.spot,
+                            worker.upAt > now ? ListedMachine.State.BOOTING : ListedMachine.State.RUNNING,
+                            0));
                 }
             }
             leader.listed(list, now, now);
@@ -622,7 +669,24 @@
     }
 
     static JobSpec job(String id, JobKind kind, String team, Priority priority, int tasks, int seconds) {
-        return new JobSpec(id, "class", team, kind, priority, tasks, Resources.of(2, 0, 8), "img-1", 1, List.of(), null,
-                false, false, kind == JobKind.ARRAY, seconds * Micros.SECOND, 0, 0, -1);
+        return new JobSpec(
+                id,
+                "class",
+                team,
+                kind,
+                priority,
+                tasks,
+                Resources.of(2, 0, 8),
+                "img-1",
+                1,
+                List.of(),
+                null,
+                false,
+                false,
+                kind == JobKind.ARRAY,
+                seconds * Micros.SECOND,
+                0,
+                0,
+                -1);
     }
 }
--- a/src/test/java/io/micatide/history/ArchivistTest.java
+++ b/src/test/java/io/micatide/history/ArchivistTest.java
@@ -82,7 +82,7 @@
 
         /** Until there is nothing left to do. */
         void drain(Archivist archivist, boolean anyway) throws DamagedException {
-            for (int idle = 0; idle < 3;) {
+            for (int idle = 0; idle < 3; ) {
                 archivist.offer(List.copyOf(rows), version, anyway);
                 Archivist.Step step = archivist.next(16);
                 idle = step == null ? idle + 1 : 0;
@@ -95,14 +95,15 @@
 
     private static Archivist.Ended ended(int number, int idLength) {
         StringBuilder id = new StringBuilder(String.format("wk-%06d", number * 7_919L % 1_000_000));
-        for (Random random = new Random(number); id.length() < idLength;) {
+        for (Random random = new Random(number); id.length() < idLength; ) {
             id.append((char) ('a' + random.nextInt(26)));
         }
         return new Archivist.Ended(id.toString(), 1, outcome(number), 0);
     }
 
     private static Outcome outcome(int number) {
-        return number % 5 == 0 ? new Outcome(JobState.CANCELLED, number % 2 == 0, number % 300)
+        return number % 5 == 0
+                ? new Outcome(JobState.CANCELLED, number % 2 == 0, number % 300)
                 : new Outcome(JobState.DONE, false, 1 + number % 300);
     }
 
@@ -115,8 +116,8 @@
         // As long as ids may be: some forty bytes of each cannot be packed.
         "5000, 2048, 63, 400, 9, 40",
     })
-    void aLongHistoryTakesFewValuesAndFewChanges(int jobs, int limit, int idLength, int mostValues, int mostRuns, int mostChanges)
-            throws DamagedException {
+    void aLongHistoryTakesFewValuesAndFewChanges(
+            int jobs, int limit, int idLength, int mostValues, int mostRuns, int mostChanges) throws DamagedException {
         Store store = new Store(limit);
         Archivist archivist = new Archivist(7, limit, 16, 256, store.manifest, 1);
         for (int from = 0; from < jobs; from += 256) {
@@ -128,7 +129,8 @@
         assertEquals(0, store.refusals);
         assertEquals(List.of(), store.rows);
         assertTrue(store.values.size() - 1 <= mostValues, store.values.size() + " values");
-        assertTrue(store.manifest.runs().size() <= mostRuns, store.manifest.runs().size() + " runs");
+        assertTrue(
+                store.manifest.runs().size() <= mostRuns, store.manifest.runs().size() + " runs");
         assertTrue(store.changes <= jobs * (100 + mostChanges) / 100, store.changes + " changes");
 
         Filters filters = new Filters(1 << 20);
@@ -168,14 +170,19 @@
         store.drain(archivist, true);
         assertTrue(store.refusals > 0);
         assertEquals(List.of(), store.rows);
-        assertEquals(3000, store.manifest.runs().stream().mapToLong(Row.Run::jobs).sum());
+        assertEquals(
+                3000, store.manifest.runs().stream().mapToLong(Row.Run::jobs).sum());
         Set<String> named = new HashSet<>();
         store.manifest.runs().forEach(run -> {
             for (int number = 0; number < run.segments(); number++) {
                 named.add(StoreKeys.segment(run.name(), number));
             }
         });
-        assertEquals(named, new HashSet<>(store.values.subMap(StoreKeys.SEGMENTS, StoreKeys.SEGMENTS + "~").keySet()));
+        assertEquals(
+                named,
+                new HashSet<>(store.values
+                        .subMap(StoreKeys.SEGMENTS, StoreKeys.SEGMENTS + "~")
+                        .keySet()));
     }
 
     /** A damaged run is never merged, so nothing of it is lost that could still be mended; the others go on. */
@@ -200,7 +207,9 @@
         }
         String name = damaged;
         assertTrue(store.manifest.runs().stream().anyMatch(run -> run.name().equals(name)));
-        assertEquals(12 * 256, store.manifest.runs().stream().mapToLong(Row.Run::jobs).sum());
+        assertEquals(
+                12 * 256,
+                store.manifest.runs().stream().mapToLong(Row.Run::jobs).sum());
         assertTrue(store.manifest.runs().size() < 9);
     }
 
--- a/src/test/java/io/micatide/history/HistoryDay.java
+++ b/src/test/java/io/micatide/history/HistoryDay.java
@@ -41,8 +41,8 @@
  * submit again long after, controllers are killed. What users are told and where tasks run is held against the rules.
  */
 final class HistoryDay {
-    static final MachineType TYPE = new MachineType("small", Resources.of(8, 0, 64), 25, 0, 0.5, 0.2, Micros.SECOND,
-            List.of("a", "b"));
+    static final MachineType TYPE =
+            new MachineType("small", Resources.of(8, 0, 64), 25, 0, 0.5, 0.2, Micros.SECOND, List.of("a", "b"));
     private static final int CONTROLLERS = 3;
 
     final VirtualTime time = new VirtualTime();
@@ -58,6 +58,7 @@
     int killAt;
     /** Whether what is killed had its request carried out already. */
     boolean killAfterwards;
+
     private final VirtualTime.Process world = time.new Process();
     private final VirtualTime.Process user = time.new Process();
     private final CloudStandIn cloud;
@@ -110,15 +111,17 @@
     /** Users submit, cancel and poll for so many seconds while somebody else lets time pass. */
     void later(int seconds) {
         for (int second = 0; second < seconds; second++) {
-            user.later(() -> {
-                Job job = submit(1, 1 + random.nextInt(12), List.of());
-                if (random.nextInt(4) == 0) {
-                    user.later(() -> cancel(job), random.nextInt(3_000) * Micros.MILLISECOND);
-                }
-                submit(1, 2, List.of(job.id));
-                List<Job> all = List.copyOf(jobs.values());
-                poll(all.get(random.nextInt(all.size())));
-            }, second * Micros.SECOND);
+            user.later(
+                    () -> {
+                        Job job = submit(1, 1 + random.nextInt(12), List.of());
+                        if (random.nextInt(4) == 0) {
+                            user.later(() -> cancel(job), random.nextInt(3_000) * Micros.MILLISECOND);
+                        }
+                        submit(1, 2, List.of(job.id));
+                        List<Job> all = List.copyOf(jobs.values());
+                        poll(all.get(random.nextInt(all.size())));
+                    },
+                    second * Micros.SECOND);
         }
     }
 
@@ -174,10 +177,33 @@
                 siblings.add(new Settings.Sibling("c" + i, "a", "p" + i));
             }
         }
-        return new Settings("c" + number, "a", "c" + number, "p" + number, siblings, "cloud", "state",
-                List.of("a", "b"), 0, teams, List.of(), 800 * Micros.MILLISECOND, 10 * Micros.SECOND,
-                30 * Micros.SECOND, 5 * Micros.SECOND, 30 * Micros.SECOND, 400, 120, valueBytes, valueBytes, changes, 20,
-                Micros.SECOND, 0.4, 150, 700);
+        return new Settings(
+                "c" + number,
+                "a",
+                "c" + number,
+                "p" + number,
+                siblings,
+                "cloud",
+                "state",
+                List.of("a", "b"),
+                0,
+                teams,
+                List.of(),
+                800 * Micros.MILLISECOND,
+                10 * Micros.SECOND,
+                30 * Micros.SECOND,
+                5 * Micros.SECOND,
+                30 * Micros.SECOND,
+                400,
+                120,
+                valueBytes,
+                valueBytes,
+                changes,
+                20,
+                Micros.SECOND,
+                0.4,
+                150,
+                700);
     }
 
     private void boot(int number) {
@@ -185,9 +211,12 @@
         processes.set(number, process);
         Settings settings = settings(number);
         Tuning defaults = Tuning.defaults(settings);
-        Controller controller = new Controller(settings,
-                new Tuning(defaults.leaderLeaseMicros(), 60 * Micros.SECOND, true, 4, false, false, true), process,
-                (endpoint, most) -> network.from(process, endpoint), maker);
+        Controller controller = new Controller(
+                settings,
+                new Tuning(defaults.leaderLeaseMicros(), 60 * Micros.SECOND, true, 4, false, false, true),
+                process,
+                (endpoint, most) -> network.from(process, endpoint),
+                maker);
         network.listen("c" + number, process, controller::handle);
         network.listen("p" + number, process, controller::handlePeer);
         process.execute(controller::start);
@@ -211,8 +240,14 @@
         for (int i = 0; i < CONTROLLERS; i++) {
             controllers.put("c" + i, network.from(world, "c" + i));
         }
-        WorkerStandIn worker = new WorkerStandIn(world, settings(0), machine, controllers, this::described,
-                new Gangs(world, settings(0)), new WorkerStandIn.Witness() {
+        WorkerStandIn worker = new WorkerStandIn(
+                world,
+                settings(0),
+                machine,
+                controllers,
+                this::described,
+                new Gangs(world, settings(0)),
+                new WorkerStandIn.Witness() {
                     @Override
                     public void started(String task, long attempt, String name) {
                         String other = running.putIfAbsent(task, name);
@@ -249,8 +284,10 @@
     private JobSpec described(String id) {
         byte[] body = submitted.get(id);
         try {
-            return body == null ? null
-                    : CloudSide.described(("{\"spec\":" + new String(body, StandardCharsets.UTF_8) + "}").getBytes(StandardCharsets.UTF_8));
+            return body == null
+                    ? null
+                    : CloudSide.described(("{\"spec\":" + new String(body, StandardCharsets.UTF_8) + "}")
+                            .getBytes(StandardCharsets.UTF_8));
         } catch (MalformedException e) {
             throw new IllegalStateException(e);
         }
@@ -282,10 +319,15 @@
         Job job = new Job(id, needs, tasks);
         jobs.put(id, job);
         String awaits = needs.isEmpty() ? "" : ",\"awaits\":[\"" + String.join("\",\"", needs) + "\"]";
-        submitted.put(id, ("{\"nameId\":\"" + id + "\",\"roster\":\"x\",\"crew\":\"blue\",\"form\":\"batch\",\"rank\":\"normal\","
-                + "\"legs\":" + tasks + ",\"cpus\":1.0,\"cards\":0.0,\"memGb\":1.0,\"kit\":\"i\",\"sizeGb\":0.0,\"builds\":null,"
-                + "\"ground\":null,\"samePlace\":false,\"scatter\":false,\"loaners\":true,\"runtimeS\":" + tenths / 10.0
-                + ",\"halftimeS\":0.0,\"stowS\":0.0,\"whistleS\":null" + awaits + "}").getBytes(StandardCharsets.UTF_8));
+        submitted.put(
+                id,
+                ("{\"nameId\":\"" + id + "\",\"roster\":\"x\",\"crew\":\"blue\",\"form\":\"batch\",\"rank\":\"normal\","
+                                + "\"legs\":" + tasks
+                                + ",\"cpus\":1.0,\"cards\":0.0,\"memGb\":1.0,\"kit\":\"i\",\"sizeGb\":0.0,\"builds\":null,"
+                                + "\"ground\":null,\"samePlace\":false,\"scatter\":false,\"loaners\":true,\"runtimeS\":"
+                                + tenths / 10.0
+                                + ",\"halftimeS\":0.0,\"stowS\":0.0,\"whistleS\":null" + awaits + "}")
+                        .getBytes(StandardCharsets.UTF_8));
         return job;
     }
 
@@ -293,19 +335,27 @@
     void writeAsFormerVersion(Job job) {
         String row = "{\"state\":\"OPEN\",\"tasks\":" + job.tasks + ",\"submitted\":" + user.wall() + ",\"spec\":"
                 + new String(submitted.get(job.id), StandardCharsets.UTF_8) + "}";
-        network.from(world, "state").post("/txn", ("{\"if\":[{\"k\":\"job/" + job.id + "\",\"stamp\":0}],\"writes\":[{\"put\":\"job/"
-                + job.id + "\",\"data\":" + row + "}]}").getBytes(StandardCharsets.UTF_8), Micros.SECOND, reply -> {
-                    if (!reply.ok()) {
-                        throw new IllegalStateException("not written " + reply.status());
-                    }
-                });
+        network.from(world, "state")
+                .post(
+                        "/txn",
+                        ("{\"if\":[{\"k\":\"job/" + job.id + "\",\"stamp\":0}],\"writes\":[{\"put\":\"job/" + job.id
+                                        + "\",\"data\":" + row + "}]}")
+                                .getBytes(StandardCharsets.UTF_8),
+                        Micros.SECOND,
+                        reply -> {
+                            if (!reply.ok()) {
+                                throw new IllegalStateException("not written " + reply.status());
+                            }
+                        });
     }
 
     /** A row of a job that is over, from before the archive. */
     void presetEnded(Job job) {
         String state = job.end.equals("done") ? "DONE" : "CANCELLED";
-        this.state.preset("job/" + job.id, ("{\"state\":\"" + state + "\",\"tasks\":" + job.tasks + ",\"submitted\":5}")
-                .getBytes(StandardCharsets.UTF_8));
+        this.state.preset(
+                "job/" + job.id,
+                ("{\"state\":\"" + state + "\",\"tasks\":" + job.tasks + ",\"submitted\":5}")
+                        .getBytes(StandardCharsets.UTF_8));
         for (int i = 0; i < job.tasks; i++) {
             finished.add(job.id + "/" + i);
         }
@@ -430,7 +480,8 @@
         for (int second = 0; second < seconds; second++) {
             for (int i = random.nextInt(3); i > 0; i--) {
                 List<String> needs = new ArrayList<>();
-                List<Job> known = jobs.values().stream().filter(job -> job.accepted).toList();
+                List<Job> known =
+                        jobs.values().stream().filter(job -> job.accepted).toList();
                 if (!known.isEmpty() && random.nextInt(4) == 0) {
                     needs.add(known.get(random.nextInt(known.size())).id);
                 }
@@ -500,7 +551,8 @@
                     continue;
                 }
                 for (Archived each : Segments.unpack(key, (Row.Segment) row(key))) {
-                    found.computeIfAbsent(each.id(), k -> new Outcomes()).add(each.outcome().state().name());
+                    found.computeIfAbsent(each.id(), k -> new Outcomes())
+                            .add(each.outcome().state().name());
                 }
             }
         }
@@ -511,7 +563,8 @@
             }
             if (key.startsWith("job/wk-") && key.indexOf('/', 4) < 0) {
                 rows++;
-                found.computeIfAbsent(key.substring(4), k -> new Outcomes()).add(((Row.JobRow) row(key)).state().name());
+                found.computeIfAbsent(key.substring(4), k -> new Outcomes())
+                        .add(((Row.JobRow) row(key)).state().name());
             }
         }
         for (Job job : jobs.values()) {
@@ -532,7 +585,9 @@
 
     private Row row(String key) throws MalformedException {
         StateStandIn.Value value = state.values().get(key);
-        return StateCodec.item(("{\"k\":\"" + key + "\",\"data\":" + new String(value.json(), StandardCharsets.UTF_8) + ",\"stamp\":"
-                + value.stamp() + "}").getBytes(StandardCharsets.UTF_8)).row();
+        return StateCodec.item(("{\"k\":\"" + key + "\",\"data\":" + new String(value.json(), StandardCharsets.UTF_8)
+                                + ",\"stamp\":" + value.stamp() + "}")
+                        .getBytes(StandardCharsets.UTF_8))
+                .row();
     }
 }
--- a/src/test/java/io/micatide/history/HistoryFailureTest.java
+++ b/src/test/java/io/micatide/history/HistoryFailureTest.java
@@ -21,7 +21,13 @@
  */
 class HistoryFailureTest {
     /** What is wrong with a day on which the controller that does this interaction with the state service is killed. */
-    private static List<String> killed(long seed, int interaction, boolean afterwards, double losses, int valueBytes, int changes,
+    private static List<String> killed(
+            long seed,
+            int interaction,
+            boolean afterwards,
+            double losses,
+            int valueBytes,
+            int changes,
             Archivist.Maker maker) {
         try {
             HistoryDay day = new HistoryDay(seed, valueBytes, changes, maker);
@@ -35,7 +41,10 @@
             if (interaction > 0 && interaction <= 380 && day.kills == 0) {
                 broken.add("nothing was killed");
             }
-            return broken.stream().map(each -> "seed " + seed + " interaction " + interaction + ": " + each).limit(5).toList();
+            return broken.stream()
+                    .map(each -> "seed " + seed + " interaction " + interaction + ": " + each)
+                    .limit(5)
+                    .toList();
         } catch (Exception e) {
             throw new IllegalStateException("seed " + seed + " interaction " + interaction, e);
         }
@@ -51,8 +60,19 @@
     })
     void recoversWhereverItIsKilled(int seeds, double losses, int valueBytes, int changes) {
         // Outside CI: -Dhistory.seeds=100000.
-        List<String> broken = IntStream.range(0, Integer.getInteger("history.seeds", seeds)).parallel().boxed().flatMap(seed -> killed(seed,
-                60 + new Random(seed).nextInt(320), seed % 2 == 0, losses, valueBytes, changes, Archivist::new).stream()).toList();
+        List<String> broken = IntStream.range(0, Integer.getInteger("history.seeds", seeds))
+                .parallel()
+                .boxed()
+                .flatMap(seed -> killed(
+                        seed,
+                        60 + new Random(seed).nextInt(320),
+                        seed % 2 == 0,
+                        losses,
+                        valueBytes,
+                        changes,
+                        Archivist::new)
+                        .stream())
+                .toList();
         assertEquals(List.of(), broken);
     }
 
@@ -60,8 +80,11 @@
     @ParameterizedTest
     @CsvSource({"true", "false"})
     void recoversFromAKillAtEveryInteraction(boolean afterwards) {
-        List<String> broken = IntStream.rangeClosed(1, 380).parallel().boxed()
-                .flatMap(at -> killed(11, at, afterwards, 0, 2048, 5, Archivist::new).stream()).toList();
+        List<String> broken = IntStream.rangeClosed(1, 380)
+                .parallel()
+                .boxed()
+                .flatMap(at -> killed(11, at, afterwards, 0, 2048, 5, Archivist::new).stream())
+                .toList();
         assertEquals(List.of(), broken);
     }
 
@@ -75,8 +98,10 @@
             HistoryDay day = new HistoryDay(seed, 16384, 16, Archivist::new);
             day.busy(20);
             day.settle();
-            HistoryDay.Job old = day.jobs.values().stream().filter(job -> "done".equals(job.end)
-                    && !day.state.values().containsKey("job/" + job.id)).findFirst().orElseThrow();
+            HistoryDay.Job old = day.jobs.values().stream()
+                    .filter(job -> "done".equals(job.end) && !day.state.values().containsKey("job/" + job.id))
+                    .findFirst()
+                    .orElseThrow();
             HistoryDay.Job fresh = day.describe("wk-new" + seed);
             fresh.accepted = true;
             day.writeAsFormerVersion(old);
@@ -121,7 +146,9 @@
         HistoryDay day = new HistoryDay(5, 16384, 16, Archivist::new);
         day.busy(30);
         day.settle();
-        List<String> segments = day.state.values().keySet().stream().filter(key -> key.startsWith(StoreKeys.SEGMENTS)).toList();
+        List<String> segments = day.state.values().keySet().stream()
+                .filter(key -> key.startsWith(StoreKeys.SEGMENTS))
+                .toList();
         day.damage(segments.get(0));
         for (int i = 0; i < 3; i++) {
             day.kill(i, 1);
@@ -142,26 +169,31 @@
     /** Controllers end one after the other, also all at once, while rows move. */
     @Test
     void recoversFromManyKills() {
-        List<String> broken = LongStream.range(0, 40).parallel().boxed().flatMap(seed -> {
-            HistoryDay day = new HistoryDay(seed, 4096, 8, Archivist::new);
-            Random random = new Random(seed);
-            day.network.losses(0.01, 0.005);
-            for (int round = 0; round < 8; round++) {
-                day.busy(6);
-                for (int i = 0; i < 3; i++) {
-                    if (random.nextInt(3) == 0) {
-                        day.kill(i, 1 + random.nextInt(4));
+        List<String> broken = LongStream.range(0, 40)
+                .parallel()
+                .boxed()
+                .flatMap(seed -> {
+                    HistoryDay day = new HistoryDay(seed, 4096, 8, Archivist::new);
+                    Random random = new Random(seed);
+                    day.network.losses(0.01, 0.005);
+                    for (int round = 0; round < 8; round++) {
+                        day.busy(6);
+                        for (int i = 0; i < 3; i++) {
+                            if (random.nextInt(3) == 0) {
+                                day.kill(i, 1 + random.nextInt(4));
+                            }
+                        }
                     }
-                }
-            }
-            day.settle();
-            try {
-                day.checkStored();
-            } catch (Exception e) {
-                throw new IllegalStateException(e);
-            }
-            return day.broken.stream().map(each -> "seed " + seed + ": " + each);
-        }).limit(10).toList();
+                    day.settle();
+                    try {
+                        day.checkStored();
+                    } catch (Exception e) {
+                        throw new IllegalStateException(e);
+                    }
+                    return day.broken.stream().map(each -> "seed " + seed + ": " + each);
+                })
+                .limit(10)
+                .toList();
         assertEquals(List.of(), broken);
     }
 
--- a/src/test/java/io/micatide/history/SnapshotTest.java
+++ b/src/test/java/io/micatide/history/SnapshotTest.java
@@ -108,9 +108,13 @@
         Calls calls = new Calls(day);
         calls.page = 2;
         calls.gapMicros = 700 * Micros.MILLISECOND;
-        Image image = new ImageTaker(calls, line -> { }).take();
+        Image image = new ImageTaker(calls, line -> {}).take();
         assertTrue(then.size() > 20, then.size() + " changes meanwhile");
-        assertEquals(((TreeMap<Long, Map<String, String>>) then).floorEntry(image.revision()).getValue(), held(image));
+        assertEquals(
+                ((TreeMap<Long, Map<String, String>>) then)
+                        .floorEntry(image.revision())
+                        .getValue(),
+                held(image));
     }
 
     /** Every poll, repeated submission and abort is answered by the restored service as the first would have. */
@@ -122,12 +126,12 @@
         first.settle();
         first.checkStored();
         Path file = folder.resolve("a.snapshot");
-        SnapshotFile.write(file, new ImageTaker(new Calls(first), line -> { }).take(), KEY, "then");
+        SnapshotFile.write(file, new ImageTaker(new Calls(first), line -> {}).take(), KEY, "then");
         SnapshotFile.Content content = SnapshotFile.read(file, KEY);
         assertEquals(stored(first.state), held(content.image()));
 
         HistoryDay second = HistoryDay.withoutControllers(seed, 2048, 5);
-        new Restorer(new Calls(second), 5, 2048, line -> { }).restore(content.image(), content.digest(), advance);
+        new Restorer(new Calls(second), 5, 2048, line -> {}).restore(content.image(), content.digest(), advance);
         assertEquals(stored(first.state), stored(second.state));
         assertEquals(advance, second.state.revision() > content.image().revision());
         second.goesOnAs(first);
@@ -144,19 +148,19 @@
         HistoryDay first = new HistoryDay(9, 2048, 5, Archivist::new);
         first.busy(15);
         first.settle();
-        Image image = new ImageTaker(new Calls(first), line -> { }).take();
+        Image image = new ImageTaker(new Calls(first), line -> {}).take();
         for (int kill = 1; kill < 60; kill++) {
             HistoryDay second = HistoryDay.withoutControllers(kill, 2048, 5);
             Calls calls = new Calls(second);
             calls.left = kill;
             boolean killed = false;
             try {
-                new Restorer(calls, 5, 2048, line -> { }).restore(image, "digest", false);
+                new Restorer(calls, 5, 2048, line -> {}).restore(image, "digest", false);
             } catch (IllegalStateException e) {
                 killed = true;
                 boolean begun = !second.state.values().isEmpty();
                 assertEquals(begun, second.state.values().containsKey("job/being-restored"));
-                Restorer other = new Restorer(new Calls(second), 5, 2048, line -> { });
+                Restorer other = new Restorer(new Calls(second), 5, 2048, line -> {});
                 if (begun) {
                     assertThrows(SnapshotException.class, () -> other.restore(image, "another digest", false));
                 }
@@ -173,16 +177,18 @@
     void aServiceThatHoldsSomethingIsNotTouched() throws Exception {
         HistoryDay day = new HistoryDay(1, 2048, 5, Archivist::new);
         day.busy(10);
-        Image image = new ImageTaker(new Calls(day), line -> { }).take();
+        Image image = new ImageTaker(new Calls(day), line -> {}).take();
         Map<String, String> before = stored(day.state);
         SnapshotException e = assertThrows(SnapshotException.class, () -> {
             HistoryDay other = HistoryDay.withoutControllers(2, 2048, 5);
             other.state.preset("booking/r-1", "{}".getBytes(StandardCharsets.UTF_8));
-            new Restorer(new Calls(other), 5, 2048, line -> { }).restore(image, "digest", false);
+            new Restorer(new Calls(other), 5, 2048, line -> {}).restore(image, "digest", false);
         });
         assertTrue(e.getMessage().contains("booking/r-1"), e.getMessage());
-        SnapshotException large = assertThrows(SnapshotException.class, () -> new Restorer(
-                new Calls(HistoryDay.withoutControllers(2, 2048, 5)), 5, 60, line -> { }).restore(image, "digest", false));
+        SnapshotException large = assertThrows(
+                SnapshotException.class,
+                () -> new Restorer(new Calls(HistoryDay.withoutControllers(2, 2048, 5)), 5, 60, line -> {})
+                        .restore(image, "digest", false));
         assertTrue(large.getMessage().contains("nothing was written"), large.getMessage());
         assertFalse(before.isEmpty());
     }
@@ -191,7 +197,8 @@
         TreeMap<String, RawState.Value> values = new TreeMap<>();
         for (int i = 0; i < 300; i++) {
             String key = StoreKeys.job(String.format("wk-%06d", i));
-            values.put(key, new RawState.Value(key, "{\"state\":\"DONE\",\"tasks\":" + i + ",\"submitted\":5}", 10 + i));
+            values.put(
+                    key, new RawState.Value(key, "{\"state\":\"DONE\",\"tasks\":" + i + ",\"submitted\":5}", 10 + i));
         }
         return new Image(400, values);
     }
@@ -214,18 +221,24 @@
             changed[at] ^= 0x10;
             try {
                 // Gzip's own header and the bits that fill up its last byte say nothing of the content.
-                assertEquals(held(image()), held(SnapshotFile.read("changed", new ByteArrayInputStream(changed), KEY).image()));
+                assertEquals(
+                        held(image()),
+                        held(SnapshotFile.read("changed", new ByteArrayInputStream(changed), KEY)
+                                .image()));
                 harmless++;
             } catch (SnapshotException e) {
                 assertTrue(e.getMessage().startsWith("changed: "), e.getMessage());
             }
         }
         assertTrue(harmless < 12, harmless + " changes were not missed");
-        assertThrows(SnapshotException.class, () -> SnapshotFile.read(file, "another key of sixteen".getBytes(StandardCharsets.UTF_8)));
+        assertThrows(
+                SnapshotException.class,
+                () -> SnapshotFile.read(file, "another key of sixteen".getBytes(StandardCharsets.UTF_8)));
         Path unsigned = folder.resolve("c.snapshot");
         SnapshotFile.write(unsigned, image(), null, "then");
         assertThrows(SnapshotException.class, () -> SnapshotFile.read(unsigned, KEY));
-        assertThrows(SnapshotException.class, () -> SnapshotFile.write(unsigned, image(), null, "then"), "is there already");
+        assertThrows(
+                SnapshotException.class, () -> SnapshotFile.write(unsigned, image(), null, "then"), "is there already");
         assertThrows(SnapshotException.class, () -> SnapshotFile.read(folder.resolve("none"), null));
     }
 }
--- a/src/test/java/io/micatide/rehearsal/BackAtOnceTest.java
+++ b/src/test/java/io/micatide/rehearsal/BackAtOnceTest.java
@@ -16,6 +16,7 @@
 class BackAtOnceTest {
     /** Long runs outside CI, as for {@link TakeOverTest}. */
     private static final int DAYS = Integer.getInteger("micatide.days", 600);
+
     private static final int FIRST = Integer.getInteger("micatide.first", 0);
 
     private static TakeOverDay play(long seed) {
--- a/src/test/java/io/micatide/rehearsal/BoundJobsTest.java
+++ b/src/test/java/io/micatide/rehearsal/BoundJobsTest.java
@@ -18,15 +18,18 @@
      */
     @ParameterizedTest
     @CsvSource({
-        "batch, '', '', false, false, 40", "batch, large, '', true, false, 40", "batch, small, '', false, false, 40", "batch, '', a, false, false, 40",
-        "batch, '', a, true, true, 40", "batch, '', b, false, true, 40", "batch, large, b, true, true, 40", "group, '', a, false, false, 40",
+        "batch, '', '', false, false, 40", "batch, large, '', true, false, 40", "batch, small, '', false, false, 40",
+                "batch, '', a, false, false, 40",
+        "batch, '', a, true, true, 40", "batch, '', b, false, true, 40", "batch, large, b, true, true, 40",
+                "group, '', a, false, false, 40",
         "group, '', '', false, true, 40", "daemon, '', a, false, true, 40",
     })
     void startsBesideOthers(String form, String type, String zone, boolean spot, boolean lost, int within) {
         for (long seed = 1; seed <= 2; seed++) {
             TakeOverDay day = TakeOverDay.tight(seed, 3, 0);
             Wishes others = new Wishes("blue", null, null, false, false, true);
-            Wishes wishes = new Wishes("red", type.isEmpty() ? null : type, zone.isEmpty() ? null : zone, false, false, spot);
+            Wishes wishes =
+                    new Wishes("red", type.isEmpty() ? null : type, zone.isEmpty() ? null : zone, false, false, spot);
             day.time.run(3 * Micros.SECOND);
             String bound = "";
             int waited = 0;
@@ -40,8 +43,10 @@
                     bound = day.users.lastJob();
                 }
                 if (second == 80 && lost) {
-                    day.deployment.takeAway(machine -> (wishes.zone() == null || machine.zone().equals(wishes.zone()))
-                            && (wishes.type() == null || machine.type().name().equals(wishes.type())) && (spot || !machine.spot()));
+                    day.deployment.takeAway(machine -> (wishes.zone() == null
+                                    || machine.zone().equals(wishes.zone()))
+                            && (wishes.type() == null || machine.type().name().equals(wishes.type()))
+                            && (spot || !machine.spot()));
                 }
                 day.time.run(Micros.SECOND);
                 waited = second < 20 || day.checker.running(bound) > 0 ? 0 : waited + 1;
--- a/src/test/java/io/micatide/rehearsal/ContractTest.java
+++ b/src/test/java/io/micatide/rehearsal/ContractTest.java
@@ -40,10 +40,15 @@
 class ContractTest {
     private static final ObjectMapper MAPPER = new ObjectMapper();
     private static final JsonSchemaFactory SCHEMAS = JsonSchemaFactory.builder()
-            .defaultMetaSchemaIri(OpenApi30.getInstance().getIri()).metaSchema(OpenApi30.getInstance()).build();
+            .defaultMetaSchemaIri(OpenApi30.getInstance().getIri())
+            .metaSchema(OpenApi30.getInstance())
+            .build();
     /** 4.0 is a whole number, as in JSON itself. */
-    private static final SchemaValidatorsConfig WHOLE = SchemaValidatorsConfig.builder().javaSemantics(true).build();
-    private static final HttpClient HTTP = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private static final SchemaValidatorsConfig WHOLE =
+            SchemaValidatorsConfig.builder().javaSemantics(true).build();
+
+    private static final HttpClient HTTP =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
     private static LocalService service;
     private static JsonNode description;
@@ -76,9 +81,16 @@
 
     private static HttpResponse<String> ask(String endpoint, String method, String path, String body)
             throws IOException, InterruptedException {
-        return HTTP.send(HttpRequest.newBuilder(URI.create("http://" + endpoint + path)).timeout(Duration.ofSeconds(10))
-                .method(method, body == null ? HttpRequest.BodyPublishers.noBody() : HttpRequest.BodyPublishers.ofString(body))
-                .build(), HttpResponse.BodyHandlers.ofString());
+        return HTTP.send(
+                HttpRequest.newBuilder(URI.create("http://" + endpoint + path))
+                        .timeout(Duration.ofSeconds(10))
+                        .method(
+                                method,
+                                body == null
+                                        ? HttpRequest.BodyPublishers.noBody()
+                                        : HttpRequest.BodyPublishers.ofString(body))
+                        .build(),
+                HttpResponse.BodyHandlers.ofString());
     }
 
     /** Repeated as the description says, while the answer is 429 or 503. */
@@ -93,20 +105,30 @@
     }
 
     private static JsonSchema schema(String name) {
-        return SCHEMAS.getSchema(SchemaLocation.of("classpath:openapi/micatide-v1.json#/components/schemas/" + name), WHOLE);
+        return SCHEMAS.getSchema(
+                SchemaLocation.of("classpath:openapi/micatide-v1.json#/components/schemas/" + name), WHOLE);
     }
 
     /** What the description says of this answer: the status is listed, and the body is as it is described there. */
     private static void assertDescribed(String path, String method, HttpResponse<String> answer) throws IOException {
-        JsonNode response = description.path("paths").path(path).path(method).path("responses").path(String.valueOf(answer.statusCode()));
+        JsonNode response = description
+                .path("paths")
+                .path(path)
+                .path(method)
+                .path("responses")
+                .path(String.valueOf(answer.statusCode()));
         assertTrue(!response.isMissingNode(), method + " " + path + ": " + answer.statusCode() + " is not described");
         String reference = response.at("/content/application~1json/schema/$ref").asText();
-        assertEquals(java.util.Set.of(), schema(reference.substring(reference.lastIndexOf('/') + 1))
-                .validate(MAPPER.readTree(answer.body())), answer.body());
+        assertEquals(
+                java.util.Set.of(),
+                schema(reference.substring(reference.lastIndexOf('/') + 1)).validate(MAPPER.readTree(answer.body())),
+                answer.body());
     }
 
     private static ObjectNode job() {
-        ObjectNode job = (ObjectNode) description.at("/paths/~1v1~1jobs/post/requestBody/content/application~1json/example").deepCopy();
+        ObjectNode job = (ObjectNode) description
+                .at("/paths/~1v1~1jobs/post/requestBody/content/application~1json/example")
+                .deepCopy();
         job.put("nameId", "wk-c" + ++number);
         job.put("crew", LocalService.TEAM);
         job.put("form", "batch");
@@ -121,8 +143,7 @@
     }
 
     /** A submission and what is changed in it. */
-    private record Case(String what, ObjectNode body) {
-    }
+    private record Case(String what, ObjectNode body) {}
 
     private static void add(List<Case> cases, String what, String field, JsonNode value) {
         ObjectNode body = job();
@@ -142,7 +163,9 @@
         ObjectNode more = job();
         more.put("unknownField", 3).putObject("another").put("x", 1);
         cases.add(new Case("unknown fields", more));
-        for (Iterator<Map.Entry<String, JsonNode>> each = description.at("/components/schemas/Job/properties").fields(); each.hasNext();) {
+        for (Iterator<Map.Entry<String, JsonNode>> each =
+                        description.at("/components/schemas/Job/properties").fields();
+                each.hasNext(); ) {
             Map.Entry<String, JsonNode> property = each.next();
             String field = property.getKey();
             JsonNode schema = property.getValue();
@@ -193,10 +216,12 @@
             boolean valid = schema("Job").validate(each.body()).isEmpty();
             assertEquals(valid, reads(each.body()), "described and read alike: " + each.what());
             for (String endpoint : service.endpoints()) {
-                HttpResponse<String> answer = decided(endpoint, "POST", "/v1/jobs", each.body().toString());
+                HttpResponse<String> answer =
+                        decided(endpoint, "POST", "/v1/jobs", each.body().toString());
                 assertDescribed("/v1/jobs", "post", answer);
                 int status = answer.statusCode();
-                assertTrue(valid ? status == 200 || status == 201 || status == 422 : status == 400,
+                assertTrue(
+                        valid ? status == 200 || status == 201 || status == 422 : status == 400,
                         each.what() + ": " + status + " " + answer.body());
                 if (status == 400 || status == 422) {
                     String field = each.what().substring(0, each.what().indexOf(' '));
@@ -209,7 +234,9 @@
 
     /** What is no submission at all. */
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {"''|400", "[]|400", "3|400", "{|400", "null|400", "\"wk-1\"|400", "{}|400"})
+    @CsvSource(
+            delimiter = '|',
+            value = {"''|400", "[]|400", "3|400", "{|400", "null|400", "\"wk-1\"|400", "{}|400"})
     void bodiesThatAreNoJob(String body, int status) throws Exception {
         for (String endpoint : service.endpoints()) {
             HttpResponse<String> answer = decided(endpoint, "POST", "/v1/jobs", body.equals("''") ? "" : body);
@@ -227,7 +254,8 @@
             job.put("padding", "x".repeat(64 * 1024 - job.toString().length() + over));
             for (String endpoint : service.endpoints()) {
                 HttpResponse<String> answer = decided(endpoint, "POST", "/v1/jobs", job.toString());
-                assertEquals(over == 0, answer.statusCode() < 300, "one byte over: " + over + ", " + answer.statusCode());
+                assertEquals(
+                        over == 0, answer.statusCode() < 300, "one byte over: " + over + ", " + answer.statusCode());
                 assertDescribed("/v1/jobs", "post", answer);
             }
         }
@@ -238,7 +266,10 @@
     void questionsAreAnsweredAsDescribed() throws Exception {
         ObjectNode job = job();
         String id = job.path("nameId").asText();
-        assertEquals(201, decided(service.endpoints().get(0), "POST", "/v1/jobs", job.toString()).statusCode());
+        assertEquals(
+                201,
+                decided(service.endpoints().get(0), "POST", "/v1/jobs", job.toString())
+                        .statusCode());
         for (String endpoint : service.endpoints()) {
             for (String each : List.of(id, "wk-nobody", "wk-%20", "nothing")) {
                 int expected = each.equals(id) ? 200 : 404;
@@ -254,7 +285,8 @@
             assertEquals(404, ask(endpoint, "GET", "/v2/jobs", null).statusCode());
             assertDescribed("/healthz", "get", ask(endpoint, "GET", "/healthz", null));
             HttpResponse<String> served = ask(endpoint, "GET", Description.PATH, null);
-            assertArrayEquals(new Description().bytes(), served.body().getBytes(java.nio.charset.StandardCharsets.UTF_8));
+            assertArrayEquals(
+                    new Description().bytes(), served.body().getBytes(java.nio.charset.StandardCharsets.UTF_8));
         }
     }
 
@@ -270,8 +302,12 @@
         ObjectNode gone = job();
         decided(endpoint, "POST", "/v1/jobs", gone.toString());
         decided(endpoint, "POST", "/v1/jobs/" + gone.path("nameId").asText() + "/abort", "");
-        for (String[] each : new String[][] {{first.path("nameId").asText(), "201", "queued"}, {"wk-never", "422", ""},
-            {gone.path("nameId").asText(), "201", "withdrawn"}, {service.path("nameId").asText(), "422", ""}}) {
+        for (String[] each : new String[][] {
+            {first.path("nameId").asText(), "201", "queued"},
+            {"wk-never", "422", ""},
+            {gone.path("nameId").asText(), "201", "withdrawn"},
+            {service.path("nameId").asText(), "422", ""}
+        }) {
             ObjectNode after = job();
             ArrayNode needs = after.putArray("awaits");
             needs.add(each[0]);
@@ -279,9 +315,11 @@
             assertEquals(each[1], String.valueOf(answer.statusCode()), each[0] + " " + answer.body());
             assertDescribed("/v1/jobs", "post", answer);
             if (!each[2].isEmpty()) {
-                assertEquals(each[2], MAPPER.readTree(answer.body()).path("standing").asText());
+                assertEquals(
+                        each[2], MAPPER.readTree(answer.body()).path("standing").asText());
             } else {
-                assertEquals("awaits", MAPPER.readTree(answer.body()).path("field").asText());
+                assertEquals(
+                        "awaits", MAPPER.readTree(answer.body()).path("field").asText());
             }
         }
         decided(endpoint, "POST", "/v1/jobs/" + service.path("nameId").asText() + "/abort", "");
--- a/src/test/java/io/micatide/rehearsal/CutZoneTest.java
+++ b/src/test/java/io/micatide/rehearsal/CutZoneTest.java
@@ -9,7 +9,6 @@
 import io.micatide.core.Micros;
 import io.micatide.core.Resources;
 import io.micatide.core.Settings;
-import io.micatide.core.StoreKeys;
 import io.micatide.core.Team;
 import io.micatide.core.Tuning;
 import io.micatide.net.Http;
@@ -40,8 +39,13 @@
     private final VirtualNetwork network = new VirtualNetwork(time, new Random(1));
     private final VirtualTime.Process world = time.new Process();
     private final StateStandIn state = new StateStandIn(world, new StateStandIn.Limits(400, 120, 16 * 1024, 16));
-    private final CloudStandIn cloud = new CloudStandIn(world, List.of(new MachineType("small", Resources.of(4, 0, 64), 25, 0, 0.5, 0.2,
-            Micros.SECOND, List.of("a", "b"))), 8, this::up, name -> { });
+    private final CloudStandIn cloud = new CloudStandIn(
+            world,
+            List.of(new MachineType(
+                    "small", Resources.of(4, 0, 64), 25, 0, 0.5, 0.2, Micros.SECOND, List.of("a", "b"))),
+            8,
+            this::up,
+            name -> {});
     private final List<VirtualTime.Process> controllers = new ArrayList<>();
     private final Map<VirtualTime.Process, String> zones = new HashMap<>();
     private final Map<String, String> running = new TreeMap<>();
@@ -55,9 +59,33 @@
                 siblings.add(new Settings.Sibling("c" + i, "a", "p" + i));
             }
         }
-        return new Settings("c" + number, number == 0 ? "a" : "b", "c" + number, "p" + number, siblings, "cloud", "state",
-                List.of("a", "b"), 0, Map.of("blue", new Team("blue", 0, 0, 0, 0)), List.of(), 800 * Micros.MILLISECOND, LEASE,
-                30 * Micros.SECOND, 5 * Micros.SECOND, CANCEL, 400, 120, 16 * 1024, 16 * 1024, 16, 20, Micros.SECOND, 0.4, 150, 700);
+        return new Settings(
+                "c" + number,
+                number == 0 ? "a" : "b",
+                "c" + number,
+                "p" + number,
+                siblings,
+                "cloud",
+                "state",
+                List.of("a", "b"),
+                0,
+                Map.of("blue", new Team("blue", 0, 0, 0, 0)),
+                List.of(),
+                800 * Micros.MILLISECOND,
+                LEASE,
+                30 * Micros.SECOND,
+                5 * Micros.SECOND,
+                CANCEL,
+                400,
+                120,
+                16 * 1024,
+                16 * 1024,
+                16,
+                20,
+                Micros.SECOND,
+                0.4,
+                150,
+                700);
     }
 
     private void start() {
@@ -67,7 +95,10 @@
             VirtualTime.Process process = time.new Process();
             controllers.add(process);
             zones.put(process, i == 0 ? "a" : "b");
-            Controller controller = new Controller(settings(i), Tuning.defaults(settings(i)), process,
+            Controller controller = new Controller(
+                    settings(i),
+                    Tuning.defaults(settings(i)),
+                    process,
                     (endpoint, most) -> network.from(process, endpoint));
             network.listen("c" + i, process, controller::handle);
             network.listen("p" + i, process, controller::handlePeer);
@@ -84,16 +115,17 @@
             known.put("c" + i, network.from(process, "c" + i));
         }
         new WorkerStandIn(process, settings(0), machine, known, this::described, gangs, new WorkerStandIn.Witness() {
-            @Override
-            public void started(String task, long attempt, String name) {
-                running.put(task, machine.zone());
-            }
+                    @Override
+                    public void started(String task, long attempt, String name) {
+                        running.put(task, machine.zone());
+                    }
 
-            @Override
-            public void over(String task, long attempt, String name, ExitCause cause) {
-                running.remove(task);
-            }
-        }).start();
+                    @Override
+                    public void over(String task, long attempt, String name, ExitCause cause) {
+                        running.remove(task);
+                    }
+                })
+                .start();
     }
 
     private JobSpec described(String id) {
@@ -126,9 +158,13 @@
     void nothingOfACancelledJobOutlivesItsTime(int cancelAfter, int cutFor) {
         start();
         for (String id : List.of("wk-1", "wk-2")) {
-            submitted.put(id, ("{\"nameId\":\"" + id + "\",\"roster\":\"x\",\"crew\":\"blue\",\"form\":\"daemon\",\"rank\":\"high\",\"legs\":8,"
-                    + "\"cpus\":2.0,\"cards\":0.0,\"memGb\":1.0,\"kit\":\"i\",\"sizeGb\":0.0,\"samePlace\":false,\"scatter\":true,"
-                    + "\"loaners\":true,\"runtimeS\":0.0,\"halftimeS\":0.0,\"stowS\":0.0}").getBytes(StandardCharsets.UTF_8));
+            submitted.put(
+                    id,
+                    ("{\"nameId\":\"" + id
+                                    + "\",\"roster\":\"x\",\"crew\":\"blue\",\"form\":\"daemon\",\"rank\":\"high\",\"legs\":8,"
+                                    + "\"cpus\":2.0,\"cards\":0.0,\"memGb\":1.0,\"kit\":\"i\",\"sizeGb\":0.0,\"samePlace\":false,\"scatter\":true,"
+                                    + "\"loaners\":true,\"runtimeS\":0.0,\"halftimeS\":0.0,\"stowS\":0.0}")
+                            .getBytes(StandardCharsets.UTF_8));
             assertTrue(ask("c1", "/v1/jobs", submitted.get(id)));
         }
         time.run(20 * Micros.SECOND);
@@ -142,7 +178,12 @@
         time.run(Math.max(0, began + cutFor * Micros.SECOND - time.now()));
         network.cut((from, endpoint) -> false);
         time.run(40 * Micros.SECOND);
-        assertEquals(8, running.keySet().stream().filter(task -> task.startsWith("wk-2/")).count(), running.toString());
+        assertEquals(
+                8,
+                running.keySet().stream()
+                        .filter(task -> task.startsWith("wk-2/"))
+                        .count(),
+                running.toString());
     }
 
     /** In an outage for all nobody can cancel, siblings say so, and tasks live for as long as it takes. */
@@ -150,9 +191,12 @@
     @CsvSource({"12", "45"})
     void anOutageForAllKillsNothing(int seconds) {
         start();
-        submitted.put("wk-1", ("{\"nameId\":\"wk-1\",\"roster\":\"x\",\"crew\":\"blue\",\"form\":\"daemon\",\"rank\":\"high\",\"legs\":6,"
-                + "\"cpus\":2.0,\"cards\":0.0,\"memGb\":1.0,\"kit\":\"i\",\"sizeGb\":0.0,\"samePlace\":false,\"scatter\":false,"
-                + "\"loaners\":true,\"runtimeS\":0.0,\"halftimeS\":0.0,\"stowS\":0.0}").getBytes(StandardCharsets.UTF_8));
+        submitted.put(
+                "wk-1",
+                ("{\"nameId\":\"wk-1\",\"roster\":\"x\",\"crew\":\"blue\",\"form\":\"daemon\",\"rank\":\"high\",\"legs\":6,"
+                                + "\"cpus\":2.0,\"cards\":0.0,\"memGb\":1.0,\"kit\":\"i\",\"sizeGb\":0.0,\"samePlace\":false,\"scatter\":false,"
+                                + "\"loaners\":true,\"runtimeS\":0.0,\"halftimeS\":0.0,\"stowS\":0.0}")
+                        .getBytes(StandardCharsets.UTF_8));
         assertTrue(ask("c1", "/v1/jobs", submitted.get("wk-1")));
         time.run(15 * Micros.SECOND);
         Map<String, String> before = new TreeMap<>(running);
--- a/src/test/java/io/micatide/rehearsal/DayUsers.java
+++ b/src/test/java/io/micatide/rehearsal/DayUsers.java
@@ -36,6 +36,7 @@
     private final Map<String, Integer> replicas = new LinkedHashMap<>();
     /** Tasks of these end far apart. */
     final Set<String> apart = new HashSet<>();
+
     private final Map<String, String> toldLast = new HashMap<>();
     private boolean closeLooks;
     private int looks;
@@ -47,7 +48,13 @@
      * @param manyTeams whether jobs are of several teams and ask for places
      * @param wrong takes what no rule covers
      */
-    DayUsers(Deployment deployment, RuleChecker checker, Random random, int count, boolean manyTeams, List<String> wrong) {
+    DayUsers(
+            Deployment deployment,
+            RuleChecker checker,
+            Random random,
+            int count,
+            boolean manyTeams,
+            List<String> wrong) {
         this.deployment = deployment;
         this.time = deployment.time;
         this.checker = checker;
@@ -90,7 +97,8 @@
     boolean drain(int seconds) {
         replicas.keySet().stream().toList().forEach(this::cancel);
         for (int second = 0; second < seconds; second++) {
-            if (standing.keySet().containsAll(submitted.keySet()) && standing.values().stream().allMatch(word -> word.equals("done") || word.equals("withdrawn"))) {
+            if (standing.keySet().containsAll(submitted.keySet())
+                    && standing.values().stream().allMatch(word -> word.equals("done") || word.equals("withdrawn"))) {
                 return true;
             }
             time.run(Micros.SECOND);
@@ -337,12 +345,19 @@
         };
         checker.submitsInvalid(id);
         long asked = time.now();
-        anyController().post("/v1/jobs", sent.getBytes(StandardCharsets.UTF_8), 5 * Micros.SECOND, reply -> hear(id, asked, reply));
-        List<String> known = submitted.keySet().stream().filter(standing::containsKey).toList();
+        anyController()
+                .post(
+                        "/v1/jobs",
+                        sent.getBytes(StandardCharsets.UTF_8),
+                        5 * Micros.SECOND,
+                        reply -> hear(id, asked, reply));
+        List<String> known =
+                submitted.keySet().stream().filter(standing::containsKey).toList();
         if (!known.isEmpty()) {
             repeat(known.get(random.nextInt(known.size())), anyController());
         }
-        List<String> done = known.stream().filter(each -> "done".equals(standing.get(each))).toList();
+        List<String> done =
+                known.stream().filter(each -> "done".equals(standing.get(each))).toList();
         if (!done.isEmpty()) {
             cancel(done.get(random.nextInt(done.size())));
         }
--- a/src/test/java/io/micatide/rehearsal/FormerReader.java
+++ b/src/test/java/io/micatide/rehearsal/FormerReader.java
@@ -10,9 +10,14 @@
     private static Consumer<Reply> former(Consumer<Reply> then) {
         return reply -> {
             String body = reply.body() == null ? "" : new String(reply.body(), StandardCharsets.UTF_8);
-            then.accept(body.contains("\"job/features\"")
-                    ? new Reply(reply.status(), body.replace("\"job/features\"", "\"job/featurez\"").getBytes(StandardCharsets.UTF_8), reply.sent())
-                    : reply);
+            then.accept(
+                    body.contains("\"job/features\"")
+                            ? new Reply(
+                                    reply.status(),
+                                    body.replace("\"job/features\"", "\"job/featurez\"")
+                                            .getBytes(StandardCharsets.UTF_8),
+                                    reply.sent())
+                            : reply);
         };
     }
 
--- a/src/test/java/io/micatide/rehearsal/LateRows.java
+++ b/src/test/java/io/micatide/rehearsal/LateRows.java
@@ -11,8 +11,12 @@
 record LateRows(Http http, LongSupplier lateMicros, Supplier<Loop> process) implements Http {
     @Override
     public void get(String path, long timeoutMicros, Consumer<Reply> then) {
-        http.get(path, timeoutMicros, !path.startsWith("/changes?starts=job/") || lateMicros.getAsLong() == 0 ? then
-                : reply -> process.get().later(() -> then.accept(reply), lateMicros.getAsLong()));
+        http.get(
+                path,
+                timeoutMicros,
+                !path.startsWith("/changes?starts=job/") || lateMicros.getAsLong() == 0
+                        ? then
+                        : reply -> process.get().later(() -> then.accept(reply), lateMicros.getAsLong()));
     }
 
     @Override
--- a/src/test/java/io/micatide/rehearsal/MeetingTest.java
+++ b/src/test/java/io/micatide/rehearsal/MeetingTest.java
@@ -12,6 +12,7 @@
 class MeetingTest {
     /** Long runs outside CI: {@code -Dmicatide.days=20000 -Dmicatide.first=40000}. */
     private static final int DAYS = Integer.getInteger("micatide.days", 200);
+
     private static final int TIGHT_DAYS = (DAYS + 1) / 2;
     private static final int FIRST = Integer.getInteger("micatide.first", 0);
 
--- a/src/test/java/io/micatide/rehearsal/NamedMeetingsTest.java
+++ b/src/test/java/io/micatide/rehearsal/NamedMeetingsTest.java
@@ -17,6 +17,7 @@
 class NamedMeetingsTest {
     /** Long runs outside CI: {@code -Dmicatide.days=200 -Dmicatide.first=1000}. */
     private static final int DAYS = Math.max(1, Integer.getInteger("micatide.days", 200) / 200);
+
     private static final int FIRST = Integer.getInteger("micatide.first", 0);
 
     private TakeOverDay day;
@@ -24,7 +25,7 @@
     private long token;
 
     private void seconds(double seconds) {
-        for (long end = day.time.now() + (long) (seconds * Micros.SECOND); day.time.now() < end;) {
+        for (long end = day.time.now() + (long) (seconds * Micros.SECOND); day.time.now() < end; ) {
             day.time.run(Math.min(100 * Micros.MILLISECOND, end - day.time.now()));
             leaders += day.deployment.token() > token ? 1 : 0;
             token = Math.max(token, day.deployment.token());
@@ -89,7 +90,9 @@
             }
             case "new machines in two seconds, writes lag, the leader ends" -> {
                 all.takeAway(machine -> true);
-                all.cloudLags(() -> day.random.nextInt(8_000) * Micros.MILLISECOND, () -> (200 + day.random.nextInt(1_800)) * Micros.MILLISECOND);
+                all.cloudLags(
+                        () -> day.random.nextInt(8_000) * Micros.MILLISECOND,
+                        () -> (200 + day.random.nextInt(1_800)) * Micros.MILLISECOND);
                 for (int time = 0; time < 4; time++) {
                     all.lateWrites(0.4, 2, 12, 5);
                     all.stateSlow(700 * Micros.MILLISECOND, 6);
@@ -212,20 +215,34 @@
     /** @param former how many controllers are of the version in production: without a standby and without the switches */
     @ParameterizedTest
     @CsvSource({
-        "cancelled while the work changes hands, 3, 0", "cancelled while the work changes hands, 5, 1",
-        "'at their limits, cancelled machines hang, the leader changes', 3, 1", "'at their limits, cancelled machines hang, the leader changes', 5, 0",
-        "'at their limits, cancelled machines are cut off, the leader changes', 3, 0", "'at their limits, cancelled machines are cut off, the leader changes', 5, 1",
-        "'at their limits, cancelled machines are deaf, the leader changes', 3, 1", "'at their limits, cancelled machines are deaf, the leader changes', 5, 0",
-        "'new machines in two seconds, writes lag, the leader ends', 3, 0", "'new machines in two seconds, writes lag, the leader ends', 5, 1",
-        "all away for longer than the lease, 3, 0", "all away for longer than the lease, 5, 1",
+        "cancelled while the work changes hands, 3, 0",
+        "cancelled while the work changes hands, 5, 1",
+        "'at their limits, cancelled machines hang, the leader changes', 3, 1",
+        "'at their limits, cancelled machines hang, the leader changes', 5, 0",
+        "'at their limits, cancelled machines are cut off, the leader changes', 3, 0",
+        "'at their limits, cancelled machines are cut off, the leader changes', 5, 1",
+        "'at their limits, cancelled machines are deaf, the leader changes', 3, 1",
+        "'at their limits, cancelled machines are deaf, the leader changes', 5, 0",
+        "'new machines in two seconds, writes lag, the leader ends', 3, 0",
+        "'new machines in two seconds, writes lag, the leader ends', 5, 1",
+        "all away for longer than the lease, 3, 0",
+        "all away for longer than the lease, 5, 1",
         "'the end of a last task meets a cancellation, a question and a submission', 3, 0",
-        "reports are held back until the next leader has acted, 3, 0", "reports are held back until the next leader has acted, 5, 1",
-        "old reports reach all as the next leader begins, 3, 0", "old reports reach all as the next leader begins, 5, 1",
-        "'ten leaders in two minutes, also inside an outage', 3, 0", "'ten leaders in two minutes, also inside an outage', 5, 1",
-        "'only answers are lost, while others read what was written', 3, 0", "'only answers are lost, while others read what was written', 5, 1",
-        "also of leases and of the cloud, 3, 0", "also of leases and of the cloud, 5, 1",
-        "close looks, 3, 0", "close looks, 5, 1",
-        "'more work than room, slow links', 3, 0", "mute machines, 3, 0", "mute machines, 5, 1",
+        "reports are held back until the next leader has acted, 3, 0",
+        "reports are held back until the next leader has acted, 5, 1",
+        "old reports reach all as the next leader begins, 3, 0",
+        "old reports reach all as the next leader begins, 5, 1",
+        "'ten leaders in two minutes, also inside an outage', 3, 0",
+        "'ten leaders in two minutes, also inside an outage', 5, 1",
+        "'only answers are lost, while others read what was written', 3, 0",
+        "'only answers are lost, while others read what was written', 5, 1",
+        "also of leases and of the cloud, 3, 0",
+        "also of leases and of the cloud, 5, 1",
+        "close looks, 3, 0",
+        "close looks, 5, 1",
+        "'more work than room, slow links', 3, 0",
+        "mute machines, 3, 0",
+        "mute machines, 5, 1",
     })
     void breaksNoRule(String meeting, int controllers, int former) {
         List<String> failed = new ArrayList<>();
--- a/src/test/java/io/micatide/rehearsal/OneTaskJobsTest.java
+++ b/src/test/java/io/micatide/rehearsal/OneTaskJobsTest.java
@@ -50,29 +50,41 @@
                 day.deployment.killFor(day.deployment.leader(), 800 * Micros.MILLISECOND);
             }
             day.time.run(100 * Micros.MILLISECOND);
-            submitted.entrySet().removeIf(each -> day.checker.running(each.getKey()) > 0 && waits.add(day.time.now() - each.getValue()));
+            submitted
+                    .entrySet()
+                    .removeIf(each ->
+                            day.checker.running(each.getKey()) > 0 && waits.add(day.time.now() - each.getValue()));
             rowsMost = Math.max(rowsMost, over(day));
         }
         long perJob = (day.deployment.state.changeCount() - before) * 100 / (4L * SECONDS);
         Collections.sort(waits);
         long half = waits.get(waits.size() / 2) / (100 * Micros.MILLISECOND);
         long late = waits.get(waits.size() * 19 / 20) / (100 * Micros.MILLISECOND);
-        String measured = waits.size() + " of " + (waits.size() + submitted.size()) + " ran, half within " + half + ", 95% within " + late
-                + " tenths; " + perJob / 100.0 + " changes a job; at most " + rowsMost + " rows of jobs that are over, " + over(day) + " at the end";
+        String measured = waits.size() + " of " + (waits.size() + submitted.size()) + " ran, half within " + half
+                + ", 95% within " + late + " tenths; " + perJob / 100.0 + " changes a job; at most " + rowsMost
+                + " rows of jobs that are over, " + over(day) + " at the end";
         System.out.println(requests + "/" + changes + (killed ? " killed: " : ": ") + measured);
         assertTrue(half <= median && late <= most, measured);
         assertTrue(submitted.size() < 40, measured);
         day.time.run(60 * Micros.SECOND);
         assertEquals(List.of(), day.verdict());
         assertTrue(over(day) < 300, over(day) + " rows of jobs that are over are left");
-        assertEquals(0, day.deployment.state.values().subMap("ledger/", "ledger0").size(), "ledgers of jobs that are over");
+        assertEquals(
+                0, day.deployment.state.values().subMap("ledger/", "ledger0").size(), "ledgers of jobs that are over");
     }
 
     private static int over(TakeOverDay day) {
         int rows = 0;
-        for (Map.Entry<String, StateStandIn.Value> each : day.deployment.state.values().subMap(StoreKeys.JOBS, StoreKeys.JOBS + Character.MAX_VALUE).entrySet()) {
-            rows += each.getKey().startsWith(StoreKeys.job("wk-")) && Deployment.row(each.getKey(), each.getValue()) instanceof Row.JobRow row
-                    && row.state() != JobState.OPEN ? 1 : 0;
+        for (Map.Entry<String, StateStandIn.Value> each : day.deployment
+                .state
+                .values()
+                .subMap(StoreKeys.JOBS, StoreKeys.JOBS + Character.MAX_VALUE)
+                .entrySet()) {
+            rows += each.getKey().startsWith(StoreKeys.job("wk-"))
+                            && Deployment.row(each.getKey(), each.getValue()) instanceof Row.JobRow row
+                            && row.state() != JobState.OPEN
+                    ? 1
+                    : 0;
         }
         return rows;
     }
--- a/src/test/java/io/micatide/rehearsal/RefusedLeaderTest.java
+++ b/src/test/java/io/micatide/rehearsal/RefusedLeaderTest.java
@@ -57,8 +57,12 @@
             }
             day.deployment.stateAway(90);
             day.time.run(TakeOverDay.CANCEL + 10 * Micros.SECOND);
-            assertEquals(0, day.checker.running("wk-1") + day.checker.running("wk-3"), "seed " + seed + " " + day.deployment.log());
-            assertEquals(24, day.checker.running("wk-2") + day.checker.running("wk-4"), "what nobody cancelled runs on");
+            assertEquals(
+                    0,
+                    day.checker.running("wk-1") + day.checker.running("wk-3"),
+                    "seed " + seed + " " + day.deployment.log());
+            assertEquals(
+                    24, day.checker.running("wk-2") + day.checker.running("wk-4"), "what nobody cancelled runs on");
             day.time.run(150 * Micros.SECOND);
             assertEquals(List.of(), day.checker.broken(), "seed " + seed + " " + day.deployment.log());
         }
@@ -90,10 +94,23 @@
      */
     @ParameterizedTest
     @CsvSource({
-        "3, alive, 500, 300", "5, alive, 500, 300", "5, alive, 2400, 300", "3, alive, 500, 2600", "5, alive, 1500, 1700",
-        "5, alive, 3500, 500", "5, ended, 500, 300", "3, ended, 500, 300", "5, back, 500, 300", "3, back, 500, 300", "5, backInOutage, 500, 60",
-        "3, backInOutage, 2000, 60", "3, backInOutage, 700, 60", "5, backInOutage, 1600, 60", "5, cut, 500, 300",
-        "5, frozen, 500, 300", "3, frozen, 2400, 300",
+        "3, alive, 500, 300",
+        "5, alive, 500, 300",
+        "5, alive, 2400, 300",
+        "3, alive, 500, 2600",
+        "5, alive, 1500, 1700",
+        "5, alive, 3500, 500",
+        "5, ended, 500, 300",
+        "3, ended, 500, 300",
+        "5, back, 500, 300",
+        "3, back, 500, 300",
+        "5, backInOutage, 500, 60",
+        "3, backInOutage, 2000, 60",
+        "3, backInOutage, 700, 60",
+        "5, backInOutage, 1600, 60",
+        "5, cut, 500, 300",
+        "5, frozen, 500, 300",
+        "3, frozen, 2400, 300",
     })
     void whatWasCancelledIsGoneInTime(int controllers, String confirming, int refused, int outage) {
         for (long seed = 1; seed <= 2; seed++) {
@@ -111,12 +128,15 @@
                 case "backInOutage" -> day.deployment.killFor(other, 100 * Micros.MILLISECOND);
                 case "cut" -> day.deployment.cut(other, false, false, true, 150);
                 case "frozen" -> day.deployment.stall(other, 100_000);
-                default -> { }
+                default -> {}
             }
             day.time.run((outage - 40) * Micros.MILLISECOND);
             day.deployment.stateAway(90);
             day.time.run(TakeOverDay.CANCEL + 10 * Micros.SECOND);
-            assertEquals(0, day.checker.running("wk-1") + day.checker.running("wk-3"), "seed " + seed + " " + day.deployment.log());
+            assertEquals(
+                    0,
+                    day.checker.running("wk-1") + day.checker.running("wk-3"),
+                    "seed " + seed + " " + day.deployment.log());
             day.time.run(200 * Micros.SECOND);
             assertEquals(List.of(), day.checker.broken(), "seed " + seed + " " + day.deployment.log());
         }
--- a/src/test/java/io/micatide/rehearsal/RolloutDay.java
+++ b/src/test/java/io/micatide/rehearsal/RolloutDay.java
@@ -29,7 +29,8 @@
 
     RolloutDay(long seed, int controllers, Abilities version) {
         this.controllers = controllers;
-        this.day = new TakeOverDay(seed, controllers, 0, Copy::new, 800 * Micros.MILLISECOND, 10 * Micros.SECOND, version);
+        this.day =
+                new TakeOverDay(seed, controllers, 0, Copy::new, 800 * Micros.MILLISECOND, 10 * Micros.SECOND, version);
         day.deployment.state.afterEachChange(this::look);
     }
 
@@ -49,7 +50,8 @@
         values(StoreKeys.FENCE).forEach((key, value) -> nowKept.put(key, value.stamp()));
         values(StoreKeys.RETURNS).forEach((key, value) -> nowKept.put(key, value.stamp()));
         nowKept.forEach((key, stamp) -> {
-            Feature feature = key.equals(StoreKeys.FENCE) ? Feature.BOOKING_FENCE
+            Feature feature = key.equals(StoreKeys.FENCE)
+                    ? Feature.BOOKING_FENCE
                     : key.startsWith(StoreKeys.RETURNS) ? Feature.RETURNS : Feature.LEARNED;
             if (!stamp.equals(kept.get(key)) && stage(feature) != Stage.ON) {
                 wrong.add(key + " is written while " + feature.key() + " is " + stage(feature));
@@ -92,7 +94,9 @@
         }
         Abilities abilities = day.abilities(day.deployment.leader());
         for (Feature feature : Feature.values()) {
-            if (abilities.registers() && stage(feature) != Stage.OFF && !abilities.knows().contains(feature)) {
+            if (abilities.registers()
+                    && stage(feature) != Stage.OFF
+                    && !abilities.knows().contains(feature)) {
                 wrong.add(day.deployment.owner() + " leads and does not know " + feature.key());
             }
         }
@@ -102,14 +106,20 @@
     void ask(Feature feature, Row.Wish wish) {
         String key = StoreKeys.asked(feature.key());
         StateStandIn.Value there = day.deployment.state.values().get(key);
-        String body = "{\"if\":[{\"k\":\"" + key + "\",\"stamp\":" + (there == null ? 0 : there.stamp()) + "}],\"writes\":[{\"put\":\"" + key
-                + "\",\"data\":{\"wish\":\"" + wish + "\"}}]}";
-        day.deployment.network.from(day.deployment.user, "state").post("/txn", body.getBytes(StandardCharsets.UTF_8), Micros.SECOND, reply -> {
-            StateStandIn.Value now = day.deployment.state.values().get(key);
-            if (!reply.ok() && !(now != null && Deployment.row(key, now) instanceof Row.Ask ask && ask.wish() == wish)) {
-                day.deployment.user.later(() -> ask(feature, wish), Micros.SECOND);
-            }
-        });
+        String body = "{\"if\":[{\"k\":\"" + key + "\",\"stamp\":" + (there == null ? 0 : there.stamp())
+                + "}],\"writes\":[{\"put\":\"" + key + "\",\"data\":{\"wish\":\"" + wish + "\"}}]}";
+        day.deployment
+                .network
+                .from(day.deployment.user, "state")
+                .post("/txn", body.getBytes(StandardCharsets.UTF_8), Micros.SECOND, reply -> {
+                    StateStandIn.Value now = day.deployment.state.values().get(key);
+                    if (!reply.ok()
+                            && !(now != null
+                                    && Deployment.row(key, now) instanceof Row.Ask ask
+                                    && ask.wish() == wish)) {
+                        day.deployment.user.later(() -> ask(feature, wish), Micros.SECOND);
+                    }
+                });
     }
 
     /** Whether each controller says that it is healthy, asked now. */
--- a/src/test/java/io/micatide/rehearsal/RolloutTest.java
+++ b/src/test/java/io/micatide/rehearsal/RolloutTest.java
@@ -21,8 +21,10 @@
 class RolloutTest {
     /** Long runs outside CI, as for {@link TakeOverTest}. */
     private static final int DAYS = Integer.getInteger("micatide.days", 400);
+
     private static final int FIRST = Integer.getInteger("micatide.first", 0);
-    private static final List<Abilities> VERSIONS = List.of(Abilities.FORMER, Abilities.without(Feature.LEARNED), Abilities.ALL);
+    private static final List<Abilities> VERSIONS =
+            List.of(Abilities.FORMER, Abilities.without(Feature.LEARNED), Abilities.ALL);
 
     private static RolloutDay play(long seed) {
         int controllers = seed % 2 == 0 ? 3 : 5;
@@ -36,7 +38,8 @@
             }
             if (second > 3 && day.random.nextInt(3) == 0) {
                 Abilities version = VERSIONS.get(second < 16 ? day.random.nextInt(3) : 2);
-                day.replace(day.random.nextInt(controllers), version, (1 + day.random.nextInt(500)) * Micros.MILLISECOND);
+                day.replace(
+                        day.random.nextInt(controllers), version, (1 + day.random.nextInt(500)) * Micros.MILLISECOND);
             }
             if (second > 5 && second % 7 == 0) {
                 day.failBriefly();
@@ -145,7 +148,9 @@
                 body.path("if").forEach(each -> conditions.add(each.path("k").asText()));
                 body.path("writes").forEach(each -> {
                     String key = each.path("put").asText();
-                    if (key.equals(StoreKeys.LEADER) || key.startsWith(StoreKeys.HERE) || key.startsWith(StoreKeys.LEARNED)
+                    if (key.equals(StoreKeys.LEADER)
+                            || key.startsWith(StoreKeys.HERE)
+                            || key.startsWith(StoreKeys.LEARNED)
                             || key.startsWith(StoreKeys.RETURNS)
                             || key.startsWith(StoreKeys.BOOKINGS) && conditions.contains(StoreKeys.FENCE)) {
                         seen.merge(key.substring(0, 4), 1, Integer::sum);
@@ -181,13 +186,18 @@
         RolloutDay roll = new RolloutDay(9, controllers, Abilities.ALL);
         int[] registered = {0};
         long[] refusedMicros = {0};
-        roll.day.deployment.state.beforeEachTransaction(body -> body.path("writes").forEach(each -> {
-            registered[0] += each.path("put").asText().startsWith(StoreKeys.HERE) ? 1 : 0;
-            refusedMicros[0] = refusedMicros[0] == 0 && each.path("put").asText().equals(StoreKeys.FEATURES) ? roll.day.time.now() : refusedMicros[0];
-            if (each.path("put").asText().equals(StoreKeys.FEATURES) && roll.day.time.now() < refusedMicros[0] + 10 * Micros.SECOND) {
-                throw new IllegalArgumentException("refused");
-            }
-        }));
+        roll.day.deployment.state.beforeEachTransaction(body -> body.path("writes")
+                .forEach(each -> {
+                    registered[0] += each.path("put").asText().startsWith(StoreKeys.HERE) ? 1 : 0;
+                    refusedMicros[0] =
+                            refusedMicros[0] == 0 && each.path("put").asText().equals(StoreKeys.FEATURES)
+                                    ? roll.day.time.now()
+                                    : refusedMicros[0];
+                    if (each.path("put").asText().equals(StoreKeys.FEATURES)
+                            && roll.day.time.now() < refusedMicros[0] + 10 * Micros.SECOND) {
+                        throw new IllegalArgumentException("refused");
+                    }
+                }));
         roll.day.time.run(60 * Micros.SECOND);
         assertEquals(Stage.ON, roll.stage(Feature.LEARNED));
         int reads = roll.day.asked.getOrDefault("/store/" + StoreKeys.FEATURES, 0);
--- a/src/test/java/io/micatide/rehearsal/RuleCheckerTest.java
+++ b/src/test/java/io/micatide/rehearsal/RuleCheckerTest.java
@@ -25,15 +25,28 @@
      */
     @ParameterizedTest
     @CsvSource({
-        "s0a s0b, ran_twice", "s0a x0a s0b, ''", "s0a s1a, ''",
-        "h201queued c h200withdrawn t+29 s0a x0a, ''", "h201queued c h200withdrawn t+31 s0a, ran_cancelled",
-        "h201queued s0a c h200withdrawn t+31, ran_cancelled", "h201queued s0a c h200withdrawn t+29 x0a t+5, ''",
+        "s0a s0b, ran_twice",
+        "s0a x0a s0b, ''",
+        "s0a s1a, ''",
+        "h201queued c h200withdrawn t+29 s0a x0a, ''",
+        "h201queued c h200withdrawn t+31 s0a, ran_cancelled",
+        "h201queued s0a c h200withdrawn t+31, ran_cancelled",
+        "h201queued s0a c h200withdrawn t+29 x0a t+5, ''",
         "h201queued s0a c t+31, ''",
-        "h201queued t+1 h404, forgotten", "h404, ''", "h201queued t+1 h422, forgotten", "h201queued t+1 h503, ''",
-        "h201queued k q t+74, ''", "h201queued k q t+80, forgotten", "h201queued q t+80, ''", "h201queued q t+80 k t+70 h200queued t+20, ''",
-        "h201queued q t+80 k t+80, forgotten", "h201queued k t+90 q t+70, ''",
-        "h201queued s0a d0a t+1 h200done, not_done", "h201queued s0a d0a s1a d1a t+1 h200done, ''",
-        "h201queued s0a d0a s1a d1a t+1 h200done t+1 h200running, went_back", "h201queued h200withdrawn, went_back",
+        "h201queued t+1 h404, forgotten",
+        "h404, ''",
+        "h201queued t+1 h422, forgotten",
+        "h201queued t+1 h503, ''",
+        "h201queued k q t+74, ''",
+        "h201queued k q t+80, forgotten",
+        "h201queued q t+80, ''",
+        "h201queued q t+80 k t+70 h200queued t+20, ''",
+        "h201queued q t+80 k t+80, forgotten",
+        "h201queued k t+90 q t+70, ''",
+        "h201queued s0a d0a t+1 h200done, not_done",
+        "h201queued s0a d0a s1a d1a t+1 h200done, ''",
+        "h201queued s0a d0a s1a d1a t+1 h200done t+1 h200running, went_back",
+        "h201queued h200withdrawn, went_back",
         "h201queued c h200withdrawn t+1 h200queued, went_back",
     })
     void findsWhatIsPlanted(String steps, String rule) {
@@ -49,8 +62,12 @@
                 case 'c' -> checker.cancels("wk-1");
                 case 'k' -> checker.calm();
                 case 'q' -> checker.asks("wk-1");
-                case 'h' -> checker.heard("wk-1", time.now(), Integer.parseInt(step.substring(1, 4)),
-                        step.length() > 4 ? step.substring(4) : null);
+                case 'h' ->
+                    checker.heard(
+                            "wk-1",
+                            time.now(),
+                            Integer.parseInt(step.substring(1, 4)),
+                            step.length() > 4 ? step.substring(4) : null);
                 default -> {
                     for (int second = 0; second < Integer.parseInt(step.substring(2)); second++) {
                         time.run(Micros.SECOND);
@@ -59,15 +76,27 @@
                 }
             }
         }
-        assertEquals(rule, checker.broken().isEmpty() ? "" : checker.broken().get(0).split(" ")[0], checker.broken().toString());
+        assertEquals(
+                rule,
+                checker.broken().isEmpty() ? "" : checker.broken().get(0).split(" ")[0],
+                checker.broken().toString());
     }
 
-    private static final MachineType SMALL = new MachineType("small", Resources.of(8, 0, 64), 25, 0.5, 0.5, 0.2, 0, List.of("x", "y"));
-    private static final MachineType LARGE = new MachineType("large", Resources.of(16, 0, 64), 25, 0.5, 0.5, 0.2, 0, List.of("x", "y"));
+    private static final MachineType SMALL =
+            new MachineType("small", Resources.of(8, 0, 64), 25, 0.5, 0.5, 0.2, 0, List.of("x", "y"));
+    private static final MachineType LARGE =
+            new MachineType("large", Resources.of(16, 0, 64), 25, 0.5, 0.5, 0.2, 0, List.of("x", "y"));
     private static final Map<Character, CloudStandIn.Rented> MACHINES = Map.of(
-            'a', new CloudStandIn.Rented("a", SMALL, "x", false, 0), 'b', new CloudStandIn.Rented("b", SMALL, "x", false, 0),
-            'y', new CloudStandIn.Rented("y", SMALL, "y", false, 0), 'l', new CloudStandIn.Rented("l", LARGE, "x", false, 0),
-            's', new CloudStandIn.Rented("s", SMALL, "x", true, 0));
+            'a',
+            new CloudStandIn.Rented("a", SMALL, "x", false, 0),
+            'b',
+            new CloudStandIn.Rented("b", SMALL, "x", false, 0),
+            'y',
+            new CloudStandIn.Rented("y", SMALL, "y", false, 0),
+            'l',
+            new CloudStandIn.Rented("l", LARGE, "x", false, 0),
+            's',
+            new CloudStandIn.Rented("s", SMALL, "x", true, 0));
 
     /**
      * Places and limits, on a job of four tasks of two processors whose team may use {@code limit}: {@code f0a} task 0 is taken by machine a and
@@ -76,20 +105,54 @@
     @ParameterizedTest
     @CsvSource({
         // All that holds a part of a machine counts: fetching, and on a machine whatever becomes of it.
-        "any, 4, f0a f1b f2a, quota", "any, 6, f0a f1b f2a, ''", "any, 4, f0a s0a f1b s1b f2a, quota", "any, 4, f0a s0a f1b x0a f2a, ''",
-        "any, 4, f0a f1b g0a f2a, ''", "any, 4, f0a f1b g0a f2a f3b, quota", "any, 0, f0a f1b f2a f3b, ''",
-        "small, 0, f0l s0l, wrong_place", "small, 0, f0a s0a, ''", "zone x, 0, f0y s0y, wrong_place", "zone x, 0, f0l s0l, ''",
-        "ordinary, 0, f0s s0s, wrong_place", "any, 0, f0s s0s, ''", "ordinary, 0, f0a s0a, ''",
+        "any, 4, f0a f1b f2a, quota",
+        "any, 6, f0a f1b f2a, ''",
+        "any, 4, f0a s0a f1b s1b f2a, quota",
+        "any, 4, f0a s0a f1b x0a f2a, ''",
+        "any, 4, f0a f1b g0a f2a, ''",
+        "any, 4, f0a f1b g0a f2a f3b, quota",
+        "any, 0, f0a f1b f2a f3b, ''",
+        "small, 0, f0l s0l, wrong_place",
+        "small, 0, f0a s0a, ''",
+        "zone x, 0, f0y s0y, wrong_place",
+        "zone x, 0, f0l s0l, ''",
+        "ordinary, 0, f0s s0s, wrong_place",
+        "any, 0, f0s s0s, ''",
+        "ordinary, 0, f0a s0a, ''",
         // What is on its machine counts for the place of others, not what fetches or is over.
-        "oneZone, 0, f0a s0a f1y s1y, wrong_place", "oneZone, 0, f0a s0a x0a f1y s1y, ''", "oneZone, 0, f0a f1y s1y, ''", "oneZone, 0, f0a s0a f1b s1b, ''",
+        "oneZone, 0, f0a s0a f1y s1y, wrong_place",
+        "oneZone, 0, f0a s0a x0a f1y s1y, ''",
+        "oneZone, 0, f0a f1y s1y, ''",
+        "oneZone, 0, f0a s0a f1b s1b, ''",
         "any, 0, f0a s0a f1y s1y, ''",
-        "spread, 0, f0a s0a f1b s1b f2l s2l, wrong_place", "spread, 0, f0a s0a f1b s1b f2y s2y, ''", "spread, 0, f0a s0a f1b s1b x0a f2l s2l, ''",
+        "spread, 0, f0a s0a f1b s1b f2l s2l, wrong_place",
+        "spread, 0, f0a s0a f1b s1b f2y s2y, ''",
+        "spread, 0, f0a s0a f1b s1b x0a f2l s2l, ''",
     })
     void findsPlacesAndLimits(String shape, double limit, String steps, String rule) {
-        JobSpec spec = new JobSpec("wk-1", "x", "blue", JobKind.ARRAY, Priority.NORMAL, 4, Resources.of(2, 0, 1), "i", 0,
-                shape.equals("small") ? List.of("small") : List.of(), shape.equals("zone x") ? "x" : null, shape.equals("oneZone"),
-                shape.equals("spread"), !shape.equals("ordinary"), 0, 0, 0, -1);
-        RuleChecker checker = new RuleChecker(new VirtualTime(), 30 * Micros.SECOND, Map.of("blue", new Team("blue", 0, 0, (long) (limit * 1000), 0)));
+        JobSpec spec = new JobSpec(
+                "wk-1",
+                "x",
+                "blue",
+                JobKind.ARRAY,
+                Priority.NORMAL,
+                4,
+                Resources.of(2, 0, 1),
+                "i",
+                0,
+                shape.equals("small") ? List.of("small") : List.of(),
+                shape.equals("zone x") ? "x" : null,
+                shape.equals("oneZone"),
+                shape.equals("spread"),
+                !shape.equals("ordinary"),
+                0,
+                0,
+                0,
+                -1);
+        RuleChecker checker = new RuleChecker(
+                new VirtualTime(),
+                30 * Micros.SECOND,
+                Map.of("blue", new Team("blue", 0, 0, (long) (limit * 1000), 0)));
         checker.submits("wk-1", 4, false);
         for (String step : steps.split(" ")) {
             String task = "wk-1/" + step.charAt(1);
@@ -104,7 +167,10 @@
                 }
             }
         }
-        assertEquals(rule, checker.broken().isEmpty() ? "" : checker.broken().get(0).split(" ")[0], checker.broken().toString());
+        assertEquals(
+                rule,
+                checker.broken().isEmpty() ? "" : checker.broken().get(0).split(" ")[0],
+                checker.broken().toString());
     }
 
     /**
@@ -113,16 +179,42 @@
      * @param limit of its team; two processors are in use
      */
     @ParameterizedTest
-    @CsvSource({"any, 0, a, 95, waits_beside_room", "any, 0, a, 85, ''", "any, 2, a, 95, ''", "zone x, 0, y, 95, ''", "zone x, 0, ay, 95, waits_beside_room",
-        "large, 0, a, 95, ''", "any, 0, '', 95, ''"})
+    @CsvSource({
+        "any, 0, a, 95, waits_beside_room",
+        "any, 0, a, 85, ''",
+        "any, 2, a, 95, ''",
+        "zone x, 0, y, 95, ''",
+        "zone x, 0, ay, 95, waits_beside_room",
+        "large, 0, a, 95, ''",
+        "any, 0, '', 95, ''"
+    })
     void nobodyWaitsBesideRoom(String shape, double limit, String up, int seconds, String rule) {
         VirtualTime time = new VirtualTime();
-        RuleChecker checker = new RuleChecker(time, 30 * Micros.SECOND, Map.of("blue", new Team("blue", 0, 0, (long) (limit * 1000), 0)));
-        JobSpec spec = new JobSpec("wk-1", "x", "blue", JobKind.ARRAY, Priority.NORMAL, 2, Resources.of(2, 0, 1), "i", 0,
-                shape.equals("large") ? List.of("large") : List.of(), shape.equals("zone x") ? "x" : null, false, false, true, 0, 0, 0, -1);
+        RuleChecker checker = new RuleChecker(
+                time, 30 * Micros.SECOND, Map.of("blue", new Team("blue", 0, 0, (long) (limit * 1000), 0)));
+        JobSpec spec = new JobSpec(
+                "wk-1",
+                "x",
+                "blue",
+                JobKind.ARRAY,
+                Priority.NORMAL,
+                2,
+                Resources.of(2, 0, 1),
+                "i",
+                0,
+                shape.equals("large") ? List.of("large") : List.of(),
+                shape.equals("zone x") ? "x" : null,
+                false,
+                false,
+                true,
+                0,
+                0,
+                0,
+                -1);
         checker.submits("wk-1", 2, false);
         checker.describes(spec);
-        checker.machines(() -> up.chars().mapToObj(each -> MACHINES.get((char) each)).toList());
+        checker.machines(
+                () -> up.chars().mapToObj(each -> MACHINES.get((char) each)).toList());
         checker.heard("wk-1", 0, 201, "queued");
         checker.taken(spec, "wk-1/0", 1, MACHINES.get('l'));
         checker.calm();
@@ -131,7 +223,10 @@
             checker.heard("wk-1", time.now(), 200, "queued");
             checker.look();
         }
-        assertEquals(rule, checker.broken().isEmpty() ? "" : checker.broken().get(0).split(" ")[0], checker.broken().toString());
+        assertEquals(
+                rule,
+                checker.broken().isEmpty() ? "" : checker.broken().get(0).split(" ")[0],
+                checker.broken().toString());
     }
 
     /** What cannot run or lacks a field must not be accepted; a start after the confirmation of a cancellation is counted. */
--- a/src/test/java/io/micatide/rehearsal/TakeOverDay.java
+++ b/src/test/java/io/micatide/rehearsal/TakeOverDay.java
@@ -27,18 +27,20 @@
 final class TakeOverDay implements Deployment.Plan {
     /** Of a worker. */
     private final long reportMicros;
+
     private final long leaseMicros;
     static final long CANCEL = 30 * Micros.SECOND;
     private static final int MACHINES = 24;
-    private static final MachineType TYPE = new MachineType("small", Resources.of(8, 0, 64), 25, 0.5, 0.5, 0.2, Micros.SECOND,
-            List.of("a", "b"));
+    private static final MachineType TYPE =
+            new MachineType("small", Resources.of(8, 0, 64), 25, 0.5, 0.5, 0.2, Micros.SECOND, List.of("a", "b"));
 
-    private static final MachineType LARGE = new MachineType("large", Resources.of(16, 0, 128), 25, 0.5, 1.1, 0.4, Micros.SECOND,
-            List.of("b"));
+    private static final MachineType LARGE =
+            new MachineType("large", Resources.of(16, 0, 128), 25, 0.5, 1.1, 0.4, Micros.SECOND, List.of("b"));
 
     private final Map<String, Team> teams;
     /** What the state service takes a second. */
     private final int requests;
+
     private final int changes;
     final Random random;
     final int count;
@@ -55,6 +57,7 @@
     private final Abilities[] versions;
     /** How often the state service was asked for each path. */
     final Map<String, Integer> asked = new TreeMap<>();
+
     private int interactions;
     private int killAt;
     private int killTimes;
@@ -70,14 +73,42 @@
     }
 
     /** With controllers that all begin with this version. */
-    TakeOverDay(long seed, int controllers, int former, Copy.Maker copies, long reportMicros, long leaseMicros, Abilities version) {
-        this(seed, controllers, former, copies, reportMicros, leaseMicros, version, Map.of("blue", new Team("blue", 0, 0, 0, 0)), List.of(TYPE), 400, 120);
+    TakeOverDay(
+            long seed,
+            int controllers,
+            int former,
+            Copy.Maker copies,
+            long reportMicros,
+            long leaseMicros,
+            Abilities version) {
+        this(
+                seed,
+                controllers,
+                former,
+                copies,
+                reportMicros,
+                leaseMicros,
+                version,
+                Map.of("blue", new Team("blue", 0, 0, 0, 0)),
+                List.of(TYPE),
+                400,
+                120);
     }
 
     /** With a state service that takes so many requests and changes a second. */
     static TakeOverDay paced(long seed, int controllers, int requests, int changes) {
-        return new TakeOverDay(seed, controllers, 0, Copy::new, 800 * Micros.MILLISECOND, 10 * Micros.SECOND, Abilities.ALL,
-                Map.of("blue", new Team("blue", 0, 0, 0, 0)), List.of(TYPE), requests, changes);
+        return new TakeOverDay(
+                seed,
+                controllers,
+                0,
+                Copy::new,
+                800 * Micros.MILLISECOND,
+                10 * Micros.SECOND,
+                Abilities.ALL,
+                Map.of("blue", new Team("blue", 0, 0, 0, 0)),
+                List.of(TYPE),
+                requests,
+                changes);
     }
 
     /**
@@ -85,21 +116,47 @@
      * whose lists are up to 8 s old; jobs ask for types, zones, one zone or several.
      */
     static TakeOverDay tight(long seed, int controllers, int former) {
-        TakeOverDay day = new TakeOverDay(seed, controllers, former, Copy::new, 800 * Micros.MILLISECOND, 10 * Micros.SECOND, Abilities.ALL,
-                Map.of("blue", new Team("blue", 24_000, 0, 40_000, 0), "red", new Team("red", 16_000, 0, 32_000, 0),
-                        "green", new Team("green", 8_000, 0, 24_000, 0)), List.of(TYPE, LARGE), 400, 120);
+        TakeOverDay day = new TakeOverDay(
+                seed,
+                controllers,
+                former,
+                Copy::new,
+                800 * Micros.MILLISECOND,
+                10 * Micros.SECOND,
+                Abilities.ALL,
+                Map.of(
+                        "blue",
+                        new Team("blue", 24_000, 0, 40_000, 0),
+                        "red",
+                        new Team("red", 16_000, 0, 32_000, 0),
+                        "green",
+                        new Team("green", 8_000, 0, 24_000, 0)),
+                List.of(TYPE, LARGE),
+                400,
+                120);
         day.listLags(8 * Micros.SECOND);
         return day;
     }
 
     /** Lists of the cloud are up to so old from now on; machines boot within 0.2 to 2 s or the ordinary time. */
     private void listLags(long most) {
-        deployment.cloudLags(() -> (long) (random.nextDouble() * most),
+        deployment.cloudLags(
+                () -> (long) (random.nextDouble() * most),
                 () -> random.nextInt(3) == 0 ? 5 * Micros.SECOND : (200 + random.nextInt(1_800)) * Micros.MILLISECOND);
     }
 
-    private TakeOverDay(long seed, int controllers, int former, Copy.Maker copies, long reportMicros, long leaseMicros, Abilities version,
-            Map<String, Team> teams, List<MachineType> types, int requests, int changes) {
+    private TakeOverDay(
+            long seed,
+            int controllers,
+            int former,
+            Copy.Maker copies,
+            long reportMicros,
+            long leaseMicros,
+            Abilities version,
+            Map<String, Team> teams,
+            List<MachineType> types,
+            int requests,
+            int changes) {
         this.requests = requests;
         this.changes = changes;
         this.teams = new TreeMap<>(teams);
@@ -117,8 +174,14 @@
         this.former = former;
         this.copies = copies;
         RuleChecker[] rules = new RuleChecker[1];
-        this.deployment = new Deployment(random, controllers, this, types, MACHINES,
-                new StateStandIn.Limits(requests, changes, 16 * 1024, 16), new WorkerStandIn.Witness() {
+        this.deployment = new Deployment(
+                random,
+                controllers,
+                this,
+                types,
+                MACHINES,
+                new StateStandIn.Limits(requests, changes, 16 * 1024, 16),
+                new WorkerStandIn.Witness() {
                     @Override
                     public void started(String task, long attempt, String machine) {
                         rules[0].started(task, attempt, machine);
@@ -194,18 +257,49 @@
                 siblings.add(new Settings.Sibling("c" + i, i % 2 == 0 ? "a" : "b", "p" + i));
             }
         }
-        return new Settings("c" + number, number % 2 == 0 ? "a" : "b", "c" + number, "p" + number, siblings, "cloud", "state",
-                List.of("a", "b"), 0, teams, List.of(), reportMicros, leaseMicros,
-                30 * Micros.SECOND, 5 * Micros.SECOND, CANCEL, requests, changes, 16 * 1024, 16 * 1024, 16, 20,
-                teams.size() > 1 ? 4 * Micros.SECOND : Micros.SECOND, 0.4, 150, 700);
+        return new Settings(
+                "c" + number,
+                number % 2 == 0 ? "a" : "b",
+                "c" + number,
+                "p" + number,
+                siblings,
+                "cloud",
+                "state",
+                List.of("a", "b"),
+                0,
+                teams,
+                List.of(),
+                reportMicros,
+                leaseMicros,
+                30 * Micros.SECOND,
+                5 * Micros.SECOND,
+                CANCEL,
+                requests,
+                changes,
+                16 * 1024,
+                16 * 1024,
+                16,
+                20,
+                teams.size() > 1 ? 4 * Micros.SECOND : Micros.SECOND,
+                0.4,
+                150,
+                700);
     }
 
     @Override
     public Tuning tuning(int number) {
         boolean standby = number >= former;
         Settings settings = settings(number);
-        return new Tuning(standby ? Tuning.leaseWithStandby(settings) : Tuning.defaults(settings).leaderLeaseMicros(),
-                60 * Micros.SECOND, true, 4, standby, false, true);
+        return new Tuning(
+                standby
+                        ? Tuning.leaseWithStandby(settings)
+                        : Tuning.defaults(settings).leaderLeaseMicros(),
+                60 * Micros.SECOND,
+                true,
+                4,
+                standby,
+                false,
+                true);
     }
 
     @Override
@@ -228,7 +322,9 @@
     @Override
     public Http reaches(int number, String endpoint, Http http) {
         Http to = versions[number].registers() || !endpoint.equals("state") ? http : new FormerReader(http);
-        return endpoint.equals("state") ? new LateRows(to, () -> lateRowsMicros[number], () -> deployment.process(number)) : to;
+        return endpoint.equals("state")
+                ? new LateRows(to, () -> lateRowsMicros[number], () -> deployment.process(number))
+                : to;
     }
 
     /** How much later than it was made this controller hears an answer about changed jobs. */
@@ -245,7 +341,10 @@
     private void compare(int number, String prefix, List<StateCodec.Item> rows) {
         brought++;
         Map<String, String> stored = new TreeMap<>();
-        deployment.state.values().subMap(prefix, prefix + Character.MAX_VALUE)
+        deployment
+                .state
+                .values()
+                .subMap(prefix, prefix + Character.MAX_VALUE)
                 .forEach((key, value) -> stored.put(key, value.stamp() + " " + Deployment.row(key, value)));
         Map<String, String> copied = new TreeMap<>();
         rows.forEach(row -> copied.put(row.key(), row.version() + " " + row.row()));
@@ -311,7 +410,9 @@
             case 3 -> {
                 boolean leaders = random.nextBoolean();
                 for (int again = 0; again < 10; again++) {
-                    at(again * 400 * Micros.MILLISECOND, () -> deployment.killFor(leaders ? deployment.leader() : number, backSoon()));
+                    at(
+                            again * 400 * Micros.MILLISECOND,
+                            () -> deployment.killFor(leaders ? deployment.leader() : number, backSoon()));
                 }
             }
             case 4 -> killAtInteraction(1 + random.nextInt(60), 1 + random.nextInt(3), backSoon());
@@ -370,9 +471,12 @@
         int seconds = 3 + random.nextInt(25);
         switch (random.nextInt(9)) {
             case 0 -> deployment.lostAnswers(0.2 + random.nextDouble() * 0.6, seconds, random.nextBoolean());
-            case 1 -> deployment.reportsForNext(0.5 + random.nextDouble() * 0.5, 60, random.nextBoolean() ? 0 : random.nextInt(6_000));
+            case 1 ->
+                deployment.reportsForNext(
+                        0.5 + random.nextDouble() * 0.5, 60, random.nextBoolean() ? 0 : random.nextInt(6_000));
             case 2 -> deployment.mute(0.1 + random.nextDouble() * 0.8, seconds);
-            case 3, 4 -> users.cancelNow(1 + random.nextInt(6), random.nextInt(3) == 0 ? 0 : 1_000 + random.nextInt(20_000));
+            case 3, 4 ->
+                users.cancelNow(1 + random.nextInt(6), random.nextInt(3) == 0 ? 0 : 1_000 + random.nextInt(20_000));
             case 5 -> users.lookClosely(seconds);
             case 6 -> users.cancelAtEnd(0.2 + random.nextDouble() * 0.8, seconds);
             case 7 -> {
--- a/src/test/java/io/micatide/rehearsal/TakeOverTest.java
+++ b/src/test/java/io/micatide/rehearsal/TakeOverTest.java
@@ -15,6 +15,7 @@
 class TakeOverTest {
     /** Long runs outside CI: {@code -Dmicatide.days=20000 -Dmicatide.first=40000}. */
     private static final int DAYS = Integer.getInteger("micatide.days", 1_000);
+
     private static final int FIRST = Integer.getInteger("micatide.first", 0);
 
     private static TakeOverDay play(long seed, int controllers, int former, Copy.Maker copies) {
@@ -62,20 +63,22 @@
         boolean found = false;
         for (int seed = 0; seed < 60 && !found; seed++) {
             found = !play(seed, 3, 0, (prefix, most) -> new Copy(prefix, most) {
-                private int reads;
+                        private int reads;
 
-                @Override
-                public void changes(List<Entry> events, long upTo) {
-                    if (++reads % 3 == 0) {
-                        super.changes(events, upTo);
-                    }
-                }
+                        @Override
+                        public void changes(List<Entry> events, long upTo) {
+                            if (++reads % 3 == 0) {
+                                super.changes(events, upTo);
+                            }
+                        }
 
-                @Override
-                public boolean wholeAt(long asOf) {
-                    return whole();
-                }
-            }).verdict().isEmpty();
+                        @Override
+                        public boolean wholeAt(long asOf) {
+                            return whole();
+                        }
+                    })
+                    .verdict()
+                    .isEmpty();
         }
         assertTrue(found);
     }
--- a/src/test/java/io/micatide/rollout/PlanTest.java
+++ b/src/test/java/io/micatide/rollout/PlanTest.java
@@ -32,7 +32,9 @@
         Switches switches = new Switches(Abilities.ALL);
         Map<String, String> stages = stages(text);
         // As far as the others are at most.
-        stages.put("returns", text != null && text.contains("=ON") ? "ON" : text != null && text.contains("=READ") ? "READ" : "OFF");
+        stages.put(
+                "returns",
+                text != null && text.contains("=ON") ? "ON" : text != null && text.contains("=READ") ? "READ" : "OFF");
         switches.seen(VERSION, new Row.Features(stages));
         return switches;
     }
@@ -43,36 +45,47 @@
         for (int i = 0; i < 3; i++) {
             char how = there.charAt(i);
             if (how != '.') {
-                roster.add(StoreKeys.here("abc".substring(i, i + 1)), new Row.Here("1", how == 'o' ? List.of("needs", "history")
-                        : Abilities.ALL.names(), how == '-' ? VERSION - 1 : VERSION, 5), 7 + i);
+                roster.add(
+                        StoreKeys.here("abc".substring(i, i + 1)),
+                        new Row.Here(
+                                "1",
+                                how == 'o' ? List.of("needs", "history") : Abilities.ALL.names(),
+                                how == '-' ? VERSION - 1 : VERSION,
+                                5),
+                        7 + i);
             }
         }
-        stages(asked).forEach((feature, wish) -> roster.add(StoreKeys.asked(feature), new Row.Ask(Row.Wish.valueOf(wish)), 3));
+        stages(asked)
+                .forEach((feature, wish) ->
+                        roster.add(StoreKeys.asked(feature), new Row.Ask(Row.Wish.valueOf(wish)), 3));
         return roster;
     }
 
     /** Of the features but {@code returns}, which goes as they do and is left out for the width of the table. */
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        // where it stands | who is there | asked | forward | after the step, empty for none
-        "                                 | +++ |               | true  | booking-fence=READ learned=READ",
-        "booking-fence=READ learned=READ  | +++ |               | true  | booking-fence=ON learned=ON",
-        "booking-fence=ON learned=ON      | +++ |               | true  |",
-        "                                 | +++ |               | false |",
-        "                                 | ++. |               | true  |",
-        "                                 | ++o |               | true  |",
-        "booking-fence=READ learned=READ  | ++- |               | true  |",
-        // Held back, and taken back one stage at a time, whoever leads.
-        "booking-fence=READ learned=READ  | +++ | learned=HOLD  | true  | booking-fence=ON learned=READ",
-        "booking-fence=ON learned=ON      | +++ | learned=BACK  | true  | booking-fence=ON learned=READ",
-        "booking-fence=ON learned=READ    | +++ | learned=BACK  | false | booking-fence=ON learned=OFF",
-        "booking-fence=ON learned=OFF     | +++ | learned=BACK  | true  |",
-        "booking-fence=ON learned=ON      | ++- | learned=BACK  | true  |",
-        "booking-fence=ON learned=ON      | ++. | learned=BACK  | true  |",
-        // From where nobody writes it back to where nobody needs to know it: whoever is away cannot be in the way.
-        "booking-fence=ON learned=READ    | ++. | learned=BACK  | true  | booking-fence=ON learned=OFF",
-        "booking-fence=ON learned=READ    | ++- | learned=BACK  | true  |",
-    })
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                // where it stands | who is there | asked | forward | after the step, empty for none
+                "                                 | +++ |               | true  | booking-fence=READ learned=READ",
+                "booking-fence=READ learned=READ  | +++ |               | true  | booking-fence=ON learned=ON",
+                "booking-fence=ON learned=ON      | +++ |               | true  |",
+                "                                 | +++ |               | false |",
+                "                                 | ++. |               | true  |",
+                "                                 | ++o |               | true  |",
+                "booking-fence=READ learned=READ  | ++- |               | true  |",
+                // Held back, and taken back one stage at a time, whoever leads.
+                "booking-fence=READ learned=READ  | +++ | learned=HOLD  | true  | booking-fence=ON learned=READ",
+                "booking-fence=ON learned=ON      | +++ | learned=BACK  | true  | booking-fence=ON learned=READ",
+                "booking-fence=ON learned=READ    | +++ | learned=BACK  | false | booking-fence=ON learned=OFF",
+                "booking-fence=ON learned=OFF     | +++ | learned=BACK  | true  |",
+                "booking-fence=ON learned=ON      | ++- | learned=BACK  | true  |",
+                "booking-fence=ON learned=ON      | ++. | learned=BACK  | true  |",
+                // From where nobody writes it back to where nobody needs to know it: whoever is away cannot be in the
+                // way.
+                "booking-fence=ON learned=READ    | ++. | learned=BACK  | true  | booking-fence=ON learned=OFF",
+                "booking-fence=ON learned=READ    | ++- | learned=BACK  | true  |",
+            })
     void steps(String stages, String there, String asked, boolean forward, String next) {
         Plan plan = Plan.of(switches(stages), roster(there, asked), forward);
         if (next == null) {
@@ -86,19 +99,23 @@
 
     /** What it waits for is told by name. */
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "++.|booking-fence waits to go to READ: c is not registered",
-        "+o+|booking-fence waits to go to READ: b (1) does not know it",
-        "-++|booking-fence waits to go to READ: a has not taken in the last step",
-    })
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "++.|booking-fence waits to go to READ: c is not registered",
+                "+o+|booking-fence waits to go to READ: b (1) does not know it",
+                "-++|booking-fence waits to go to READ: a has not taken in the last step",
+            })
     void waitsByName(String there, String told) {
-        assertEquals(told, Plan.of(switches(""), roster(there, ""), true).waits().get(0));
+        assertEquals(
+                told, Plan.of(switches(""), roster(there, ""), true).waits().get(0));
     }
 
     /** A step names as many registrations as a transaction has room for. */
     @Test
     void conditions() {
-        assertEquals(List.of(new Transaction.Compare("rollout/here/a", 7), new Transaction.Compare("rollout/here/b", 8)),
+        assertEquals(
+                List.of(new Transaction.Compare("rollout/here/a", 7), new Transaction.Compare("rollout/here/b", 8)),
                 roster("+++", "").conditions(2));
     }
 
@@ -112,7 +129,9 @@
         assertFalse(former.seen(8, new Row.Features(Map.of())));
         assertEquals(List.of("learned (READ)"), former.unknown());
         assertTrue(former.seen(10, new Row.Features(Map.of("later", "ON", "booking-fence", "BOTH", "learned", "OFF"))));
-        assertEquals(List.of("booking-fence (BOTH)", "later (ON)"), former.unknown().stream().sorted().toList());
+        assertEquals(
+                List.of("booking-fence (BOTH)", "later (ON)"),
+                former.unknown().stream().sorted().toList());
     }
 
     /** One put for each lease and for each step, on condition of the switches and of the row as it was read. */
@@ -125,7 +144,8 @@
         assertEquals(Registration.Wish.NOTHING, mine.next(3, 40, 0), "one request at a time");
         mine.read(12);
         assertEquals(Registration.Wish.PUT, mine.next(3, 40, 0));
-        assertEquals(List.of(new Transaction.Compare("job/features", 40), new Transaction.Compare("rollout/here/a", 12)),
+        assertEquals(
+                List.of(new Transaction.Compare("job/features", 40), new Transaction.Compare("rollout/here/a", 12)),
                 mine.put().conditions());
         assertEquals(3, mine.put().writes().get(0).lease());
         mine.registered(50);
@@ -133,7 +153,8 @@
         assertEquals(Registration.Wish.PUT, mine.next(3, 60, 0), "newer switches");
         mine.unclear(0);
         assertEquals(Registration.Wish.NOTHING, mine.next(3, 60, 1));
-        assertEquals(Registration.Wish.READ, mine.next(3, 60, 1_000_000), "a put without an answer may have been applied");
+        assertEquals(
+                Registration.Wish.READ, mine.next(3, 60, 1_000_000), "a put without an answer may have been applied");
         mine.read(61);
         assertEquals(Registration.Wish.PUT, mine.next(4, 60, 1_000_000));
         mine.registered(70);
--- a/src/test/java/io/micatide/standby/HintsTest.java
+++ b/src/test/java/io/micatide/standby/HintsTest.java
@@ -16,8 +16,16 @@
     private static Hint hint(Random random) {
         String name = "n-" + random.nextInt(400);
         return switch (random.nextInt(3)) {
-            case 0 -> new Hint.OfMachine(name, "a" + name, 3, List.of("img-" + random.nextInt(9)), List.of(random.nextInt(30) / 10.0), random.nextBoolean(),
-                    random.nextBoolean(), random.nextInt(5) == 0);
+            case 0 ->
+                new Hint.OfMachine(
+                        name,
+                        "a" + name,
+                        3,
+                        List.of("img-" + random.nextInt(9)),
+                        List.of(random.nextInt(30) / 10.0),
+                        random.nextBoolean(),
+                        random.nextBoolean(),
+                        random.nextInt(5) == 0);
             case 1 -> new Hint.OfJob(name, random.nextInt(1_000_000), random.nextInt(64), random.nextBoolean(), 0);
             default -> new Hint.OfClass(name, random.nextInt(20) / 10.0, 0.5);
         };
--- a/src/test/java/io/micatide/standby/SuccessionTest.java
+++ b/src/test/java/io/micatide/standby/SuccessionTest.java
@@ -25,7 +25,8 @@
     @ParameterizedTest
     @CsvSource({
         "'up:20', true, 0",
-        // One that no worker has come to asks; it waits for the answers for a moment, and longer for one that they come to.
+        // One that no worker has come to asks; it waits for the answers for a moment, and longer for one that they come
+        // to.
         "'up:20', false, 200",
         "'up:20,since:250', false, 0",
         "'up:20,word:0:SEASONED,word:1:COLD', false, 0",
@@ -67,7 +68,8 @@
                 case "up", "later" -> now += Long.parseLong(part[1]) * SECOND;
                 case "heirs" -> succession.told(List.of(part[1].split("\\+")), now);
                 case "copy" -> succession.copyIs(true);
-                case "word" -> succession.word(Integer.parseInt(part[1]), Warmth.valueOf(part[2]), part.length > 3, now);
+                case "word" ->
+                    succession.word(Integer.parseInt(part[1]), Warmth.valueOf(part[2]), part.length > 3, now);
                 case "led" -> succession.led();
                 case "handed" -> succession.handedOver(now);
                 case "since" -> since = Long.parseLong(part[1]) * Micros.MILLISECOND;
@@ -93,8 +95,33 @@
         for (String each : siblings) {
             list.add(new Settings.Sibling(each.substring(2), each.substring(0, 1), "x"));
         }
-        return new Settings("n-2", "a", "b", "p", list, "cloud", "state", List.of("a", "b"), 0, Map.of(), List.of(), SECOND, 10 * SECOND,
-                SECOND, SECOND, 30 * SECOND, rate, 30, 16384, 16384, 16, 8, SECOND, 0.4, 148, 700);
+        return new Settings(
+                "n-2",
+                "a",
+                "b",
+                "p",
+                list,
+                "cloud",
+                "state",
+                List.of("a", "b"),
+                0,
+                Map.of(),
+                List.of(),
+                SECOND,
+                10 * SECOND,
+                SECOND,
+                SECOND,
+                30 * SECOND,
+                rate,
+                30,
+                16384,
+                16384,
+                16,
+                8,
+                SECOND,
+                0.4,
+                148,
+                700);
     }
 
     /** Each row: who answered and how (`sibling=WARMTH`, `-` unserved), and whom the leader n-2 in zone a appoints. */
@@ -117,9 +144,13 @@
         assertNull(appointed.appoint(SECOND));
         for (String answer : answers.split(",")) {
             String[] part = answer.split("=");
-            int sibling = settings.siblings().stream().map(Settings.Sibling::label).toList().indexOf(part[0]);
+            int sibling = settings.siblings().stream()
+                    .map(Settings.Sibling::label)
+                    .toList()
+                    .indexOf(part[0]);
             boolean served = !part[1].equals("-");
-            appointed.heard(sibling, part[1].equals("null") || !served ? null : Warmth.valueOf(part[1]), served, SECOND);
+            appointed.heard(
+                    sibling, part[1].equals("null") || !served ? null : Warmth.valueOf(part[1]), served, SECOND);
         }
         assertEquals(heirs, String.join(" ", appointed.appoint(2 * SECOND)));
     }
@@ -144,12 +175,16 @@
     private static Copy.Entry entry(String text) {
         String[] part = text.split("@");
         boolean gone = part[0].startsWith("-");
-        return new Copy.Entry("ledger/" + part[0].replace("-", ""), gone ? null : new Row.Ledger(List.of("i-1"), 0, ""),
+        return new Copy.Entry(
+                "ledger/" + part[0].replace("-", ""),
+                gone ? null : new Row.Ledger(List.of("i-1"), 0, ""),
                 Long.parseLong(part[1]));
     }
 
     private static List<Copy.Entry> entries(String text) {
-        return text.isEmpty() ? List.of() : List.of(text.split(" ")).stream().map(SuccessionTest::entry).toList();
+        return text.isEmpty()
+                ? List.of()
+                : List.of(text.split(" ")).stream().map(SuccessionTest::entry).toList();
     }
 
     /**
@@ -180,7 +215,8 @@
         for (String step : steps.split(",")) {
             String[] part = step.split(":", 3);
             switch (part[0]) {
-                case "page", "page!" -> copy.page(entries(part[2]), copy.size() == 0, part[0].endsWith("!"), Long.parseLong(part[1]));
+                case "page", "page!" ->
+                    copy.page(entries(part[2]), copy.size() == 0, part[0].endsWith("!"), Long.parseLong(part[1]));
                 case "changes" -> copy.changes(entries(part[2]), Long.parseLong(part[1]));
                 default -> copy.missedChanges();
             }
