--- a/src/test/java/io/micatide/wire/CodecTest.java
+++ b/src/test/java/io/micatide/wire/CodecTest.java
@@ -32,29 +32,31 @@
 
     /** Each row replaces a part of a good job; the complaint names the field. */
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "'nameId':'wk-1'|'nameId':7|nameId",
-        "'nameId':'wk-1'|'nameId':'job 1'|nameId",
-        "'roster':'train',||roster",
-        "'form':'batch'|'form':'pile'|form",
-        "'rank':'high'|'rank':''|rank",
-        "'legs':16|'legs':0|legs",
-        "'legs':16|'legs':100001|legs",
-        "'legs':16|'legs':1.5|legs",
-        "'cpus':2.0|'cpus':-1|cpus",
-        "'cpus':2.0|'cpus':'2'|cpus",
-        "'memGb':4.0,||memGb",
-        "['g8']|7|builds",
-        "['g8']|[8]|builds",
-        "'ground':null|'ground':3|ground",
-        "'samePlace':false|'samePlace':0|samePlace",
-        "'whistleS':90.0|'whistleS':-2|whistleS",
-        "'runtimeS':20.0|'runtimeS':null|runtimeS",
-        "'whistleS':90.0|'awaits':'wk-2'|awaits",
-        "'whistleS':90.0|'awaits':[7]|awaits",
-        "'whistleS':90.0|'awaits':['wk-2','job 2']|awaits",
-        "'whistleS':90.0|'awaits':{'wk-2':1}|awaits",
-    })
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "'nameId':'wk-1'|'nameId':7|nameId",
+                "'nameId':'wk-1'|'nameId':'job 1'|nameId",
+                "'roster':'train',||roster",
+                "'form':'batch'|'form':'pile'|form",
+                "'rank':'high'|'rank':''|rank",
+                "'legs':16|'legs':0|legs",
+                "'legs':16|'legs':100001|legs",
+                "'legs':16|'legs':1.5|legs",
+                "'cpus':2.0|'cpus':-1|cpus",
+                "'cpus':2.0|'cpus':'2'|cpus",
+                "'memGb':4.0,||memGb",
+                "['g8']|7|builds",
+                "['g8']|[8]|builds",
+                "'ground':null|'ground':3|ground",
+                "'samePlace':false|'samePlace':0|samePlace",
+                "'whistleS':90.0|'whistleS':-2|whistleS",
+                "'runtimeS':20.0|'runtimeS':null|runtimeS",
+                "'whistleS':90.0|'awaits':'wk-2'|awaits",
+                "'whistleS':90.0|'awaits':[7]|awaits",
+                "'whistleS':90.0|'awaits':['wk-2','job 2']|awaits",
+                "'whistleS':90.0|'awaits':{'wk-2':1}|awaits",
+            })
     void namesTheFieldOfAMalformedJob(String part, String instead, String field) {
         String text = JOB.replace(part, instead == null ? "" : instead);
         MalformedException e = assertThrows(MalformedException.class, () -> JobCodec.spec(Json.tree(json(text))));
@@ -62,44 +64,53 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "'whistleS':90.0|",
-        "'awaits':null|",
-        "'awaits':[]|",
-        "'awaits':['wk-2']|wk-2",
-        "'awaits':['wk-3','wk-2','wk-3']|wk-3 wk-2",
-    })
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "'whistleS':90.0|",
+                "'awaits':null|",
+                "'awaits':[]|",
+                "'awaits':['wk-2']|wk-2",
+                "'awaits':['wk-3','wk-2','wk-3']|wk-3 wk-2",
+            })
     void namesOfNeededJobsCountOnce(String part, String needs) throws MalformedException {
         JobSpec spec = JobCodec.spec(Json.tree(json(JOB.replace("'whistleS':90.0", part))));
         assertEquals(needs == null ? "" : needs, String.join(" ", spec.needs()));
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {"[]", "7", "{", "x", "''"})
+    @CsvSource(
+            delimiter = '|',
+            value = {"[]", "7", "{", "x", "''"})
     void whatIsNoObjectIsMalformed(String text) {
         assertThrows(MalformedException.class, () -> JobCodec.id(Json.tree(json(text))));
     }
 
     /** Each row replaces a part of a good job; the reason begins as given, or there is none. */
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "'crew':'red'|'crew':'red'|",
-        "'ground':null|'ground':'a'|",
-        "'crew':'red'|'crew':'green'|unknown team",
-        "'ground':null|'ground':'z'|unknown zone",
-        "['g8']|['g9']|a task fits no",
-        "'cpus':2.0|'cpus':9|a task fits no",
-        "'cards':0.0|'cards':1|a task fits no",
-        "'form':'batch'|'form':'daemon'|needs more than the limit",
-        "'form':'batch'|'form':'group'|needs more than the limit",
-    })
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "'crew':'red'|'crew':'red'|",
+                "'ground':null|'ground':'a'|",
+                "'crew':'red'|'crew':'green'|unknown team",
+                "'ground':null|'ground':'z'|unknown zone",
+                "['g8']|['g9']|a task fits no",
+                "'cpus':2.0|'cpus':9|a task fits no",
+                "'cards':0.0|'cards':1|a task fits no",
+                "'form':'batch'|'form':'daemon'|needs more than the limit",
+                "'form':'batch'|'form':'group'|needs more than the limit",
+            })
     void admitsWhatCanRun(String part, String instead, String reason) throws MalformedException {
         JobSpec spec = JobCodec.spec(Json.tree(json(JOB.replace(part, instead))));
         MachineType type = new MachineType("g8", Resources.of(8, 0, 64), 25, 0.3, 1, 0.3, 1, List.of("a", "b"));
-        String refusal = Admission.refusal(spec, Map.of("red", new Team("red", 0, 0, 20_000, 0)),
-                List.of("a", "b"), List.of(type));
-        assertEquals(reason, refusal == null || reason == null ? refusal
-                : refusal.substring(0, Math.min(refusal.length(), reason.length())));
+        String refusal = Admission.refusal(
+                spec, Map.of("red", new Team("red", 0, 0, 20_000, 0)), List.of("a", "b"), List.of(type));
+        assertEquals(
+                reason,
+                refusal == null || reason == null
+                        ? refusal
+                        : refusal.substring(0, Math.min(refusal.length(), reason.length())));
     }
 
     /** What is stored of an accepted job is what was submitted. */
@@ -107,32 +118,44 @@
     void aJobComesBackFromTheStore() throws MalformedException {
         JobSpec spec = JobCodec.spec(Json.tree(json(JOB))).withNeeds(List.of("wk-7", "wk-8"));
         Row.JobRow row = new Row.JobRow(JobState.OPEN, spec, 5, 16);
-        byte[] sent = StateCodec.transaction(new Transaction(List.of(new Transaction.Compare("job/wk-1", 0)),
-                List.of(new Transaction.Write("job/wk-1", row, 0))));
-        String data = Json.MAPPER.convertValue(Json.tree(sent).path("writes").get(0).path("data"),
-                com.fasterxml.jackson.databind.JsonNode.class).toString();
+        byte[] sent = StateCodec.transaction(new Transaction(
+                List.of(new Transaction.Compare("job/wk-1", 0)), List.of(new Transaction.Write("job/wk-1", row, 0))));
+        String data = Json.MAPPER
+                .convertValue(
+                        Json.tree(sent).path("writes").get(0).path("data"),
+                        com.fasterxml.jackson.databind.JsonNode.class)
+                .toString();
         StateCodec.Item item = StateCodec.item(json("{'k':'job/wk-1','data':" + data + ",'stamp':9}"));
         assertEquals(row, item.row());
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "{}", "[]", "{'berth':'i-1'}",
-        "{'berth':'i-1','build':'g8','ground':'a','stint':1,'tally':1,'armband':0,'legs':[{'leg':'wk-1'}]}",
-        "{'berth':'i-1','build':'g8','ground':'a','stint':1,'tally':1,'armband':0,'legs':7}",
-        "{'berth':'i-1','build':'g8','ground':'a','stint':1,'tally':1,'armband':0,"
-                + "'legs':[{'leg':'wk-1/x','throwIn':1,'standing':'running'}]}",
-    })
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "{}",
+                "[]",
+                "{'berth':'i-1'}",
+                "{'berth':'i-1','build':'g8','ground':'a','stint':1,'tally':1,'armband':0,'legs':[{'leg':'wk-1'}]}",
+                "{'berth':'i-1','build':'g8','ground':'a','stint':1,'tally':1,'armband':0,'legs':7}",
+                "{'berth':'i-1','build':'g8','ground':'a','stint':1,'tally':1,'armband':0,"
+                        + "'legs':[{'leg':'wk-1/x','throwIn':1,'standing':'running'}]}",
+            })
     void aBadReportIsMalformed(String text) {
         assertThrows(MalformedException.class, () -> WorkerCodec.report(json(text)));
     }
 
     @Test
     void anAnswerCarriesTheTokenAndTheCommandsInOrder() {
-        byte[] answer = WorkerCodec.answer(41, List.of(new Command.Stop("wk-1", 0, 3, 10 * Micros.SECOND),
-                new Command.Forget("wk-2", 1, 4), new Command.Start("wk-3", 2, 5)));
-        assertEquals("{'armband':41,'calls':[{'call':'halt','leg':'wk-1/0','throwIn':3,'stoppageS':10.0},"
-                + "{'call':'reap','leg':'wk-2/1','throwIn':4},{'call':'start','leg':'wk-3/2','throwIn':5}]}",
+        byte[] answer = WorkerCodec.answer(
+                41,
+                List.of(
+                        new Command.Stop("wk-1", 0, 3, 10 * Micros.SECOND),
+                        new Command.Forget("wk-2", 1, 4),
+                        new Command.Start("wk-3", 2, 5)));
+        assertEquals(
+                "{'armband':41,'calls':[{'call':'halt','leg':'wk-1/0','throwIn':3,'stoppageS':10.0},"
+                        + "{'call':'reap','leg':'wk-2/1','throwIn':4},{'call':'start','leg':'wk-3/2','throwIn':5}]}",
                 new String(answer, StandardCharsets.UTF_8).replace('"', '\''));
     }
 }
--- a/src/test/java/io/micatide/wire/DescriptionTest.java
+++ b/src/test/java/io/micatide/wire/DescriptionTest.java
@@ -22,7 +22,8 @@
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private static String released(String version) throws IOException {
-        try (InputStream in = DescriptionTest.class.getResourceAsStream("/openapi/released/micatide-" + version + ".json")) {
+        try (InputStream in =
+                DescriptionTest.class.getResourceAsStream("/openapi/released/micatide-" + version + ".json")) {
             return new String(in.readAllBytes(), StandardCharsets.UTF_8);
         }
     }
@@ -34,22 +35,25 @@
     @ParameterizedTest
     @ValueSource(strings = "1.0.0")
     void nothingBreaksAClientOfAReleasedDescription(String version) throws IOException {
-        ChangedOpenApi changed = compare(released(version), new String(new Description().bytes(), StandardCharsets.UTF_8));
+        ChangedOpenApi changed =
+                compare(released(version), new String(new Description().bytes(), StandardCharsets.UTF_8));
         assertTrue(changed.isCompatible(), () -> changed.getChangedOperations().toString());
     }
 
     /** That the check sees what would break one: a change of the served description each. */
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "/components/schemas/Job/required|add|awaits",
-        "/components/schemas/Job/properties/rank/enum|remove|3",
-        "/components/schemas/Job/properties/legs/maximum|set|1000",
-        "/components/schemas/Job/properties/cpus/type|text|string",
-        "/components/schemas/Status/properties|drop|done",
-        "/components/schemas/Accepted/required|remove|1",
-        "/paths/~1v1~1jobs~1{nameId}|drop|get",
-        "/paths/~1v1~1jobs/post/responses|drop|201",
-    })
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "/components/schemas/Job/required|add|awaits",
+                "/components/schemas/Job/properties/rank/enum|remove|3",
+                "/components/schemas/Job/properties/legs/maximum|set|1000",
+                "/components/schemas/Job/properties/cpus/type|text|string",
+                "/components/schemas/Status/properties|drop|done",
+                "/components/schemas/Accepted/required|remove|1",
+                "/paths/~1v1~1jobs~1{nameId}|drop|get",
+                "/paths/~1v1~1jobs/post/responses|drop|201",
+            })
     void aBreakIsSeen(String at, String change, String what) throws IOException {
         JsonNode description = MAPPER.readTree(new Description().bytes());
         int slash = at.lastIndexOf('/');
@@ -62,6 +66,9 @@
             case "text" -> parent.put(at.substring(slash + 1), what);
             default -> ((ObjectNode) place).remove(what);
         }
-        assertEquals(List.of(false), List.of(compare(released("1.0.0"), description.toString()).isCompatible()), at);
+        assertEquals(
+                List.of(false),
+                List.of(compare(released("1.0.0"), description.toString()).isCompatible()),
+                at);
     }
 }
--- a/src/test/java/io/micatide/wire/SettingsTest.java
+++ b/src/test/java/io/micatide/wire/SettingsTest.java
@@ -50,9 +50,10 @@
         "write_rps = 21.0, 21, 16384, 16",
         "value_kb = 64.0, 1000, 16384, 16",
     })
-    void keepsToTheSmallerLimit(String next, double writeRate, int valueBytes, int ops) throws IOException, MalformedException {
-        Settings settings = SettingsReader.parse(good().replace("[deployment.cloud]",
-                "[deployment.state.next]\n" + next + "\n[deployment.cloud]"));
+    void keepsToTheSmallerLimit(String next, double writeRate, int valueBytes, int ops)
+            throws IOException, MalformedException {
+        Settings settings = SettingsReader.parse(
+                good().replace("[deployment.cloud]", "[deployment.state.next]\n" + next + "\n[deployment.cloud]"));
         assertEquals(writeRate, settings.writeRate());
         assertEquals(valueBytes, settings.writableBytes());
         assertEquals(ops, settings.transactionOps());
@@ -74,7 +75,12 @@
 
     /** With a standby the leader's lease is 3 s at most, and an operator's own word goes first. */
     @ParameterizedTest
-    @CsvSource({"'', 17.5, 5250", "standby = true, 17.5, 3000", "standby = true, 8.0, 2400", "'standby = true\nleader_lease_s = 4', 17.5, 4000"})
+    @CsvSource({
+        "'', 17.5, 5250",
+        "standby = true, 17.5, 3000",
+        "standby = true, 8.0, 2400",
+        "'standby = true\nleader_lease_s = 4', 17.5, 4000"
+    })
     void theLeadersLease(String text, String workersLease, long millis) throws IOException, MalformedException {
         Settings settings = SettingsReader.parse(good().replace("lease_s = 10.0", "lease_s = " + workersLease));
         assertEquals(millis * 1_000, TuningReader.parse(text, settings).leaderLeaseMicros());
--- a/src/test/java/io/micatide/wire/StoredTextTest.java
+++ b/src/test/java/io/micatide/wire/StoredTextTest.java
@@ -16,8 +16,8 @@
 import io.micatide.core.Settings;
 import io.micatide.core.Testimony;
 import io.micatide.core.Transaction;
-import java.io.IOException;
 import io.micatide.standby.Warmth;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -30,9 +30,10 @@
  * so each of these must be read as it always was, and written so that the old one reads it.
  */
 class StoredTextTest {
-    private static final String SPEC = "{'nameId':'wk-1','roster':'train','crew':'red','form':'batch','rank':'best_effort',"
-            + "'legs':16,'cpus':2.0,'cards':0.0,'memGb':4.5,'kit':'img','sizeGb':1.5,'builds':['g8'],'ground':'a',"
-            + "'samePlace':false,'scatter':true,'loaners':true,'runtimeS':20.0,'halftimeS':0.0,'stowS':0.0,'whistleS':90.0}";
+    private static final String SPEC =
+            "{'nameId':'wk-1','roster':'train','crew':'red','form':'batch','rank':'best_effort',"
+                    + "'legs':16,'cpus':2.0,'cards':0.0,'memGb':4.5,'kit':'img','sizeGb':1.5,'builds':['g8'],'ground':'a',"
+                    + "'samePlace':false,'scatter':true,'loaners':true,'runtimeS':20.0,'halftimeS':0.0,'stowS':0.0,'whistleS':90.0}";
     private static final String PLAIN = "{'nameId':'wk-2','roster':'feed','crew':'red','form':'daemon','rank':'high',"
             + "'legs':2,'cpus':2.0,'cards':0.0,'memGb':8.1,'kit':'img','sizeGb':1.0,'samePlace':false,'scatter':false,"
             + "'loaners':false,'runtimeS':0.0,'halftimeS':0.0,'stowS':0.0}";
@@ -43,24 +44,28 @@
 
     /** As production writes it; read and written again it is the same text. */
     @ParameterizedTest
-    @CsvSource(delimiter = '|', quoteCharacter = '`', value = {
-        "leader|{'owner':'berth-0'}",
-        "job/wk-1|{'state':'OPEN','tasks':16,'submitted':1790000000000000,'spec':" + SPEC + "}",
-        "job/wk-2|{'state':'OPEN','tasks':2,'submitted':1790000000000000,'spec':" + PLAIN + "}",
-        "job/wk-1|{'state':'CANCELLED','tasks':16,'submitted':5,'spec':" + SPEC + "}",
-        "job/wk-1|{'state':'DONE','tasks':16,'submitted':5}",
-        "ledger/wk-1|{'machines':['i-000231','i-000007'],'gang':0,'done':'0-5,7,9-12'}",
-        "ledger/wk-1|{'machines':[],'gang':3145728007,'done':''}",
-        "ledger/wk-1/3|{'machines':[],'gang':0,'done':'2047'}",
-        "booking/r-41-7|{'state':'claimed','type':'g8','zone':'a','spot':true,'count':12}",
-        "types|{'types':[{'label':'g8','cpus':8.0,'cards':0.0,'memGb':64.0,'localGb':25.0,'pullGbPerS':0.3,"
-            + "'hourly':0.54,'marketPrice':0.19,'bootS':30.0,'grounds':['a','b']}]}",
-    })
+    @CsvSource(
+            delimiter = '|',
+            quoteCharacter = '`',
+            value = {
+                "leader|{'owner':'berth-0'}",
+                "job/wk-1|{'state':'OPEN','tasks':16,'submitted':1790000000000000,'spec':" + SPEC + "}",
+                "job/wk-2|{'state':'OPEN','tasks':2,'submitted':1790000000000000,'spec':" + PLAIN + "}",
+                "job/wk-1|{'state':'CANCELLED','tasks':16,'submitted':5,'spec':" + SPEC + "}",
+                "job/wk-1|{'state':'DONE','tasks':16,'submitted':5}",
+                "ledger/wk-1|{'machines':['i-000231','i-000007'],'gang':0,'done':'0-5,7,9-12'}",
+                "ledger/wk-1|{'machines':[],'gang':3145728007,'done':''}",
+                "ledger/wk-1/3|{'machines':[],'gang':0,'done':'2047'}",
+                "booking/r-41-7|{'state':'claimed','type':'g8','zone':'a','spot':true,'count':12}",
+                "types|{'types':[{'label':'g8','cpus':8.0,'cards':0.0,'memGb':64.0,'localGb':25.0,'pullGbPerS':0.3,"
+                        + "'hourly':0.54,'marketPrice':0.19,'bootS':30.0,'grounds':['a','b']}]}",
+            })
     void rowsOfProduction(String key, String data) throws MalformedException {
         StateCodec.Item item = StateCodec.item(json("{'k':'" + key + "','data':" + data + ",'stamp':9}"));
-        byte[] again = StateCodec.transaction(new Transaction(List.of(new Transaction.Compare(key, 9)),
-                List.of(new Transaction.Write(key, item.row(), 0))));
-        assertEquals("{'if':[{'k':'" + key + "','stamp':9}],'writes':[{'put':'" + key + "','data':" + data + "}]}",
+        byte[] again = StateCodec.transaction(new Transaction(
+                List.of(new Transaction.Compare(key, 9)), List.of(new Transaction.Write(key, item.row(), 0))));
+        assertEquals(
+                "{'if':[{'k':'" + key + "','stamp':9}],'writes':[{'put':'" + key + "','data':" + data + "}]}",
                 new String(again, StandardCharsets.UTF_8).replace('"', '\''));
     }
 
@@ -69,29 +74,78 @@
         StateCodec.Item item = StateCodec.item(json("{'k':'job/wk-1','data':{'state':'OPEN','tasks':16,'submitted':7,"
                 + "'spec':" + SPEC + "},'stamp':9}"));
         JobSpec spec = ((Row.JobRow) item.row()).spec();
-        assertEquals(new JobSpec("wk-1", "train", "red", JobKind.ARRAY, Priority.LOW, 16, Resources.of(2, 0, 4.5), "img", 1.5,
-                List.of("g8"), "a", false, true, true, 20_000_000, 0, 0, 90_000_000), spec);
+        assertEquals(
+                new JobSpec(
+                        "wk-1",
+                        "train",
+                        "red",
+                        JobKind.ARRAY,
+                        Priority.LOW,
+                        16,
+                        Resources.of(2, 0, 4.5),
+                        "img",
+                        1.5,
+                        List.of("g8"),
+                        "a",
+                        false,
+                        true,
+                        true,
+                        20_000_000,
+                        0,
+                        0,
+                        90_000_000),
+                spec);
         assertEquals(JobState.OPEN, ((Row.JobRow) item.row()).state());
     }
 
     /** A list of any length is kept whole, in as many rows as it takes, none above the limit. */
     @ParameterizedTest
-    @CsvSource({"0, 2048, 1", "10, 2048, 1", "100, 2048, 1", "200, 2048, 2", "500, 2048, 4", "5000, 2048, 31", "5000, 16384, 4"})
+    @CsvSource({
+        "0, 2048, 1",
+        "10, 2048, 1",
+        "100, 2048, 1",
+        "200, 2048, 2",
+        "500, 2048, 4",
+        "5000, 2048, 31",
+        "5000, 16384, 4"
+    })
     void longListsAreKeptWhole(int names, int limit, int rows) throws MalformedException {
         List<String> needs = new ArrayList<>();
         for (int i = 0; i < names; i++) {
             needs.add(String.format("wk-%06d", i));
         }
-        Row.JobRow row = new Row.JobRow(JobState.OPEN, new JobSpec("wk-x", "train", "red", JobKind.ARRAY, Priority.LOW, 16,
-                Resources.of(2, 0, 4.5), "img", 1.5, List.of(), null, false, false, true, 1, 0, 0, -1, needs), 7, 16);
+        Row.JobRow row = new Row.JobRow(
+                JobState.OPEN,
+                new JobSpec(
+                        "wk-x",
+                        "train",
+                        "red",
+                        JobKind.ARRAY,
+                        Priority.LOW,
+                        16,
+                        Resources.of(2, 0, 4.5),
+                        "img",
+                        1.5,
+                        List.of(),
+                        null,
+                        false,
+                        false,
+                        true,
+                        1,
+                        0,
+                        0,
+                        -1,
+                        needs),
+                7,
+                16);
         List<Transaction.Write> writes = StateCodec.jobRows("wk-x", row, limit);
         assertEquals(rows, writes.size());
         JobDirectory directory = new JobDirectory();
         for (Transaction.Write write : writes) {
             assertTrue(StateCodec.size(write.row()) <= limit, write.key());
             if (write.row() instanceof Row.Needs further) {
-                directory.applyNeeds("wk-x", Integer.parseInt(write.key().substring("job/wk-x/needs/".length())),
-                        further.names());
+                directory.applyNeeds(
+                        "wk-x", Integer.parseInt(write.key().substring("job/wk-x/needs/".length())), further.names());
             } else {
                 directory.apply("wk-x", (Row.JobRow) write.row(), 5);
             }
@@ -105,45 +159,64 @@
         String text = "{'token':41,'leader':'berth-1','stateServed':true,'silentUs':1200,'first':true,"
                 + "'jobs':[['wk-1',3,13]]}";
         PeerCodec.News news = PeerCodec.news(json(text));
-        assertEquals(new PeerCodec.News(41, "berth-1", true, 1200, null, true, List.of(new JobProgress("wk-1", 3, 13))), news);
+        assertEquals(
+                new PeerCodec.News(41, "berth-1", true, 1200, null, true, List.of(new JobProgress("wk-1", 3, 13))),
+                news);
         assertEquals(text, new String(PeerCodec.news(news), StandardCharsets.UTF_8).replace('"', '\''));
         // Production does not say which layout it reads.
-        assertEquals(new PeerCodec.Answer(41, -1, 1, false, null), PeerCodec.answer(json("{'token':41,'strayedUs':-1}")));
-        assertEquals("{'token':41,'strayedUs':-1,'layout':2}",
-                new String(PeerCodec.answer(new PeerCodec.Answer(41, -1, 2, false, null)), StandardCharsets.UTF_8).replace('"', '\''));
+        assertEquals(
+                new PeerCodec.Answer(41, -1, 1, false, null), PeerCodec.answer(json("{'token':41,'strayedUs':-1}")));
+        assertEquals(
+                "{'token':41,'strayedUs':-1,'layout':2}",
+                new String(PeerCodec.answer(new PeerCodec.Answer(41, -1, 2, false, null)), StandardCharsets.UTF_8)
+                        .replace('"', '\''));
     }
 
     /** What a standby adds to the news is passed over by who does not know it, and a word of a later version says nothing. */
     @Test
     void newsOfAStandby() throws MalformedException {
-        String text = "{'token':41,'leader':'berth-1','stateServed':true,'silentUs':1200,'heirs':['berth-2'],'first':true,'jobs':[]}";
+        String text =
+                "{'token':41,'leader':'berth-1','stateServed':true,'silentUs':1200,'heirs':['berth-2'],'first':true,'jobs':[]}";
         PeerCodec.News news = PeerCodec.news(json(text));
         assertEquals(List.of("berth-2"), news.heirs());
         assertEquals(text, new String(PeerCodec.news(news), StandardCharsets.UTF_8).replace('"', '\''));
         PeerCodec.Answer answer = new PeerCodec.Answer(41, -1, 3, true, Warmth.WARM);
         assertEquals(answer, PeerCodec.answer(PeerCodec.answer(answer)));
-        assertNull(PeerCodec.answer(json("{'token':41,'strayedUs':-1,'standby':'HOT'}")).warmth());
+        assertNull(PeerCodec.answer(json("{'token':41,'strayedUs':-1,'standby':'HOT'}"))
+                .warmth());
         assertEquals(77, PeerCodec.handedRevision(PeerCodec.handOver(41, 77)));
     }
 
     /** What controllers say of cancellations: passed over by who does not know it; what is malformed proves nothing. */
     @Test
     void wordsOnCancellations() throws MalformedException {
-        String news = "{'token':41,'leader':'berth-1','stateServed':true,'silentUs':1200,'first':true,'jobs':[],'revision':7}";
+        String news =
+                "{'token':41,'leader':'berth-1','stateServed':true,'silentUs':1200,'first':true,'jobs':[],'revision':7}";
         assertEquals(7, PeerCodec.news(json(news)).revision());
-        assertEquals(news, new String(PeerCodec.news(PeerCodec.news(json(news))), StandardCharsets.UTF_8).replace('"', '\''));
+        assertEquals(
+                news,
+                new String(PeerCodec.news(PeerCodec.news(json(news))), StandardCharsets.UTF_8).replace('"', '\''));
         Testimony word = new Testimony("berth-2", 5_000_000, true, List.of(new Testimony.Cancelled("wk-1", 44)));
         PeerCodec.Answer answer = new PeerCodec.Answer(41, -1, 3, true, null).with(word);
         String told = new String(PeerCodec.answer(answer), StandardCharsets.UTF_8).replace('"', '\'');
-        assertEquals("{'token':41,'strayedUs':-1,'layout':3,'served':true,"
-                + "'testimony':{'by':'berth-2','livedUs':5000000,'whole':true,'cancelled':[['wk-1',44]]}}", told);
+        assertEquals(
+                "{'token':41,'strayedUs':-1,'layout':3,'served':true,"
+                        + "'testimony':{'by':'berth-2','livedUs':5000000,'whole':true,'cancelled':[['wk-1',44]]}}",
+                told);
         assertEquals(answer, PeerCodec.answer(json(told)));
-        for (String part : List.of("'by':'berth-2',", "'livedUs':5000000,", "'whole':true,", ",'cancelled':[['wk-1',44]]")) {
+        for (String part :
+                List.of("'by':'berth-2',", "'livedUs':5000000,", "'whole':true,", ",'cancelled':[['wk-1',44]]")) {
             assertThrows(MalformedException.class, () -> PeerCodec.answer(json(told.replace(part, ""))), part);
         }
         for (String instead : List.of("7", "['wk-1']", "['wk-1',0]", "['job 1',44]", "[44,'wk-1']", "['wk-1','44']")) {
-            assertThrows(MalformedException.class, () -> PeerCodec.answer(json(told.replace("['wk-1',44]", instead))), instead);
-            assertThrows(MalformedException.class, () -> PeerCodec.withdrawn(json("{'cancelled':[" + instead + "]}")), instead);
+            assertThrows(
+                    MalformedException.class,
+                    () -> PeerCodec.answer(json(told.replace("['wk-1',44]", instead))),
+                    instead);
+            assertThrows(
+                    MalformedException.class,
+                    () -> PeerCodec.withdrawn(json("{'cancelled':[" + instead + "]}")),
+                    instead);
         }
         PeerCodec.Withdrawn push = new PeerCodec.Withdrawn(word.cancelled());
         assertEquals(push, PeerCodec.withdrawn(PeerCodec.withdrawn(push)));
@@ -155,14 +228,17 @@
      * row beside the jobs for {@code state}.
      */
     @ParameterizedTest
-    @CsvSource(delimiter = '|', quoteCharacter = '`', value = {
-        "job/wk-1|{'state':'DONE','tasks':16,'submitted':5,'ended':9}",
-        "job/wk-1|{'state':'CANCELLED','tasks':16,'submitted':5}",
-        "job/layout|{'layout':2,'pageTasks':2048}",
-        "job/wk-3/needs/1|{'awaits':['wk-1','wk-2']}",
-        "ledger/wk-1|{'fleet':['i-/6/231+29,2'],'gang':0,'done':'0-5'}",
-        "ledger/wk-1|{'fleet':[],'gang':0,'done':''}",
-    })
+    @CsvSource(
+            delimiter = '|',
+            quoteCharacter = '`',
+            value = {
+                "job/wk-1|{'state':'DONE','tasks':16,'submitted':5,'ended':9}",
+                "job/wk-1|{'state':'CANCELLED','tasks':16,'submitted':5}",
+                "job/layout|{'layout':2,'pageTasks':2048}",
+                "job/wk-3/needs/1|{'awaits':['wk-1','wk-2']}",
+                "ledger/wk-1|{'fleet':['i-/6/231+29,2'],'gang':0,'done':'0-5'}",
+                "ledger/wk-1|{'fleet':[],'gang':0,'done':''}",
+            })
     void rowsOfThisVersion(String key, String data) throws MalformedException {
         rowsOfProduction(key, data);
     }
@@ -171,7 +247,8 @@
     @ParameterizedTest
     @CsvSource({"16, 2048", "32, 4096", "2, 256", "64, 8192"})
     void pagesHoldAsManyTasksAsInProduction(String valueKb, int tasks) throws IOException, MalformedException {
-        Settings settings = SettingsReader.parse(SettingsTest.good().replace("value_kb = 16.0", "value_kb = " + valueKb));
+        Settings settings =
+                SettingsReader.parse(SettingsTest.good().replace("value_kb = 16.0", "value_kb = " + valueKb));
         assertEquals(tasks, settings.pageTasks());
     }
 }
