micatide scale: real controllers beside hollow workers on loopback

Need: what control costs at 2,800 workers was known only from simulated machines. The command is looked at only when it is asked for, so a service's start loads none of it.

--- a/src/main/java/io/micatide/cli/Main.java
+++ b/src/main/java/io/micatide/cli/Main.java
@@ -46,7 +46,20 @@
 
     public static void main(String[] args) {
         configureLogging(System.getenv("LOG_LEVEL"));
-        System.exit(new CommandLine(new Main()).execute(args));
+        System.exit(commandLine(args).execute(args));
+    }
+
+    /** A service's start loads and inspects every class named here, so what measures from outside is added only when it is asked for. */
+    private static CommandLine commandLine(String[] args) {
+        CommandLine commandLine = new CommandLine(new Main());
+        if (args.length > 0 && args[0].equals("scale")) {
+            commandLine.addSubcommand(new ScaleCommand());
+            commandLine.setParameterExceptionHandler((wrong, given) -> {
+                System.err.println(wrong.getMessage());
+                return EXIT_SETTINGS;
+            });
+        }
+        return commandLine;
     }
 
     private static void configureLogging(String level) {
--- a/src/main/java/io/micatide/rehearsal/CloudStandIn.java
+++ b/src/main/java/io/micatide/rehearsal/CloudStandIn.java
@@ -124,10 +124,27 @@
         request.answer(200, CloudSide.rented(names));
     }
 
-    private String start(MachineType type, String zone, boolean spot) {
+    /**
+     * A machine that is up from the beginning and that nobody rented, as a rehearsal at its full size starts with.
+     *
+     * @param spot whether the cloud may take it back
+     */
+    public void standing(MachineType type, String zone, boolean spot) {
+        Rented machine = add(type, zone, spot);
+        booted.put(machine.name(), true);
+        up.accept(machine);
+    }
+
+    private Rented add(MachineType type, String zone, boolean spot) {
         String name = String.format("i-%06d", ++lastMachine);
         Rented machine = new Rented(name, type, zone, spot, loop.now());
         machines.put(name, machine);
+        return machine;
+    }
+
+    private String start(MachineType type, String zone, boolean spot) {
+        Rented machine = add(type, zone, spot);
+        String name = machine.name();
         loop.later(
                 () -> {
                     if (machines.containsKey(name)) {
--- a/src/main/java/io/micatide/rehearsal/Deployment.java
+++ b/src/main/java/io/micatide/rehearsal/Deployment.java
@@ -190,6 +190,11 @@
         names.forEach(cloud::delete);
     }
 
+    /** A machine that is up already and that nobody rented. */
+    public void standing(MachineType type, String zone) {
+        cloud.standing(type, zone, false);
+    }
+
     /** How many machines the cloud has from now on; those that are rented stay. */
     public void capacity(int machines) {
         cloud.capacity(machines);
@@ -506,6 +511,11 @@
         return body;
     }
 
+    /** A user's description of a job on the wire, as workers obtain it. */
+    public void uploaded(String id, byte[] body) {
+        described.put(id, body);
+    }
+
     /** The job as workers know it. */
     public JobSpec described(String id) {
         return spec(id);
--- a/src/main/java/io/micatide/rehearsal/RuleChecker.java
+++ b/src/main/java/io/micatide/rehearsal/RuleChecker.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 /**
@@ -74,11 +75,14 @@
     /** What holds a part of a machine: fetching, waiting, running, stopping; hung and cut off as well. */
     private record Held(JobSpec spec, CloudStandIn.Rented machine) {}
 
-    private final VirtualTime time;
+    private final LongSupplier clock;
     private final long cancelMicros;
     private long calmMicros = NEVER;
     private final Map<String, Job> jobs = new HashMap<>();
     private final Map<String, Run> running = new HashMap<>();
+    /** The tasks that are running, by job: a start is checked against its own job's others only. */
+    private final Map<String, Set<String>> runningOf = new HashMap<>();
+
     private final List<String> broken = new ArrayList<>();
     private int starts;
     private int startsAfterCancellation;
@@ -86,17 +90,29 @@
     /** By task, attempt and machine. */
     private final Map<String, Held> held = new LinkedHashMap<>();
 
+    /** The tasks that hold a part of a machine, by job, with how many attempts of each do. */
+    private final Map<String, Map<String, Integer>> heldOf = new HashMap<>();
+
+    private final Map<String, Resources> taken = new HashMap<>();
     private final Map<String, Resources> used = new HashMap<>();
     private Supplier<Collection<CloudStandIn.Rented>> machines = List::of;
 
     /** @param cancelMicros how long tasks of a cancelled job may be on machines */
     public RuleChecker(VirtualTime time, long cancelMicros) {
-        this(time, cancelMicros, Map.of());
+        this(time::now, cancelMicros, Map.of());
     }
 
     /** @param teams the limits that are held, by name */
     public RuleChecker(VirtualTime time, long cancelMicros, Map<String, Team> teams) {
-        this.time = time;
+        this(time::now, cancelMicros, teams);
+    }
+
+    /**
+     * @param clock steady, in microseconds; never before the first thing that is told of
+     * @param teams the limits that are held, by name
+     */
+    public RuleChecker(LongSupplier clock, long cancelMicros, Map<String, Team> teams) {
+        this.clock = clock;
         this.cancelMicros = cancelMicros;
         this.teams = teams;
     }
@@ -122,19 +138,15 @@
 
     /** How many tasks of a job are on machines now. */
     public int running(String job) {
-        return (int) running.keySet().stream()
-                .filter(task -> task.startsWith(job + "/"))
-                .count();
+        return runningOf.getOrDefault(job, Set.of()).size();
     }
 
     /** Machines on which tasks of a job are now. */
     public Set<String> machinesOf(String job) {
         Set<String> names = new TreeSet<>();
-        running.forEach((task, run) -> {
-            if (jobOf(task).equals(job)) {
-                names.add(run.machine());
-            }
-        });
+        runningOf
+                .getOrDefault(job, Set.of())
+                .forEach(task -> names.add(running.get(task).machine()));
         return names;
     }
 
@@ -143,7 +155,7 @@
     }
 
     private void broke(String rule, String what) {
-        broken.add(String.format("%s %s at %.3f s", rule, what, time.now() / 1e6));
+        broken.add(String.format("%s %s at %.3f s", rule, what, clock.getAsLong() / 1e6));
     }
 
     // ---- machines
@@ -161,6 +173,8 @@
         if (held.put(key(task, attempt, machine.name()), new Held(spec, machine)) != null) {
             return;
         }
+        heldOf.computeIfAbsent(spec.id(), k -> new HashMap<>()).merge(task, 1, Integer::sum);
+        taken.merge(machine.name(), spec.each(), Resources::plus);
         Resources all = used.merge(spec.team(), spec.each(), Resources::plus);
         Team team = teams.get(spec.team());
         if (team != null && !team.allows(all)) {
@@ -172,7 +186,10 @@
     public void released(String task, long attempt, CloudStandIn.Rented machine) {
         Held gone = held.remove(key(task, attempt, machine.name()));
         if (gone != null) {
-            used.merge(gone.spec().team(), Resources.NONE.minus(gone.spec().each()), Resources::plus);
+            Resources freed = Resources.NONE.minus(gone.spec().each());
+            used.merge(gone.spec().team(), freed, Resources::plus);
+            taken.merge(machine.name(), freed, Resources::plus);
+            heldOf.get(gone.spec().id()).computeIfPresent(task, (name, attempts) -> attempts > 1 ? attempts - 1 : null);
         }
     }
 
@@ -191,14 +208,12 @@
         }
         int together = 0;
         boolean apart = false;
-        for (Map.Entry<String, Run> other : running.entrySet()) {
-            if (jobOf(other.getKey()).equals(spec.id())) {
-                Run run = other.getValue();
-                Held at = held.get(key(other.getKey(), run.attempt(), run.machine()));
-                boolean same = at != null && at.machine().zone().equals(there.zone());
-                together += same ? 1 : 0;
-                apart |= at != null && !same;
-            }
+        for (String other : runningOf.getOrDefault(spec.id(), Set.of())) {
+            Run run = running.get(other);
+            Held at = held.get(key(other, run.attempt(), run.machine()));
+            boolean same = at != null && at.machine().zone().equals(there.zone());
+            together += same ? 1 : 0;
+            apart |= at != null && !same;
         }
         if (spec.oneZone() && apart) {
             broke("wrong_place", task + " in " + there.zone() + " apart from its job");
@@ -212,6 +227,7 @@
     public void started(String task, long attempt, String machine) {
         starts++;
         Run other = running.put(task, new Run(machine, attempt));
+        runningOf.computeIfAbsent(jobOf(task), k -> new HashSet<>()).add(task);
         if (other != null) {
             broke("ran_twice", task + " on " + other.machine() + " and " + machine);
         }
@@ -221,8 +237,8 @@
             broke("invented", task);
             return;
         }
-        startsAfterCancellation += time.now() > job.cancelledMicros ? 1 : 0;
-        if (time.now() > job.cancelledMicros + cancelMicros) {
+        startsAfterCancellation += clock.getAsLong() > job.cancelledMicros ? 1 : 0;
+        if (clock.getAsLong() > job.cancelledMicros + cancelMicros) {
             broke("ran_cancelled", task + " starts");
         }
     }
@@ -231,6 +247,7 @@
     public void over(String task, long attempt, String machine, ExitCause cause) {
         if (running.getOrDefault(task, new Run("", 0)).equals(new Run(machine, attempt))) {
             running.remove(task);
+            runningOf.get(jobOf(task)).remove(task);
         }
         if (cause == ExitCause.DONE) {
             jobs.get(jobOf(task)).finished.add(Integer.parseInt(task.substring(task.indexOf('/') + 1)));
@@ -239,7 +256,7 @@
 
     /** All troubles are over: from now on every job that was accepted has to be answered about. */
     public void calm() {
-        calmMicros = time.now();
+        calmMicros = clock.getAsLong();
     }
 
     /** To be called often: what should be gone by now, and who has waited for too long for an answer? */
@@ -247,7 +264,7 @@
         jobs.forEach((id, job) -> {
             if (job.told != Told.NOTHING
                     && !job.forgotten
-                    && time.now() > Math.max(calmMicros, job.waitsMicros) + UNANSWERED_MICROS) {
+                    && clock.getAsLong() > Math.max(calmMicros, job.waitsMicros) + UNANSWERED_MICROS) {
                 broke("forgotten", id + " has been asked for in vain");
                 job.forgotten = true;
             }
@@ -255,7 +272,7 @@
         });
         for (String task : running.keySet()) {
             Job job = jobs.get(jobOf(task));
-            if (job != null && !job.late && time.now() > job.cancelledMicros + cancelMicros) {
+            if (job != null && !job.late && clock.getAsLong() > job.cancelledMicros + cancelMicros) {
                 broke("ran_cancelled", task + " is still there");
                 job.late = true;
             }
@@ -271,18 +288,13 @@
                 || job.waitedTooLong
                 || job.told != Told.ACCEPTED
                 || job.cancelAsked
-                || time.now() <= calmMicros) {
+                || clock.getAsLong() <= calmMicros) {
             return;
         }
-        Set<String> there = new HashSet<>();
-        held.forEach((key, each) -> {
-            if (each.spec().id().equals(id)) {
-                there.add(key.substring(0, key.indexOf('@')));
-            }
-        });
+        Set<String> there = heldOf.getOrDefault(id, Map.of()).keySet();
         boolean waits = there.size() + job.finished.size() < job.tasks && fitsSomewhere(job.spec);
-        job.besideRoomMicros = waits ? Math.min(job.besideRoomMicros, time.now()) : NEVER;
-        if (time.now() - job.besideRoomMicros > BESIDE_ROOM_MICROS) {
+        job.besideRoomMicros = waits ? Math.min(job.besideRoomMicros, clock.getAsLong()) : NEVER;
+        if (clock.getAsLong() - job.besideRoomMicros > BESIDE_ROOM_MICROS) {
             broke(
                     "waits_beside_room",
                     id + " with " + there.size() + " of " + job.tasks + " on machines, " + job.finished.size()
@@ -297,9 +309,6 @@
                 && !team.allows(used.getOrDefault(spec.team(), Resources.NONE).plus(spec.each()))) {
             return false;
         }
-        Map<String, Resources> taken = new HashMap<>();
-        held.values()
-                .forEach(each -> taken.merge(each.machine().name(), each.spec().each(), Resources::plus));
         return machines.get().stream()
                 .anyMatch(machine -> spec.allowsMachine(machine.type().name(), machine.zone(), machine.spot())
                         && spec.each()
@@ -328,7 +337,7 @@
     /** Its user asks how it stands. */
     public void asks(String id) {
         Job job = jobs.get(id);
-        job.waitsMicros = Math.min(job.waitsMicros, time.now());
+        job.waitsMicros = Math.min(job.waitsMicros, clock.getAsLong());
     }
 
     public void cancels(String id) {
@@ -378,12 +387,12 @@
             broke("not_done", id + " with " + job.finished.size() + " of " + job.tasks);
         }
         if (now == Told.CANCELLED && job.told != Told.CANCELLED) {
-            job.cancelledMicros = time.now();
+            job.cancelledMicros = clock.getAsLong();
         }
         if (!job.isOver() && now != Told.ACCEPTED) {
-            job.overMicros = time.now();
+            job.overMicros = clock.getAsLong();
         }
-        job.toldMicros = job.told == Told.NOTHING ? time.now() : job.toldMicros;
+        job.toldMicros = job.told == Told.NOTHING ? clock.getAsLong() : job.toldMicros;
         job.told = now;
     }
 }
--- a/src/main/java/io/micatide/rehearsal/WorkerStandIn.java
+++ b/src/main/java/io/micatide/rehearsal/WorkerStandIn.java
@@ -37,6 +37,9 @@
 
         /** It holds nothing any more, whether it ever was on its machine or not. */
         default void released(String task, long attempt, CloudStandIn.Rented machine) {}
+
+        /** Nobody answered a machine's reports for its lease: all that was on it is killed. */
+        default void leaseEnded(CloudStandIn.Rented machine) {}
     }
 
     /** How long a task runs. */
@@ -63,6 +66,7 @@
     private long highestToken;
     private long answeredSent;
     private long sentMicros;
+    private String address;
     private int at;
     private boolean reporting;
     private boolean due;
@@ -117,6 +121,7 @@
         this.described = described;
         this.gangs = gangs;
         this.witness = witness;
+        this.address = machine.name() + ":9000";
         this.at = Math.floorMod(machine.name().hashCode(), labels.size());
     }
 
@@ -158,6 +163,7 @@
     /** If it is over: a machine that hangs finds that before it does anything else, so others may call this while it does. */
     public void endLease(long now) {
         if (!deleted && now - answeredSent > settings.leaseMicros()) {
+            witness.leaseEnded(machine);
             kill();
             session++;
             answeredSent = now;
@@ -170,6 +176,11 @@
         runTime = time;
     }
 
+    /** Where it takes commands directly, as host and port; by default a name that only virtual time knows. */
+    public void reachedAt(String endpoint) {
+        address = endpoint;
+    }
+
     // ---- reports
 
     private void tick() {
@@ -226,7 +237,7 @@
         }
         return new MachineReport(
                 machine.name(),
-                machine.name() + ":9000",
+                address,
                 machine.type().name(),
                 machine.zone(),
                 machine.spot(),
@@ -249,8 +260,14 @@
         String other = reply.status() == 421 ? WorkerSide.steward(reply.body()) : null;
         int next = other == null ? -1 : labels.indexOf(other);
         boolean named = next >= 0 && next != at;
+        Http left = controllers.get(labels.get(at));
         at = named ? next : (at + 1) % labels.size();
-        loop.later(this::report, named ? 100 * Micros.MILLISECOND : ELSEWHERE_MICROS);
+        loop.later(
+                () -> {
+                    left.close();
+                    report();
+                },
+                named ? 100 * Micros.MILLISECOND : ELSEWHERE_MICROS);
     }
 
     private void execute(Reply reply, long sent, long ofSession) {
--- a/src/main/java/io/micatide/wire/JobCodec.java
+++ b/src/main/java/io/micatide/wire/JobCodec.java
@@ -29,6 +29,10 @@
         Standing(String word) {
             this.word = word;
         }
+
+        String word() {
+            return word;
+        }
     }
 
     private JobCodec() {}
