--- /dev/null
+++ b/src/main/java/io/micatide/core/Blocked.java
@@ -0,0 +1,86 @@
+package io.micatide.core;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What was found not to fit during one plan, so that jobs that ask for the same are not looked at again until it could matter. Room only
+ * shrinks while a plan places; where it grows, all of this is forgotten.
+ */
+final class Blocked {
+    /**
+     * Gangs for which the same room counts.
+     *
+     * @param priority null where nothing is displaced: then the team does not matter either
+     * @param team null likewise
+     */
+    private record GangShape(JobShape shape, Priority priority, String team) {
+        static GangShape of(Job job, boolean preempts) {
+            JobShape shape = JobShape.of(job.spec);
+            return preempts ? new GangShape(shape, job.priority(), job.spec.team()) : new GangShape(shape, null, null);
+        }
+    }
+
+    /** Arrays that may displace the same work. */
+    private record Displacer(JobShape shape, Priority priority, String team, boolean guaranteed) {
+        static Displacer of(Planner.Queued queued) {
+            Job job = queued.job();
+            return new Displacer(JobShape.of(job.spec), job.priority(), job.spec.team(), queued.guaranteed());
+        }
+    }
+
+    private final Set<JobShape> full = new HashSet<>();
+    private final Set<Displacer> findNothing = new HashSet<>();
+    private final Map<GangShape, Map<String, Long>> roomPerZone = new HashMap<>();
+
+    /** A plan begins. */
+    void clear() {
+        roomFreed();
+    }
+
+    /** Something left a machine. */
+    void roomFreed() {
+        full.clear();
+        findNothing.clear();
+        roomPerZone.clear();
+    }
+
+    /** Something was placed or stopped: a team may use more than its guarantee now, and yield. */
+    void useChanged() {
+        findNothing.clear();
+    }
+
+    /** No machine that arrays of this shape may use has free room for a task. */
+    void full(JobShape shape) {
+        full.add(shape);
+    }
+
+    boolean isFull(JobShape shape) {
+        return full.contains(shape);
+    }
+
+    /** An array like this one found nothing to displace. */
+    void findsNothing(Planner.Queued queued) {
+        findNothing.add(Displacer.of(queued));
+    }
+
+    boolean findNothing(Planner.Queued queued) {
+        return findNothing.contains(Displacer.of(queued));
+    }
+
+    /**
+     * How many tasks of a gang like this one fit into each zone.
+     *
+     * @param preempts whether what could be displaced is counted
+     */
+    void room(Job job, boolean preempts, Map<String, Long> perZone) {
+        roomPerZone.put(GangShape.of(job, preempts), perZone);
+    }
+
+    /** The same, as it was when it was told: there is no more now. Null if it was not told since room grew. */
+    Map<String, Long> room(Job job, boolean preempts) {
+        return roomPerZone.get(GangShape.of(job, preempts));
+    }
+}
--- a/src/main/java/io/micatide/core/Fleet.java
+++ b/src/main/java/io/micatide/core/Fleet.java
@@ -9,6 +9,8 @@
 /** All machines that are known of, and the machine types. */
 final class Fleet {
     private final Map<String, Machine> machines = new LinkedHashMap<>();
+    private final RoomIndex roomIndex = new RoomIndex(machines.values());
+    private long lastNumber;
     private Map<String, MachineType> types = new LinkedHashMap<>();
     /** Machines whose deletion was answered: nothing can be on them, whatever a lagging list says. */
     private final Map<String, Long> gone = new HashMap<>();
@@ -22,7 +24,12 @@
     }
 
     Machine obtain(String name, long nowMicros) {
-        return machines.computeIfAbsent(name, k -> new Machine(k, nowMicros));
+        return machines.computeIfAbsent(name, k -> new Machine(k, nowMicros, ++lastNumber, roomIndex));
+    }
+
+    /** Which of the machines have room for what. */
+    RoomIndex roomIndex() {
+        return roomIndex;
     }
 
     boolean isGone(String name) {
@@ -36,7 +43,10 @@
 
     void markGone(String name, long nowMicros) {
         gone.put(name, nowMicros);
-        machines.remove(name);
+        Machine machine = machines.remove(name);
+        if (machine != null) {
+            machine.forgotten();
+        }
         gone.values().removeIf(since -> nowMicros - since > 600 * Micros.SECOND);
     }
 
--- a/src/main/java/io/micatide/core/Job.java
+++ b/src/main/java/io/micatide/core/Job.java
@@ -108,8 +108,13 @@
     }
 
     void demand(boolean byOthers, Priority others, long byMicros) {
+        Priority before = priority;
         needed = byOthers;
         priority = others.above(spec.priority()) ? others : spec.priority();
+        if (priority != before) {
+            // What its tasks take may be freed for others now, or not any more.
+            live.values().forEach(attempts -> attempts.forEach(attempt -> attempt.machine.roomChanged()));
+        }
         neededByMicros = byMicros;
     }
 
--- a/src/main/java/io/micatide/core/Machine.java
+++ b/src/main/java/io/micatide/core/Machine.java
@@ -10,6 +10,10 @@
 /** What is known of one machine. */
 final class Machine {
     final String name;
+    /** Rises with each machine that becomes known. */
+    final long number;
+
+    private RoomIndex index;
     String address;
     String type;
     String zone;
@@ -59,13 +63,38 @@
 
     final List<Placement> placements = new ArrayList<>();
     Resources used = Resources.NONE;
+    /** Of that, the processors of replicas, in thousandths. */
+    private long replicaCpus;
+
     private Resources room = Resources.NONE;
     /** Images by last use, oldest first, with their size. */
     final Map<String, Double> images = new LinkedHashMap<>(8, 0.75f, true);
 
     Machine(String name, long nowMicros) {
+        this(name, nowMicros, 0, null);
+    }
+
+    /** @param index is told of what changes its room; null for none */
+    Machine(String name, long nowMicros, long number, RoomIndex index) {
         this.name = name;
         this.knownSinceMicros = nowMicros;
+        this.number = number;
+        this.index = index;
+    }
+
+    /** What counts as room on it, or could be freed, has changed. */
+    void roomChanged() {
+        if (index != null) {
+            index.changed(this);
+        }
+    }
+
+    /** It is not known any more; what still happens to it concerns nobody. */
+    void forgotten() {
+        if (index != null) {
+            index.removed(this);
+            index = null;
+        }
     }
 
     Resources room() {
@@ -85,6 +114,7 @@
     private void use(Resources newUse) {
         used = newUse;
         room = size == null ? Resources.NONE : size.minus(used);
+        roomChanged();
     }
 
     boolean responsive(long nowMicros, Settings settings) {
@@ -110,15 +140,27 @@
     void add(Placement placement) {
         placements.add(placement);
         use(used.plus(placement.job.spec.each()));
+        replicaCpus += replicaCpus(placement);
         idleSinceMicros = -1;
     }
 
     void remove(Placement placement) {
         if (placements.remove(placement)) {
             use(used.minus(placement.job.spec.each()));
+            replicaCpus -= replicaCpus(placement);
         }
     }
 
+    private static long replicaCpus(Placement placement) {
+        JobSpec spec = placement.job.spec;
+        return spec.kind() == JobKind.SERVICE ? spec.each().cpus() : 0;
+    }
+
+    /** Processors, in thousandths, that replicas leave to work that ends; only where the size is known. */
+    long cpusBesideReplicas() {
+        return size.cpus() - replicaCpus;
+    }
+
     void touchImage(String image, double gb, double cacheGb) {
         images.put(image, gb);
         double total = 0;
--- a/src/main/java/io/micatide/core/Planner.java
+++ b/src/main/java/io/micatide/core/Planner.java
@@ -3,15 +3,17 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * What runs where. The rule is the design's: a fitting machine that has the image, else the fitting one with most
  * room. Around it stand priorities, guarantees, limits, preemption, and which kind of machine suits which job.
  */
-final class Planner {
+class Planner {
     /** An image that takes longer than this to fetch is worth stopping other work for. */
     private static final long LONG_FETCH_MICROS = 1_500 * Micros.MILLISECOND;
 
@@ -56,6 +58,13 @@
     private int displacedByReplicas;
     private int displacedByGuarantees;
     private Map<String, Resources> unknown = Map.of();
+    private final Blocked blocked = new Blocked();
+    /** Machines that arrays may fill in this plan: they had room for some waiting task when it began. */
+    private final Set<Machine> open = new HashSet<>();
+    /** Machines that something was placed on since an array had its turn and that have no such room left. */
+    private final Set<Machine> filled = new HashSet<>();
+
+    private long looks;
 
     Planner(Scheduler scheduler, Settings settings, Fleet fleet, JobBook book, RunTimes runTimes) {
         this.scheduler = scheduler;
@@ -194,12 +203,7 @@
                     && machine.noticeAtMicros < 0
                     && machine.slowUntilMicros < nowMicros
                     && machine.responsive(nowMicros, settings)) {
-                cpus += machine.size().cpus();
-                for (Placement placement : machine.placements) {
-                    if (placement.job.spec.kind() == JobKind.SERVICE) {
-                        cpus -= placement.job.spec.each().cpus();
-                    }
-                }
+                cpus += machine.cpusBesideReplicas();
             }
         }
         return cpus;
@@ -251,25 +255,40 @@
             least = least.least(queued.job().spec.each());
         }
         mostTogether = Math.max(FEWEST_TOGETHER, (int) (MOST_TOGETHER_SHARE * replicas()));
-        List<Machine> usable = new ArrayList<>();
-        for (Machine machine : fleet.machines()) {
-            if (machine.usable(nowMicros, settings)) {
-                usable.add(machine);
-            }
-        }
-        List<Machine> open = new ArrayList<>();
-        for (Machine machine : usable) {
-            if (least.fitsIn(machine.room())) {
-                open.add(machine);
-            }
-        }
+        blocked.clear();
+        open.clear();
+        filled.clear();
+        open.addAll(usable(RoomDemand.free(least), nowMicros));
         for (Queued queued : order) {
             if (startable(queued.job(), nowMicros)) {
-                placeJob(queued, usable, open, nowMicros);
+                placeJob(queued, nowMicros);
             }
         }
     }
 
+    /** Machines looked at so far, here and in the index. */
+    long looks() {
+        return looks + fleet.roomIndex().looks();
+    }
+
+    /** A task was placed on the machine. */
+    void placed(Machine machine) {
+        if (!least.fitsIn(machine.room())) {
+            filled.add(machine);
+        }
+        blocked.useChanged();
+    }
+
+    /** Tasks were taken from a machine: what did not fit may fit now. */
+    void roomFreed() {
+        blocked.roomFreed();
+    }
+
+    /** Something was placed or stopped: what could not be freed may be free to take now. */
+    void useChanged() {
+        blocked.useChanged();
+    }
+
     /**
      * Work of the lowest priority yields to what would be late otherwise, not to all that waits: hundreds of a guest's tasks
      * of 150 s were once started over for jobs that had time.
@@ -347,15 +366,16 @@
     }
 
     private boolean mayRefill(Job job, Machine machine, long nowMicros) {
+        // Asked of every waiting job at every report, so what tells most apart for the least comes first.
         return job.spec.kind() != JobKind.GANG
+                && job.spec.each().fitsIn(machine.room())
                 && job.placeable() > 0
-                && book.get(job.id()) == job
                 && startable(job, nowMicros)
                 && suits(job, machine, nowMicros)
+                && teamAllows(job)
+                && book.get(job.id()) == job
                 && scheduler.mayName(job, machine, nowMicros)
-                && job.spec.each().fitsIn(machine.room())
-                && zoneAllows(job, machine)
-                && teamAllows(job);
+                && zoneAllows(job, machine);
     }
 
     private boolean teamAllows(Job job) {
@@ -438,7 +458,7 @@
         return result;
     }
 
-    private void placeJob(Queued queued, List<Machine> usable, List<Machine> open, long nowMicros) {
+    private void placeJob(Queued queued, long nowMicros) {
         Job job = queued.job();
         JobSpec spec = job.spec;
         // Room comes free all the time, and what is first in the queue gets it: stopping work of the same priority
@@ -451,30 +471,57 @@
                                 ? spec.priority() != Priority.NORMAL
                                 : isUrgent(queued, nowMicros)));
         if (spec.kind() == JobKind.GANG) {
-            placeGang(job, queued.waiting(), suitable(job, usable, nowMicros), preempts, nowMicros);
+            placeGang(job, queued.waiting(), preempts, nowMicros);
         } else if (spec.kind() == JobKind.SERVICE) {
-            placeReplicas(queued, suitable(job, usable, nowMicros), nowMicros);
+            placeReplicas(queued, nowMicros);
         } else {
-            placeArray(job, open, nowMicros);
+            placeArray(job, nowMicros);
+            closeFilled();
             if (preempts && job.waiting() > 0 && nowMicros >= job.preemptsAgainMicros && othersYield(job)) {
                 job.preemptsAgainMicros = nowMicros + PREEMPT_EVERY_MICROS;
-                preempt(queued, suitable(job, usable, nowMicros), nowMicros);
+                preempt(queued, nowMicros);
             }
         }
     }
 
-    private List<Machine> suitable(Job job, List<Machine> machines, long nowMicros) {
+    /** Machines with that room that the job may use now, in the order in which they became known. */
+    private List<Machine> suitable(Job job, RoomDemand.Source source, long nowMicros) {
+        return namable(job, withRoom(job, source, nowMicros), nowMicros);
+    }
+
+    private List<Machine> namable(Job job, List<Machine> machines, long nowMicros) {
         List<Machine> result = new ArrayList<>();
         for (Machine machine : machines) {
-            if (suits(job, machine, nowMicros) && scheduler.mayName(job, machine, nowMicros)) {
+            if (scheduler.mayName(job, machine, nowMicros)) {
                 result.add(machine);
             }
         }
         return result;
     }
 
-    private void placeReplicas(Queued queued, List<Machine> candidates, long nowMicros) {
+    /** The same, whether its ledger can name them or not. */
+    private List<Machine> withRoom(Job job, RoomDemand.Source source, long nowMicros) {
+        RoomDemand demand = source == RoomDemand.Source.FREE
+                ? RoomDemand.free(job.spec.each())
+                : new RoomDemand(job.spec.each(), source, job.priority());
+        List<Machine> machines = usable(demand, nowMicros);
+        machines.removeIf(machine -> !suits(job, machine, nowMicros));
+        return machines;
+    }
+
+    private List<Machine> usable(RoomDemand demand, long nowMicros) {
+        List<Machine> machines = fleet.roomIndex().machines(demand, nowMicros);
+        looks += machines.size();
+        machines.removeIf(machine -> !machine.usable(nowMicros, settings));
+        return machines;
+    }
+
+    private void placeReplicas(Queued queued, long nowMicros) {
         Job job = queued.job();
+        if (job.placeable() == 0 || !teamAllows(job)) {
+            return;
+        }
+        List<Machine> candidates = suitable(job, RoomDemand.Source.SAME_PRIORITY, nowMicros);
         for (int left = queued.waiting(); left > 0 && job.placeable() > 0 && teamAllows(job); left--) {
             Machine machine = besideReplicas(job, candidates, nowMicros);
             machine = machine != null ? machine : choose(job, candidates, true, nowMicros);
@@ -527,14 +574,15 @@
     }
 
     /** Fills one machine after another: each further one has to fetch the image and to be recorded. */
-    private void placeArray(Job job, List<Machine> open, long nowMicros) {
-        if (open.isEmpty()) {
+    private void placeArray(Job job, long nowMicros) {
+        JobShape shape = JobShape.of(job.spec);
+        if (job.placeable() == 0 || !teamAllows(job) || blocked.isFull(shape)) {
             return;
         }
         List<Machine> ready = new ArrayList<>();
         List<Machine> others = new ArrayList<>();
-        for (Machine machine : open) {
-            if (suits(job, machine, nowMicros)) {
+        for (Machine machine : withRoom(job, RoomDemand.Source.FREE, nowMicros)) {
+            if (open.contains(machine)) {
                 (hasImage(machine, job) ? ready : others).add(machine);
             }
         }
@@ -546,13 +594,25 @@
                     && zoneAllows(job, machine)
                     && scheduler.mayName(job, machine, nowMicros)) {
                 if (job.placeable() == 0 || !teamAllows(job)) {
-                    open.removeIf(each -> !least.fitsIn(each.room()));
                     return;
                 }
                 scheduler.place(job, job.nextWaiting(), machine, nowMicros);
             }
         }
-        open.removeIf(each -> !least.fitsIn(each.room()));
+        if (job.failedMachines.isEmpty()
+                && ready.stream().noneMatch(machine -> job.spec.each().fitsIn(machine.room()))) {
+            blocked.full(shape);
+        }
+    }
+
+    /** What is full when an array has had its turn gets no array in this plan, also if work is displaced there. */
+    private void closeFilled() {
+        for (Machine machine : filled) {
+            if (!least.fitsIn(machine.room())) {
+                open.remove(machine);
+            }
+        }
+        filled.clear();
     }
 
     /** Whether there can be work that a task of this job may displace. */
@@ -573,8 +633,15 @@
      * room that comes free by itself serves most of a job, so a team that waits for its guarantee takes a part at a
      * time: taking all at once lost one start in ten, and some tasks were started fifteen times.
      */
-    private void preempt(Queued queued, List<Machine> candidates, long nowMicros) {
+    private void preempt(Queued queued, long nowMicros) {
         Job job = queued.job();
+        if (blocked.findNothing(queued)) {
+            return;
+        }
+        RoomDemand.Source source =
+                queued.guaranteed() ? RoomDemand.Source.SAME_PRIORITY : RoomDemand.Source.LOWER_PRIORITY;
+        List<Machine> withRoom = withRoom(job, source, nowMicros);
+        List<Machine> candidates = namable(job, withRoom, nowMicros);
         int left = job.waiting();
         if (job.priority() == Priority.NORMAL) {
             long until = job.readyMicros + guaranteePatienceMicros * 3 / 2 - nowMicros;
@@ -588,6 +655,9 @@
                 options.add(new Option(machine, hasImage(machine, job), loss(victims, nowMicros)));
             }
         }
+        if (options.isEmpty() && candidates.size() == withRoom.size() && job.failedMachines.isEmpty()) {
+            blocked.findsNothing(queued);
+        }
         options.sort(Comparator.comparing((Option option) -> !option.image()).thenComparing(Option::loss));
         for (boolean progress = true; progress && left > 0; ) {
             progress = false;
@@ -624,7 +694,7 @@
     }
 
     /** All missing tasks of a gang at once, or none: a part of it would hold its places for nothing. */
-    private void placeGang(Job job, int missing, List<Machine> all, boolean preempts, long nowMicros) {
+    private void placeGang(Job job, int missing, boolean preempts, long nowMicros) {
         JobSpec spec = job.spec;
         Team team = settings.teams().get(spec.team());
         boolean ended = job.gangBroken || job.gangStarted && !job.live.isEmpty();
@@ -636,42 +706,25 @@
                                 .plus(spec.each().times(missing)))) {
             return;
         }
-        Map<String, Long> perZone = new HashMap<>();
-        for (Machine machine : all) {
-            Resources room = machine.room();
-            if (preempts) {
-                for (Placement placement : machine.placements) {
-                    if (!placement.stopping() && yields(placement, job)) {
-                        room = room.plus(placement.job.spec.each());
-                    }
-                }
-            }
-            perZone.merge(machine.zone, spec.each().countIn(room), Long::sum);
+        Map<String, Long> atMost = job.live.isEmpty() ? blocked.room(job, preempts) : null;
+        if (atMost != null && !fits(spec, missing, zoneWithRoom(missing, atMost), atMost)) {
+            return;
+        }
+        RoomDemand.Source source = preempts ? RoomDemand.Source.SAME_PRIORITY : RoomDemand.Source.FREE;
+        List<Machine> withRoom = withRoom(job, source, nowMicros);
+        List<Machine> candidates = namable(job, withRoom, nowMicros);
+        Map<String, Long> perZone = roomPerZone(job, candidates, preempts);
+        if (candidates.size() == withRoom.size() && job.failedMachines.isEmpty()) {
+            blocked.room(job, preempts, perZone);
+        }
+        String zone = job.live.isEmpty()
+                ? zoneWithRoom(missing, perZone)
+                : job.live.values().iterator().next().get(0).machine.zone;
+        if (!fits(spec, missing, zone, perZone)) {
+            return;
         }
-        List<Machine> candidates = all;
         if (spec.oneZone()) {
-            String zone = job.live.isEmpty()
-                    ? null
-                    : job.live.values().iterator().next().get(0).machine.zone;
-            for (Map.Entry<String, Long> entry : perZone.entrySet()) {
-                if (zone == null && entry.getValue() >= missing) {
-                    zone = entry.getKey();
-                }
-            }
-            String chosen = zone;
-            candidates =
-                    all.stream().filter(machine -> machine.zone.equals(chosen)).toList();
-            if (chosen == null || perZone.getOrDefault(chosen, 0L) < missing) {
-                return;
-            }
-        } else {
-            long fits = 0;
-            for (long count : perZone.values()) {
-                fits += Math.min(count, spec.mostInOneZone());
-            }
-            if (fits < missing) {
-                return;
-            }
+            candidates.removeIf(machine -> !machine.zone.equals(zone));
         }
         for (int i = 0; i < missing; i++) {
             int index = job.nextWaiting();
@@ -690,6 +743,45 @@
         }
     }
 
+    /** How many tasks of a gang fit into each zone, with what it could displace where it may. */
+    private Map<String, Long> roomPerZone(Job job, List<Machine> machines, boolean preempts) {
+        Map<String, Long> perZone = new HashMap<>();
+        for (Machine machine : machines) {
+            Resources room = machine.room();
+            if (preempts) {
+                for (Placement placement : machine.placements) {
+                    if (!placement.stopping() && yields(placement, job)) {
+                        room = room.plus(placement.job.spec.each());
+                    }
+                }
+            }
+            perZone.merge(machine.zone, job.spec.each().countIn(room), Long::sum);
+        }
+        return perZone;
+    }
+
+    /** A zone with room for so many, or null. */
+    private static String zoneWithRoom(int count, Map<String, Long> perZone) {
+        for (Map.Entry<String, Long> entry : perZone.entrySet()) {
+            if (entry.getValue() >= count) {
+                return entry.getKey();
+            }
+        }
+        return null;
+    }
+
+    /** @param zone where all of them have to go if they have to be in one */
+    private static boolean fits(JobSpec spec, int missing, String zone, Map<String, Long> perZone) {
+        if (spec.oneZone()) {
+            return zone != null && perZone.getOrDefault(zone, 0L) >= missing;
+        }
+        long fits = 0;
+        for (long count : perZone.values()) {
+            fits += Math.min(count, spec.mostInOneZone());
+        }
+        return fits >= missing;
+    }
+
     private Machine choose(Job job, List<Machine> candidates, boolean preempts, long nowMicros) {
         JobSpec spec = job.spec;
         Machine with = null;
@@ -730,18 +822,26 @@
                 return there;
             }
             if (without == null) {
-                askSavingWork(job, candidates, nowMicros);
+                askSavingWork(job, onlyZone(job, candidates), nowMicros);
             }
         }
         return without;
     }
 
+    /** The zone that all candidates are in since the job has to be in one, or null. */
+    private static String onlyZone(Job job, List<Machine> candidates) {
+        return job.spec.kind() == JobKind.GANG && job.spec.oneZone() ? candidates.get(0).zone : null;
+    }
+
     /** Work that saves needs time to end; its room is taken once it is there. */
-    private void askSavingWork(Job job, List<Machine> candidates, long nowMicros) {
+    private void askSavingWork(Job job, String zone, long nowMicros) {
         if (job.roomComingMicros > nowMicros) {
             return;
         }
-        for (Machine machine : candidates) {
+        for (Machine machine : suitable(job, RoomDemand.Source.SAVING, nowMicros)) {
+            if (zone != null && !zone.equals(machine.zone)) {
+                continue;
+            }
             Resources room = machine.room();
             List<Placement> victims = new ArrayList<>();
             for (Placement placement : machine.placements) {
--- a/src/main/java/io/micatide/core/Renter.java
+++ b/src/main/java/io/micatide/core/Renter.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -207,6 +208,7 @@
      */
     private boolean rentForStarving(long nowMicros) {
         boolean need = false;
+        Map<JobShape, Boolean> served = new HashMap<>();
         for (Planner.Queued queued : planner.order()) {
             Job job = queued.job();
             if (job.spec.kind() == JobKind.ARRAY
@@ -214,7 +216,7 @@
                     && !job.suspect
                     && planner.startable(job, nowMicros)
                     && nowMicros - Math.max(job.readyMicros, job.lastStartMicros) > STARVES_MICROS
-                    && fleet.machines().stream().noneMatch(machine -> mayUse(job, machine, nowMicros))) {
+                    && !served.computeIfAbsent(JobShape.of(job.spec), shape -> anyMayUse(shape, nowMicros))) {
                 int count = planner.allowedMore(job, queued.waiting(), Resources.NONE);
                 if (count > 0) {
                     need = true;
@@ -225,14 +227,23 @@
         return need;
     }
 
-    /** Whether the job could ever run there, full as the machine may be now. */
-    private boolean mayUse(Job job, Machine machine, long nowMicros) {
+    private boolean anyMayUse(JobShape shape, long nowMicros) {
+        for (Machine machine : fleet.machines()) {
+            if (mayUse(shape, machine, nowMicros)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Whether jobs of this shape could ever run there, full as the machine may be now. */
+    private boolean mayUse(JobShape shape, Machine machine, long nowMicros) {
         return machine.size() != null
                 && !machine.deleting
                 && !machine.draining
                 && (machine.usable(nowMicros, settings) || coming(machine, nowMicros) || !machine.confirmed)
-                && job.spec.allowsMachine(machine.type, machine.zone, machine.spot)
-                && job.spec.each().fitsIn(machine.size());
+                && shape.allowsMachine(machine)
+                && shape.each().fitsIn(machine.size());
     }
 
     /** Replicas and gangs want their room now; it is what they take and nothing more. */
@@ -363,15 +374,15 @@
      * machines, spot machines stood idle, and where they had taken all that the cloud has, the gang waited for ever.
      */
     private void returnIdle(long nowMicros, boolean need) {
+        Set<JobShape> waiting = new LinkedHashSet<>();
+        planner.order().forEach(queued -> waiting.add(JobShape.of(queued.job().spec)));
         for (Machine machine : fleet.machines()) {
             if (machine.confirmed
                     && !machine.deleting
                     && machine.placements.isEmpty()
                     && machine.idleSinceMicros >= 0
                     && (nowMicros - machine.idleSinceMicros > tuning.idleMicros() || machine.draining && !need)
-                    && (!need
-                            || planner.order().stream()
-                                    .noneMatch(queued -> mayUse(queued.job(), machine, nowMicros)))) {
+                    && (!need || waiting.stream().noneMatch(shape -> mayUse(shape, machine, nowMicros)))) {
                 machine.deleting = true;
             }
         }
--- /dev/null
+++ b/src/main/java/io/micatide/core/RoomIndex.java
@@ -0,0 +1,166 @@
+package io.micatide.core;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Which machines have room for a task, kept by the events that change it instead of by a walk over all machines.
+ *
+ * <p>Invariant: after {@link #machines} has taken in what changed, the answer holds exactly the machines whose free room, with what the demand
+ * counts beside it, takes one such task. Whether a machine may be used now and suits the job is not known here; the caller asks the few
+ * that are left. What could be freed is an upper bound: a caller that displaces work still chooses victims one by one.
+ *
+ * <p>A demand is tracked from its first question on, with one walk, and forgotten when nobody has asked for it for a while.
+ */
+final class RoomIndex {
+    /** Demands that are tracked at most; with more kinds of tasks the one that was asked for longest ago is walked for anew. */
+    private static final int MOST_DEMANDS = 128;
+
+    private static final long FORGOTTEN_MICROS = 60 * Micros.SECOND;
+
+    private final Collection<Machine> all;
+    private final Map<RoomDemand, Tracked> demands = new HashMap<>();
+    private final Set<Machine> changed = new LinkedHashSet<>();
+    private long looks;
+
+    /** The machines that fit a demand, in the order in which they became known. */
+    private static final class Tracked {
+        final NavigableMap<Long, Machine> fitting = new TreeMap<>();
+        long askedMicros;
+    }
+
+    /** @param all the machines that are known, a live view */
+    RoomIndex(Collection<Machine> all) {
+        this.all = all;
+    }
+
+    /** Something on the machine that counts as room has changed: a placement, a stop, its size or a job's priority. */
+    void changed(Machine machine) {
+        changed.add(machine);
+    }
+
+    void removed(Machine machine) {
+        changed.remove(machine);
+        for (Tracked each : demands.values()) {
+            each.fitting.remove(machine.number);
+        }
+    }
+
+    /** Machines with room for one task, in the order in which they became known; a copy, so that placing may go on. */
+    List<Machine> machines(RoomDemand demand, long nowMicros) {
+        takeIn();
+        Tracked tracked = demands.get(demand);
+        if (tracked == null) {
+            tracked = track(demand, nowMicros);
+        }
+        tracked.askedMicros = nowMicros;
+        assert isExact(demand, tracked) : demand + " differs from a walk over all machines";
+        return new ArrayList<>(tracked.fitting.values());
+    }
+
+    /** How many machines were looked at, to keep the index and in its answers. */
+    long looks() {
+        return looks;
+    }
+
+    private Tracked track(RoomDemand demand, long nowMicros) {
+        demands.values().removeIf(each -> nowMicros - each.askedMicros > FORGOTTEN_MICROS);
+        if (demands.size() >= MOST_DEMANDS) {
+            forgetOldest();
+        }
+        Tracked tracked = new Tracked();
+        for (Machine machine : all) {
+            looks++;
+            if (fits(demand, machine)) {
+                tracked.fitting.put(machine.number, machine);
+            }
+        }
+        demands.put(demand, tracked);
+        return tracked;
+    }
+
+    private void forgetOldest() {
+        RoomDemand oldest = null;
+        for (Map.Entry<RoomDemand, Tracked> entry : demands.entrySet()) {
+            if (oldest == null || entry.getValue().askedMicros < demands.get(oldest).askedMicros) {
+                oldest = entry.getKey();
+            }
+        }
+        demands.remove(oldest);
+    }
+
+    private void takeIn() {
+        for (Iterator<Machine> machines = changed.iterator(); machines.hasNext(); ) {
+            takeIn(machines.next());
+            machines.remove();
+        }
+    }
+
+    private void takeIn(Machine machine) {
+        looks++;
+        Map<RoomDemand.Source, Map<Priority, Resources>> rooms = new EnumMap<>(RoomDemand.Source.class);
+        demands.forEach((demand, tracked) -> {
+            Resources room = rooms.computeIfAbsent(demand.source(), k -> new EnumMap<>(Priority.class))
+                    .computeIfAbsent(demand.priority(), priority -> room(machine, demand.source(), priority));
+            if (machine.size() != null && demand.each().fitsIn(room)) {
+                tracked.fitting.put(machine.number, machine);
+            } else {
+                tracked.fitting.remove(machine.number);
+            }
+        });
+    }
+
+    private static boolean fits(RoomDemand demand, Machine machine) {
+        return machine.size() != null && demand.each().fitsIn(room(machine, demand.source(), demand.priority()));
+    }
+
+    private static Resources room(Machine machine, RoomDemand.Source source, Priority priority) {
+        Resources room = machine.room();
+        if (source == RoomDemand.Source.FREE) {
+            return room;
+        }
+        for (Placement placement : machine.placements) {
+            if (counts(placement, source, priority)) {
+                room = room.plus(placement.job.spec.each());
+            }
+        }
+        return room;
+    }
+
+    private static boolean counts(Placement placement, RoomDemand.Source source, Priority priority) {
+        JobSpec spec = placement.job.spec;
+        boolean lower = priority.above(placement.job.priority());
+        if (source == RoomDemand.Source.SAVING) {
+            return lower && !placement.stopping() && spec.kind() != JobKind.SERVICE;
+        }
+        if (placement.stopping()) {
+            return placement.stopGraceMicros == 0;
+        }
+        if (spec.kind() == JobKind.GANG || spec.checkpointMicros() > 0) {
+            return false;
+        }
+        return lower
+                || source == RoomDemand.Source.SAME_PRIORITY
+                        && spec.kind() == JobKind.ARRAY
+                        && placement.job.priority() == priority;
+    }
+
+    private boolean isExact(RoomDemand demand, Tracked tracked) {
+        List<Machine> walked = new ArrayList<>();
+        for (Machine machine : all) {
+            if (fits(demand, machine)) {
+                walked.add(machine);
+            }
+        }
+        return walked.equals(new ArrayList<>(tracked.fitting.values()));
+    }
+}
--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -58,7 +58,17 @@
     private final List<Ended> ended = new ArrayList<>();
     private final List<String> notices = new ArrayList<>();
 
+    /** How a term's planner is made. */
+    @FunctionalInterface
+    interface PlannerFactory {
+        Planner create(Scheduler scheduler, Settings settings, Fleet fleet, JobBook book, RunTimes runTimes);
+    }
+
     public Scheduler(Settings settings, Tuning tuning, long token, long nowMicros) {
+        this(settings, tuning, token, nowMicros, Planner::new);
+    }
+
+    Scheduler(Settings settings, Tuning tuning, long token, long nowMicros, PlannerFactory planners) {
         this.settings = settings;
         this.token = token;
         this.termStartMicros = nowMicros;
@@ -67,7 +77,7 @@
         this.pipelines = new Pipelines(book, runTimes);
         this.rentals = new Rentals(settings, token);
         this.returns = new Returns(settings, token);
-        this.planner = new Planner(this, settings, fleet, book, runTimes);
+        this.planner = planners.create(this, settings, fleet, book, runTimes);
         this.renter = new Renter(settings, tuning, fleet, rentals, planner, returns);
         this.writeTokens = leaderWriteRate();
         this.mostOps = settings.transactionOps();
@@ -648,12 +658,14 @@
         placement.machine.add(placement);
         placement.job.add(placement);
         teamUse.merge(placement.job.spec.team(), placement.job.spec.each(), Resources::plus);
+        planner.placed(placement.machine);
     }
 
     void remove(Placement placement) {
         placement.machine.remove(placement);
         placement.job.remove(placement);
         teamUse.merge(placement.job.spec.team(), Resources.NONE.minus(placement.job.spec.each()), Resources::plus);
+        planner.roomFreed();
         if (placement.job.live.isEmpty()) {
             placement.job.gangStarted = false;
             placement.job.gangBroken = false;
@@ -664,11 +676,14 @@
     }
 
     void stop(Placement placement, long graceMicros, long nowMicros) {
+        planner.useChanged();
         if (!placement.stopping()) {
             placement.stopSinceMicros = nowMicros;
             placement.stopGraceMicros = graceMicros;
+            placement.machine.roomChanged();
         } else if (graceMicros < placement.stopGraceMicros) {
             placement.stopGraceMicros = graceMicros;
+            placement.machine.roomChanged();
         }
     }
 
@@ -696,6 +711,11 @@
         return book.mayUse(job, machine, nowMicros);
     }
 
+    /** Machines that plans looked at in this term. */
+    long machinesLookedAt() {
+        return planner.looks();
+    }
+
     Resources teamUse(String team) {
         return teamUse.getOrDefault(team, Resources.NONE);
     }
@@ -1179,7 +1199,8 @@
                 + fleet.machines().size() + " confirmed=" + confirmed + " usable=" + usable + " cpus="
                 + used.cpus() / 1000 + "/" + size.cpus() / 1000 + " running=" + running / 1000 + " spot="
                 + spotCpus / 1000 + " booting=" + booting + " replicas=" + replicas + " serving=" + serving
-                + " displaced=" + planner.displaced() + " slow=" + slowFound + " suspect=" + suspect + " full=" + full
+                + " looked=" + planner.looks() + " displaced=" + planner.displaced() + " slow=" + slowFound
+                + " suspect=" + suspect + " full=" + full
                 + " bookings=" + rentals.bookings.size();
     }
 }
--- a/src/main/java/io/micatide/rehearsal/scale/HollowWorkers.java
+++ b/src/main/java/io/micatide/rehearsal/scale/HollowWorkers.java
@@ -26,7 +26,6 @@
  * commands. Used from its loop only.
  */
 final class HollowWorkers {
-    private static final int COMMAND_PORT = 9_000;
     private static final int ADDRESSES_PER_BLOCK = 250;
     private static final int MOST_COMMAND_CONNECTIONS = 20;
     /** A task's time lies between so much less and so much more than its estimate. */
@@ -34,6 +33,7 @@
 
     private final EventLoop eventLoop;
     private final Loop loop;
+    private final int commandPort;
     private final Settings settings;
     private final List<Settings> controllers;
     private final List<Traffic> traffic;
@@ -46,15 +46,18 @@
     private String silentZone;
     private int lastAddress;
 
+    /** @param commandPort where each worker listens for direct commands, at an address of its own */
     HollowWorkers(
             EventLoop eventLoop,
             Loop loop,
+            int commandPort,
             List<Settings> controllers,
             List<Traffic> traffic,
             Function<String, JobSpec> described,
             WorkerStandIn.Witness witness) {
         this.eventLoop = eventLoop;
         this.loop = loop;
+        this.commandPort = commandPort;
         this.settings = controllers.get(0);
         this.controllers = controllers;
         this.traffic = traffic;
@@ -89,7 +92,7 @@
     private String listen(CloudStandIn.Rented machine, WorkerStandIn worker) {
         int number = lastAddress++;
         String endpoint =
-                "127.1." + number / ADDRESSES_PER_BLOCK + "." + (1 + number % ADDRESSES_PER_BLOCK) + ":" + COMMAND_PORT;
+                "127.1." + number / ADDRESSES_PER_BLOCK + "." + (1 + number % ADDRESSES_PER_BLOCK) + ":" + commandPort;
         HttpServer server = new HttpServer(request -> command(machine, worker, request), MOST_COMMAND_CONNECTIONS);
         ChannelFuture bound = server.bind(eventLoop, endpoint);
         listeners.put(machine.name(), bound.channel());
--- a/src/main/java/io/micatide/rehearsal/scale/ScaleRun.java
+++ b/src/main/java/io/micatide/rehearsal/scale/ScaleRun.java
@@ -106,7 +106,7 @@
     ScaleRun(ScalePlan plan, List<String> command) throws IOException, InterruptedException {
         this.plan = plan;
         this.folder = Files.createTempDirectory("micatide-scale");
-        List<Integer> free = FreePorts.find(PORTS_PER_CONTROLLER * plan.controllers());
+        List<Integer> free = FreePorts.find(PORTS_PER_CONTROLLER * plan.controllers() + 1);
         List<ScaleSettings.Ports> ports = new ArrayList<>();
         for (int i = 0; i < plan.controllers(); i++) {
             int at = PORTS_PER_CONTROLLER * i;
@@ -122,14 +122,14 @@
             line.addAll(List.of("--tuning", tuning.toString(), "--config", file.toString()));
             processes.add(new ControllerProcess(line, log(i)));
         }
-        listen(ports);
+        listen(ports, free.get(free.size() - 1));
     }
 
     private File log(int controller) {
         return folder.resolve(ScaleSettings.label(controller) + ".log").toFile();
     }
 
-    private void listen(List<ScaleSettings.Ports> ports) throws InterruptedException {
+    private void listen(List<ScaleSettings.Ports> ports, int commandPort) throws InterruptedException {
         StateStandIn state = new StateStandIn(new NettyLoop(stateLoop), ScaleSettings.STATE);
         MachineType type = ScaleSettings.machineType();
         checker = new RuleChecker(
@@ -145,7 +145,7 @@
                 loop, List.of(type), plan.workers(), machine -> workers.up(machine), machine -> workers.gone(machine));
         onLoop(() -> {
             users = new ScaleUsers(loop, plan, forUsers, checker, (id, body) -> {});
-            workers = new HollowWorkers(eventLoop, loop, settings, traffic, users::described, witness);
+            workers = new HollowWorkers(eventLoop, loop, commandPort, settings, traffic, users::described, witness);
             return null;
         });
         for (int i = 0; i < ports.size(); i++) {
--- /dev/null
+++ b/src/test/java/io/micatide/core/ReferencePlanner.java
@@ -0,0 +1,857 @@
+package io.micatide.core;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The planner before it had an index of room, as it was: each job that waits is looked at with all machines. Kept as the reference that
+ * {@link Planner} is compared with, decision for decision.
+ */
+final class ReferencePlanner extends Planner {
+    /** An image that takes longer than this to fetch is worth stopping other work for. */
+    private static final long LONG_FETCH_MICROS = 1_500 * Micros.MILLISECOND;
+
+    private static final long GUARANTEE_PATIENCE_MICROS = 2_500 * Micros.MILLISECOND;
+    /** How much of an aim's time a team waits for its guarantee by itself before others have to yield. */
+    private static final double GUARANTEE_PATIENCE = 0.5;
+
+    private static final long PREEMPT_EVERY_MICROS = 500 * Micros.MILLISECOND;
+    /**
+     * The share of all replicas that gather on one machine: it may hang. On a fleet of 40 a large machine once took most
+     * of them, and 0.93 were up in the worst 30 s.
+     */
+    private static final double MOST_TOGETHER_SHARE = 0.05;
+
+    private static final int FEWEST_TOGETHER = 2;
+    /** Work that may be lost for a replica that has room elsewhere. */
+    private static final long CHEAP_LOSS_MICROS = 10 * Micros.SECOND;
+    /** An order older than this is not gone by. */
+    private static final long ORDER_MICROS = Micros.SECOND;
+    /** A job whose image is there goes before one that is due so much earlier and has to fetch its own. */
+    private static final long PRECEDENCE_MICROS = 5 * Micros.SECOND;
+
+    private static final Comparator<Machine> LEAST_ROOM = Comparator.comparing((Machine machine) -> !machine.spot)
+            .thenComparing(machine -> machine.room().cpus());
+    private static final Comparator<Machine> MOST_ROOM =
+            Comparator.comparing((Machine machine) -> -machine.room().cpus());
+
+    private final Scheduler scheduler;
+    private final Settings settings;
+    private final Fleet fleet;
+    private final JobBook book;
+    private final RunTimes runTimes;
+    private final long guaranteePatienceMicros;
+    private List<Queued> order = List.of();
+    private long orderMicros = Long.MIN_VALUE / 2;
+    /** The least of each resource that any job in the order asks for. */
+    private Resources least = Resources.NONE;
+    /** Replicas that gather on one machine at most, as of the last plan. */
+    private int mostTogether = FEWEST_TOGETHER;
+
+    private boolean lowestRuns;
+    private int displacedByReplicas;
+    private int displacedByGuarantees;
+    private Map<String, Resources> unknown = Map.of();
+
+    ReferencePlanner(Scheduler scheduler, Settings settings, Fleet fleet, JobBook book, RunTimes runTimes) {
+        super(scheduler, settings, fleet, book, runTimes);
+        this.scheduler = scheduler;
+        this.settings = settings;
+        this.fleet = fleet;
+        this.book = book;
+        this.runTimes = runTimes;
+        long patience = GUARANTEE_PATIENCE_MICROS;
+        for (Settings.Objective objective : settings.objectives()) {
+            if (objective.kind().equals("guarantee") && objective.withinMicros() > 0) {
+                patience = Math.round(objective.withinMicros() * GUARANTEE_PATIENCE);
+            }
+        }
+        this.guaranteePatienceMicros = patience;
+    }
+
+    /** Jobs with waiting tasks in the order in which they get room. */
+    @Override
+    List<Queued> queue(long nowMicros) {
+        Map<String, Resources> asked = new HashMap<>();
+        List<Queued> result = new ArrayList<>();
+        Map<Job, Deadlines.Entry> entries = new HashMap<>();
+        for (Deadlines.Entry entry : decide(nowMicros)) {
+            entries.put(entry.job, entry);
+        }
+        for (Job job : book.jobs()) {
+            if (job.cancelled) {
+                continue;
+            }
+            if (job.suspect) {
+                queueProbe(job, result);
+                continue;
+            }
+            Team team = settings.teams().get(job.spec.team());
+            Resources total = asked.merge(job.spec.team(), job.spec.each().times(job.unfinished()), Resources::plus);
+            boolean guaranteed = team != null && team.cpus() > 0 && team.guarantees(total);
+            int waiting = job.waiting();
+            if (waiting > 0) {
+                Deadlines.Entry entry = entries.get(job);
+                result.add(new Queued(
+                        job,
+                        waiting,
+                        guaranteed,
+                        entry == null || entry.onTime,
+                        entry == null ? job.readyMicros : entry.latestStartMicros()));
+            }
+        }
+        result.sort(Comparator.comparing((Queued q) -> q.job().priority())
+                .thenComparing(q -> q.job().spec.kind() == JobKind.SERVICE ? 0 : 1)
+                .thenComparing(q -> !q.guaranteed())
+                .thenComparing(q -> !q.onTime())
+                .thenComparing(Queued::dueMicros)
+                .thenComparing(q -> q.job().readyMicros));
+        return result;
+    }
+
+    /** A job that fails wherever it is tried holds no guarantee and no place among what can be on time. */
+    private static void queueProbe(Job job, List<Queued> queue) {
+        if (job.placeable() > 0) {
+            queue.add(new Queued(job, job.placeable(), false, false, Long.MAX_VALUE));
+        }
+    }
+
+    /**
+     * What can be on time: first within each team's limit, since room beyond it helps none of the team's jobs, then
+     * with all processors.
+     */
+    private List<Deadlines.Entry> decide(long nowMicros) {
+        double cpus = arrayCpus(nowMicros);
+        Map<String, List<Deadlines.Entry>> perTeam = new LinkedHashMap<>();
+        List<Deadlines.Entry> result = new ArrayList<>();
+        List<Deadlines.Entry> lowest = new ArrayList<>();
+        for (Deadlines.Entry entry : arrays(nowMicros)) {
+            if (entry.job.priority() == Priority.LOW) {
+                // It gets what is left: a large job of a rare class would count for more than many of the others.
+                lowest.add(entry);
+                continue;
+            }
+            perTeam.computeIfAbsent(entry.job.spec.team(), k -> new ArrayList<>())
+                    .add(entry);
+        }
+        List<Deadlines.Entry> possible = new ArrayList<>();
+        perTeam.forEach((name, entries) -> {
+            Team team = settings.teams().get(name);
+            double most = team == null || team.cpusMax() == 0 ? cpus : Math.min(cpus, team.cpusMax());
+            for (Deadlines.Entry entry : Deadlines.decide(entries, most, nowMicros)) {
+                (entry.onTime ? possible : result).add(entry);
+            }
+        });
+        result.addAll(Deadlines.decide(possible, cpus, nowMicros));
+        result.addAll(Deadlines.decide(lowest, cpus, nowMicros));
+        return result;
+    }
+
+    /** What is left of every job that ends. */
+    @Override
+    List<Deadlines.Entry> arrays(long nowMicros) {
+        List<Deadlines.Entry> result = new ArrayList<>();
+        for (Job job : book.jobs()) {
+            if (!job.cancelled && !job.suspect && job.spec.kind() != JobKind.SERVICE && job.unfinished() > 0) {
+                long length = runTimes.expected(job);
+                int waiting = job.waiting();
+                double work = job.spec.each().cpus() * (double) length * (waiting + 0.5 * (job.unfinished() - waiting));
+                long slowest = runTimes.slowest(job);
+                result.add(new Deadlines.Entry(
+                        job, work, slowest, due(job, slowest, nowMicros), weight(job.spec.jobClass())));
+            }
+        }
+        return result;
+    }
+
+    /** Aims are shares of a class: the fewer jobs it has, and the more aims, the more one of them counts. */
+    private double weight(String jobClass) {
+        int aims = 1;
+        for (Settings.Objective objective : settings.objectives()) {
+            aims += jobClass.equals(objective.jobClass()) ? 1 : 0;
+        }
+        return aims / (double) Math.max(1, book.countOf(jobClass));
+    }
+
+    /** Processors, in thousandths, that are there for work that ends. */
+    @Override
+    double arrayCpus(long nowMicros) {
+        double cpus = 0;
+        for (Machine machine : fleet.machines()) {
+            if (machine.size() != null
+                    && !machine.deleting
+                    && !machine.draining
+                    && machine.noticeAtMicros < 0
+                    && machine.slowUntilMicros < nowMicros
+                    && machine.responsive(nowMicros, settings)) {
+                cpus += machine.size().cpus();
+                for (Placement placement : machine.placements) {
+                    if (placement.job.spec.kind() == JobKind.SERVICE) {
+                        cpus -= placement.job.spec.each().cpus();
+                    }
+                }
+            }
+        }
+        return cpus;
+    }
+
+    /** The earliest time at which users expect the job and that it can still reach. */
+    private long due(Job job, long length, long nowMicros) {
+        JobSpec spec = job.spec;
+        long reachable = nowMicros + length;
+        long due = Long.MAX_VALUE;
+        if (spec.deadlineMicros() >= 0 && job.deadlineMicros() >= reachable) {
+            due = job.deadlineMicros();
+        }
+        if (job.neededByMicros >= reachable) {
+            due = Math.min(due, job.neededByMicros);
+        }
+        for (Settings.Objective objective : settings.objectives()) {
+            if (objective.withinMicros() > 0
+                    && objective.kind().equals("finished")
+                    && objective.jobClass().equals(spec.jobClass())) {
+                long candidate = job.readyMicros + objective.withinMicros();
+                if (candidate >= reachable) {
+                    due = Math.min(due, candidate);
+                }
+            }
+        }
+        // Without an aim, or beyond all of them: soon, but after what can still be on time.
+        return due < Long.MAX_VALUE
+                ? due
+                : Math.max(job.readyMicros, nowMicros - 600 * Micros.SECOND) + 900 * Micros.SECOND;
+    }
+
+    @Override
+    boolean startable(Job job, long nowMicros) {
+        return !job.cancelled && job.blockedUntilMicros <= nowMicros && !job.unsettled();
+    }
+
+    /** Places what waits, on all machines. The order that it finds is what {@link #refill} goes by until the next time. */
+    @Override
+    void plan(long nowMicros) {
+        order = queue(nowMicros);
+        orderMicros = nowMicros;
+        unknown = unknownUse();
+        lowestRuns = lowestRuns();
+        if (order.isEmpty()) {
+            least = Resources.NONE;
+            return;
+        }
+        least = order.get(0).job().spec.each();
+        for (Queued queued : order) {
+            least = least.least(queued.job().spec.each());
+        }
+        mostTogether = Math.max(FEWEST_TOGETHER, (int) (MOST_TOGETHER_SHARE * replicas()));
+        List<Machine> usable = new ArrayList<>();
+        for (Machine machine : fleet.machines()) {
+            if (machine.usable(nowMicros, settings)) {
+                usable.add(machine);
+            }
+        }
+        List<Machine> open = new ArrayList<>();
+        for (Machine machine : usable) {
+            if (least.fitsIn(machine.room())) {
+                open.add(machine);
+            }
+        }
+        for (Queued queued : order) {
+            if (startable(queued.job(), nowMicros)) {
+                placeJob(queued, usable, open, nowMicros);
+            }
+        }
+    }
+
+    /**
+     * Work of the lowest priority yields to what would be late otherwise, not to all that waits: hundreds of a guest's tasks
+     * of 150 s were once started over for jobs that had time.
+     */
+    private boolean displacesLowest(Queued queued, long nowMicros) {
+        return lowestRuns && isUrgent(queued, nowMicros);
+    }
+
+    /** It can be on time, but only if it starts about now. */
+    private static boolean isUrgent(Queued queued, long nowMicros) {
+        return queued.onTime() && queued.dueMicros() - nowMicros < PRECEDENCE_MICROS;
+    }
+
+    /** Whether work of the lowest priority runs, which any other may displace. */
+    private boolean lowestRuns() {
+        for (Job job : book.jobs()) {
+            if (job.priority() == Priority.LOW && !job.live.isEmpty()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Attempts that had to yield in this term, for the log. */
+    @Override
+    String displaced() {
+        return displacedByReplicas + "/" + displacedByGuarantees;
+    }
+
+    private int replicas() {
+        int count = 0;
+        for (Job job : book.jobs()) {
+            count += job.spec.kind() == JobKind.SERVICE ? job.live.size() : 0;
+        }
+        return count;
+    }
+
+    /** The jobs with waiting tasks as of the last plan. */
+    @Override
+    List<Queued> order() {
+        return order;
+    }
+
+    /**
+     * Gives the room that came free on one machine to the next in the queue, so that it goes out with the answer to the
+     * report that told of it. Planning for all machines at every report once took more than the whole share of a
+     * core with 373 of them, and the leader lost its lease.
+     */
+    @Override
+    void refill(Machine machine, long nowMicros) {
+        if (nowMicros - orderMicros > ORDER_MICROS || !machine.usable(nowMicros, settings)) {
+            return;
+        }
+        if (order.isEmpty() || !least.fitsIn(machine.room())) {
+            return;
+        }
+        for (Job job = next(machine, nowMicros); job != null; job = next(machine, nowMicros)) {
+            scheduler.place(job, job.nextWaiting(), machine, nowMicros);
+        }
+    }
+
+    /** The job in the order that gets room on this machine, or null. */
+    private Job next(Machine machine, long nowMicros) {
+        Queued first = null;
+        for (Queued queued : order) {
+            if (first != null
+                    && (!first.sameRank(queued) || queued.dueMicros() - first.dueMicros() >= PRECEDENCE_MICROS)) {
+                break;
+            }
+            if (mayRefill(queued.job(), machine, nowMicros)) {
+                first = first == null ? queued : first;
+                if (hasImage(machine, queued.job())) {
+                    return queued.job();
+                }
+            }
+        }
+        return first == null ? null : first.job();
+    }
+
+    private boolean mayRefill(Job job, Machine machine, long nowMicros) {
+        return job.spec.kind() != JobKind.GANG
+                && job.placeable() > 0
+                && book.get(job.id()) == job
+                && startable(job, nowMicros)
+                && suits(job, machine, nowMicros)
+                && scheduler.mayName(job, machine, nowMicros)
+                && job.spec.each().fitsIn(machine.room())
+                && zoneAllows(job, machine)
+                && teamAllows(job);
+    }
+
+    private boolean teamAllows(Job job) {
+        Team team = settings.teams().get(job.spec.team());
+        return team == null
+                || team.allows(scheduler
+                        .teamUse(team.name())
+                        .plus(unknown.getOrDefault(team.name(), Resources.NONE))
+                        .plus(job.spec.each()));
+    }
+
+    /**
+     * How many of so many tasks the team's limit allows beside what it uses and {@code others}; of a gang all or none.
+     */
+    @Override
+    int allowedMore(Job job, int count, Resources others) {
+        Team team = settings.teams().get(job.spec.team());
+        if (team == null) {
+            return count;
+        }
+        Resources each = job.spec.each();
+        Resources there = scheduler
+                .teamUse(team.name())
+                .plus(unknown.getOrDefault(team.name(), Resources.NONE))
+                .plus(others);
+        long most = count;
+        if (team.cpusMax() > 0 && each.cpus() > 0) {
+            most = Math.min(most, Math.max(0, team.cpusMax() - there.cpus()) / each.cpus());
+        }
+        if (team.cardsMax() > 0 && each.cards() > 0) {
+            most = Math.min(most, Math.max(0, team.cardsMax() - there.cards()) / each.cards());
+        }
+        return job.spec.kind() == JobKind.GANG && most < count ? 0 : (int) most;
+    }
+
+    private static boolean suits(Job job, Machine machine, long nowMicros) {
+        JobSpec spec = job.spec;
+        return spec.allowsMachine(machine.type, machine.zone, machine.spot)
+                && !job.failedMachines.contains(machine.name)
+                && (spec.kind() == JobKind.SERVICE || machine.slowUntilMicros < nowMicros);
+    }
+
+    /**
+     * Machines on which tasks that still wait may be placed later. With the ledger naming them before, such a start goes
+     * out with the answer to the report that told of the room, instead of waiting for a round first.
+     */
+    @Override
+    List<String> likely(Job job, int most, long nowMicros) {
+        List<String> names = new ArrayList<>();
+        if (job.spec.kind() == JobKind.ARRAY && job.waiting() > 0 && !job.suspect) {
+            List<Machine> usable = new ArrayList<>();
+            for (Machine machine : fleet.machines()) {
+                if (machine.usable(nowMicros, settings) && suits(job, machine, nowMicros)) {
+                    usable.add(machine);
+                }
+            }
+            if (usable.size() > most) {
+                // A small value cannot name all: those with room, then those that the ledger names already.
+                usable.sort(MOST_ROOM.thenComparing(machine -> !job.recordedMachines.contains(machine.name)));
+            }
+            for (Machine machine : usable.subList(0, Math.min(most, usable.size()))) {
+                names.add(machine.name);
+            }
+        }
+        return names;
+    }
+
+    /** There, or being fetched for another task of the job. */
+    private static boolean hasImage(Machine machine, Job job) {
+        return machine.images.containsKey(job.spec.image()) || job.liveMachines.contains(machine.name);
+    }
+
+    /** Tasks that may still sit on machines which have not reported to this leader count for their team. */
+    private Map<String, Resources> unknownUse() {
+        Map<String, Resources> result = new HashMap<>();
+        for (Job job : book.jobs()) {
+            if (job.unsettled()) {
+                int tasks = job.cancelled ? job.spec.tasks() : job.waiting();
+                result.merge(job.spec.team(), job.spec.each().times(tasks), Resources::plus);
+            }
+        }
+        return result;
+    }
+
+    private void placeJob(Queued queued, List<Machine> usable, List<Machine> open, long nowMicros) {
+        Job job = queued.job();
+        JobSpec spec = job.spec;
+        // Room comes free all the time, and what is first in the queue gets it: stopping work of the same priority
+        // is for a team that has waited for its guarantee.
+        boolean waited = nowMicros - job.readyMicros > guaranteePatienceMicros;
+        boolean preempts = !job.suspect
+                && (spec.kind() == JobKind.SERVICE
+                        || (queued.guaranteed() || displacesLowest(queued, nowMicros)) && waited
+                        || (spec.priority() == job.priority()
+                                ? spec.priority() != Priority.NORMAL
+                                : isUrgent(queued, nowMicros)));
+        if (spec.kind() == JobKind.GANG) {
+            placeGang(job, queued.waiting(), suitable(job, usable, nowMicros), preempts, nowMicros);
+        } else if (spec.kind() == JobKind.SERVICE) {
+            placeReplicas(queued, suitable(job, usable, nowMicros), nowMicros);
+        } else {
+            placeArray(job, open, nowMicros);
+            if (preempts && job.waiting() > 0 && nowMicros >= job.preemptsAgainMicros && othersYield(job)) {
+                job.preemptsAgainMicros = nowMicros + PREEMPT_EVERY_MICROS;
+                preempt(queued, suitable(job, usable, nowMicros), nowMicros);
+            }
+        }
+    }
+
+    private List<Machine> suitable(Job job, List<Machine> machines, long nowMicros) {
+        List<Machine> result = new ArrayList<>();
+        for (Machine machine : machines) {
+            if (suits(job, machine, nowMicros) && scheduler.mayName(job, machine, nowMicros)) {
+                result.add(machine);
+            }
+        }
+        return result;
+    }
+
+    private void placeReplicas(Queued queued, List<Machine> candidates, long nowMicros) {
+        Job job = queued.job();
+        for (int left = queued.waiting(); left > 0 && job.placeable() > 0 && teamAllows(job); left--) {
+            Machine machine = besideReplicas(job, candidates, nowMicros);
+            machine = machine != null ? machine : choose(job, candidates, true, nowMicros);
+            if (machine == null) {
+                return;
+            }
+            scheduler.place(job, job.nextWaiting(), machine, nowMicros);
+        }
+    }
+
+    /**
+     * A machine with the image that has replicas already, the one with most; work that ends yields there. Replicas live
+     * for minutes, and strewn over the fleet each of them kept a machine that would have been returned.
+     */
+    private Machine besideReplicas(Job job, List<Machine> candidates, long nowMicros) {
+        Resources each = job.spec.each();
+        Machine best = null;
+        long bestScore = 0;
+        for (Machine machine : candidates) {
+            if (!machine.images.containsKey(job.spec.image()) || !zoneAllows(job, machine)) {
+                continue;
+            }
+            Resources replicas = Resources.NONE;
+            int count = 0;
+            for (Placement placement : machine.placements) {
+                if (placement.job.spec.kind() == JobKind.SERVICE) {
+                    replicas = replicas.plus(placement.job.spec.each());
+                    count++;
+                }
+            }
+            if (count == 0 || count >= mostTogether || !each.plus(replicas).fitsIn(machine.size())) {
+                continue;
+            }
+            boolean fits = each.fitsIn(machine.room());
+            long score = replicas.cpus() + (fits ? 2 * each.cpus() : 0);
+            if (score > bestScore && (fits || yieldsCheaply(job, machine, nowMicros))) {
+                best = machine;
+                bestScore = score;
+            }
+        }
+        if (best != null && !each.fitsIn(best.room())) {
+            displace(job, victims(job, best), nowMicros);
+        }
+        return best;
+    }
+
+    private boolean yieldsCheaply(Job job, Machine machine, long nowMicros) {
+        List<Placement> victims = victims(job, machine);
+        return victims != null && loss(victims, nowMicros) < CHEAP_LOSS_MICROS;
+    }
+
+    /** Fills one machine after another: each further one has to fetch the image and to be recorded. */
+    private void placeArray(Job job, List<Machine> open, long nowMicros) {
+        if (open.isEmpty()) {
+            return;
+        }
+        List<Machine> ready = new ArrayList<>();
+        List<Machine> others = new ArrayList<>();
+        for (Machine machine : open) {
+            if (suits(job, machine, nowMicros)) {
+                (hasImage(machine, job) ? ready : others).add(machine);
+            }
+        }
+        ready.sort(LEAST_ROOM);
+        others.sort(MOST_ROOM);
+        ready.addAll(others);
+        for (Machine machine : ready) {
+            while (job.spec.each().fitsIn(machine.room())
+                    && zoneAllows(job, machine)
+                    && scheduler.mayName(job, machine, nowMicros)) {
+                if (job.placeable() == 0 || !teamAllows(job)) {
+                    open.removeIf(each -> !least.fitsIn(each.room()));
+                    return;
+                }
+                scheduler.place(job, job.nextWaiting(), machine, nowMicros);
+            }
+        }
+        open.removeIf(each -> !least.fitsIn(each.room()));
+    }
+
+    /** Whether there can be work that a task of this job may displace. */
+    private boolean othersYield(Job job) {
+        if (job.priority() != Priority.NORMAL || lowestRuns) {
+            return true;
+        }
+        for (Team team : settings.teams().values()) {
+            if (!team.name().equals(job.spec.team()) && !team.guarantees(scheduler.teamUse(team.name()))) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /**
+     * Takes the room of lesser work: those attempts first that have run for the shortest time, where the image is. The
+     * room that comes free by itself serves most of a job, so a team that waits for its guarantee takes a part at a
+     * time: taking all at once lost one start in ten, and some tasks were started fifteen times.
+     */
+    private void preempt(Queued queued, List<Machine> candidates, long nowMicros) {
+        Job job = queued.job();
+        int left = job.waiting();
+        if (job.priority() == Priority.NORMAL) {
+            long until = job.readyMicros + guaranteePatienceMicros * 3 / 2 - nowMicros;
+            left = (int) Math.ceil(left * PREEMPT_EVERY_MICROS / (double) Math.max(PREEMPT_EVERY_MICROS, until));
+        }
+        record Option(Machine machine, boolean image, long loss) {}
+        List<Option> options = new ArrayList<>();
+        for (Machine machine : candidates) {
+            List<Placement> victims = victims(job, machine, queued.guaranteed());
+            if (victims != null) {
+                options.add(new Option(machine, hasImage(machine, job), loss(victims, nowMicros)));
+            }
+        }
+        options.sort(Comparator.comparing((Option option) -> !option.image()).thenComparing(Option::loss));
+        for (boolean progress = true; progress && left > 0; ) {
+            progress = false;
+            for (Option option : options) {
+                Machine machine = option.machine();
+                List<Placement> victims =
+                        left > 0 && zoneAllows(job, machine) ? victims(job, machine, queued.guaranteed()) : null;
+                if (job.waiting() == 0 || !teamAllows(job)) {
+                    return;
+                }
+                if (victims != null) {
+                    displace(job, victims, nowMicros);
+                    scheduler.place(job, job.nextWaiting(), machine, nowMicros);
+                    left--;
+                    progress = true;
+                }
+            }
+        }
+    }
+
+    private void displace(Job job, List<Placement> victims, long nowMicros) {
+        if (job.spec.kind() == JobKind.SERVICE) {
+            displacedByReplicas += victims.size();
+        } else {
+            displacedByGuarantees += victims.size();
+        }
+        for (Placement victim : victims) {
+            if (victim.unsent()) {
+                scheduler.remove(victim);
+            } else {
+                scheduler.stop(victim, 0, nowMicros);
+            }
+        }
+    }
+
+    /** All missing tasks of a gang at once, or none: a part of it would hold its places for nothing. */
+    private void placeGang(Job job, int missing, List<Machine> all, boolean preempts, long nowMicros) {
+        JobSpec spec = job.spec;
+        Team team = settings.teams().get(spec.team());
+        boolean ended = job.gangBroken || job.gangStarted && !job.live.isEmpty();
+        if (ended
+                || team != null
+                        && !team.allows(scheduler
+                                .teamUse(spec.team())
+                                .plus(unknown.getOrDefault(spec.team(), Resources.NONE))
+                                .plus(spec.each().times(missing)))) {
+            return;
+        }
+        Map<String, Long> perZone = new HashMap<>();
+        for (Machine machine : all) {
+            Resources room = machine.room();
+            if (preempts) {
+                for (Placement placement : machine.placements) {
+                    if (!placement.stopping() && yields(placement, job)) {
+                        room = room.plus(placement.job.spec.each());
+                    }
+                }
+            }
+            perZone.merge(machine.zone, spec.each().countIn(room), Long::sum);
+        }
+        List<Machine> candidates = all;
+        if (spec.oneZone()) {
+            String zone = job.live.isEmpty()
+                    ? null
+                    : job.live.values().iterator().next().get(0).machine.zone;
+            for (Map.Entry<String, Long> entry : perZone.entrySet()) {
+                if (zone == null && entry.getValue() >= missing) {
+                    zone = entry.getKey();
+                }
+            }
+            String chosen = zone;
+            candidates =
+                    all.stream().filter(machine -> machine.zone.equals(chosen)).toList();
+            if (chosen == null || perZone.getOrDefault(chosen, 0L) < missing) {
+                return;
+            }
+        } else {
+            long fits = 0;
+            for (long count : perZone.values()) {
+                fits += Math.min(count, spec.mostInOneZone());
+            }
+            if (fits < missing) {
+                return;
+            }
+        }
+        for (int i = 0; i < missing; i++) {
+            int index = job.nextWaiting();
+            Machine machine = index < 0 ? null : choose(job, candidates, preempts, nowMicros);
+            if (machine == null) {
+                for (List<Placement> list : List.copyOf(job.live.values())) {
+                    for (Placement placement : List.copyOf(list)) {
+                        if (placement.unsent()) {
+                            scheduler.remove(placement);
+                        }
+                    }
+                }
+                return;
+            }
+            scheduler.place(job, index, machine, nowMicros);
+        }
+    }
+
+    private Machine choose(Job job, List<Machine> candidates, boolean preempts, long nowMicros) {
+        JobSpec spec = job.spec;
+        Machine with = null;
+        Machine without = null;
+        for (Machine machine : candidates) {
+            if (spec.each().fitsIn(machine.room()) && zoneAllows(job, machine)) {
+                if (machine.images.containsKey(spec.image())) {
+                    with = with == null || LEAST_ROOM.compare(machine, with) < 0 ? machine : with;
+                } else {
+                    without = without == null || MOST_ROOM.compare(machine, without) < 0 ? machine : without;
+                }
+            }
+        }
+        if (with != null) {
+            return with;
+        }
+        boolean longFetch = without != null && fetchMicros(without, spec) > LONG_FETCH_MICROS;
+        if (preempts && (without == null || longFetch)) {
+            List<Placement> cheapest = null;
+            Machine there = null;
+            long least = Long.MAX_VALUE;
+            for (Machine machine : candidates) {
+                if ((without == null || machine.images.containsKey(spec.image())) && zoneAllows(job, machine)) {
+                    List<Placement> victims = victims(job, machine);
+                    long loss = victims == null
+                            ? Long.MAX_VALUE
+                            : loss(victims, nowMicros)
+                                    + (machine.images.containsKey(spec.image()) ? 0 : fetchMicros(machine, spec));
+                    if (loss < least) {
+                        least = loss;
+                        cheapest = victims;
+                        there = machine;
+                    }
+                }
+            }
+            if (there != null) {
+                displace(job, cheapest, nowMicros);
+                return there;
+            }
+            if (without == null) {
+                askSavingWork(job, candidates, nowMicros);
+            }
+        }
+        return without;
+    }
+
+    /** Work that saves needs time to end; its room is taken once it is there. */
+    private void askSavingWork(Job job, List<Machine> candidates, long nowMicros) {
+        if (job.roomComingMicros > nowMicros) {
+            return;
+        }
+        for (Machine machine : candidates) {
+            Resources room = machine.room();
+            List<Placement> victims = new ArrayList<>();
+            for (Placement placement : machine.placements) {
+                JobSpec theirs = placement.job.spec;
+                if (!job.spec.each().fitsIn(room)
+                        && theirs.kind() != JobKind.SERVICE
+                        && !placement.stopping()
+                        && job.priority().above(placement.job.priority())) {
+                    victims.add(placement);
+                    room = room.plus(theirs.each());
+                }
+            }
+            if (!victims.isEmpty() && job.spec.each().fitsIn(room)) {
+                for (Placement victim : victims) {
+                    job.roomComingMicros = Math.max(
+                            job.roomComingMicros, nowMicros + victim.job.spec.saveMicros() + 5 * Micros.SECOND);
+                    scheduler.stopToSave(victim, nowMicros);
+                }
+                return;
+            }
+        }
+    }
+
+    private long fetchMicros(Machine machine, JobSpec spec) {
+        MachineType type = fleet.types().get(machine.type);
+        return type == null || type.fetchGbPerSecond() <= 0
+                ? 0
+                : Micros.ofSeconds(spec.imageGb() / type.fetchGbPerSecond());
+    }
+
+    private boolean zoneAllows(Job job, Machine machine) {
+        if (!job.spec.oneZone() && !job.spec.spread()) {
+            return true;
+        }
+        int inZone = 0;
+        for (List<Placement> list : job.live.values()) {
+            for (Placement placement : list) {
+                if (placement.machine.zone == null || !placement.machine.zone.equals(machine.zone)) {
+                    if (job.spec.oneZone()) {
+                        return false;
+                    }
+                } else {
+                    inZone++;
+                }
+            }
+        }
+        return inZone < job.spec.mostInOneZone();
+    }
+
+    private static long loss(List<Placement> victims, long nowMicros) {
+        long loss = 0;
+        for (Placement victim : victims) {
+            if (!victim.unsent()) {
+                loss += Micros.SECOND + nowMicros - victim.createdMicros;
+            }
+        }
+        return loss;
+    }
+
+    /** Lesser work that ends at once when it is stopped, so that a start in the same answer finds room; or null. */
+    private List<Placement> victims(Job job, Machine machine) {
+        return victims(job, machine, true);
+    }
+
+    /** @param same whether work of the same priority beyond its team's guarantee may be among them */
+    private List<Placement> victims(Job job, Machine machine, boolean same) {
+        List<Placement> victims = new ArrayList<>();
+        Resources room = machine.room();
+        List<Placement> lesser = new ArrayList<>();
+        for (Placement placement : machine.placements) {
+            if (placement.stopping() && placement.stopGraceMicros == 0) {
+                // Stopped for others that were placed here since: without this each further task displaced more.
+                room = room.plus(placement.job.spec.each());
+            } else if (!placement.stopping() && yields(placement, job)) {
+                lesser.add(placement);
+            }
+        }
+        lesser.sort(Comparator.comparing((Placement p) -> !p.unsent()).thenComparing(p -> -p.createdMicros));
+        Map<String, Resources> taken = new HashMap<>();
+        for (Placement placement : lesser) {
+            if (job.spec.each().fitsIn(room)) {
+                break;
+            }
+            if (!placement.job.priority().equals(job.priority()) || same && overGuarantee(placement, taken)) {
+                victims.add(placement);
+                room = room.plus(placement.job.spec.each());
+                taken.merge(placement.job.spec.team(), placement.job.spec.each(), Resources::plus);
+            }
+        }
+        return job.spec.each().fitsIn(room) ? victims : null;
+    }
+
+    private boolean yields(Placement placement, Job job) {
+        JobSpec theirs = placement.job.spec;
+        if (theirs.kind() == JobKind.GANG || theirs.checkpointMicros() > 0) {
+            return false;
+        }
+        return job.priority().above(placement.job.priority())
+                || !theirs.team().equals(job.spec.team())
+                        && theirs.kind() == JobKind.ARRAY
+                        && job.priority() == placement.job.priority();
+    }
+
+    private boolean overGuarantee(Placement placement, Map<String, Resources> taken) {
+        Team team = settings.teams().get(placement.job.spec.team());
+        if (team == null) {
+            return true;
+        }
+        Resources use = scheduler.teamUse(team.name()).minus(taken.getOrDefault(team.name(), Resources.NONE));
+        return !team.guarantees(use);
+    }
+}
--- a/src/test/java/io/micatide/core/World.java
+++ b/src/test/java/io/micatide/core/World.java
@@ -16,6 +16,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 
 /**
  * Stand-ins of the state service, the cloud and the workers, written to the published protocol, in simulated time. A
@@ -41,6 +42,11 @@
     int starts;
     private int machineNumber;
 
+    /** How leaders plan. */
+    Scheduler.PlannerFactory planners = Planner::new;
+    /** Takes what leaders decide: commands and transactions, in their order. */
+    Consumer<String> decisions = decision -> {};
+
     Scheduler leader;
     long token;
     /** Interactions until the leader is killed; negative: never. */
@@ -393,7 +399,7 @@
     void takeOver() {
         token = ++revision;
         put(StoreKeys.LEADER, new Row.Leader("c0"), token);
-        leader = new Scheduler(settings, Tuning.defaults(settings), token, now);
+        leader = new Scheduler(settings, Tuning.defaults(settings), token, now, planners);
         leader.hinted(hints, false, now);
         takeOvers++;
         leader.typesKnown(List.of(TYPE), now);
@@ -495,6 +501,7 @@
         }
         if (leader != null) {
             for (CloudCall call : leader.cloudCalls(now)) {
+                decisions.accept(now + " " + call);
                 if (!dies()) {
                     cloud(call);
                 }
@@ -527,6 +534,7 @@
             return;
         }
         List<Command> commands = leader.report(report, now);
+        decisions.accept(now + " " + worker.name + " " + commands);
         if (greets) {
             // The greeting's answer overtakes that of the report: it was made before the commands came.
             leader.greeted(worker.report(), now);
@@ -543,6 +551,7 @@
         if (round == null) {
             return;
         }
+        decisions.accept(now + " " + round);
         if (dies()) {
             // Killed with the request on its way: it arrives some time later, or never.
             late.add(round);
