--- a/src/main/java/io/micatide/core/JobBook.java
+++ b/src/main/java/io/micatide/core/JobBook.java
@@ -389,6 +389,11 @@
                 0,
                 pageTasks,
                 room - Math.max(bytes(machines), Math.min(nameBytes(), room / 4)));
+        if (first != null && writes.size() >= most) {
+            // Known before its machines are named: with hundreds of jobs to write, naming thousands for each of those
+            // that a full round leaves over took most of a leader's processor.
+            return null;
+        }
         List<Integer> pages = new ArrayList<>();
         if (first != null) {
             addLikely(
