A plan that exceeds its share of a core goes on in the next tick

Need: whatever makes a plan large, renewal of the lead and heartbeats must not wait for it. Change: PlanPass cuts a plan after so many looks at machines for each core that the controller has; the next tick goes on with the jobs that it has not come to, in their order by then, so what is urgent goes first. The log's summary tells looks and cuts. Names are shortened over sorted arrays instead of trees, and a machine's last estimate is found without a map.

--- a/src/main/java/io/micatide/core/MachineNames.java
+++ b/src/main/java/io/micatide/core/MachineNames.java
@@ -2,10 +2,10 @@
 
 import com.google.common.base.Splitter;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.List;
 import java.util.TreeMap;
-import java.util.TreeSet;
 
 /**
  * Many machine names as short text. The cloud numbers machines as it makes them, so most of a fleet are neighbours: names
@@ -38,28 +38,60 @@
         return digits;
     }
 
+    /** Closing numbers of names that are alike but for them. */
+    private static final class Numbers {
+        private int[] values = new int[16];
+        private int count;
+
+        void add(int number) {
+            if (count == values.length) {
+                values = Arrays.copyOf(values, 2 * count);
+            }
+            values[count++] = number;
+        }
+
+        /** In rising order; a name may be among them more than once. */
+        int[] sorted() {
+            int[] result = Arrays.copyOf(values, count);
+            Arrays.sort(result);
+            return result;
+        }
+    }
+
     /** The groups, in a fixed order; names without a number are groups without steps. */
     public static List<String> shorten(Collection<String> names) {
-        TreeMap<Group, TreeSet<Integer>> groups = new TreeMap<>();
+        TreeMap<Group, Numbers> groups = new TreeMap<>();
+        Group group = null;
+        Numbers numbers = null;
         for (String name : names) {
             int digits = digitsOf(name);
-            TreeSet<Integer> numbers = groups.computeIfAbsent(
-                    new Group(name.substring(0, name.length() - digits), digits), k -> new TreeSet<>());
+            int prefix = name.length() - digits;
+            // Most names are of the group of the one before: a leader shortens thousands of them at each of its rounds.
+            if (group == null
+                    || group.digits() != digits
+                    || group.prefix().length() != prefix
+                    || !name.startsWith(group.prefix())) {
+                group = new Group(name.substring(0, prefix), digits);
+                numbers = groups.computeIfAbsent(group, k -> new Numbers());
+            }
             if (digits > 0) {
-                numbers.add(Integer.parseInt(name.substring(name.length() - digits)));
+                numbers.add(Integer.parseInt(name, prefix, name.length(), 10));
             }
         }
         List<String> result = new ArrayList<>();
-        groups.forEach((group, numbers) -> result.add(group.prefix() + "/" + group.digits() + "/" + steps(numbers)));
+        groups.forEach((each, all) -> result.add(each.prefix() + "/" + each.digits() + "/" + steps(all.sorted())));
         return result;
     }
 
-    private static String steps(TreeSet<Integer> numbers) {
+    private static String steps(int[] numbers) {
         StringBuilder text = new StringBuilder();
         int last = 0;
         int run = 0;
         boolean first = true;
         for (int number : numbers) {
+            if (!first && number == last) {
+                continue;
+            }
             if (!first && number == last + 1) {
                 run++;
             } else {
--- a/src/main/java/io/micatide/core/Planner.java
+++ b/src/main/java/io/micatide/core/Planner.java
@@ -58,6 +58,7 @@
     private int displacedByReplicas;
     private int displacedByGuarantees;
     private Map<String, Resources> unknown = Map.of();
+    private final PlanPass pass;
     private final Preemption preemption;
     private LikelyMachines likely;
     final Blocked blocked = new Blocked();
@@ -74,6 +75,7 @@
         this.fleet = fleet;
         this.book = book;
         this.runTimes = runTimes;
+        this.pass = new PlanPass(settings.cores());
         this.preemption = new Preemption(settings, scheduler::teamUse);
         long patience = GUARANTEE_PATIENCE_MICROS;
         for (Settings.Objective objective : settings.objectives()) {
@@ -262,11 +264,23 @@
         open.clear();
         filled.clear();
         open.addAll(usable(RoomDemand.free(least), nowMicros));
+        pass.begin(looks());
         for (Queued queued : order) {
-            if (startable(queued.job(), nowMicros)) {
+            if (startable(queued.job(), nowMicros) && pass.takes(queued.job())) {
+                if (pass.isOver(looks())) {
+                    pass.cut();
+                    return;
+                }
                 placeJob(queued, nowMicros);
+                pass.done(queued.job());
             }
         }
+        pass.end();
+    }
+
+    /** Plans that went on in the next tick, for the log. */
+    int cutPlans() {
+        return pass.cuts();
     }
 
     /** Machines looked at so far, here and in the index. */
--- a/src/main/java/io/micatide/core/Preemption.java
+++ b/src/main/java/io/micatide/core/Preemption.java
@@ -43,11 +43,16 @@
     /** The estimates of one machine; forgotten when something on it changes. */
     static final class Estimates {
         private final Map<Demand, Estimate> byDemand = new HashMap<>();
+        /** The demand that was asked for last, which the next question is most likely for, and what it was told. */
+        private Demand lastDemand;
+
+        private Estimate last;
         /** Arrays that are not being stopped, by priority: other teams' may yield to the same priority. */
         private boolean[] arraysOfPriority;
 
         void clear() {
             byDemand.clear();
+            lastDemand = null;
             arraysOfPriority = null;
         }
     }
@@ -109,13 +114,15 @@
     }
 
     private Estimate estimate(Job job, Machine machine) {
-        Demand demand = new Demand(job.spec.each(), job.priority());
-        Estimate estimate = machine.estimates.byDemand.get(demand);
-        if (estimate == null) {
-            estimate = estimated(job, machine);
-            machine.estimates.byDemand.put(demand, estimate);
+        Estimates estimates = machine.estimates;
+        Demand last = estimates.lastDemand;
+        if (last != null && last.priority() == job.priority() && last.each().equals(job.spec.each())) {
+            return estimates.last;
         }
-        return estimate;
+        Demand demand = new Demand(job.spec.each(), job.priority());
+        estimates.last = estimates.byDemand.computeIfAbsent(demand, k -> estimated(job, machine));
+        estimates.lastDemand = demand;
+        return estimates.last;
     }
 
     private Estimate estimated(Job job, Machine machine) {
--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -1200,7 +1200,8 @@
                 + fleet.machines().size() + " confirmed=" + confirmed + " usable=" + usable + " cpus="
                 + used.cpus() / 1000 + "/" + size.cpus() / 1000 + " running=" + running / 1000 + " spot="
                 + spotCpus / 1000 + " booting=" + booting + " replicas=" + replicas + " serving=" + serving
-                + " looked=" + planner.looks() + " displaced=" + planner.displaced() + " slow=" + slowFound
+                + " looked=" + planner.looks() + " cut=" + planner.cutPlans() + " displaced=" + planner.displaced()
+                + " slow=" + slowFound
                 + " suspect=" + suspect + " full=" + full
                 + " bookings=" + rentals.bookings.size();
     }
--- /dev/null
+++ b/src/test/java/io/micatide/core/PlanPassTest.java
@@ -0,0 +1,126 @@
+package io.micatide.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** A plan with more to look at than its share goes on in the next ticks, and nothing that is urgent waits for it. */
+class PlanPassTest {
+    private static final int MACHINES = 2_000;
+    private static final int JOBS = 60;
+
+    private final World world = new World(1, MACHINES);
+    private final List<Planner> planners = new ArrayList<>();
+    private int number;
+
+    @BeforeEach
+    void allMachinesAreThere() {
+        world.cloudOutage = true;
+        world.planners = (scheduler, settings, fleet, book, times) -> {
+            planners.add(new Planner(scheduler, settings, fleet, book, times));
+            return planners.get(0);
+        };
+        world.takeOver();
+        world.run(3 * Micros.SECOND);
+    }
+
+    private String submit(Priority priority) {
+        String id = "wk-" + number++;
+        world.submit(World.job(id, JobKind.ARRAY, "blue", priority, 1, 100));
+        return id;
+    }
+
+    /** Jobs whose tasks the plan still has to place, after a tick without any report. */
+    private List<String> waitingAfterTick() {
+        world.now += World.STEP;
+        world.leader.tick(world.now);
+        return planners.get(0).queue(world.now).stream()
+                .map(queued -> queued.job().id())
+                .toList();
+    }
+
+    @Test
+    void theRestIsPlacedInTheNextTicks() {
+        for (int i = 0; i < JOBS; i++) {
+            submit(Priority.NORMAL);
+        }
+        int before = JOBS;
+        int ticks = 0;
+        while (before > 0 && ticks++ < 20) {
+            int waiting = waitingAfterTick().size();
+            assertTrue(waiting < before, "no progress in tick " + ticks);
+            assertTrue(before - waiting < JOBS / 2, before - waiting + " of " + JOBS + " in one tick");
+            before = waiting;
+        }
+        assertEquals(0, before);
+        assertEquals(ticks - 1, planners.get(0).cutPlans());
+    }
+
+    @Test
+    void whatIsUrgentGoesFirst() {
+        for (int i = 0; i < JOBS; i++) {
+            submit(Priority.NORMAL);
+        }
+        assertTrue(waitingAfterTick().size() > JOBS / 2);
+        String urgent = submit(Priority.HIGH);
+        assertEquals(false, waitingAfterTick().contains(urgent));
+    }
+
+    /** Gangs of many shapes that fit nowhere, each a walk over all machines, stand before the arrays in every plan. */
+    @Test
+    void jobsThatCannotBePlacedHoldUpNoOther() {
+        for (int i = 0; i < JOBS; i++) {
+            world.submit(tooLarge(i));
+        }
+        for (int i = 0; i < JOBS; i++) {
+            submit(Priority.NORMAL);
+        }
+        List<String> waiting = List.of();
+        for (int tick = 0; tick < 14; tick++) {
+            waiting = waitingAfterTick();
+        }
+        assertEquals(JOBS, waiting.size());
+        assertTrue(waiting.stream().allMatch(id -> id.startsWith("wk-large")), waiting.toString());
+    }
+
+    private static JobSpec tooLarge(int number) {
+        return new JobSpec(
+                "wk-large" + number,
+                "class",
+                "blue",
+                JobKind.GANG,
+                Priority.HIGH,
+                MACHINES + 1,
+                Resources.of(8, 0, 8 + 0.1 * number),
+                "img-1",
+                1,
+                List.of(),
+                null,
+                false,
+                false,
+                true,
+                Micros.SECOND,
+                0,
+                0,
+                -1);
+    }
+
+    @Test
+    void eachPlanDoesOneJobAtLeast() {
+        PlanPass pass = new PlanPass(0);
+        Job job = new Job(World.job("wk-1", JobKind.ARRAY, "blue", Priority.NORMAL, 1, 1), 1, 0, 0, 0);
+        pass.begin(5_000);
+        assertEquals(false, pass.isOver(9_000));
+        pass.done(job);
+        assertEquals(true, pass.isOver(9_000));
+        pass.begin(9_000);
+        assertEquals(false, pass.takes(job));
+        assertEquals(false, pass.isOver(12_000));
+        pass.end();
+        assertEquals(true, pass.takes(job));
+    }
+}
