The order of jobs and the summary of a term have files of their own

Nothing is decided otherwise: PlannerReferenceTest, PlannerTest, PlanCostTest, PlanPassTest, BlockedTest and JobBookTest pass.

--- a/src/main/java/io/micatide/core/Blocked.java
+++ b/src/main/java/io/micatide/core/Blocked.java
@@ -25,7 +25,7 @@
 
     /** Arrays that may displace the same work. */
     private record Displacer(JobShape shape, Priority priority, String team, boolean guaranteed) {
-        static Displacer of(Planner.Queued queued) {
+        static Displacer of(JobQueue.Queued queued) {
             Job job = queued.job();
             return new Displacer(JobShape.of(job.spec), job.priority(), job.spec.team(), queued.guaranteed());
         }
@@ -62,11 +62,11 @@
     }
 
     /** An array like this one found nothing to displace. */
-    void findsNothing(Planner.Queued queued) {
+    void findsNothing(JobQueue.Queued queued) {
         findNothing.add(Displacer.of(queued));
     }
 
-    boolean findNothing(Planner.Queued queued) {
+    boolean findNothing(JobQueue.Queued queued) {
         return findNothing.contains(Displacer.of(queued));
     }
 
--- /dev/null
+++ b/src/main/java/io/micatide/core/JobQueue.java
@@ -0,0 +1,181 @@
+package io.micatide.core;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * In which order jobs with waiting tasks get room: by priority, services first, then what is within its team's guarantee, then what can be
+ * on time, by the latest start that still is. Decides nothing about machines.
+ */
+final class JobQueue {
+    private final Settings settings;
+    private final Fleet fleet;
+    private final JobBook book;
+    private final RunTimes runTimes;
+
+    JobQueue(Settings settings, Fleet fleet, JobBook book, RunTimes runTimes) {
+        this.settings = settings;
+        this.fleet = fleet;
+        this.book = book;
+        this.runTimes = runTimes;
+    }
+
+    /** A job with tasks to place and where it stands in the queue; earlier is better. */
+    record Queued(Job job, int waiting, boolean guaranteed, boolean onTime, long dueMicros) {
+        boolean sameRank(Queued other) {
+            return job.priority() == other.job.priority()
+                    && (job.spec.kind() == JobKind.SERVICE) == (other.job.spec.kind() == JobKind.SERVICE)
+                    && guaranteed == other.guaranteed
+                    && onTime == other.onTime;
+        }
+    }
+
+    /** Jobs with waiting tasks in the order in which they get room. */
+    List<Queued> order(long nowMicros) {
+        Map<String, Resources> asked = new HashMap<>();
+        List<Queued> result = new ArrayList<>();
+        Map<Job, Deadlines.Entry> entries = new HashMap<>();
+        for (Deadlines.Entry entry : decide(nowMicros)) {
+            entries.put(entry.job, entry);
+        }
+        for (Job job : book.jobs()) {
+            if (job.cancelled) {
+                continue;
+            }
+            if (job.suspect) {
+                queueProbe(job, result);
+                continue;
+            }
+            Team team = settings.teams().get(job.spec.team());
+            Resources total = asked.merge(job.spec.team(), job.spec.each().times(job.unfinished()), Resources::plus);
+            boolean guaranteed = team != null && team.cpus() > 0 && team.guarantees(total);
+            int waiting = job.waiting();
+            if (waiting > 0) {
+                Deadlines.Entry entry = entries.get(job);
+                result.add(new Queued(
+                        job,
+                        waiting,
+                        guaranteed,
+                        entry == null || entry.onTime,
+                        entry == null ? job.readyMicros : entry.latestStartMicros()));
+            }
+        }
+        result.sort(Comparator.comparing((Queued q) -> q.job().priority())
+                .thenComparing(q -> q.job().spec.kind() == JobKind.SERVICE ? 0 : 1)
+                .thenComparing(q -> !q.guaranteed())
+                .thenComparing(q -> !q.onTime())
+                .thenComparing(Queued::dueMicros)
+                .thenComparing(q -> q.job().readyMicros));
+        return result;
+    }
+
+    /** A job that fails wherever it is tried holds no guarantee and no place among what can be on time. */
+    private static void queueProbe(Job job, List<Queued> queue) {
+        if (job.placeable() > 0) {
+            queue.add(new Queued(job, job.placeable(), false, false, Long.MAX_VALUE));
+        }
+    }
+
+    /**
+     * What can be on time: first within each team's limit, since room beyond it helps none of the team's jobs, then
+     * with all processors.
+     */
+    private List<Deadlines.Entry> decide(long nowMicros) {
+        double cpus = arrayCpus(nowMicros);
+        Map<String, List<Deadlines.Entry>> perTeam = new LinkedHashMap<>();
+        List<Deadlines.Entry> result = new ArrayList<>();
+        List<Deadlines.Entry> lowest = new ArrayList<>();
+        for (Deadlines.Entry entry : arrays(nowMicros)) {
+            if (entry.job.priority() == Priority.LOW) {
+                // It gets what is left: a large job of a rare class would count for more than many of the others.
+                lowest.add(entry);
+                continue;
+            }
+            perTeam.computeIfAbsent(entry.job.spec.team(), k -> new ArrayList<>())
+                    .add(entry);
+        }
+        List<Deadlines.Entry> possible = new ArrayList<>();
+        perTeam.forEach((name, entries) -> {
+            Team team = settings.teams().get(name);
+            double most = team == null || team.cpusMax() == 0 ? cpus : Math.min(cpus, team.cpusMax());
+            for (Deadlines.Entry entry : Deadlines.decide(entries, most, nowMicros)) {
+                (entry.onTime ? possible : result).add(entry);
+            }
+        });
+        result.addAll(Deadlines.decide(possible, cpus, nowMicros));
+        result.addAll(Deadlines.decide(lowest, cpus, nowMicros));
+        return result;
+    }
+
+    /** What is left of every job that ends. */
+    List<Deadlines.Entry> arrays(long nowMicros) {
+        List<Deadlines.Entry> result = new ArrayList<>();
+        for (Job job : book.jobs()) {
+            if (!job.cancelled && !job.suspect && job.spec.kind() != JobKind.SERVICE && job.unfinished() > 0) {
+                long length = runTimes.expected(job);
+                int waiting = job.waiting();
+                double work = job.spec.each().cpus() * (double) length * (waiting + 0.5 * (job.unfinished() - waiting));
+                long slowest = runTimes.slowest(job);
+                result.add(new Deadlines.Entry(
+                        job, work, slowest, due(job, slowest, nowMicros), weight(job.spec.jobClass())));
+            }
+        }
+        return result;
+    }
+
+    /** Aims are shares of a class: the fewer jobs it has, and the more aims, the more one of them counts. */
+    private double weight(String jobClass) {
+        int aims = 1;
+        for (Settings.Objective objective : settings.objectives()) {
+            aims += jobClass.equals(objective.jobClass()) ? 1 : 0;
+        }
+        return aims / (double) Math.max(1, book.countOf(jobClass));
+    }
+
+    /** Processors, in thousandths, that are there for work that ends. */
+    double arrayCpus(long nowMicros) {
+        double cpus = 0;
+        for (Machine machine : fleet.machines()) {
+            if (machine.size() != null
+                    && !machine.deleting
+                    && !machine.draining
+                    && machine.noticeAtMicros < 0
+                    && machine.slowUntilMicros < nowMicros
+                    && machine.responsive(nowMicros, settings)) {
+                cpus += machine.cpusBesideReplicas();
+            }
+        }
+        return cpus;
+    }
+
+    /** The earliest time at which users expect the job and that it can still reach. */
+    private long due(Job job, long length, long nowMicros) {
+        JobSpec spec = job.spec;
+        long reachable = nowMicros + length;
+        long due = Long.MAX_VALUE;
+        if (spec.deadlineMicros() >= 0 && job.deadlineMicros() >= reachable) {
+            due = job.deadlineMicros();
+        }
+        if (job.neededByMicros >= reachable) {
+            due = Math.min(due, job.neededByMicros);
+        }
+        for (Settings.Objective objective : settings.objectives()) {
+            if (objective.withinMicros() > 0
+                    && objective.kind().equals("finished")
+                    && objective.jobClass().equals(spec.jobClass())) {
+                long candidate = job.readyMicros + objective.withinMicros();
+                if (candidate >= reachable) {
+                    due = Math.min(due, candidate);
+                }
+            }
+        }
+        // Without an aim, or beyond all of them: soon, but after what can still be on time.
+        return due < Long.MAX_VALUE
+                ? due
+                : Math.max(job.readyMicros, nowMicros - 600 * Micros.SECOND) + 900 * Micros.SECOND;
+    }
+}
--- a/src/main/java/io/micatide/core/Planner.java
+++ b/src/main/java/io/micatide/core/Planner.java
@@ -4,7 +4,6 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -45,9 +44,9 @@
     private final Settings settings;
     private final Fleet fleet;
     private final JobBook book;
-    private final RunTimes runTimes;
+    private final JobQueue queue;
     private final long guaranteePatienceMicros;
-    private List<Queued> order = List.of();
+    private List<JobQueue.Queued> order = List.of();
     private long orderMicros = Long.MIN_VALUE / 2;
     /** The least of each resource that any job in the order asks for. */
     private Resources least = Resources.NONE;
@@ -74,7 +73,7 @@
         this.settings = settings;
         this.fleet = fleet;
         this.book = book;
-        this.runTimes = runTimes;
+        this.queue = new JobQueue(settings, fleet, book, runTimes);
         this.pass = new PlanPass(settings.cores());
         this.preemption = new Preemption(settings, scheduler::teamUse);
         long patience = GUARANTEE_PATIENCE_MICROS;
@@ -86,168 +85,13 @@
         this.guaranteePatienceMicros = patience;
     }
 
-    /** A job with tasks to place and where it stands in the queue; earlier is better. */
-    record Queued(Job job, int waiting, boolean guaranteed, boolean onTime, long dueMicros) {
-        boolean sameRank(Queued other) {
-            return job.priority() == other.job.priority()
-                    && (job.spec.kind() == JobKind.SERVICE) == (other.job.spec.kind() == JobKind.SERVICE)
-                    && guaranteed == other.guaranteed
-                    && onTime == other.onTime;
-        }
-    }
-
-    /** Jobs with waiting tasks in the order in which they get room. */
-    List<Queued> queue(long nowMicros) {
-        Map<String, Resources> asked = new HashMap<>();
-        List<Queued> result = new ArrayList<>();
-        Map<Job, Deadlines.Entry> entries = new HashMap<>();
-        for (Deadlines.Entry entry : decide(nowMicros)) {
-            entries.put(entry.job, entry);
-        }
-        for (Job job : book.jobs()) {
-            if (job.cancelled) {
-                continue;
-            }
-            if (job.suspect) {
-                queueProbe(job, result);
-                continue;
-            }
-            Team team = settings.teams().get(job.spec.team());
-            Resources total = asked.merge(job.spec.team(), job.spec.each().times(job.unfinished()), Resources::plus);
-            boolean guaranteed = team != null && team.cpus() > 0 && team.guarantees(total);
-            int waiting = job.waiting();
-            if (waiting > 0) {
-                Deadlines.Entry entry = entries.get(job);
-                result.add(new Queued(
-                        job,
-                        waiting,
-                        guaranteed,
-                        entry == null || entry.onTime,
-                        entry == null ? job.readyMicros : entry.latestStartMicros()));
-            }
-        }
-        result.sort(Comparator.comparing((Queued q) -> q.job().priority())
-                .thenComparing(q -> q.job().spec.kind() == JobKind.SERVICE ? 0 : 1)
-                .thenComparing(q -> !q.guaranteed())
-                .thenComparing(q -> !q.onTime())
-                .thenComparing(Queued::dueMicros)
-                .thenComparing(q -> q.job().readyMicros));
-        return result;
-    }
-
-    /** A job that fails wherever it is tried holds no guarantee and no place among what can be on time. */
-    private static void queueProbe(Job job, List<Queued> queue) {
-        if (job.placeable() > 0) {
-            queue.add(new Queued(job, job.placeable(), false, false, Long.MAX_VALUE));
-        }
-    }
-
-    /**
-     * What can be on time: first within each team's limit, since room beyond it helps none of the team's jobs, then
-     * with all processors.
-     */
-    private List<Deadlines.Entry> decide(long nowMicros) {
-        double cpus = arrayCpus(nowMicros);
-        Map<String, List<Deadlines.Entry>> perTeam = new LinkedHashMap<>();
-        List<Deadlines.Entry> result = new ArrayList<>();
-        List<Deadlines.Entry> lowest = new ArrayList<>();
-        for (Deadlines.Entry entry : arrays(nowMicros)) {
-            if (entry.job.priority() == Priority.LOW) {
-                // It gets what is left: a large job of a rare class would count for more than many of the others.
-                lowest.add(entry);
-                continue;
-            }
-            perTeam.computeIfAbsent(entry.job.spec.team(), k -> new ArrayList<>())
-                    .add(entry);
-        }
-        List<Deadlines.Entry> possible = new ArrayList<>();
-        perTeam.forEach((name, entries) -> {
-            Team team = settings.teams().get(name);
-            double most = team == null || team.cpusMax() == 0 ? cpus : Math.min(cpus, team.cpusMax());
-            for (Deadlines.Entry entry : Deadlines.decide(entries, most, nowMicros)) {
-                (entry.onTime ? possible : result).add(entry);
-            }
-        });
-        result.addAll(Deadlines.decide(possible, cpus, nowMicros));
-        result.addAll(Deadlines.decide(lowest, cpus, nowMicros));
-        return result;
-    }
-
-    /** What is left of every job that ends. */
-    List<Deadlines.Entry> arrays(long nowMicros) {
-        List<Deadlines.Entry> result = new ArrayList<>();
-        for (Job job : book.jobs()) {
-            if (!job.cancelled && !job.suspect && job.spec.kind() != JobKind.SERVICE && job.unfinished() > 0) {
-                long length = runTimes.expected(job);
-                int waiting = job.waiting();
-                double work = job.spec.each().cpus() * (double) length * (waiting + 0.5 * (job.unfinished() - waiting));
-                long slowest = runTimes.slowest(job);
-                result.add(new Deadlines.Entry(
-                        job, work, slowest, due(job, slowest, nowMicros), weight(job.spec.jobClass())));
-            }
-        }
-        return result;
-    }
-
-    /** Aims are shares of a class: the fewer jobs it has, and the more aims, the more one of them counts. */
-    private double weight(String jobClass) {
-        int aims = 1;
-        for (Settings.Objective objective : settings.objectives()) {
-            aims += jobClass.equals(objective.jobClass()) ? 1 : 0;
-        }
-        return aims / (double) Math.max(1, book.countOf(jobClass));
-    }
-
-    /** Processors, in thousandths, that are there for work that ends. */
-    double arrayCpus(long nowMicros) {
-        double cpus = 0;
-        for (Machine machine : fleet.machines()) {
-            if (machine.size() != null
-                    && !machine.deleting
-                    && !machine.draining
-                    && machine.noticeAtMicros < 0
-                    && machine.slowUntilMicros < nowMicros
-                    && machine.responsive(nowMicros, settings)) {
-                cpus += machine.cpusBesideReplicas();
-            }
-        }
-        return cpus;
-    }
-
-    /** The earliest time at which users expect the job and that it can still reach. */
-    private long due(Job job, long length, long nowMicros) {
-        JobSpec spec = job.spec;
-        long reachable = nowMicros + length;
-        long due = Long.MAX_VALUE;
-        if (spec.deadlineMicros() >= 0 && job.deadlineMicros() >= reachable) {
-            due = job.deadlineMicros();
-        }
-        if (job.neededByMicros >= reachable) {
-            due = Math.min(due, job.neededByMicros);
-        }
-        for (Settings.Objective objective : settings.objectives()) {
-            if (objective.withinMicros() > 0
-                    && objective.kind().equals("finished")
-                    && objective.jobClass().equals(spec.jobClass())) {
-                long candidate = job.readyMicros + objective.withinMicros();
-                if (candidate >= reachable) {
-                    due = Math.min(due, candidate);
-                }
-            }
-        }
-        // Without an aim, or beyond all of them: soon, but after what can still be on time.
-        return due < Long.MAX_VALUE
-                ? due
-                : Math.max(job.readyMicros, nowMicros - 600 * Micros.SECOND) + 900 * Micros.SECOND;
-    }
-
     boolean startable(Job job, long nowMicros) {
         return !job.cancelled && job.blockedUntilMicros <= nowMicros && !job.unsettled();
     }
 
     /** Places what waits, on all machines. The order that it finds is what {@link #refill} goes by until the next time. */
     void plan(long nowMicros) {
-        order = queue(nowMicros);
+        order = queue.order(nowMicros);
         orderMicros = nowMicros;
         unknown = unknownUse();
         lowestRuns = lowestRuns();
@@ -256,7 +100,7 @@
             return;
         }
         least = order.get(0).job().spec.each();
-        for (Queued queued : order) {
+        for (JobQueue.Queued queued : order) {
             least = least.least(queued.job().spec.each());
         }
         mostTogether = Math.max(FEWEST_TOGETHER, (int) (MOST_TOGETHER_SHARE * replicas()));
@@ -265,7 +109,7 @@
         filled.clear();
         open.addAll(usable(RoomDemand.free(least), nowMicros));
         pass.begin(looks());
-        for (Queued queued : order) {
+        for (JobQueue.Queued queued : order) {
             if (startable(queued.job(), nowMicros) && pass.takes(queued.job())) {
                 if (pass.isOver(looks())) {
                     pass.cut();
@@ -310,12 +154,12 @@
      * Work of the lowest priority yields to what would be late otherwise, not to all that waits: hundreds of a guest's tasks
      * of 150 s were once started over for jobs that had time.
      */
-    private boolean displacesLowest(Queued queued, long nowMicros) {
+    private boolean displacesLowest(JobQueue.Queued queued, long nowMicros) {
         return lowestRuns && isUrgent(queued, nowMicros);
     }
 
     /** It can be on time, but only if it starts about now. */
-    private static boolean isUrgent(Queued queued, long nowMicros) {
+    private static boolean isUrgent(JobQueue.Queued queued, long nowMicros) {
         return queued.onTime() && queued.dueMicros() - nowMicros < PRECEDENCE_MICROS;
     }
 
@@ -342,8 +186,13 @@
         return count;
     }
 
+    /** In which order jobs get room. */
+    JobQueue queue() {
+        return queue;
+    }
+
     /** The jobs with waiting tasks as of the last plan. */
-    List<Queued> order() {
+    List<JobQueue.Queued> order() {
         return order;
     }
 
@@ -366,8 +215,8 @@
 
     /** The job in the order that gets room on this machine, or null. */
     private Job next(Machine machine, long nowMicros) {
-        Queued first = null;
-        for (Queued queued : order) {
+        JobQueue.Queued first = null;
+        for (JobQueue.Queued queued : order) {
             if (first != null
                     && (!first.sameRank(queued) || queued.dueMicros() - first.dueMicros() >= PRECEDENCE_MICROS)) {
                 break;
@@ -470,7 +319,7 @@
         return result;
     }
 
-    private void placeJob(Queued queued, long nowMicros) {
+    private void placeJob(JobQueue.Queued queued, long nowMicros) {
         Job job = queued.job();
         JobSpec spec = job.spec;
         // Room comes free all the time, and what is first in the queue gets it: stopping work of the same priority
@@ -528,7 +377,7 @@
         return machines;
     }
 
-    private void placeReplicas(Queued queued, long nowMicros) {
+    private void placeReplicas(JobQueue.Queued queued, long nowMicros) {
         Job job = queued.job();
         if (job.placeable() == 0 || !teamAllows(job)) {
             return;
@@ -644,7 +493,7 @@
      * room that comes free by itself serves most of a job, so a team that waits for its guarantee takes a part at a
      * time: taking all at once lost one start in ten, and some tasks were started fifteen times.
      */
-    private void preempt(Queued queued, long nowMicros) {
+    private void preempt(JobQueue.Queued queued, long nowMicros) {
         Job job = queued.job();
         if (blocked.findNothing(queued)) {
             return;
--- a/src/main/java/io/micatide/core/Renter.java
+++ b/src/main/java/io/micatide/core/Renter.java
@@ -209,7 +209,7 @@
     private boolean rentForStarving(long nowMicros) {
         boolean need = false;
         Map<JobShape, Boolean> served = new HashMap<>();
-        for (Planner.Queued queued : planner.order()) {
+        for (JobQueue.Queued queued : planner.order()) {
             Job job = queued.job();
             if (job.spec.kind() == JobKind.ARRAY
                     && job.live.isEmpty()
@@ -252,7 +252,7 @@
         Map<JobSpec, Integer> missing = new LinkedHashMap<>();
         Map<String, Resources> planned = new HashMap<>();
         Resources left = ordinary;
-        for (Planner.Queued queued : planner.order()) {
+        for (JobQueue.Queued queued : planner.order()) {
             JobSpec spec = queued.job().spec;
             if (spec.kind() == JobKind.ARRAY || queued.job().unsettled() || queued.job().suspect) {
                 continue;
@@ -299,7 +299,7 @@
 
     /** Work that ends wants as many processors as make it ready in time. */
     private boolean rentForArrays(Resources coming, long nowMicros) {
-        List<Deadlines.Entry> entries = planner.arrays(nowMicros);
+        List<Deadlines.Entry> entries = planner.queue().arrays(nowMicros);
         Map<String, Resources> perTeam = new HashMap<>();
         for (Deadlines.Entry entry : entries) {
             perTeam.merge(entry.job.spec.team(), entry.job.spec.each().times(entry.job.unfinished()), Resources::plus);
@@ -310,7 +310,7 @@
             long most = team == null || team.cpusMax() == 0 ? Long.MAX_VALUE : team.cpusMax();
             useful += Math.min(most, entry.getValue().cpus());
         }
-        double there = planner.arrayCpus(nowMicros) + coming.cpus();
+        double there = planner.queue().arrayCpus(nowMicros) + coming.cpus();
         double wanted = Deadlines.wanted(entries, FETCH_MICROS, LATE_MICROS, nowMicros);
         // More processors than tasks that may run at once are of no use.
         double missing = Math.min(wanted, useful) - there;
--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -1158,51 +1158,6 @@
 
     /** One line for the log. */
     public String summary(long nowMicros) {
-        int confirmed = 0;
-        int usable = 0;
-        Resources size = Resources.NONE;
-        Resources used = Resources.NONE;
-        long running = 0;
-        long spotCpus = 0;
-        int booting = 0;
-        int replicas = 0;
-        int serving = 0;
-        for (Machine machine : fleet.machines()) {
-            int before = replicas;
-            confirmed += machine.confirmed ? 1 : 0;
-            if (machine.usable(nowMicros, settings)) {
-                usable++;
-                size = size.plus(machine.size());
-                used = used.plus(machine.used);
-                spotCpus += machine.spot ? machine.size().cpus() : 0;
-            }
-            booting += machine.lastAnsweredMicros < 0 ? 1 : 0;
-            for (Placement placement : machine.placements) {
-                replicas += placement.job.spec.kind() == JobKind.SERVICE ? 1 : 0;
-                if (placement.phase == Placement.Phase.REPORTED && placement.state == TaskState.RUNNING) {
-                    running += placement.job.spec.each().cpus();
-                }
-            }
-            serving += replicas > before ? 1 : 0;
-        }
-        int waiting = 0;
-        int unsettled = 0;
-        int suspect = 0;
-        int full = 0;
-        for (Job job : book.jobs()) {
-            full += book.full(job) ? 1 : 0;
-            suspect += job.suspect ? 1 : 0;
-            waiting += job.waiting();
-            unsettled += job.unsettled() ? 1 : 0;
-        }
-        return "jobs=" + book.jobs().size() + " awaiting=" + pipelines.size() + " waiting=" + waiting + " unsettled="
-                + unsettled + " machines="
-                + fleet.machines().size() + " confirmed=" + confirmed + " usable=" + usable + " cpus="
-                + used.cpus() / 1000 + "/" + size.cpus() / 1000 + " running=" + running / 1000 + " spot="
-                + spotCpus / 1000 + " booting=" + booting + " replicas=" + replicas + " serving=" + serving
-                + " looked=" + planner.looks() + " cut=" + planner.cutPlans() + " displaced=" + planner.displaced()
-                + " slow=" + slowFound
-                + " suspect=" + suspect + " full=" + full
-                + " bookings=" + rentals.bookings.size();
+        return new TermSummary(fleet, book, settings, nowMicros).line(pipelines.size(), planner, slowFound, rentals);
     }
 }
--- /dev/null
+++ b/src/main/java/io/micatide/core/TermSummary.java
@@ -0,0 +1,86 @@
+package io.micatide.core;
+
+/** What a leader tells of its term in one line of the log: counts of jobs, machines and what runs on them, at one moment. */
+final class TermSummary {
+    private final Fleet fleet;
+    private final JobBook book;
+    private int confirmed;
+    private int usable;
+    private int booting;
+    private int replicas;
+    private int serving;
+    private Resources size = Resources.NONE;
+    private Resources used = Resources.NONE;
+    private long spotCpus;
+    private long runningCpus;
+    private int waiting;
+    private int unsettled;
+    private int suspect;
+    private int full;
+
+    TermSummary(Fleet fleet, JobBook book, Settings settings, long nowMicros) {
+        this.fleet = fleet;
+        this.book = book;
+        for (Machine machine : fleet.machines()) {
+            count(machine, machine.usable(nowMicros, settings));
+        }
+        for (Job job : book.jobs()) {
+            count(job);
+        }
+    }
+
+    private void count(Machine machine, boolean isUsable) {
+        confirmed += machine.confirmed ? 1 : 0;
+        booting += machine.lastAnsweredMicros < 0 ? 1 : 0;
+        if (isUsable) {
+            usable++;
+            size = size.plus(machine.size());
+            used = used.plus(machine.used);
+            spotCpus += machine.spot ? machine.size().cpus() : 0;
+        }
+        int before = replicas;
+        for (Placement placement : machine.placements) {
+            replicas += placement.job.spec.kind() == JobKind.SERVICE ? 1 : 0;
+            if (placement.phase == Placement.Phase.REPORTED && placement.state == TaskState.RUNNING) {
+                runningCpus += placement.job.spec.each().cpus();
+            }
+        }
+        serving += replicas > before ? 1 : 0;
+    }
+
+    private void count(Job job) {
+        full += book.full(job) ? 1 : 0;
+        suspect += job.suspect ? 1 : 0;
+        waiting += job.waiting();
+        unsettled += job.unsettled() ? 1 : 0;
+    }
+
+    /**
+     * The line; processors are whole ones.
+     *
+     * @param awaiting jobs that wait for others
+     * @param slowFound machines that were found slow in this term
+     */
+    String line(int awaiting, Planner planner, int slowFound, Rentals rentals) {
+        return "jobs=" + book.jobs().size()
+                + " awaiting=" + awaiting
+                + " waiting=" + waiting
+                + " unsettled=" + unsettled
+                + " machines=" + fleet.machines().size()
+                + " confirmed=" + confirmed
+                + " usable=" + usable
+                + " cpus=" + used.cpus() / 1000 + "/" + size.cpus() / 1000
+                + " running=" + runningCpus / 1000
+                + " spot=" + spotCpus / 1000
+                + " booting=" + booting
+                + " replicas=" + replicas
+                + " serving=" + serving
+                + " looked=" + planner.looks()
+                + " cut=" + planner.cutPlans()
+                + " displaced=" + planner.displaced()
+                + " slow=" + slowFound
+                + " suspect=" + suspect
+                + " full=" + full
+                + " bookings=" + rentals.bookings.size();
+    }
+}
--- a/src/main/java/io/micatide/rehearsal/scale/ScaleReport.java
+++ b/src/main/java/io/micatide/rehearsal/scale/ScaleReport.java
@@ -38,6 +38,7 @@
         figures.put(
                 "leader: state service requests a second",
                 result -> result.leading().kinds().get(Traffic.Kind.STATE).messages());
+        figures.put("state service: changes a second", result -> result.changes() / result.seconds());
         figures.put(
                 "other controllers: processor, share of a core",
                 result -> result.following().processor());
@@ -91,10 +92,11 @@
                 result.seconds());
         line(
                 out,
-                "  starts %d (%.1f/s), running at the end %d, jobs %d, open %d, refused %d, leases that ran out %d, rules broken %d,"
+                "  starts %d (%.1f/s), state service changes %.1f/s, running at the end %d, jobs %d, open %d, refused %d, leases that ran out %d, rules broken %d,"
                         + " this process %.2f of a core",
                 result.starts(),
                 result.starts() / result.seconds(),
+                result.changes() / result.seconds(),
                 result.running(),
                 result.submitted(),
                 result.open(),
@@ -208,6 +210,7 @@
                 .put("measuredSeconds", result.seconds())
                 .put("ownProcessor", result.busyShare())
                 .put("starts", result.starts())
+                .put("stateChanges", result.changes())
                 .put("running", result.running())
                 .put("jobs", result.submitted())
                 .put("open", result.open())
--- a/src/main/java/io/micatide/rehearsal/scale/ScaleResult.java
+++ b/src/main/java/io/micatide/rehearsal/scale/ScaleResult.java
@@ -12,6 +12,7 @@
  * @param seconds that were measured
  * @param busyShare of a core that this process itself took: at 1 and more its figures are its own limits
  * @param starts of tasks, while it was measured
+ * @param changes of keys in the state service, while it was measured
  * @param open jobs that were accepted and not over at the end
  * @param refused jobs that no controller accepted within a minute
  * @param leasesEnded workers whose lease ran out, over the whole run
@@ -25,6 +26,7 @@
         List<Controller> controllers,
         int workers,
         int starts,
+        long changes,
         int running,
         int submitted,
         int open,
--- a/src/main/java/io/micatide/rehearsal/scale/ScaleRun.java
+++ b/src/main/java/io/micatide/rehearsal/scale/ScaleRun.java
@@ -58,6 +58,7 @@
     private RuleChecker checker;
     private ScaleUsers users;
     private HollowWorkers workers;
+    private StateStandIn state;
     private CloudStandIn cloud;
     private int leasesEnded;
 
@@ -100,7 +101,8 @@
             List<ControllerProcess.Sample> samples,
             List<Map<Traffic.Kind, Traffic.Sum>> sums,
             List<Long> accepted,
-            int starts) {}
+            int starts,
+            long changes) {}
 
     /** @param command a controller's command up to its tuning and settings files */
     ScaleRun(ScalePlan plan, List<String> command) throws IOException, InterruptedException {
@@ -130,7 +132,7 @@
     }
 
     private void listen(List<ScaleSettings.Ports> ports, int commandPort) throws InterruptedException {
-        StateStandIn state = new StateStandIn(new NettyLoop(stateLoop), ScaleSettings.STATE);
+        state = new StateStandIn(new NettyLoop(stateLoop), ScaleSettings.STATE);
         MachineType type = ScaleSettings.machineType();
         checker = new RuleChecker(
                 loop::now, settings.get(0).cancelMicros(), settings.get(0).teams());
@@ -281,7 +283,16 @@
                 samples,
                 sums,
                 traffic.stream().map(Traffic::acceptedHeartbeats).toList(),
-                onLoop(checker::starts));
+                onLoop(checker::starts),
+                stateChanges());
+    }
+
+    private long stateChanges() throws InterruptedException {
+        try {
+            return stateLoop.submit(state::changeCount).get();
+        } catch (ExecutionException e) {
+            throw new IllegalStateException(e.getCause());
+        }
     }
 
     private static long ownProcessorNanos() {
@@ -318,6 +329,7 @@
                 controllers,
                 workers.size(),
                 after.starts() - before.starts(),
+                after.changes() - before.changes(),
                 checker.running(),
                 users.submitted(),
                 users.open(),
--- a/src/test/java/io/micatide/core/BlockedTest.java
+++ b/src/test/java/io/micatide/core/BlockedTest.java
@@ -39,8 +39,8 @@
         return planners.get(0).blocked;
     }
 
-    private Planner.Queued queued() {
-        return new Planner.Queued(job, 1, true, true, 0);
+    private JobQueue.Queued queued() {
+        return new JobQueue.Queued(job, 1, true, true, 0);
     }
 
     private String remembered() {
@@ -85,11 +85,11 @@
         blocked().full(JobShape.of(job.spec));
         blocked().findsNothing(queued());
         blocked().room(job, true, new HashMap<>());
-        assertEquals(false, blocked().findNothing(new Planner.Queued(job, 1, false, true, 0)));
+        assertEquals(false, blocked().findNothing(new JobQueue.Queued(job, 1, false, true, 0)));
         assertEquals(null, blocked().room(job, false));
         Job other = new Job(World.job("wk-2", JobKind.ARRAY, "red", Priority.NORMAL, 4, 10), 1, 0, 0, 0);
         assertEquals(true, blocked().isFull(JobShape.of(other.spec)));
-        assertEquals(false, blocked().findNothing(new Planner.Queued(other, 1, true, true, 0)));
+        assertEquals(false, blocked().findNothing(new JobQueue.Queued(other, 1, true, true, 0)));
         assertEquals(null, blocked().room(other, true));
     }
 }
--- a/src/test/java/io/micatide/core/PlanPassTest.java
+++ b/src/test/java/io/micatide/core/PlanPassTest.java
@@ -38,7 +38,7 @@
     private List<String> waitingAfterTick() {
         world.now += World.STEP;
         world.leader.tick(world.now);
-        return planners.get(0).queue(world.now).stream()
+        return planners.get(0).queue().order(world.now).stream()
                 .map(queued -> queued.job().id())
                 .toList();
     }
--- a/src/test/java/io/micatide/core/ReferencePlanner.java
+++ b/src/test/java/io/micatide/core/ReferencePlanner.java
@@ -45,7 +45,7 @@
     private final JobBook book;
     private final RunTimes runTimes;
     private final long guaranteePatienceMicros;
-    private List<Queued> order = List.of();
+    private List<JobQueue.Queued> order = List.of();
     private long orderMicros = Long.MIN_VALUE / 2;
     /** The least of each resource that any job in the order asks for. */
     private Resources least = Resources.NONE;
@@ -74,10 +74,9 @@
     }
 
     /** Jobs with waiting tasks in the order in which they get room. */
-    @Override
-    List<Queued> queue(long nowMicros) {
+    private List<JobQueue.Queued> queue(long nowMicros) {
         Map<String, Resources> asked = new HashMap<>();
-        List<Queued> result = new ArrayList<>();
+        List<JobQueue.Queued> result = new ArrayList<>();
         Map<Job, Deadlines.Entry> entries = new HashMap<>();
         for (Deadlines.Entry entry : decide(nowMicros)) {
             entries.put(entry.job, entry);
@@ -96,7 +95,7 @@
             int waiting = job.waiting();
             if (waiting > 0) {
                 Deadlines.Entry entry = entries.get(job);
-                result.add(new Queued(
+                result.add(new JobQueue.Queued(
                         job,
                         waiting,
                         guaranteed,
@@ -104,19 +103,19 @@
                         entry == null ? job.readyMicros : entry.latestStartMicros()));
             }
         }
-        result.sort(Comparator.comparing((Queued q) -> q.job().priority())
+        result.sort(Comparator.comparing((JobQueue.Queued q) -> q.job().priority())
                 .thenComparing(q -> q.job().spec.kind() == JobKind.SERVICE ? 0 : 1)
                 .thenComparing(q -> !q.guaranteed())
                 .thenComparing(q -> !q.onTime())
-                .thenComparing(Queued::dueMicros)
+                .thenComparing(JobQueue.Queued::dueMicros)
                 .thenComparing(q -> q.job().readyMicros));
         return result;
     }
 
     /** A job that fails wherever it is tried holds no guarantee and no place among what can be on time. */
-    private static void queueProbe(Job job, List<Queued> queue) {
+    private static void queueProbe(Job job, List<JobQueue.Queued> queue) {
         if (job.placeable() > 0) {
-            queue.add(new Queued(job, job.placeable(), false, false, Long.MAX_VALUE));
+            queue.add(new JobQueue.Queued(job, job.placeable(), false, false, Long.MAX_VALUE));
         }
     }
 
@@ -152,8 +151,7 @@
     }
 
     /** What is left of every job that ends. */
-    @Override
-    List<Deadlines.Entry> arrays(long nowMicros) {
+    private List<Deadlines.Entry> arrays(long nowMicros) {
         List<Deadlines.Entry> result = new ArrayList<>();
         for (Job job : book.jobs()) {
             if (!job.cancelled && !job.suspect && job.spec.kind() != JobKind.SERVICE && job.unfinished() > 0) {
@@ -178,8 +176,7 @@
     }
 
     /** Processors, in thousandths, that are there for work that ends. */
-    @Override
-    double arrayCpus(long nowMicros) {
+    private double arrayCpus(long nowMicros) {
         double cpus = 0;
         for (Machine machine : fleet.machines()) {
             if (machine.size() != null
@@ -243,7 +240,7 @@
             return;
         }
         least = order.get(0).job().spec.each();
-        for (Queued queued : order) {
+        for (JobQueue.Queued queued : order) {
             least = least.least(queued.job().spec.each());
         }
         mostTogether = Math.max(FEWEST_TOGETHER, (int) (MOST_TOGETHER_SHARE * replicas()));
@@ -259,7 +256,7 @@
                 open.add(machine);
             }
         }
-        for (Queued queued : order) {
+        for (JobQueue.Queued queued : order) {
             if (startable(queued.job(), nowMicros)) {
                 placeJob(queued, usable, open, nowMicros);
             }
@@ -270,12 +267,12 @@
      * Work of the lowest priority yields to what would be late otherwise, not to all that waits: hundreds of a guest's tasks
      * of 150 s were once started over for jobs that had time.
      */
-    private boolean displacesLowest(Queued queued, long nowMicros) {
+    private boolean displacesLowest(JobQueue.Queued queued, long nowMicros) {
         return lowestRuns && isUrgent(queued, nowMicros);
     }
 
     /** It can be on time, but only if it starts about now. */
-    private static boolean isUrgent(Queued queued, long nowMicros) {
+    private static boolean isUrgent(JobQueue.Queued queued, long nowMicros) {
         return queued.onTime() && queued.dueMicros() - nowMicros < PRECEDENCE_MICROS;
     }
 
@@ -305,7 +302,7 @@
 
     /** The jobs with waiting tasks as of the last plan. */
     @Override
-    List<Queued> order() {
+    List<JobQueue.Queued> order() {
         return order;
     }
 
@@ -329,8 +326,8 @@
 
     /** The job in the order that gets room on this machine, or null. */
     private Job next(Machine machine, long nowMicros) {
-        Queued first = null;
-        for (Queued queued : order) {
+        JobQueue.Queued first = null;
+        for (JobQueue.Queued queued : order) {
             if (first != null
                     && (!first.sameRank(queued) || queued.dueMicros() - first.dueMicros() >= PRECEDENCE_MICROS)) {
                 break;
@@ -439,7 +436,7 @@
         return result;
     }
 
-    private void placeJob(Queued queued, List<Machine> usable, List<Machine> open, long nowMicros) {
+    private void placeJob(JobQueue.Queued queued, List<Machine> usable, List<Machine> open, long nowMicros) {
         Job job = queued.job();
         JobSpec spec = job.spec;
         // Room comes free all the time, and what is first in the queue gets it: stopping work of the same priority
@@ -474,7 +471,7 @@
         return result;
     }
 
-    private void placeReplicas(Queued queued, List<Machine> candidates, long nowMicros) {
+    private void placeReplicas(JobQueue.Queued queued, List<Machine> candidates, long nowMicros) {
         Job job = queued.job();
         for (int left = queued.waiting(); left > 0 && job.placeable() > 0 && teamAllows(job); left--) {
             Machine machine = besideReplicas(job, candidates, nowMicros);
@@ -574,7 +571,7 @@
      * room that comes free by itself serves most of a job, so a team that waits for its guarantee takes a part at a
      * time: taking all at once lost one start in ten, and some tasks were started fifteen times.
      */
-    private void preempt(Queued queued, List<Machine> candidates, long nowMicros) {
+    private void preempt(JobQueue.Queued queued, List<Machine> candidates, long nowMicros) {
         Job job = queued.job();
         int left = job.waiting();
         if (job.priority() == Priority.NORMAL) {
