--- a/src/main/java/io/micatide/core/Dependencies.java
+++ b/src/main/java/io/micatide/core/Dependencies.java
@@ -48,7 +48,7 @@
         Set<String> left = new HashSet<>();
         for (String need : needs) {
             Row.JobRow end = ends.of(need);
-            if (withdrawn.contains(need) || end != null && end.state() == JobState.CANCELLED) {
+            if (withdrawn.contains(need) || (end != null && end.state() == JobState.CANCELLED)) {
                 withdrawn.add(id);
                 return cancelled(id);
             }
--- a/src/main/java/io/micatide/core/Hints.java
+++ b/src/main/java/io/micatide/core/Hints.java
@@ -28,7 +28,7 @@
                 long mean = job.ranTasks == 0 ? 0 : job.ranMicros / job.ranTasks;
                 result.add(new Hint.OfJob(
                         job.id(),
-                        Math.round(rounded(mean)),
+                        Math.round(rounded((double) mean)),
                         Integer.highestOneBit(job.ranTasks),
                         job.suspect,
                         job.failedProbes));
--- a/src/main/java/io/micatide/core/JobBook.java
+++ b/src/main/java/io/micatide/core/JobBook.java
@@ -291,7 +291,7 @@
                 if (job.writing
                         || due != pass
                         || nowMicros < job.writeAgainMicros
-                        || due == LAST_PASS && nowMicros - job.dirtySinceMicros < GATHER_MICROS) {
+                        || (due == LAST_PASS && nowMicros - job.dirtySinceMicros < GATHER_MICROS)) {
                     continue;
                 }
                 int before = writes.size();
@@ -428,7 +428,7 @@
                     page == 0 ? first : Ranges.within(job.finished, job.recorded, page * size, (page + 1) * size, room);
             String text = bits == null ? "" : Ranges.format(bits, page * size, (page + 1) * size);
             if (bits == null
-                    || page > 0 && bytes + text.length() > MOST_BYTES / 2
+                    || (page > 0 && bytes + text.length() > MOST_BYTES / 2)
                     || nothingNew(job, page, bits, machines)) {
                 // A job in many pieces fills a transaction by itself; the rest of it goes with the next round. What has
                 // no room in a value stays with the workers, who report it until it is recorded.
@@ -483,9 +483,9 @@
         news.andNot(job.recorded);
         return news.isEmpty()
                 && (page > 0
-                        || job.pageVersions.containsKey(0)
+                        || (job.pageVersions.containsKey(0)
                                 && job.neededMachines.isEmpty()
-                                && job.recordedMachines.equals(machines));
+                                && job.recordedMachines.equals(machines)));
     }
 
     /** Completion, and the end of a cancelled job once nothing of it can be on a machine. */
--- a/src/main/java/io/micatide/core/JobDirectory.java
+++ b/src/main/java/io/micatide/core/JobDirectory.java
@@ -231,7 +231,7 @@
             seen.add(id);
         }
         Entry known = entries.get(id);
-        if (known != null && known.version() >= version || ghosts.getOrDefault(id, 0L) >= version) {
+        if ((known != null && known.version() >= version) || ghosts.getOrDefault(id, 0L) >= version) {
             return List.of();
         }
         if (known == null && mayBeArchived(stored, version)) {
--- a/src/main/java/io/micatide/core/JobQueue.java
+++ b/src/main/java/io/micatide/core/JobQueue.java
@@ -101,7 +101,7 @@
         List<Deadlines.Entry> possible = new ArrayList<>();
         perTeam.forEach((name, entries) -> {
             Team team = settings.teams().get(name);
-            double most = team == null || team.cpusMax() == 0 ? cpus : Math.min(cpus, team.cpusMax());
+            double most = team == null || team.cpusMax() == 0 ? cpus : Math.min(cpus, (double) team.cpusMax());
             for (Deadlines.Entry entry : Deadlines.decide(entries, most, nowMicros)) {
                 (entry.onTime ? possible : result).add(entry);
             }
--- a/src/main/java/io/micatide/core/Leadership.java
+++ b/src/main/java/io/micatide/core/Leadership.java
@@ -110,7 +110,7 @@
 
     /** Free, or left by this controller before it was restarted: the process that owned it is gone. */
     private boolean claimable() {
-        return rowVersion == 0 || label.equals(rowOwner) && rowVersion != token;
+        return rowVersion == 0 || (label.equals(rowOwner) && rowVersion != token);
     }
 
     public void failed(long nowMicros, long pauseMicros) {
--- a/src/main/java/io/micatide/core/MachineReport.java
+++ b/src/main/java/io/micatide/core/MachineReport.java
@@ -16,6 +16,6 @@
         List<TaskReport> tasks) {
 
     public boolean newerThan(long otherSession, long otherSequence) {
-        return session > otherSession || session == otherSession && sequence > otherSequence;
+        return session > otherSession || (session == otherSession && sequence > otherSequence);
     }
 }
--- a/src/main/java/io/micatide/core/Planner.java
+++ b/src/main/java/io/micatide/core/Planner.java
@@ -327,7 +327,7 @@
         boolean waited = nowMicros - job.readyMicros > guaranteePatienceMicros;
         boolean preempts = !job.suspect
                 && (spec.kind() == JobKind.SERVICE
-                        || (queued.guaranteed() || displacesLowest(queued, nowMicros)) && waited
+                        || ((queued.guaranteed() || displacesLowest(queued, nowMicros)) && waited)
                         || (spec.priority() == job.priority()
                                 ? spec.priority() != Priority.NORMAL
                                 : isUrgent(queued, nowMicros)));
@@ -558,13 +558,13 @@
     private void placeGang(Job job, int missing, boolean preempts, long nowMicros) {
         JobSpec spec = job.spec;
         Team team = settings.teams().get(spec.team());
-        boolean ended = job.gangBroken || job.gangStarted && !job.live.isEmpty();
+        boolean ended = job.gangBroken || (job.gangStarted && !job.live.isEmpty());
         if (ended
-                || team != null
+                || (team != null
                         && !team.allows(scheduler
                                 .teamUse(spec.team())
                                 .plus(unknown.getOrDefault(spec.team(), Resources.NONE))
-                                .plus(spec.each().times(missing)))) {
+                                .plus(spec.each().times(missing))))) {
             return;
         }
         Map<String, Long> atMost = job.live.isEmpty() ? blocked.room(job, preempts) : null;
--- a/src/main/java/io/micatide/core/Preemption.java
+++ b/src/main/java/io/micatide/core/Preemption.java
@@ -179,7 +179,7 @@
             if (job.spec.each().fitsIn(room)) {
                 break;
             }
-            if (!placement.job.priority().equals(job.priority()) || same && overGuarantee(placement, taken)) {
+            if (!placement.job.priority().equals(job.priority()) || (same && overGuarantee(placement, taken))) {
                 victims.add(placement);
                 room = room.plus(placement.job.spec.each());
                 taken.merge(placement.job.spec.team(), placement.job.spec.each(), Resources::plus);
@@ -194,9 +194,9 @@
             return false;
         }
         return job.priority().above(placement.job.priority())
-                || !theirs.team().equals(job.spec.team())
+                || (!theirs.team().equals(job.spec.team())
                         && theirs.kind() == JobKind.ARRAY
-                        && job.priority() == placement.job.priority();
+                        && job.priority() == placement.job.priority());
     }
 
     private boolean overGuarantee(Placement placement, Map<String, Resources> taken) {
--- a/src/main/java/io/micatide/core/Rentals.java
+++ b/src/main/java/io/micatide/core/Rentals.java
@@ -212,7 +212,7 @@
             if (booking.state == State.DONE && !booking.recorded && !booking.writing) {
                 each.remove();
             } else if (!booking.writing
-                    && (booking.state == State.CLAIMED && !booking.recorded || booking.state == State.DONE)) {
+                    && ((booking.state == State.CLAIMED && !booking.recorded) || booking.state == State.DONE)) {
                 result.add(booking);
             }
         }
--- a/src/main/java/io/micatide/core/Renter.java
+++ b/src/main/java/io/micatide/core/Renter.java
@@ -120,7 +120,7 @@
         Set<String> heard = quiet.isEmpty() || few ? Set.of() : zonesThatReport(nowMicros);
         for (Machine machine : quiet) {
             // Not for tasks of arrays alone: a machine that hangs is there again before another one has booted.
-            machine.deleting |= (few || machine.zone != null && heard.contains(machine.zone))
+            machine.deleting |= (few || (machine.zone != null && heard.contains(machine.zone)))
                     && (machine.holdsUp || hasReplica(machine));
         }
     }
@@ -381,7 +381,7 @@
                     && !machine.deleting
                     && machine.placements.isEmpty()
                     && machine.idleSinceMicros >= 0
-                    && (nowMicros - machine.idleSinceMicros > tuning.idleMicros() || machine.draining && !need)
+                    && (nowMicros - machine.idleSinceMicros > tuning.idleMicros() || (machine.draining && !need))
                     && (!need || waiting.stream().noneMatch(shape -> mayUse(shape, machine, nowMicros)))) {
                 machine.deleting = true;
             }
@@ -520,7 +520,7 @@
             boolean neverThere = machine.lastAnsweredMicros < 0
                     && machine.bootStartedMicros < 0
                     && askedMicros - machine.knownSinceMicros > 2 * settings.listLagMicros() + 5 * Micros.SECOND;
-            if ((machine.listed && silent || neverThere) && !names.contains(machine.name)) {
+            if (((machine.listed && silent) || neverThere) && !names.contains(machine.name)) {
                 machine.deleting = true;
             }
         }
--- a/src/main/java/io/micatide/core/RoomIndex.java
+++ b/src/main/java/io/micatide/core/RoomIndex.java
@@ -149,9 +149,9 @@
             return false;
         }
         return lower
-                || source == RoomDemand.Source.SAME_PRIORITY
+                || (source == RoomDemand.Source.SAME_PRIORITY
                         && spec.kind() == JobKind.ARRAY
-                        && placement.job.priority() == priority;
+                        && placement.job.priority() == priority);
     }
 
     private boolean isExact(RoomDemand demand, Tracked tracked) {
--- a/src/main/java/io/micatide/core/Row.java
+++ b/src/main/java/io/micatide/core/Row.java
@@ -74,7 +74,8 @@
      * and it stands among the job rows so that one read of their changes tells both, in one order.
      *
      * @param sinceVersion revision at which the archive began, 0 while this is its first manifest
-     * @param salt by which ids are spread over the segments of a run, two numbers that are not negative
+     * @param saltA by which ids are spread over the segments of a run, not negative; with {@code saltB}
+     * @param saltB the second such number
      */
     record History(long sinceVersion, long saltA, long saltB, List<Run> runs) implements Row {}
 
--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -425,7 +425,7 @@
                         new Placement(job, line.index(), line.attempt(), machine, Placement.Phase.REPORTED, nowMicros);
                 placement.adopted = true;
                 add(placement);
-                if (job.cancelled || job.spec.kind() != JobKind.SERVICE && job.finished.get(line.index())) {
+                if (job.cancelled || (job.spec.kind() != JobKind.SERVICE && job.finished.get(line.index()))) {
                     stop(placement, 0, nowMicros);
                 }
             }
@@ -767,17 +767,16 @@
             }
             if (placement.unsent()) {
                 remove(placement);
-            } else if (placement.job.leftSlow.get(placement.index)) {
-                // It was long elsewhere too: it is the task and not the machine. Of an array whose tasks take very
-                // different times
-                // the long ones made each machine seem slow, and were started over without end.
-                continue;
-            } else if (placement.job.spec.checkpointMicros() > 0) {
-                placement.job.leftSlow.set(placement.index);
-                stopToSave(placement, nowMicros);
-            } else {
+            } else if (!placement.job.leftSlow.get(placement.index)) {
+                // One that was long elsewhere too is long itself: of an array whose tasks take very different times the
+                // long ones made
+                // each machine seem slow, and were started over without end.
                 placement.job.leftSlow.set(placement.index);
-                stop(placement, 0, nowMicros);
+                if (placement.job.spec.checkpointMicros() > 0) {
+                    stopToSave(placement, nowMicros);
+                } else {
+                    stop(placement, 0, nowMicros);
+                }
             }
         }
     }
--- a/src/main/java/io/micatide/core/WorkerReach.java
+++ b/src/main/java/io/micatide/core/WorkerReach.java
@@ -83,9 +83,9 @@
     public boolean leaderLost(long nowMicros) {
         strays.values().removeIf(at -> nowMicros - at > RECENT_MICROS);
         return strays.size() >= MANY_STRAYS
-                || !strays.isEmpty()
+                || (!strays.isEmpty()
                         && nowMicros - newsMicros < RECENT_MICROS
-                        && nowMicros - leaderSilentSinceMicros > silenceMicros;
+                        && nowMicros - leaderSilentSinceMicros > silenceMicros);
     }
 
     /** How long ago a worker that had lost the leader came here, or -1 if that is too long ago to matter. */
--- a/src/main/java/io/micatide/history/Archivist.java
+++ b/src/main/java/io/micatide/history/Archivist.java
@@ -173,7 +173,7 @@
             }
         }
         offered = fresh;
-        worthIt = fresh.size() >= worthARun || anyway && !fresh.isEmpty();
+        worthIt = fresh.size() >= worthARun || (anyway && !fresh.isEmpty());
     }
 
     /** Guards the order of the two writes: a test that lets rows go before they are archived loses jobs. */
--- a/src/main/java/io/micatide/history/Segments.java
+++ b/src/main/java/io/micatide/history/Segments.java
@@ -122,7 +122,7 @@
     private static void number(ByteArrayOutputStream out, int number) {
         int rest = number;
         while (rest >>> SEVEN != 0) {
-            out.write(rest & LOW_SEVEN | MORE);
+            out.write((rest & LOW_SEVEN) | MORE);
             rest >>>= SEVEN;
         }
         out.write(rest);
@@ -152,7 +152,8 @@
             byte[] buffer = new byte[4096];
             while (!inflater.finished()) {
                 int some = inflater.inflate(buffer);
-                if (some == 0 && (inflater.needsInput() || inflater.needsDictionary()) || out.size() > MOST_UNPACKED) {
+                if ((some == 0 && (inflater.needsInput() || inflater.needsDictionary()))
+                        || out.size() > MOST_UNPACKED) {
                     throw new DamagedException(key, "does not unpack");
                 }
                 out.write(buffer, 0, some);
--- a/src/main/java/io/micatide/history/Spread.java
+++ b/src/main/java/io/micatide/history/Spread.java
@@ -23,7 +23,7 @@
     }
 
     static int segment(long hash, int segments) {
-        return (int) ((hash >>> HALF) * segments >>> HALF);
+        return (int) (((hash >>> HALF) * segments) >>> HALF);
     }
 
     /** Whether segment {@code number} of {@code of} begins before the end of segment {@code before} of {@code beforeOf}. */
--- a/src/main/java/io/micatide/net/HttpClient.java
+++ b/src/main/java/io/micatide/net/HttpClient.java
@@ -58,7 +58,6 @@
         final Consumer<Reply> then;
         ScheduledFuture<?> timeout;
         Connection connection;
-        boolean sent;
         boolean over;
 
         Call(HttpMethod method, String path, byte[] body, Consumer<Reply> then) {
@@ -185,11 +184,10 @@
             DefaultFullHttpRequest request =
                     new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, next.method, next.path, body);
             request.headers().set(HttpHeaderNames.HOST, host);
-            if (next.method == HttpMethod.POST) {
+            if (next.method.equals(HttpMethod.POST)) {
                 request.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
                 request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, next.body.length);
             }
-            next.sent = true;
             channel.writeAndFlush(request, channel.voidPromise());
         }
 
--- a/src/main/java/io/micatide/net/Reply.java
+++ b/src/main/java/io/micatide/net/Reply.java
@@ -20,6 +20,6 @@
 
     /** True when the request was certainly not executed. */
     public boolean notExecuted() {
-        return status == 503 || status == 429 || status == 0 && !sent;
+        return status == 503 || status == 429 || (status == 0 && !sent);
     }
 }
--- a/src/main/java/io/micatide/node/Cancellations.java
+++ b/src/main/java/io/micatide/node/Cancellations.java
@@ -47,7 +47,7 @@
             return;
         }
         JobDirectory.Entry entry = directory.get(id);
-        if (entry == null || tries > 0 && !directory.state(id).isFinal()) {
+        if (entry == null || (tries > 0 && !directory.state(id).isFinal())) {
             rows.whenFresh(
                     request,
                     () -> owner.locate(request, id, 0, new Accepted(owner, request, id) {
--- a/src/main/java/io/micatide/node/HistoryReader.java
+++ b/src/main/java/io/micatide/node/HistoryReader.java
@@ -159,7 +159,7 @@
                 failure = new Moved();
             }
             if (key.equals(filterKey)) {
-                filterRead(key, segment, reply);
+                filterRead(key, segment);
             }
             if (waiting != null) {
                 for (Question question : waiting) {
@@ -193,7 +193,7 @@
     /** One answer per question: found anywhere it is found, and it is nowhere only if every segment said so. */
     private void told(Question question, Found found) {
         question.unread--;
-        if (question.worst instanceof Nowhere && !(found instanceof Nowhere) || found instanceof Archived) {
+        if ((question.worst instanceof Nowhere && !(found instanceof Nowhere)) || found instanceof Archived) {
             question.worst = question.worst instanceof Archived ? question.worst : found;
         }
         if (question.unread == 0) {
@@ -232,7 +232,7 @@
         tellLater(new FilterDue(), micros);
     }
 
-    private void filterRead(String key, Row.Segment segment, Reply reply) throws DamagedException {
+    private void filterRead(String key, Row.Segment segment) throws DamagedException {
         filterKey = null;
         if (segment != null) {
             filters.read(key, Segments.unpack(key, segment));
--- a/src/main/java/io/micatide/node/JobRows.java
+++ b/src/main/java/io/micatide/node/JobRows.java
@@ -65,8 +65,7 @@
         this.directory = directory;
         // All controllers together take about a third of the requests for this.
         this.refreshEveryMicros = Math.max(
-                50 * Micros.MILLISECOND,
-                Math.round(settings.siblings().size() + 1) * Micros.ofSeconds(3 / settings.stateRate()));
+                50 * Micros.MILLISECOND, (settings.siblings().size() + 1) * Micros.ofSeconds(3 / settings.stateRate()));
     }
 
     /** Whether the copy has been read whole. */
@@ -207,7 +206,7 @@
     }
 
     void refresh() {
-        if (!loaded || refreshing || arriving.isEmpty() && leader == null && !keepUp) {
+        if (!loaded || refreshing || (arriving.isEmpty() && leader == null && !keepUp)) {
             return;
         }
         long now = owner.now();
@@ -311,7 +310,7 @@
     void findEnded(long token) {
         if (leader == null
                 || !loaded
-                || directory.ended().isEmpty() && directory.ghosts().isEmpty()) {
+                || (directory.ended().isEmpty() && directory.ghosts().isEmpty())) {
             return;
         }
         Set<String> needed = directory.needed();
--- a/src/main/java/io/micatide/node/Rollout.java
+++ b/src/main/java/io/micatide/node/Rollout.java
@@ -63,7 +63,7 @@
 
     /** Whether it may lead as far as the stored forms go: they are known, and this version reads all of them. */
     boolean mayLead() {
-        return !abilities.registers() || switches.known() && !blocked;
+        return !abilities.registers() || (switches.known() && !blocked);
     }
 
     /** What a claim has as a condition. */
--- a/src/main/java/io/micatide/rehearsal/Deployment.java
+++ b/src/main/java/io/micatide/rehearsal/Deployment.java
@@ -289,9 +289,12 @@
         cutFor(
                 (from, endpoint) -> {
                     boolean own = from == processes.get(number);
-                    return fromState && own && endpoint.equals("state")
-                            || fromWorkers && endpoint.equals("c" + number) && !processes.contains(from) && from != user
-                            || fromPeers && (own && endpoint.startsWith("p") || endpoint.equals("p" + number));
+                    return (fromState && own && endpoint.equals("state"))
+                            || (fromWorkers
+                                    && endpoint.equals("c" + number)
+                                    && !processes.contains(from)
+                                    && from != user)
+                            || (fromPeers && ((own && endpoint.startsWith("p")) || endpoint.equals("p" + number)));
                 },
                 seconds);
     }
@@ -348,7 +351,7 @@
         note("lost answers " + share + " " + seconds + (all ? " of all" : ""));
         fatesFor(
                 (from, endpoint, path) ->
-                        (path.equals("/txn") || all && (path.startsWith("/grants") || endpoint.equals("cloud")))
+                        (path.equals("/txn") || (all && (path.startsWith("/grants") || endpoint.equals("cloud"))))
                                         && random.nextDouble() < share
                                 ? new VirtualNetwork.Fate(0, 0, true)
                                 : null,
@@ -416,7 +419,7 @@
         note("unreachable " + names + " " + seconds);
         cutFor(
                 (from, endpoint) -> names.contains(machineOf.getOrDefault(from, ""))
-                        || endpoint.endsWith(":9000") && names.contains(endpoint.substring(0, endpoint.indexOf(':'))),
+                        || (endpoint.endsWith(":9000") && names.contains(endpoint.substring(0, endpoint.indexOf(':')))),
                 seconds);
     }
 
--- a/src/main/java/io/micatide/rehearsal/RuleChecker.java
+++ b/src/main/java/io/micatide/rehearsal/RuleChecker.java
@@ -357,7 +357,7 @@
         if (known && (status == 404 || status == 400 || status == 422)) {
             broke("forgotten", id + " was answered " + status);
         }
-        if (status != 200 && status != 201 || standing == null) {
+        if ((status != 200 && status != 201) || standing == null) {
             return;
         }
         if (job == null) {
--- a/src/main/java/io/micatide/rehearsal/WorkerStandIn.java
+++ b/src/main/java/io/micatide/rehearsal/WorkerStandIn.java
@@ -332,7 +332,7 @@
         changed();
         if (spec == null || command.index() >= spec.tasks()) {
             task.cause = ExitCause.UNKNOWN;
-        } else if (!room(task)) {
+        } else if (!hasRoom()) {
             task.cause = ExitCause.NO_ROOM;
         } else if (tasks.values().stream()
                 .anyMatch(each -> each != task && !each.over() && each.name().equals(task.name()))) {
@@ -348,7 +348,7 @@
         }
     }
 
-    private boolean room(Task task) {
+    private boolean hasRoom() {
         Resources used = Resources.NONE;
         for (Task each : tasks.values()) {
             if (!each.over()) {
--- a/src/main/java/io/micatide/rehearsal/scale/ScaleResult.java
+++ b/src/main/java/io/micatide/rehearsal/scale/ScaleResult.java
@@ -1,5 +1,6 @@
 package io.micatide.rehearsal.scale;
 
+import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
@@ -55,8 +56,8 @@
 
     /** The mean of the controllers that do not lead; the leader itself where it is alone. */
     Controller following() {
-        List<Controller> others =
-                controllers.stream().filter(each -> each != leading()).toList();
+        List<Controller> others = new ArrayList<>(controllers);
+        others.remove(leader);
         if (others.isEmpty()) {
             return leading();
         }
--- a/src/main/java/io/micatide/rollout/Registration.java
+++ b/src/main/java/io/micatide/rollout/Registration.java
@@ -61,7 +61,7 @@
                 || nowMicros < againMicros
                 || leaseNow == 0
                 || actsNow < 0
-                || leaseNow == lease && actsNow == acts) {
+                || (leaseNow == lease && actsNow == acts)) {
             return Wish.NOTHING;
         }
         waiting = true;
--- a/src/main/java/io/micatide/snapshot/ImageTaker.java
+++ b/src/main/java/io/micatide/snapshot/ImageTaker.java
@@ -85,7 +85,8 @@
 
     private void put(RawState.Value value) {
         RawState.Value known = values.get(value.key());
-        if (known != null && known.stamp() >= value.stamp() || deleted.getOrDefault(value.key(), 0L) >= value.stamp()) {
+        if ((known != null && known.stamp() >= value.stamp())
+                || deleted.getOrDefault(value.key(), 0L) >= value.stamp()) {
             return;
         }
         if (value.json() == null) {
--- a/src/main/java/io/micatide/snapshot/SnapshotFile.java
+++ b/src/main/java/io/micatide/snapshot/SnapshotFile.java
@@ -237,9 +237,8 @@
         }
         Map<String, Integer> counts = new TreeMap<>();
         tree.path("counts")
-                .fields()
-                .forEachRemaining(
-                        each -> counts.put(each.getKey(), each.getValue().asInt()));
+                .properties()
+                .forEach(each -> counts.put(each.getKey(), each.getValue().asInt()));
         Image image = new Image(tree.path("revision").asLong(), values);
         if (!counts.equals(image.counts())) {
             throw new SnapshotException(file + ": holds " + image.counts() + " and not " + counts);
--- a/src/main/java/io/micatide/standby/HintsHeld.java
+++ b/src/main/java/io/micatide/standby/HintsHeld.java
@@ -27,7 +27,7 @@
             number = 0;
             arriving = 0;
         }
-        if (part.base() != 0 && part.base() != number || part.number() < arriving) {
+        if ((part.base() != 0 && part.base() != number) || part.number() < arriving) {
             return number;
         }
         if (part.number() > arriving) {
--- a/src/main/java/io/micatide/wire/Fields.java
+++ b/src/main/java/io/micatide/wire/Fields.java
@@ -66,8 +66,8 @@
 
     long count(String name, long least, long most) throws MalformedException {
         JsonNode value = required(name);
-        boolean whole = value.isIntegralNumber() && value.canConvertToLong()
-                || value.isFloatingPointNumber() && value.doubleValue() == Math.rint(value.doubleValue());
+        boolean whole = (value.isIntegralNumber() && value.canConvertToLong())
+                || (value.isFloatingPointNumber() && value.doubleValue() == Math.rint(value.doubleValue()));
         if (!whole || value.longValue() < least || value.longValue() > most) {
             throw new MalformedException(path + name, "must be a whole number from " + least + " to " + most);
         }
--- a/src/main/java/io/micatide/wire/RolloutCodec.java
+++ b/src/main/java/io/micatide/wire/RolloutCodec.java
@@ -5,7 +5,6 @@
 import io.micatide.core.Row;
 import io.micatide.core.StoreKeys;
 import java.io.IOException;
-import java.util.Iterator;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -55,10 +54,7 @@
     static Row row(String key, Fields in, JsonNode data) throws MalformedException {
         if (key.equals(StoreKeys.FEATURES)) {
             Map<String, String> stages = new TreeMap<>();
-            for (Iterator<Map.Entry<String, JsonNode>> each =
-                            data.path("features").fields();
-                    each.hasNext(); ) {
-                Map.Entry<String, JsonNode> feature = each.next();
+            for (Map.Entry<String, JsonNode> feature : data.path("features").properties()) {
                 stages.put(feature.getKey(), feature.getValue().asText());
             }
             return new Row.Features(stages);
--- a/src/test/java/io/micatide/core/ReferencePlanner.java
+++ b/src/test/java/io/micatide/core/ReferencePlanner.java
@@ -444,7 +444,7 @@
         boolean waited = nowMicros - job.readyMicros > guaranteePatienceMicros;
         boolean preempts = !job.suspect
                 && (spec.kind() == JobKind.SERVICE
-                        || (queued.guaranteed() || displacesLowest(queued, nowMicros)) && waited
+                        || ((queued.guaranteed() || displacesLowest(queued, nowMicros)) && waited)
                         || (spec.priority() == job.priority()
                                 ? spec.priority() != Priority.NORMAL
                                 : isUrgent(queued, nowMicros)));
@@ -625,13 +625,13 @@
     private void placeGang(Job job, int missing, List<Machine> all, boolean preempts, long nowMicros) {
         JobSpec spec = job.spec;
         Team team = settings.teams().get(spec.team());
-        boolean ended = job.gangBroken || job.gangStarted && !job.live.isEmpty();
+        boolean ended = job.gangBroken || (job.gangStarted && !job.live.isEmpty());
         if (ended
-                || team != null
+                || (team != null
                         && !team.allows(scheduler
                                 .teamUse(spec.team())
                                 .plus(unknown.getOrDefault(spec.team(), Resources.NONE))
-                                .plus(spec.each().times(missing)))) {
+                                .plus(spec.each().times(missing))))) {
             return;
         }
         Map<String, Long> perZone = new HashMap<>();
@@ -823,7 +823,7 @@
             if (job.spec.each().fitsIn(room)) {
                 break;
             }
-            if (!placement.job.priority().equals(job.priority()) || same && overGuarantee(placement, taken)) {
+            if (!placement.job.priority().equals(job.priority()) || (same && overGuarantee(placement, taken))) {
                 victims.add(placement);
                 room = room.plus(placement.job.spec.each());
                 taken.merge(placement.job.spec.team(), placement.job.spec.each(), Resources::plus);
@@ -838,9 +838,9 @@
             return false;
         }
         return job.priority().above(placement.job.priority())
-                || !theirs.team().equals(job.spec.team())
+                || (!theirs.team().equals(job.spec.team())
                         && theirs.kind() == JobKind.ARRAY
-                        && job.priority() == placement.job.priority();
+                        && job.priority() == placement.job.priority());
     }
 
     private boolean overGuarantee(Placement placement, Map<String, Resources> taken) {
--- a/src/test/java/io/micatide/history/HistoryDay.java
+++ b/src/test/java/io/micatide/history/HistoryDay.java
@@ -448,7 +448,8 @@
         String standing = said.path("standing").asText();
         job.last = standing;
         boolean over = standing.equals("done") || standing.equals("withdrawn");
-        if (endBefore != null && !endBefore.equals(standing) || over && job.end != null && !job.end.equals(standing)) {
+        if ((endBefore != null && !endBefore.equals(standing))
+                || (over && job.end != null && !job.end.equals(standing))) {
             broken.add("went_back " + job.id + " from " + job.end + " to " + standing);
         }
         if (over) {
--- a/src/test/java/io/micatide/rehearsal/ContractTest.java
+++ b/src/test/java/io/micatide/rehearsal/ContractTest.java
@@ -24,7 +24,6 @@
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.AfterAll;
@@ -163,10 +162,8 @@
         ObjectNode more = job();
         more.put("unknownField", 3).putObject("another").put("x", 1);
         cases.add(new Case("unknown fields", more));
-        for (Iterator<Map.Entry<String, JsonNode>> each =
-                        description.at("/components/schemas/Job/properties").fields();
-                each.hasNext(); ) {
-            Map.Entry<String, JsonNode> property = each.next();
+        for (Map.Entry<String, JsonNode> property :
+                description.at("/components/schemas/Job/properties").properties()) {
             String field = property.getKey();
             JsonNode schema = property.getValue();
             add(cases, "missing", field, null);
--- a/src/test/java/io/micatide/rehearsal/RolloutTest.java
+++ b/src/test/java/io/micatide/rehearsal/RolloutTest.java
@@ -152,7 +152,7 @@
                             || key.startsWith(StoreKeys.HERE)
                             || key.startsWith(StoreKeys.LEARNED)
                             || key.startsWith(StoreKeys.RETURNS)
-                            || key.startsWith(StoreKeys.BOOKINGS) && conditions.contains(StoreKeys.FENCE)) {
+                            || (key.startsWith(StoreKeys.BOOKINGS) && conditions.contains(StoreKeys.FENCE))) {
                         seen.merge(key.substring(0, 4), 1, Integer::sum);
                         assertTrue(conditions.contains(StoreKeys.FEATURES), key + " on condition of " + conditions);
                     }
