--- a/src/main/java/io/micatide/core/JobBook.java
+++ b/src/main/java/io/micatide/core/JobLedgers.java
@@ -20,7 +20,7 @@
  * <p>A write whose answer was lost may be applied minutes later. So every value is written on condition that it is as
  * we last knew it, and a machine counts as recorded only if it is so by every outcome that the last write can have.
  */
-final class JobBook {
+final class JobLedgers {
     /** Longest time that finished tasks of a job wait to be recorded together. */
     private static final long GATHER_MICROS = Micros.SECOND;
 
@@ -56,7 +56,7 @@
     /** A row to close. That the job is withdrawn follows from the others' rows, so this is for whoever reads only rows. */
     private record Withdrawal(String id, long version, Row.JobRow row) {}
 
-    JobBook(Settings settings, long token) {
+    JobLedgers(Settings settings, long token) {
         this.settings = settings;
         this.token = token;
         this.pageTasks = settings.pageTasks();
@@ -277,7 +277,8 @@
         int most = Math.min(mostWrites, settings.transactionOps());
         int bytes = extra.size() * 200;
         List<Part> parts = new ArrayList<>();
-        // Whatever else made it dirty, a cancelled job stays in the book and its ledger in the store until nothing of
+        // Whatever else made it dirty, a cancelled job stays open here and its ledger in the store until nothing
+        // of
         // it can be on a machine.
         // It once went with the next round that came for a finished task or a needed machine: what went on on a hung or
         // cut-off machine
--- a/src/main/java/io/micatide/core/JobQueue.java
+++ b/src/main/java/io/micatide/core/JobQueue.java
@@ -14,13 +14,13 @@
 final class JobQueue {
     private final Settings settings;
     private final Fleet fleet;
-    private final JobBook book;
+    private final JobLedgers ledgers;
     private final RunTimes runTimes;
 
-    JobQueue(Settings settings, Fleet fleet, JobBook book, RunTimes runTimes) {
+    JobQueue(Settings settings, Fleet fleet, JobLedgers ledgers, RunTimes runTimes) {
         this.settings = settings;
         this.fleet = fleet;
-        this.book = book;
+        this.ledgers = ledgers;
         this.runTimes = runTimes;
     }
 
@@ -42,7 +42,7 @@
         for (Deadlines.Entry entry : decide(nowMicros)) {
             entries.put(entry.job, entry);
         }
-        for (Job job : book.jobs()) {
+        for (Job job : ledgers.jobs()) {
             if (job.cancelled) {
                 continue;
             }
@@ -114,7 +114,7 @@
     /** What is left of every job that ends. */
     List<Deadlines.Entry> arrays(long nowMicros) {
         List<Deadlines.Entry> result = new ArrayList<>();
-        for (Job job : book.jobs()) {
+        for (Job job : ledgers.jobs()) {
             if (!job.cancelled && !job.suspect && job.spec.kind() != JobKind.SERVICE && job.unfinished() > 0) {
                 long length = runTimes.expected(job);
                 int waiting = job.waiting();
@@ -133,7 +133,7 @@
         for (Settings.Objective objective : settings.objectives()) {
             aims += jobClass.equals(objective.jobClass()) ? 1 : 0;
         }
-        return aims / (double) Math.max(1, book.countOf(jobClass));
+        return aims / (double) Math.max(1, ledgers.countOf(jobClass));
     }
 
     /** Processors, in thousandths, that are there for work that ends. */
--- a/src/main/java/io/micatide/core/Pipelines.java
+++ b/src/main/java/io/micatide/core/Pipelines.java
@@ -10,7 +10,7 @@
 /**
  * Jobs that wait for others, and what they ask of those. Users set deadline and priority on the last job of a pipeline only;
  * each job before it has to be over early enough for what follows on the longest way, and has the highest priority of what
- * needs it. Waiting jobs are kept apart from {@link JobBook}: they take no part in queue, limits, guarantees or rounds.
+ * needs it. Waiting jobs are kept apart from {@link JobLedgers}: they take no part in queue, limits, guarantees or rounds.
  */
 final class Pipelines {
     /** What lies between the end of a job and the start of the next one's tasks: two writes and the fetch of an image. */
@@ -32,15 +32,15 @@
         }
     }
 
-    private final JobBook book;
+    private final JobLedgers ledgers;
     private final RunTimes runTimes;
     private final Map<String, Waiting> waiting = new LinkedHashMap<>();
     private final List<Job> demanded = new ArrayList<>();
     private boolean changed;
     private long refreshedMicros = Long.MIN_VALUE / 2;
 
-    Pipelines(JobBook book, RunTimes runTimes) {
-        this.book = book;
+    Pipelines(JobLedgers ledgers, RunTimes runTimes) {
+        this.ledgers = ledgers;
         this.runTimes = runTimes;
     }
 
@@ -90,7 +90,7 @@
             }
         }
         demands.forEach((id, demand) -> {
-            Job job = book.get(id);
+            Job job = ledgers.get(id);
             if (job != null) {
                 job.demand(true, demand.priority(), demand.neededByMicros());
                 demanded.add(job);
--- a/src/main/java/io/micatide/core/Planner.java
+++ b/src/main/java/io/micatide/core/Planner.java
@@ -43,7 +43,7 @@
     private final Scheduler scheduler;
     private final Settings settings;
     private final Fleet fleet;
-    private final JobBook book;
+    private final JobLedgers ledgers;
     private final JobQueue queue;
     private final long guaranteePatienceMicros;
     private List<JobQueue.Queued> order = List.of();
@@ -68,12 +68,12 @@
 
     private long looks;
 
-    Planner(Scheduler scheduler, Settings settings, Fleet fleet, JobBook book, RunTimes runTimes) {
+    Planner(Scheduler scheduler, Settings settings, Fleet fleet, JobLedgers ledgers, RunTimes runTimes) {
         this.scheduler = scheduler;
         this.settings = settings;
         this.fleet = fleet;
-        this.book = book;
-        this.queue = new JobQueue(settings, fleet, book, runTimes);
+        this.ledgers = ledgers;
+        this.queue = new JobQueue(settings, fleet, ledgers, runTimes);
         this.pass = new PlanPass(settings.cores());
         this.preemption = new Preemption(settings, scheduler::teamUse);
         long patience = GUARANTEE_PATIENCE_MICROS;
@@ -165,7 +165,7 @@
 
     /** Whether work of the lowest priority runs, which any other may displace. */
     private boolean lowestRuns() {
-        for (Job job : book.jobs()) {
+        for (Job job : ledgers.jobs()) {
             if (job.priority() == Priority.LOW && !job.live.isEmpty()) {
                 return true;
             }
@@ -180,7 +180,7 @@
 
     private int replicas() {
         int count = 0;
-        for (Job job : book.jobs()) {
+        for (Job job : ledgers.jobs()) {
             count += job.spec.kind() == JobKind.SERVICE ? job.live.size() : 0;
         }
         return count;
@@ -239,7 +239,7 @@
                 && startable(job, nowMicros)
                 && suits(job, machine, nowMicros)
                 && teamAllows(job)
-                && book.get(job.id()) == job
+                && ledgers.get(job.id()) == job
                 && scheduler.mayName(job, machine, nowMicros)
                 && zoneAllows(job, machine);
     }
@@ -310,7 +310,7 @@
     /** Tasks that may still sit on machines which have not reported to this leader count for their team. */
     private Map<String, Resources> unknownUse() {
         Map<String, Resources> result = new HashMap<>();
-        for (Job job : book.jobs()) {
+        for (Job job : ledgers.jobs()) {
             if (job.unsettled()) {
                 int tasks = job.cancelled ? job.spec.tasks() : job.waiting();
                 result.merge(job.spec.team(), job.spec.each().times(tasks), Resources::plus);
--- a/src/main/java/io/micatide/core/Scheduler.java
+++ b/src/main/java/io/micatide/core/Scheduler.java
@@ -22,7 +22,7 @@
     private final Settings settings;
     private final long token;
     private final long termStartMicros;
-    private final JobBook book;
+    private final JobLedgers ledgers;
     private final Fleet fleet = new Fleet();
     private final Rentals rentals;
     private final Planner planner;
@@ -41,7 +41,7 @@
 
     private long attemptCounter;
     private long switchesVersion;
-    private JobBook.Round inFlight;
+    private JobLedgers.Round inFlight;
     private double writeTokens;
     /** What one transaction may change; less once the state service has refused one. */
     private int mostOps;
@@ -61,7 +61,7 @@
     /** How a term's planner is made. */
     @FunctionalInterface
     interface PlannerFactory {
-        Planner create(Scheduler scheduler, Settings settings, Fleet fleet, JobBook book, RunTimes runTimes);
+        Planner create(Scheduler scheduler, Settings settings, Fleet fleet, JobLedgers ledgers, RunTimes runTimes);
     }
 
     public Scheduler(Settings settings, Tuning tuning, long token, long nowMicros) {
@@ -73,11 +73,11 @@
         this.token = token;
         this.termStartMicros = nowMicros;
         this.recovery = new Recovery(nowMicros);
-        this.book = new JobBook(settings, token);
-        this.pipelines = new Pipelines(book, runTimes);
+        this.ledgers = new JobLedgers(settings, token);
+        this.pipelines = new Pipelines(ledgers, runTimes);
         this.rentals = new Rentals(settings, token);
         this.returns = new Returns(settings, token);
-        this.planner = planners.create(this, settings, fleet, book, runTimes);
+        this.planner = planners.create(this, settings, fleet, ledgers, runTimes);
         this.renter = new Renter(settings, tuning, fleet, rentals, planner, returns);
         this.writeTokens = leaderWriteRate();
         this.mostOps = settings.transactionOps();
@@ -100,7 +100,7 @@
     public void jobSeen(JobDirectory.View view, long wallMicros, long nowMicros) {
         String id = view.id();
         Row.JobRow row = view.row();
-        Job job = book.get(id);
+        Job job = ledgers.get(id);
         long submitted = nowMicros - Math.max(0, wallMicros - row.submittedWall());
         if (view.state() == JobState.OPEN && view.waits()) {
             pipelines.waits(row.spec(), view.version(), submitted);
@@ -108,13 +108,13 @@
         }
         pipelines.waitsNoMore(id);
         if (row.state() == JobState.OPEN && view.state() == JobState.CANCELLED) {
-            book.withdraw(id, row, view.version());
+            ledgers.withdraw(id, row, view.version());
             return;
         }
-        book.withdrawn(id);
+        ledgers.withdrawn(id);
         if (row.state() == JobState.OPEN) {
             if (job == null) {
-                book.add(
+                ledgers.add(
                         row.spec(),
                         view.version(),
                         row.submittedWall(),
@@ -131,7 +131,7 @@
                 cancel(job, nowMicros);
             } else if (!job.writing) {
                 // Only a leader writes this, so it was our own write whose answer is still to come or was lost.
-                book.drop(job);
+                ledgers.drop(job);
             }
         }
     }
@@ -151,7 +151,7 @@
     /** The ledger of a cancelled job stays until nothing of it can be on a machine. */
     private void settleCancelled(Job job, long nowMicros) {
         if (job.cancelled && !job.anywhere()) {
-            book.touch(job, nowMicros);
+            ledgers.touch(job, nowMicros);
         }
     }
 
@@ -160,12 +160,12 @@
      * be stopped and count for their team until then. Of completed jobs only further pages can be left.
      */
     public void ledgerLoaded(String key, Row.Ledger ledger, long version, long nowMicros) {
-        String id = JobBook.jobOf(key);
+        String id = JobLedgers.jobOf(key);
         ledgersFound = true;
-        if (book.get(id) == null) {
+        if (ledgers.get(id) == null) {
             cancelledBefore(id, nowMicros);
         }
-        if (!book.load(key, ledger, version)) {
+        if (!ledgers.load(key, ledger, version)) {
             extraWrites.add(new Transaction.Write(key, null, 0));
         }
     }
@@ -200,12 +200,12 @@
 
     /** Every controller reads the present layout: what an older one could not read may be written, on that condition. */
     public void layoutMarked(long version, Row.Layout layout) {
-        book.layoutMarked(version, layout.pageTasks());
+        ledgers.layoutMarked(version, layout.pageTasks());
     }
 
     /** There is an archive of final states. */
     public void historyKept() {
-        book.historyKept();
+        ledgers.historyKept();
     }
 
     /** How many machines are known of. */
@@ -215,7 +215,7 @@
 
     /** Whether a job that is over may be archived as far as this leader's own work goes; only once all rows are read. */
     public boolean settled(String id) {
-        return !loading && book.settled(id);
+        return !loading && ledgers.settled(id);
     }
 
     /** How many changes rounds and users leave over now: what is above four fifths of a second's worth. */
@@ -235,7 +235,7 @@
         if (!ledgersFound && rentals.bookings.isEmpty()) {
             renter.firstTerm();
         }
-        for (Job job : book.jobs()) {
+        for (Job job : ledgers.jobs()) {
             for (String name : job.unsettledMachines) {
                 Machine machine = fleet.obtain(name, nowMicros);
                 machine.holdsUp = true;
@@ -251,7 +251,7 @@
     }
 
     private void hintsKnown(long nowMicros) {
-        book.jobs().forEach(hints::apply);
+        ledgers.jobs().forEach(hints::apply);
         for (Machine machine : fleet.machines()) {
             machine.deleting |= machine.holdsUp && hints.gone(machine.name);
             if (machine.confirmed) {
@@ -391,10 +391,10 @@
 
     /** Nothing that an earlier leader sent can appear on this machine any more. */
     private void settle(String machineName, long nowMicros) {
-        for (Job job : book.settleMachine(machineName)) {
+        for (Job job : ledgers.settleMachine(machineName)) {
             // Not at each machine: written anew for each of them, all ledgers together took the write rate for seconds.
             settleCancelled(job, nowMicros);
-            book.touch(job, nowMicros);
+            ledgers.touch(job, nowMicros);
         }
     }
 
@@ -402,7 +402,7 @@
     private List<Command> readBack(Machine machine, MachineReport report, long nowMicros) {
         List<Command> commands = new ArrayList<>();
         for (TaskReport line : report.tasks()) {
-            Job job = book.get(line.job());
+            Job job = ledgers.get(line.job());
             if (line.state() == TaskState.EXITED) {
                 exited(machine, job, line, nowMicros, commands);
                 continue;
@@ -464,7 +464,7 @@
         if (row == null) {
             return null;
         }
-        Job job = book.add(row.spec(), 0, row.submittedWall(), nowMicros, nowMicros);
+        Job job = ledgers.add(row.spec(), 0, row.submittedWall(), nowMicros, nowMicros);
         job.cancelled = true;
         return job;
     }
@@ -480,10 +480,10 @@
                 if (job.spec.kind() == JobKind.GANG) {
                     // A gang completes together, so one report tells of all, also of those that are lost now.
                     for (int index = 0; index < job.spec.tasks(); index++) {
-                        book.finished(job, index, nowMicros);
+                        ledgers.finished(job, index, nowMicros);
                     }
                 } else {
-                    book.finished(job, line.index(), nowMicros);
+                    ledgers.finished(job, line.index(), nowMicros);
                 }
                 for (Placement other : List.copyOf(job.live.getOrDefault(line.index(), List.of()))) {
                     if (other != placement) {
@@ -619,7 +619,7 @@
 
     /** A gang that lost a task after it started cannot go on, and one that gave up waiting is not completed. */
     private void endBrokenGangs(long nowMicros) {
-        for (Job job : book.jobs()) {
+        for (Job job : ledgers.jobs()) {
             if (job.spec.kind() != JobKind.GANG || job.live.isEmpty() || job.unsettled() || job.allFinished()) {
                 continue;
             }
@@ -698,7 +698,7 @@
         boolean recorded = job.recordedMachines.contains(machine.name);
         add(new Placement(
                 job, index, attempt, machine, recorded ? Placement.Phase.READY : Placement.Phase.HELD, nowMicros));
-        book.needMachine(job, machine, nowMicros);
+        ledgers.needMachine(job, machine, nowMicros);
         if (job.firstStartMicros < 0) {
             job.firstStartMicros = nowMicros;
         }
@@ -708,7 +708,7 @@
 
     /** Whether the job may be placed on that machine as far as its ledger goes. */
     boolean mayName(Job job, Machine machine, long nowMicros) {
-        return book.mayUse(job, machine, nowMicros);
+        return ledgers.mayUse(job, machine, nowMicros);
     }
 
     /** Machines that plans looked at in this term. */
@@ -735,7 +735,7 @@
             leaveSlow(machine, nowMicros);
         }
         pipelines.refresh(nowMicros);
-        for (Job job : book.jobs()) {
+        for (Job job : ledgers.jobs()) {
             if (job.ledgerFull) {
                 giveHeldBack(job, nowMicros);
             }
@@ -859,7 +859,7 @@
         // hold, as before, it came to two where that is five, and finished tasks took what starts then waited for.
         int later = (int) Math.max(0, Math.min(mostOps, writeTokens - rate / 2));
         planner.beginRound(nowMicros);
-        JobBook.Round round = book.nextRound(
+        JobLedgers.Round round = ledgers.nextRound(
                 nowMicros,
                 wallMicros,
                 most,
@@ -879,7 +879,7 @@
     }
 
     public void roundConfirmed(long revision, long nowMicros) {
-        JobBook.Round round = inFlight;
+        JobLedgers.Round round = inFlight;
         inFlight = null;
         for (Transaction.Write write : round.transaction().writes()) {
             if (Returns.owns(write.key())) {
@@ -888,7 +888,7 @@
                 extraWrites.remove(write);
             }
         }
-        for (JobBook.Part part : round.parts()) {
+        for (JobLedgers.Part part : round.parts()) {
             if (part.over() && !part.job().cancelled) {
                 completed.add(part.job());
             }
@@ -898,7 +898,7 @@
                 ended.add(new Ended(write.key().substring(StoreKeys.JOBS.length()), row, revision));
             }
         }
-        book.confirmed(round, revision, nowMicros);
+        ledgers.confirmed(round, revision, nowMicros);
         if (round.transaction().writes().stream().anyMatch(write -> write.row() instanceof Row.Fence)) {
             rentals.fenceMoved(revision);
         }
@@ -914,16 +914,16 @@
 
     /** Not applied or of unknown outcome: the keys returned must be read back before {@link #roundResolved}. */
     public List<String> roundUnresolved() {
-        return book.unresolved(inFlight);
+        return ledgers.unresolved(inFlight);
     }
 
     /** The service will never take this transaction. */
     public void roundRefused(long nowMicros) {
-        JobBook.Round round = inFlight;
+        JobLedgers.Round round = inFlight;
         if (round.transaction().writes().size() > FEWEST_OPS) {
             mostOps = Math.max(FEWEST_OPS, round.transaction().writes().size() / 2);
         }
-        book.refused(round, nowMicros);
+        ledgers.refused(round, nowMicros);
         returnsOf(round).forEach(returns::notWritten);
         roundResolved(nowMicros);
     }
@@ -936,7 +936,7 @@
      * @return the keys to be read back, each to be followed by {@link #keyKnown}
      */
     public List<String> roundRefusedFor(List<String> failed, long nowMicros) {
-        JobBook.Round round = inFlight;
+        JobLedgers.Round round = inFlight;
         inFlight = null;
         for (Rentals.Booking booking : round.bookings()) {
             booking.writing = false;
@@ -949,13 +949,13 @@
                 returns.notWritten(write);
             }
         }
-        return book.refusedBy(round, failed, nowMicros);
+        return ledgers.refusedBy(round, failed, nowMicros);
     }
 
     /** A key that a round was refused for was read back and taken in. */
     public void keyKnown(String key, long nowMicros) {
         if (!isOfDuties(key)) {
-            book.keyKnown(key, nowMicros);
+            ledgers.keyKnown(key, nowMicros);
         }
     }
 
@@ -973,7 +973,7 @@
         return Rentals.owns(key) || Returns.owns(key);
     }
 
-    private static List<Transaction.Write> returnsOf(JobBook.Round round) {
+    private static List<Transaction.Write> returnsOf(JobLedgers.Round round) {
         return round.transaction().writes().stream()
                 .filter(write -> Returns.owns(write.key()))
                 .toList();
@@ -986,21 +986,21 @@
     }
 
     public void ledgerReadBack(String key, Row.Ledger ledger, long version) {
-        book.readBack(key, ledger, version);
+        ledgers.readBack(key, ledger, version);
     }
 
     /** A job row as read back: our own completion of it, a cancellation, or still open. */
     public void jobReadBack(String id, Row.JobRow row, long version, long nowMicros) {
-        Job job = book.get(id);
+        Job job = ledgers.get(id);
         if (job != null && row.state() == JobState.DONE) {
-            book.drop(job);
+            ledgers.drop(job);
             ended.add(new Ended(id, row, version));
         } else if (job != null && row.state() == JobState.CANCELLED && !job.cancelled) {
             cancel(job, nowMicros);
         } else if (job != null) {
             job.version = version;
         } else if (row.state() == JobState.CANCELLED) {
-            book.withdrawn(id);
+            ledgers.withdrawn(id);
         }
     }
 
@@ -1015,12 +1015,12 @@
     }
 
     public void roundResolved(long nowMicros) {
-        JobBook.Round round = inFlight;
+        JobLedgers.Round round = inFlight;
         inFlight = null;
         for (Rentals.Booking booking : round.bookings()) {
             booking.writing = false;
         }
-        book.resolved(round, nowMicros);
+        ledgers.resolved(round, nowMicros);
     }
 
     // ---- the cloud
@@ -1080,7 +1080,7 @@
 
     /** What this leader has learned and no row holds, for those who may follow it. */
     public List<Hint> hints(long nowMicros) {
-        return Hints.of(fleet, book.jobs(), runTimes, nowMicros);
+        return Hints.of(fleet, ledgers.jobs(), runTimes, nowMicros);
     }
 
     /**
@@ -1097,13 +1097,13 @@
 
     /** Of what lasts beyond a take-over without an heir: run times, suspicions, slow, faulty and returned machines. */
     public List<Hint> lasting(long nowMicros) {
-        return Hints.lasting(fleet, book.jobs(), runTimes, nowMicros);
+        return Hints.lasting(fleet, ledgers.jobs(), runTimes, nowMicros);
     }
 
     /** Tasks done and running of every open job, for display. */
     public List<JobProgress> progress() {
         List<JobProgress> result = new ArrayList<>();
-        for (Job job : book.jobs()) {
+        for (Job job : ledgers.jobs()) {
             int running = 0;
             for (List<Placement> list : job.live.values()) {
                 for (Placement placement : list) {
@@ -1157,6 +1157,6 @@
 
     /** One line for the log. */
     public String summary(long nowMicros) {
-        return new TermSummary(fleet, book, settings, nowMicros).line(pipelines.size(), planner, slowFound, rentals);
+        return new TermSummary(fleet, ledgers, settings, nowMicros).line(pipelines.size(), planner, slowFound, rentals);
     }
 }
--- a/src/main/java/io/micatide/core/TermSummary.java
+++ b/src/main/java/io/micatide/core/TermSummary.java
@@ -3,7 +3,7 @@
 /** What a leader tells of its term in one line of the log: counts of jobs, machines and what runs on them, at one moment. */
 final class TermSummary {
     private final Fleet fleet;
-    private final JobBook book;
+    private final JobLedgers ledgers;
     private int confirmed;
     private int usable;
     private int booting;
@@ -18,13 +18,13 @@
     private int suspect;
     private int full;
 
-    TermSummary(Fleet fleet, JobBook book, Settings settings, long nowMicros) {
+    TermSummary(Fleet fleet, JobLedgers ledgers, Settings settings, long nowMicros) {
         this.fleet = fleet;
-        this.book = book;
+        this.ledgers = ledgers;
         for (Machine machine : fleet.machines()) {
             count(machine, machine.usable(nowMicros, settings));
         }
-        for (Job job : book.jobs()) {
+        for (Job job : ledgers.jobs()) {
             count(job);
         }
     }
@@ -49,7 +49,7 @@
     }
 
     private void count(Job job) {
-        full += book.full(job) ? 1 : 0;
+        full += ledgers.full(job) ? 1 : 0;
         suspect += job.suspect ? 1 : 0;
         waiting += job.waiting();
         unsettled += job.unsettled() ? 1 : 0;
@@ -62,7 +62,7 @@
      * @param slowFound machines that were found slow in this term
      */
     String line(int awaiting, Planner planner, int slowFound, Rentals rentals) {
-        return "jobs=" + book.jobs().size()
+        return "jobs=" + ledgers.jobs().size()
                 + " awaiting=" + awaiting
                 + " waiting=" + waiting
                 + " unsettled=" + unsettled
--- a/src/test/java/io/micatide/core/BlockedTest.java
+++ b/src/test/java/io/micatide/core/BlockedTest.java
@@ -26,11 +26,11 @@
     @BeforeEach
     void begin() {
         planners.clear();
-        scheduler = new Scheduler(settings, Tuning.defaults(settings), TOKEN, 0, (s, its, fleet, book, times) -> {
-            Planner planner = new Planner(s, its, fleet, book, times);
+        scheduler = new Scheduler(settings, Tuning.defaults(settings), TOKEN, 0, (s, its, fleet, ledgers, times) -> {
+            Planner planner = new Planner(s, its, fleet, ledgers, times);
             planners.add(planner);
             machine = fleet.obtain("i-1", 0);
-            job = book.add(World.job("wk-1", JobKind.ARRAY, "blue", Priority.NORMAL, 4, 10), 1, 0, 0, 0);
+            job = ledgers.add(World.job("wk-1", JobKind.ARRAY, "blue", Priority.NORMAL, 4, 10), 1, 0, 0, 0);
             return planner;
         });
     }
--- a/src/test/java/io/micatide/core/DependenciesTest.java
+++ b/src/test/java/io/micatide/core/DependenciesTest.java
@@ -161,9 +161,9 @@
     void theLastJobAsksForThePipeline(String rows, Priority own, Priority inherited, int steps) {
         Settings settings = new World(1, 0).settings;
         RunTimes runTimes = new RunTimes();
-        JobBook book = new JobBook(settings, 5);
-        Pipelines pipelines = new Pipelines(book, runTimes);
-        Job first = book.add(World.job("a", JobKind.ARRAY, "blue", own, 2, 5), 1, 0, 0, 0);
+        JobLedgers ledgers = new JobLedgers(settings, 5);
+        Pipelines pipelines = new Pipelines(ledgers, runTimes);
+        Job first = ledgers.add(World.job("a", JobKind.ARRAY, "blue", own, 2, 5), 1, 0, 0, 0);
         long version = 1;
         for (String step : rows.split(" ")) {
             String[] parts = step.split("<");
--- a/src/test/java/io/micatide/core/JobBookTest.java
+++ b/src/test/java/io/micatide/core/JobLedgersTest.java
@@ -13,7 +13,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-class JobBookTest {
+class JobLedgersTest {
     /** Every n-th task of a job is finished: its rounds keep the limits, and the next leader reads back the same. */
     @ParameterizedTest
     @CsvSource({
@@ -29,16 +29,16 @@
     })
     void largeFragmentedJobsKeepTheLimits(int tasks, int step, int bytes) {
         Settings settings = new World(1, 0, bytes, 16).settings;
-        JobBook book = new JobBook(settings, 5);
+        JobLedgers ledgers = new JobLedgers(settings, 5);
         JobSpec spec = World.job("wk-1", JobKind.ARRAY, "blue", Priority.NORMAL, tasks, 5);
-        Job job = book.add(spec, 7, 0, 0, 0);
+        Job job = ledgers.add(spec, 7, 0, 0, 0);
         for (int i = 0; i < tasks - 1; i += step) {
-            book.finished(job, i, 0);
+            ledgers.finished(job, i, 0);
         }
         Map<String, Row.Ledger> stored = new HashMap<>();
         int rounds = 0;
         for (long now = 10 * Micros.SECOND; ; now += 10 * Micros.SECOND) {
-            JobBook.Round round = book.nextRound(
+            JobLedgers.Round round = ledgers.nextRound(
                     now,
                     now,
                     settings.transactionOps(),
@@ -62,7 +62,7 @@
             assertTrue(sum < 60_000, "a transaction of " + sum + " bytes");
             assertTrue(round.transaction().writes().size() <= settings.transactionOps());
             assertTrue(round.transaction().conditions().size() <= 4 * settings.transactionOps());
-            book.confirmed(round, 100 + rounds, now);
+            ledgers.confirmed(round, 100 + rounds, now);
         }
         BitSet recorded = (BitSet) job.recorded.clone();
         recorded.andNot(job.finished);
@@ -75,7 +75,7 @@
                     job.recorded.cardinality() > Math.min(tasks / step - 2, 300),
                     "recorded: " + job.recorded.cardinality());
         }
-        JobBook next = new JobBook(settings, 900);
+        JobLedgers next = new JobLedgers(settings, 900);
         Job found = next.add(spec, 7, 0, 0, 0);
         stored.forEach((key, ledger) -> assertTrue(next.load(key, ledger, 1)));
         assertEquals(job.recorded, found.finished);
@@ -99,9 +99,9 @@
     })
     void ledgersOfLargerLimits(int tasks, int step, int machines, int ops, boolean dense) {
         Settings settings = new World(1, 0, 2048, ops).settings;
-        JobBook book = new JobBook(settings, 900);
-        book.layoutMarked(dense ? 44 : 0, book.pageTasks());
-        Job job = book.add(World.job("wk-1", JobKind.ARRAY, "blue", Priority.NORMAL, tasks, 5), 7, 0, 0, 0);
+        JobLedgers ledgers = new JobLedgers(settings, 900);
+        ledgers.layoutMarked(dense ? 44 : 0, ledgers.pageTasks());
+        Job job = ledgers.add(World.job("wk-1", JobKind.ARRAY, "blue", Priority.NORMAL, tasks, 5), 7, 0, 0, 0);
         List<String> names = new ArrayList<>();
         for (int i = 0; i < machines; i++) {
             names.add(String.format("i-%06d", i));
@@ -112,7 +112,7 @@
         }
         int size = settings.pageTasks();
         for (int page = 0; page * size < tasks; page++) {
-            assertTrue(book.load(
+            assertTrue(ledgers.load(
                     StoreKeys.ledger("wk-1", page),
                     new Row.Ledger(
                             page == 0 ? names : List.of(), 0, Ranges.format(before, page * size, (page + 1) * size)),
@@ -126,12 +126,12 @@
             // Machines settle one after the other, and tasks end here and there.
             if (second % 2 == 0 && !job.unsettledMachines.isEmpty()) {
                 job.unsettledMachines.remove(job.unsettledMachines.iterator().next());
-                book.touch(job, now);
+                ledgers.touch(job, now);
             }
             if (second < 200) {
-                book.finished(job, (second * 7919) % tasks, now);
+                ledgers.finished(job, (second * 7919) % tasks, now);
             }
-            JobBook.Round round = book.nextRound(
+            JobLedgers.Round round = ledgers.nextRound(
                     now,
                     now,
                     settings.transactionOps(),
@@ -158,16 +158,16 @@
                             round.transaction().conditions().contains(new Transaction.Compare(StoreKeys.LAYOUT, 44)));
                 }
             }
-            book.confirmed(round, 1000 + second, now);
+            ledgers.confirmed(round, 1000 + second, now);
             BitSet kept = (BitSet) before.clone();
             kept.andNot(job.recorded);
             assertTrue(kept.isEmpty(), "what was recorded is kept");
         }
         assertTrue(idle >= 20, "it is written again and again: " + written);
         for (int i = 0; i < tasks; i++) {
-            book.finished(job, i, 500 * Micros.SECOND);
+            ledgers.finished(job, i, 500 * Micros.SECOND);
         }
-        JobBook.Round last = book.nextRound(
+        JobLedgers.Round last = ledgers.nextRound(
                 510 * Micros.SECOND,
                 510 * Micros.SECOND,
                 ops,
@@ -190,42 +190,44 @@
         "2048, 248, 1000, true"
     })
     void namesNoMoreMachinesThanFit(int bytes, int most, int apart, boolean dense) {
-        JobBook book = new JobBook(new World(1, 0, bytes, 5).settings, 900);
-        book.layoutMarked(dense ? 44 : 0, book.pageTasks());
-        Job job = book.add(World.job("wk-1", JobKind.ARRAY, "blue", Priority.NORMAL, 5000, 5), 7, 0, 0, 0);
+        JobLedgers ledgers = new JobLedgers(new World(1, 0, bytes, 5).settings, 900);
+        ledgers.layoutMarked(dense ? 44 : 0, ledgers.pageTasks());
+        Job job = ledgers.add(World.job("wk-1", JobKind.ARRAY, "blue", Priority.NORMAL, 5000, 5), 7, 0, 0, 0);
         int used = 0;
         for (int i = 0; i < 1000; i++) {
             Machine machine = new Machine(String.format("i-%06d", i * apart), 0);
-            if (book.mayUse(job, machine, i)) {
-                book.needMachine(job, machine, 0);
+            if (ledgers.mayUse(job, machine, i)) {
+                ledgers.needMachine(job, machine, 0);
                 used++;
             }
         }
         assertEquals(most, used);
-        JobBook.Round round = book.nextRound(0, 0, 5, 5, List.of(), List.of(), List.of(), (any, likely) -> List.of());
+        JobLedgers.Round round =
+                ledgers.nextRound(0, 0, 5, 5, List.of(), List.of(), List.of(), (any, likely) -> List.of());
         assertTrue(StateCodec.size(round.transaction().writes().get(0).row()) <= bytes);
     }
 
     /** What the state service refuses holds up neither the other jobs nor, after a pause, its own. */
     @Test
     void aRefusedRoundHoldsUpNobodyElse() {
-        JobBook book = new JobBook(new World(1, 0).settings, 900);
-        Job first = book.add(World.job("wk-1", JobKind.ARRAY, "blue", Priority.NORMAL, 10, 5), 7, 0, 0, 0);
-        Job second = book.add(World.job("wk-2", JobKind.ARRAY, "blue", Priority.NORMAL, 10, 5), 8, 0, 0, 0);
-        book.needMachine(first, new Machine("i-1", 0), 0);
-        JobBook.Round round = book.nextRound(0, 0, 5, 5, List.of(), List.of(), List.of(), (any, likely) -> List.of());
-        book.refused(round, 0);
-        book.resolved(round, 0);
-        book.needMachine(second, new Machine("i-1", 0), 0);
-        JobBook.Round next =
-                book.nextRound(100, 100, 5, 5, List.of(), List.of(), List.of(), (any, likely) -> List.of());
+        JobLedgers ledgers = new JobLedgers(new World(1, 0).settings, 900);
+        Job first = ledgers.add(World.job("wk-1", JobKind.ARRAY, "blue", Priority.NORMAL, 10, 5), 7, 0, 0, 0);
+        Job second = ledgers.add(World.job("wk-2", JobKind.ARRAY, "blue", Priority.NORMAL, 10, 5), 8, 0, 0, 0);
+        ledgers.needMachine(first, new Machine("i-1", 0), 0);
+        JobLedgers.Round round =
+                ledgers.nextRound(0, 0, 5, 5, List.of(), List.of(), List.of(), (any, likely) -> List.of());
+        ledgers.refused(round, 0);
+        ledgers.resolved(round, 0);
+        ledgers.needMachine(second, new Machine("i-1", 0), 0);
+        JobLedgers.Round next =
+                ledgers.nextRound(100, 100, 5, 5, List.of(), List.of(), List.of(), (any, likely) -> List.of());
         assertEquals(
-                List.of(second), next.parts().stream().map(JobBook.Part::job).toList());
+                List.of(second), next.parts().stream().map(JobLedgers.Part::job).toList());
         assertTrue(first.ledgerFull, "what waits for that write is given back");
-        JobBook.Round later = book.nextRound(
+        JobLedgers.Round later = ledgers.nextRound(
                 20 * Micros.SECOND, 0, 5, 5, List.of(), List.of(), List.of(), (any, likely) -> List.of());
         assertEquals(
-                List.of(first), later.parts().stream().map(JobBook.Part::job).toList());
+                List.of(first), later.parts().stream().map(JobLedgers.Part::job).toList());
     }
 
     /**
@@ -235,47 +237,53 @@
     @ParameterizedTest
     @CsvSource({"job/wk-2", "ledger/wk-2"})
     void aJobThatARoundIsRefusedForHoldsUpNobodyElse(String refused) {
-        JobBook book = new JobBook(new World(1, 0).settings, 900);
+        JobLedgers ledgers = new JobLedgers(new World(1, 0).settings, 900);
         List<Job> jobs = new ArrayList<>();
         for (int i = 1; i <= 3; i++) {
-            jobs.add(book.add(World.job("wk-" + i, JobKind.ARRAY, "blue", Priority.NORMAL, 10, 5), 7, 0, 0, 0));
-            book.needMachine(jobs.get(i - 1), new Machine("i-1", 0), 0);
+            jobs.add(ledgers.add(World.job("wk-" + i, JobKind.ARRAY, "blue", Priority.NORMAL, 10, 5), 7, 0, 0, 0));
+            ledgers.needMachine(jobs.get(i - 1), new Machine("i-1", 0), 0);
         }
-        JobBook.Round round = book.nextRound(0, 0, 5, 5, List.of(), List.of(), List.of(), (any, likely) -> List.of());
-        assertEquals(jobs, round.parts().stream().map(JobBook.Part::job).toList());
-        assertEquals(List.of(refused), book.refusedBy(round, List.of(refused), 0));
-        JobBook.Round next = book.nextRound(0, 0, 5, 5, List.of(), List.of(), List.of(), (any, likely) -> List.of());
+        JobLedgers.Round round =
+                ledgers.nextRound(0, 0, 5, 5, List.of(), List.of(), List.of(), (any, likely) -> List.of());
+        assertEquals(jobs, round.parts().stream().map(JobLedgers.Part::job).toList());
+        assertEquals(List.of(refused), ledgers.refusedBy(round, List.of(refused), 0));
+        JobLedgers.Round next =
+                ledgers.nextRound(0, 0, 5, 5, List.of(), List.of(), List.of(), (any, likely) -> List.of());
         assertEquals(
                 List.of(jobs.get(0), jobs.get(2)),
-                next.parts().stream().map(JobBook.Part::job).toList());
-        book.confirmed(next, 1000, 0);
-        assertEquals(null, book.nextRound(0, 0, 5, 5, List.of(), List.of(), List.of(), (any, likely) -> List.of()));
-        book.keyKnown(refused, 0);
-        JobBook.Round later = book.nextRound(0, 0, 5, 5, List.of(), List.of(), List.of(), (any, likely) -> List.of());
+                next.parts().stream().map(JobLedgers.Part::job).toList());
+        ledgers.confirmed(next, 1000, 0);
+        assertEquals(null, ledgers.nextRound(0, 0, 5, 5, List.of(), List.of(), List.of(), (any, likely) -> List.of()));
+        ledgers.keyKnown(refused, 0);
+        JobLedgers.Round later =
+                ledgers.nextRound(0, 0, 5, 5, List.of(), List.of(), List.of(), (any, likely) -> List.of());
         assertEquals(
                 List.of(jobs.get(1)),
-                later.parts().stream().map(JobBook.Part::job).toList());
+                later.parts().stream().map(JobLedgers.Part::job).toList());
     }
 
     /** Finished tasks wait at their workers while the rate is short; what starts or ends a job is written all the same. */
     @Test
     void finishedTasksLeaveTheRateToWhatStarts() {
-        JobBook book = new JobBook(new World(1, 0, 2048, 5).settings, 900);
+        JobLedgers ledgers = new JobLedgers(new World(1, 0, 2048, 5).settings, 900);
         for (int i = 0; i < 8; i++) {
-            book.finished(
-                    book.add(World.job("wk-" + i, JobKind.ARRAY, "blue", Priority.NORMAL, 10, 5), 7, 0, 0, 0), 3, 0);
+            ledgers.finished(
+                    ledgers.add(World.job("wk-" + i, JobKind.ARRAY, "blue", Priority.NORMAL, 10, 5), 7, 0, 0, 0), 3, 0);
         }
-        Job starting = book.add(World.job("wk-8", JobKind.ARRAY, "blue", Priority.NORMAL, 10, 5), 7, 0, 0, 0);
-        book.needMachine(starting, new Machine("i-1", 0), 0);
+        Job starting = ledgers.add(World.job("wk-8", JobKind.ARRAY, "blue", Priority.NORMAL, 10, 5), 7, 0, 0, 0);
+        ledgers.needMachine(starting, new Machine("i-1", 0), 0);
         long now = 5 * Micros.SECOND;
-        JobBook.Round round = book.nextRound(now, 0, 4, 0, List.of(), List.of(), List.of(), (any, likely) -> List.of());
+        JobLedgers.Round round =
+                ledgers.nextRound(now, 0, 4, 0, List.of(), List.of(), List.of(), (any, likely) -> List.of());
         assertEquals(
-                List.of(starting), round.parts().stream().map(JobBook.Part::job).toList());
-        book.confirmed(round, 1000, now);
-        assertEquals(null, book.nextRound(now, 0, 4, 0, List.of(), List.of(), List.of(), (any, likely) -> List.of()));
+                List.of(starting),
+                round.parts().stream().map(JobLedgers.Part::job).toList());
+        ledgers.confirmed(round, 1000, now);
+        assertEquals(
+                null, ledgers.nextRound(now, 0, 4, 0, List.of(), List.of(), List.of(), (any, likely) -> List.of()));
         assertEquals(
                 3,
-                book.nextRound(now, 0, 4, 3, List.of(), List.of(), List.of(), (any, likely) -> List.of())
+                ledgers.nextRound(now, 0, 4, 3, List.of(), List.of(), List.of(), (any, likely) -> List.of())
                         .parts()
                         .size());
     }
@@ -283,14 +291,14 @@
     /** Pages that were written under one limit are read with their own size, also where the settings name another since. */
     @Test
     void theMarkKeepsTheSizeOfPages() {
-        JobBook book = new JobBook(new World(1, 0).settings, 900);
-        book.layoutMarked(44, 256);
-        Job job = book.add(World.job("wk-1", JobKind.ARRAY, "blue", Priority.NORMAL, 1000, 5), 7, 0, 0, 0);
-        book.load(StoreKeys.ledger("wk-1", 2), new Row.Ledger(List.of(), 0, "0-9", true), 5);
+        JobLedgers ledgers = new JobLedgers(new World(1, 0).settings, 900);
+        ledgers.layoutMarked(44, 256);
+        Job job = ledgers.add(World.job("wk-1", JobKind.ARRAY, "blue", Priority.NORMAL, 1000, 5), 7, 0, 0, 0);
+        ledgers.load(StoreKeys.ledger("wk-1", 2), new Row.Ledger(List.of(), 0, "0-9", true), 5);
         assertEquals("512-521", Ranges.format(job.finished, 0, 1000));
-        book.finished(job, 600, 0);
-        JobBook.Round round =
-                book.nextRound(5 * Micros.SECOND, 0, 5, 5, List.of(), List.of(), List.of(), (any, likely) -> List.of());
+        ledgers.finished(job, 600, 0);
+        JobLedgers.Round round = ledgers.nextRound(
+                5 * Micros.SECOND, 0, 5, 5, List.of(), List.of(), List.of(), (any, likely) -> List.of());
         assertEquals("0-9,88", ((Row.Ledger) round.transaction().writes().get(1).row()).done());
     }
 }
--- a/src/test/java/io/micatide/core/PlanPassTest.java
+++ b/src/test/java/io/micatide/core/PlanPassTest.java
@@ -20,8 +20,8 @@
     @BeforeEach
     void allMachinesAreThere() {
         world.cloudOutage = true;
-        world.planners = (scheduler, settings, fleet, book, times) -> {
-            planners.add(new Planner(scheduler, settings, fleet, book, times));
+        world.planners = (scheduler, settings, fleet, ledgers, times) -> {
+            planners.add(new Planner(scheduler, settings, fleet, ledgers, times));
             return planners.get(0);
         };
         world.takeOver();
--- a/src/test/java/io/micatide/core/ReferencePlanner.java
+++ b/src/test/java/io/micatide/core/ReferencePlanner.java
@@ -42,7 +42,7 @@
     private final Scheduler scheduler;
     private final Settings settings;
     private final Fleet fleet;
-    private final JobBook book;
+    private final JobLedgers ledgers;
     private final RunTimes runTimes;
     private final long guaranteePatienceMicros;
     private List<JobQueue.Queued> order = List.of();
@@ -57,12 +57,12 @@
     private int displacedByGuarantees;
     private Map<String, Resources> unknown = Map.of();
 
-    ReferencePlanner(Scheduler scheduler, Settings settings, Fleet fleet, JobBook book, RunTimes runTimes) {
-        super(scheduler, settings, fleet, book, runTimes);
+    ReferencePlanner(Scheduler scheduler, Settings settings, Fleet fleet, JobLedgers ledgers, RunTimes runTimes) {
+        super(scheduler, settings, fleet, ledgers, runTimes);
         this.scheduler = scheduler;
         this.settings = settings;
         this.fleet = fleet;
-        this.book = book;
+        this.ledgers = ledgers;
         this.runTimes = runTimes;
         long patience = GUARANTEE_PATIENCE_MICROS;
         for (Settings.Objective objective : settings.objectives()) {
@@ -81,7 +81,7 @@
         for (Deadlines.Entry entry : decide(nowMicros)) {
             entries.put(entry.job, entry);
         }
-        for (Job job : book.jobs()) {
+        for (Job job : ledgers.jobs()) {
             if (job.cancelled) {
                 continue;
             }
@@ -153,7 +153,7 @@
     /** What is left of every job that ends. */
     private List<Deadlines.Entry> arrays(long nowMicros) {
         List<Deadlines.Entry> result = new ArrayList<>();
-        for (Job job : book.jobs()) {
+        for (Job job : ledgers.jobs()) {
             if (!job.cancelled && !job.suspect && job.spec.kind() != JobKind.SERVICE && job.unfinished() > 0) {
                 long length = runTimes.expected(job);
                 int waiting = job.waiting();
@@ -172,7 +172,7 @@
         for (Settings.Objective objective : settings.objectives()) {
             aims += jobClass.equals(objective.jobClass()) ? 1 : 0;
         }
-        return aims / (double) Math.max(1, book.countOf(jobClass));
+        return aims / (double) Math.max(1, ledgers.countOf(jobClass));
     }
 
     /** Processors, in thousandths, that are there for work that ends. */
@@ -278,7 +278,7 @@
 
     /** Whether work of the lowest priority runs, which any other may displace. */
     private boolean lowestRuns() {
-        for (Job job : book.jobs()) {
+        for (Job job : ledgers.jobs()) {
             if (job.priority() == Priority.LOW && !job.live.isEmpty()) {
                 return true;
             }
@@ -294,7 +294,7 @@
 
     private int replicas() {
         int count = 0;
-        for (Job job : book.jobs()) {
+        for (Job job : ledgers.jobs()) {
             count += job.spec.kind() == JobKind.SERVICE ? job.live.size() : 0;
         }
         return count;
@@ -345,7 +345,7 @@
     private boolean mayRefill(Job job, Machine machine, long nowMicros) {
         return job.spec.kind() != JobKind.GANG
                 && job.placeable() > 0
-                && book.get(job.id()) == job
+                && ledgers.get(job.id()) == job
                 && startable(job, nowMicros)
                 && suits(job, machine, nowMicros)
                 && scheduler.mayName(job, machine, nowMicros)
@@ -427,7 +427,7 @@
     /** Tasks that may still sit on machines which have not reported to this leader count for their team. */
     private Map<String, Resources> unknownUse() {
         Map<String, Resources> result = new HashMap<>();
-        for (Job job : book.jobs()) {
+        for (Job job : ledgers.jobs()) {
             if (job.unsettled()) {
                 int tasks = job.cancelled ? job.spec.tasks() : job.waiting();
                 result.merge(job.spec.team(), job.spec.each().times(tasks), Resources::plus);
