Names of the field: CloudCalls, JobConstraints, StandbyReadiness, evict

For CloudDesk, Wishes, Warmth and displace; what is sent between controllers is as it was. Compiles with the tests.

--- a/src/main/java/io/micatide/core/Planner.java
+++ b/src/main/java/io/micatide/core/Planner.java
@@ -54,8 +54,8 @@
     private int mostTogether = FEWEST_TOGETHER;
 
     private boolean lowestRuns;
-    private int displacedByReplicas;
-    private int displacedByGuarantees;
+    private int evictedByReplicas;
+    private int evictedByGuarantees;
     private Map<String, Resources> unknown = Map.of();
     private final PlanPass pass;
     private final Preemption preemption;
@@ -151,10 +151,10 @@
     }
 
     /**
-     * Work of the lowest priority yields to what would be late otherwise, not to all that waits: hundreds of a guest's tasks
+     * Work of the lowest priority yields to what would be late otherwise, not to all that waits: hundreds of its tasks
      * of 150 s were once started over for jobs that had time.
      */
-    private boolean displacesLowest(JobQueue.Queued queued, long nowMicros) {
+    private boolean mayEvictLowest(JobQueue.Queued queued, long nowMicros) {
         return lowestRuns && isUrgent(queued, nowMicros);
     }
 
@@ -174,8 +174,8 @@
     }
 
     /** Attempts that had to yield in this term, for the log. */
-    String displaced() {
-        return displacedByReplicas + "/" + displacedByGuarantees;
+    String evicted() {
+        return evictedByReplicas + "/" + evictedByGuarantees;
     }
 
     private int replicas() {
@@ -327,7 +327,7 @@
         boolean waited = nowMicros - job.readyMicros > guaranteePatienceMicros;
         boolean preempts = !job.suspect
                 && (spec.kind() == JobKind.SERVICE
-                        || ((queued.guaranteed() || displacesLowest(queued, nowMicros)) && waited)
+                        || ((queued.guaranteed() || mayEvictLowest(queued, nowMicros)) && waited)
                         || (spec.priority() == job.priority()
                                 ? spec.priority() != Priority.NORMAL
                                 : isUrgent(queued, nowMicros)));
@@ -424,7 +424,7 @@
             }
         }
         if (best != null && !each.fitsIn(best.room())) {
-            displace(job, preemption.victims(job, best, true), nowMicros);
+            evict(job, preemption.victims(job, best, true), nowMicros);
         }
         return best;
     }
@@ -530,7 +530,7 @@
                     return;
                 }
                 if (victims != null) {
-                    displace(job, victims, nowMicros);
+                    evict(job, victims, nowMicros);
                     scheduler.place(job, job.nextWaiting(), machine, nowMicros);
                     left--;
                     progress = true;
@@ -539,11 +539,11 @@
         }
     }
 
-    private void displace(Job job, List<Placement> victims, long nowMicros) {
+    private void evict(Job job, List<Placement> victims, long nowMicros) {
         if (job.spec.kind() == JobKind.SERVICE) {
-            displacedByReplicas += victims.size();
+            evictedByReplicas += victims.size();
         } else {
-            displacedByGuarantees += victims.size();
+            evictedByGuarantees += victims.size();
         }
         for (Placement victim : victims) {
             if (victim.unsent()) {
@@ -670,7 +670,7 @@
                 }
             }
             if (there != null) {
-                displace(job, preemption.victims(job, there, true), nowMicros);
+                evict(job, preemption.victims(job, there, true), nowMicros);
                 return there;
             }
             if (without == null) {
--- a/src/main/java/io/micatide/core/TermSummary.java
+++ b/src/main/java/io/micatide/core/TermSummary.java
@@ -77,7 +77,7 @@
                 + " serving=" + serving
                 + " looked=" + planner.looks()
                 + " cut=" + planner.cutPlans()
-                + " displaced=" + planner.displaced()
+                + " evicted=" + planner.evicted()
                 + " slow=" + slowFound
                 + " suspect=" + suspect
                 + " full=" + full
--- a/src/main/java/io/micatide/node/Claims.java
+++ b/src/main/java/io/micatide/node/Claims.java
@@ -14,7 +14,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** What {@link Leadership} wishes of the state service, and what becomes of it. Part of the leader's actor. */
+/** What {@link Leadership} constraints of the state service, and what becomes of it. Part of the leader's actor. */
 final class Claims {
     private static final Logger LOG = LoggerFactory.getLogger(LeaderActor.class);
     private static final long RETRY_MICROS = 300 * Micros.MILLISECOND;
--- a/src/main/java/io/micatide/node/CloudDesk.java
+++ b/src/main/java/io/micatide/node/CloudCalls.java
@@ -18,7 +18,7 @@
 import org.slf4j.LoggerFactory;
 
 /** A term's calls to the cloud, and the machine types that it tells. */
-final class CloudDesk {
+final class CloudCalls {
     private static final Logger LOG = LoggerFactory.getLogger(LeaderActor.class);
 
     private final LeaderActor owner;
@@ -28,7 +28,7 @@
     private final UsersActor users;
     private List<MachineType> storedTypes = List.of();
 
-    CloudDesk(LeaderActor owner, Scheduler scheduler, CloudClient cloud, StateClient state, UsersActor users) {
+    CloudCalls(LeaderActor owner, Scheduler scheduler, CloudClient cloud, StateClient state, UsersActor users) {
         this.owner = owner;
         this.scheduler = scheduler;
         this.cloud = cloud;
--- a/src/main/java/io/micatide/node/Controller.java
+++ b/src/main/java/io/micatide/node/Controller.java
@@ -98,7 +98,7 @@
         } else if (request.path().equals("/hints") && request.method().equals("POST")) {
             leader.tell(new FollowMessage.TakeHints(request));
         } else if (request.path().equals("/standby")) {
-            leader.tell(new LeaderActor.AskWarmth(request));
+            leader.tell(new LeaderActor.AskReadiness(request));
         } else if (request.path().equals("/handover") && request.method().equals("POST")) {
             leader.tell(new FollowMessage.TakeHandOver(request));
         } else {
--- a/src/main/java/io/micatide/node/FollowMessage.java
+++ b/src/main/java/io/micatide/node/FollowMessage.java
@@ -8,7 +8,7 @@
     /** Whether this controller's copy of what a leader reads is whole. */
     record CopyIs(boolean whole) implements FollowMessage {}
 
-    /** What a sibling says of its warmth. */
+    /** What a sibling says of its readiness. */
     record WarmthTold(Reply reply, int sibling) implements FollowMessage {}
 
     /** A leader that ends wants this controller to catch up. */
--- a/src/main/java/io/micatide/node/Following.java
+++ b/src/main/java/io/micatide/node/Following.java
@@ -5,8 +5,8 @@
 import io.micatide.net.Request;
 import io.micatide.standby.Heirs;
 import io.micatide.standby.HintSender;
+import io.micatide.standby.StandbyReadiness;
 import io.micatide.standby.Succession;
-import io.micatide.standby.Warmth;
 import io.micatide.wire.HintCodec;
 import io.micatide.wire.Json;
 import io.micatide.wire.MalformedException;
@@ -17,7 +17,7 @@
 
 /**
  * Who follows whom: a leader's heirs and what it tells them, a follower's place among them and its standby. Part of the leader's actor.
- * Without a standby it appoints nobody, says nothing of its warmth and waits as every version did.
+ * Without a standby it appoints nobody, says nothing of its readiness and waits as every version did.
  */
 final class Following {
     private static final Logger LOG = LoggerFactory.getLogger(LeaderActor.class);
@@ -74,7 +74,7 @@
             return Succession.waitsOfAnyone(reached);
         }
         long claimable = claims.claimableFor(now);
-        boolean cold = succession.warmth(now) == Warmth.COLD;
+        boolean cold = succession.readiness(now) == StandbyReadiness.COLD;
         if (claimable >= 0 && (cold || !reached)) {
             siblings.askWarmth(now);
             if (cold && succession.warmerThere(now)) {
@@ -102,24 +102,24 @@
         return succession.handedOverAt(now);
     }
 
-    /** What it says of its warmth, null for nothing. */
-    Warmth warmth(long now) {
-        return standby == null ? null : succession.warmth(now);
+    /** What it says of its readiness, null for nothing. */
+    StandbyReadiness readiness(long now) {
+        return standby == null ? null : succession.readiness(now);
     }
 
     /** A sibling that answers, of whatever version, has been there for longer than this process. */
     private void warmthTold(Reply reply, int sibling, long now) {
         if (reply.status() == 404) {
-            succession.word(sibling, Warmth.SEASONED, false, now);
+            succession.word(sibling, StandbyReadiness.SEASONED, false, now);
         } else if (reply.status() == 0 && !reply.sent()) {
             // Refused: most likely it has ended. It may only be out of sockets, but this is courtesy.
-            succession.word(sibling, Warmth.COLD, false, now);
+            succession.word(sibling, StandbyReadiness.COLD, false, now);
         } else if (reply.ok()) {
             try {
                 PeerCodec.Answer answer = PeerCodec.answer(reply.body());
                 succession.word(
                         sibling,
-                        answer.warmth() == null ? Warmth.COLD : answer.warmth(),
+                        answer.readiness() == null ? StandbyReadiness.COLD : answer.readiness(),
                         answer.strayedAgoMicros() >= 0,
                         now);
             } catch (MalformedException e) {
@@ -162,7 +162,7 @@
 
     /** A sibling answered this term's news. */
     void heard(int sibling, PeerCodec.Answer answer, long now) {
-        heirs.heard(sibling, answer.warmth(), answer.served(), now);
+        heirs.heard(sibling, answer.readiness(), answer.served(), now);
     }
 
     /** Whom this term's news appoint, null for nobody yet or ever. */
--- a/src/main/java/io/micatide/node/LeaderActor.java
+++ b/src/main/java/io/micatide/node/LeaderActor.java
@@ -54,7 +54,7 @@
                     OwnRowRead,
                     Registered,
                     PeerAnswered,
-                    AskWarmth,
+                    AskReadiness,
                     HandedOver,
                     End,
                     CancelledKnown,
@@ -121,7 +121,7 @@
     record PeerAnswered(Reply reply, long token, int sibling, long askedMicros) implements Message {}
 
     /** A cold sibling wants to know who would lead better. */
-    record AskWarmth(Request request) implements Message {}
+    record AskReadiness(Request request) implements Message {}
 
     record HandedOver(Reply reply) implements Message {}
 
@@ -255,7 +255,7 @@
         } else if (message instanceof FollowMessage m) {
             following.receive(m, term == null ? 0 : term.token());
             advance();
-        } else if (message instanceof AskWarmth m) {
+        } else if (message instanceof AskReadiness m) {
             m.request().answer(200, PeerCodec.answer(ownAnswer(now())));
         } else if (message instanceof HandedOver m) {
             handOver.heirAnswered(m.reply().ok());
@@ -356,7 +356,7 @@
                 scheduler,
                 new TakeOver(loop, state, this, following.standby(), token),
                 new Rounds(this, scheduler, state, users),
-                new CloudDesk(this, scheduler, cloud, state, users),
+                new CloudCalls(this, scheduler, cloud, state, users),
                 new Steps(this, settings, tuning, scheduler, state, users, rollout),
                 new Archiving(this, tuning, scheduler, users, archivist),
                 new Learning(this, settings, scheduler, state, rollout),
@@ -489,7 +489,7 @@
                 reach.strayedAgoMicros(now),
                 Settings.LAYOUT,
                 state.reach().reached(now),
-                handOver != null ? null : following.warmth(now));
+                handOver != null ? null : following.readiness(now));
     }
 
     /** Told to end: what is under way is finished or left, an heir is told, and the lease goes back. */
--- a/src/main/java/io/micatide/node/Term.java
+++ b/src/main/java/io/micatide/node/Term.java
@@ -36,7 +36,7 @@
     private final Scheduler scheduler;
     private final TakeOver takeOver;
     private final Rounds rounds;
-    private final CloudDesk cloud;
+    private final CloudCalls cloud;
     private final Steps steps;
     private final Archiving archiving;
     private final Learning learning;
@@ -54,7 +54,7 @@
             Scheduler scheduler,
             TakeOver takeOver,
             Rounds rounds,
-            CloudDesk cloud,
+            CloudCalls cloud,
             Steps steps,
             Archiving archiving,
             Learning learning,
--- a/src/main/java/io/micatide/rehearsal/Deployment.java
+++ b/src/main/java/io/micatide/rehearsal/Deployment.java
@@ -500,7 +500,7 @@
 
     /** A job's body on the wire that asks for nothing more. */
     public byte[] describe(String id, String form, int tasks, double cpus, double seconds) {
-        return describe(id, form, tasks, cpus, seconds, Wishes.NONE);
+        return describe(id, form, tasks, cpus, seconds, JobConstraints.NONE);
     }
 
     /**
@@ -508,8 +508,8 @@
      *
      * @param form the wire's word
      */
-    public byte[] describe(String id, String form, int tasks, double cpus, double seconds, Wishes wishes) {
-        byte[] body = wishes.body(id, form, tasks, cpus, seconds);
+    public byte[] describe(String id, String form, int tasks, double cpus, double seconds, JobConstraints constraints) {
+        byte[] body = constraints.body(id, form, tasks, cpus, seconds);
         described.put(id, body);
         return body;
     }
--- a/src/main/java/io/micatide/rehearsal/Wishes.java
+++ b/src/main/java/io/micatide/rehearsal/JobConstraints.java
@@ -8,8 +8,8 @@
  * @param type the only machine type, null for any
  * @param zone the only zone, null for any
  */
-public record Wishes(String team, String type, String zone, boolean oneZone, boolean spread, boolean spot) {
-    public static final Wishes NONE = new Wishes("blue", null, null, false, false, true);
+public record JobConstraints(String team, String type, String zone, boolean oneZone, boolean spread, boolean spot) {
+    public static final JobConstraints NONE = new JobConstraints("blue", null, null, false, false, true);
 
     private static String quoted(String word) {
         return word == null ? "null" : "\"" + word + "\"";
--- a/src/main/java/io/micatide/standby/Heirs.java
+++ b/src/main/java/io/micatide/standby/Heirs.java
@@ -21,14 +21,14 @@
 
     private final Settings settings;
     private final long[] answeredMicros;
-    private final Warmth[] warmth;
+    private final StandbyReadiness[] readiness;
     private List<Integer> heirs = List.of();
     private long beganMicros;
 
     public Heirs(Settings settings) {
         this.settings = settings;
         this.answeredMicros = new long[settings.siblings().size()];
-        this.warmth = new Warmth[settings.siblings().size()];
+        this.readiness = new StandbyReadiness[settings.siblings().size()];
         begin(0);
     }
 
@@ -36,7 +36,7 @@
     public final void begin(long nowMicros) {
         beganMicros = nowMicros;
         java.util.Arrays.fill(answeredMicros, Long.MIN_VALUE / 2);
-        java.util.Arrays.fill(warmth, Warmth.COLD);
+        java.util.Arrays.fill(readiness, StandbyReadiness.COLD);
         heirs = List.of();
     }
 
@@ -46,8 +46,8 @@
      * @param said null of one that cannot follow: a former version, or one that is told not to
      * @param served whether the state service answers it
      */
-    public void heard(int sibling, Warmth said, boolean served, long nowMicros) {
-        warmth[sibling] = said;
+    public void heard(int sibling, StandbyReadiness said, boolean served, long nowMicros) {
+        readiness[sibling] = said;
         answeredMicros[sibling] = said != null && served ? nowMicros : Long.MIN_VALUE / 2;
     }
 
@@ -87,7 +87,7 @@
         List<Integer> now =
                 new ArrayList<>(fit.subList(0, Math.min(fit.size(), settings.stateRate() < RATE_OF_TWO ? 1 : 2)));
         // A warm one goes before one that still reads, and otherwise the order stays.
-        now.sort(Comparator.comparing((Integer each) -> warmth[each] != Warmth.WARM)
+        now.sort(Comparator.comparing((Integer each) -> readiness[each] != StandbyReadiness.WARM)
                 .thenComparing(each -> before.contains(each) ? before.indexOf(each) : before.size()));
         heirs = now;
         return heirs.stream().map(each -> settings.siblings().get(each).label()).toList();
@@ -101,7 +101,7 @@
     /** The first heir that is warm and heard, or -1. */
     public int first(long nowMicros) {
         for (int each : heirs) {
-            if (fit(each, nowMicros) && warmth[each] == Warmth.WARM) {
+            if (fit(each, nowMicros) && readiness[each] == StandbyReadiness.WARM) {
                 return each;
             }
         }
--- a/src/main/java/io/micatide/standby/Warmth.java
+++ b/src/main/java/io/micatide/standby/StandbyReadiness.java
@@ -1,7 +1,7 @@
 package io.micatide.standby;
 
 /** How well a controller could lead from this moment on, from worst to best. */
-public enum Warmth {
+public enum StandbyReadiness {
     /** Its process has just begun. */
     COLD,
     /** It has seen the deployment at work, but follows nothing beyond the job rows. */
--- a/src/main/java/io/micatide/standby/Succession.java
+++ b/src/main/java/io/micatide/standby/Succession.java
@@ -22,7 +22,7 @@
     static final long HEIRS_LAST_MICROS = 20 * Micros.SECOND;
     /** A leader that hands over gives its lease back within this. */
     static final long HANDED_LASTS_MICROS = 2 * Micros.SECOND;
-    /** A sibling's word on its own warmth holds for so long. */
+    /** A sibling's word on its own readiness holds for so long. */
     static final long WORD_LASTS_MICROS = 2 * Micros.SECOND;
 
     private final String label;
@@ -103,11 +103,11 @@
         copyWhole = whole;
     }
 
-    public Warmth warmth(long nowMicros) {
+    public StandbyReadiness readiness(long nowMicros) {
         if (!heard && nowMicros - startedMicros < COLD_FOR_MICROS) {
-            return Warmth.COLD;
+            return StandbyReadiness.COLD;
         }
-        return copyWhole && appointed() ? Warmth.WARM : Warmth.SEASONED;
+        return copyWhole && appointed() ? StandbyReadiness.WARM : StandbyReadiness.SEASONED;
     }
 
     /**
@@ -116,9 +116,9 @@
      *
      * @param reached whether workers that have lost the leader came to it just now
      */
-    public void word(int sibling, Warmth said, boolean reached, long nowMicros) {
+    public void word(int sibling, StandbyReadiness said, boolean reached, long nowMicros) {
         wordMicros[sibling] = nowMicros;
-        warmer[sibling] = said != Warmth.COLD;
+        warmer[sibling] = said != StandbyReadiness.COLD;
         hearsWorkers[sibling] = reached;
     }
 
@@ -137,14 +137,14 @@
             return 0;
         }
         long waits = reached ? 0 : unreachedWaits(claimableMicros, nowMicros);
-        Warmth own = warmth(nowMicros);
-        if (own == Warmth.COLD) {
+        StandbyReadiness own = readiness(nowMicros);
+        if (own == StandbyReadiness.COLD) {
             return waits + coldWaits(claimableMicros, nowMicros);
         }
         if (heirs.isEmpty() || nowMicros - heirsMicros > HEIRS_LAST_MICROS) {
             return waits;
         }
-        int place = own == Warmth.WARM ? heirs.indexOf(label) : heirs.size();
+        int place = own == StandbyReadiness.WARM ? heirs.indexOf(label) : heirs.size();
         return waits + place * STEP_MICROS;
     }
 
--- a/src/main/java/io/micatide/wire/PeerCodec.java
+++ b/src/main/java/io/micatide/wire/PeerCodec.java
@@ -4,7 +4,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import io.micatide.core.JobProgress;
 import io.micatide.core.Testimony;
-import io.micatide.standby.Warmth;
+import io.micatide.standby.StandbyReadiness;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -52,13 +52,18 @@
      * asked for or from a version that gives none.
      */
     public record Answer(
-            long token, long strayedAgoMicros, int layout, boolean served, Warmth warmth, Testimony testimony) {
-        public Answer(long token, long strayedAgoMicros, int layout, boolean served, Warmth warmth) {
-            this(token, strayedAgoMicros, layout, served, warmth, null);
+            long token,
+            long strayedAgoMicros,
+            int layout,
+            boolean served,
+            StandbyReadiness readiness,
+            Testimony testimony) {
+        public Answer(long token, long strayedAgoMicros, int layout, boolean served, StandbyReadiness readiness) {
+            this(token, strayedAgoMicros, layout, served, readiness, null);
         }
 
         public Answer with(Testimony word) {
-            return new Answer(token, strayedAgoMicros, layout, served, warmth, word);
+            return new Answer(token, strayedAgoMicros, layout, served, readiness, word);
         }
     }
 
@@ -125,8 +130,8 @@
             if (answer.served()) {
                 out.writeBooleanField("served", true);
             }
-            if (answer.warmth() != null) {
-                out.writeStringField("standby", answer.warmth().name());
+            if (answer.readiness() != null) {
+                out.writeStringField("standby", answer.readiness().name());
             }
             if (answer.testimony() != null) {
                 Testimony word = answer.testimony();
@@ -149,7 +154,7 @@
                 tree.path("strayedUs").asLong(-1),
                 tree.path("layout").asInt(1),
                 tree.path("served").asBoolean(false),
-                warmth(tree),
+                readiness(tree),
                 in.has("testimony") ? testimony(in.object("testimony"), tree.path("testimony")) : null);
     }
 
@@ -205,9 +210,9 @@
     }
 
     /** Null where nothing is said, or a word of a later version. */
-    private static Warmth warmth(JsonNode tree) {
+    private static StandbyReadiness readiness(JsonNode tree) {
         String word = tree.path("standby").asText("");
-        for (Warmth each : Warmth.values()) {
+        for (StandbyReadiness each : StandbyReadiness.values()) {
             if (each.name().equals(word)) {
                 return each;
             }
--- a/src/test/java/io/micatide/core/ReferencePlanner.java
+++ b/src/test/java/io/micatide/core/ReferencePlanner.java
@@ -53,8 +53,8 @@
     private int mostTogether = FEWEST_TOGETHER;
 
     private boolean lowestRuns;
-    private int displacedByReplicas;
-    private int displacedByGuarantees;
+    private int evictedByReplicas;
+    private int evictedByGuarantees;
     private Map<String, Resources> unknown = Map.of();
 
     ReferencePlanner(Scheduler scheduler, Settings settings, Fleet fleet, JobLedgers ledgers, RunTimes runTimes) {
@@ -267,7 +267,7 @@
      * Work of the lowest priority yields to what would be late otherwise, not to all that waits: hundreds of a guest's tasks
      * of 150 s were once started over for jobs that had time.
      */
-    private boolean displacesLowest(JobQueue.Queued queued, long nowMicros) {
+    private boolean mayEvictLowest(JobQueue.Queued queued, long nowMicros) {
         return lowestRuns && isUrgent(queued, nowMicros);
     }
 
@@ -288,8 +288,8 @@
 
     /** Attempts that had to yield in this term, for the log. */
     @Override
-    String displaced() {
-        return displacedByReplicas + "/" + displacedByGuarantees;
+    String evicted() {
+        return evictedByReplicas + "/" + evictedByGuarantees;
     }
 
     private int replicas() {
@@ -444,7 +444,7 @@
         boolean waited = nowMicros - job.readyMicros > guaranteePatienceMicros;
         boolean preempts = !job.suspect
                 && (spec.kind() == JobKind.SERVICE
-                        || ((queued.guaranteed() || displacesLowest(queued, nowMicros)) && waited)
+                        || ((queued.guaranteed() || mayEvictLowest(queued, nowMicros)) && waited)
                         || (spec.priority() == job.priority()
                                 ? spec.priority() != Priority.NORMAL
                                 : isUrgent(queued, nowMicros)));
@@ -514,7 +514,7 @@
             }
         }
         if (best != null && !each.fitsIn(best.room())) {
-            displace(job, victims(job, best), nowMicros);
+            evict(job, victims(job, best), nowMicros);
         }
         return best;
     }
@@ -597,7 +597,7 @@
                     return;
                 }
                 if (victims != null) {
-                    displace(job, victims, nowMicros);
+                    evict(job, victims, nowMicros);
                     scheduler.place(job, job.nextWaiting(), machine, nowMicros);
                     left--;
                     progress = true;
@@ -606,11 +606,11 @@
         }
     }
 
-    private void displace(Job job, List<Placement> victims, long nowMicros) {
+    private void evict(Job job, List<Placement> victims, long nowMicros) {
         if (job.spec.kind() == JobKind.SERVICE) {
-            displacedByReplicas += victims.size();
+            evictedByReplicas += victims.size();
         } else {
-            displacedByGuarantees += victims.size();
+            evictedByGuarantees += victims.size();
         }
         for (Placement victim : victims) {
             if (victim.unsent()) {
@@ -724,7 +724,7 @@
                 }
             }
             if (there != null) {
-                displace(job, cheapest, nowMicros);
+                evict(job, cheapest, nowMicros);
                 return there;
             }
             if (without == null) {
--- a/src/test/java/io/micatide/rehearsal/BoundJobsTest.java
+++ b/src/test/java/io/micatide/rehearsal/BoundJobsTest.java
@@ -27,9 +27,9 @@
     void startsBesideOthers(String form, String type, String zone, boolean spot, boolean lost, int within) {
         for (long seed = 1; seed <= 2; seed++) {
             TakeOverDay day = TakeOverDay.tight(seed, 3, 0);
-            Wishes others = new Wishes("blue", null, null, false, false, true);
-            Wishes wishes =
-                    new Wishes("red", type.isEmpty() ? null : type, zone.isEmpty() ? null : zone, false, false, spot);
+            JobConstraints others = new JobConstraints("blue", null, null, false, false, true);
+            JobConstraints constraints = new JobConstraints(
+                    "red", type.isEmpty() ? null : type, zone.isEmpty() ? null : zone, false, false, spot);
             day.time.run(3 * Micros.SECOND);
             String bound = "";
             int waited = 0;
@@ -39,14 +39,15 @@
                     day.users.submit("batch", 20, 6, others);
                 }
                 if (second == 20) {
-                    day.users.submit(form, 2, 150, wishes);
+                    day.users.submit(form, 2, 150, constraints);
                     bound = day.users.lastJob();
                 }
                 if (second == 80 && lost) {
-                    day.deployment.takeAway(machine -> (wishes.zone() == null
-                                    || machine.zone().equals(wishes.zone()))
-                            && (wishes.type() == null || machine.type().name().equals(wishes.type()))
-                            && (spot || !machine.spot()));
+                    day.deployment.takeAway(machine ->
+                            (constraints.zone() == null || machine.zone().equals(constraints.zone()))
+                                    && (constraints.type() == null
+                                            || machine.type().name().equals(constraints.type()))
+                                    && (spot || !machine.spot()));
                 }
                 day.time.run(Micros.SECOND);
                 waited = second < 20 || day.checker.running(bound) > 0 ? 0 : waited + 1;
@@ -64,11 +65,11 @@
         TakeOverDay day = TakeOverDay.tight(1, 3, 0);
         day.time.run(3 * Micros.SECOND);
         for (String team : List.of("blue", "red", "green")) {
-            day.users.submit("batch", 20, 8, new Wishes(team, null, null, false, false, true));
+            day.users.submit("batch", 20, 8, new JobConstraints(team, null, null, false, false, true));
         }
         day.time.run(12 * Micros.SECOND);
         day.deployment.capacity(day.deployment.machines());
-        day.users.submit(form, 2, 30, new Wishes("red", null, null, false, false, false));
+        day.users.submit(form, 2, 30, new JobConstraints("red", null, null, false, false, false));
         String bound = day.users.lastJob();
         int waited = 0;
         while (day.checker.running(bound) == 0 && waited++ < 200) {
--- a/src/test/java/io/micatide/rehearsal/DayUsers.java
+++ b/src/test/java/io/micatide/rehearsal/DayUsers.java
@@ -122,29 +122,29 @@
     }
 
     /** What a job of a tight day asks for: most of them nothing but their team. */
-    private Wishes wishes(String form) {
+    private JobConstraints constraints(String form) {
         if (!manyTeams) {
-            return Wishes.NONE;
+            return JobConstraints.NONE;
         }
         String team = TEAMS.get(random.nextInt(TEAMS.size()));
         return switch (random.nextInt(8)) {
-            case 0 -> new Wishes(team, null, random.nextBoolean() ? "a" : "b", false, false, true);
-            case 1 -> new Wishes(team, null, null, true, false, random.nextBoolean());
-            case 2 -> new Wishes(team, null, null, false, true, true);
-            case 3 -> new Wishes(team, random.nextBoolean() ? "small" : "large", null, false, false, true);
-            case 4 -> new Wishes(team, null, null, false, false, false);
-            default -> new Wishes(team, null, null, false, false, true);
+            case 0 -> new JobConstraints(team, null, random.nextBoolean() ? "a" : "b", false, false, true);
+            case 1 -> new JobConstraints(team, null, null, true, false, random.nextBoolean());
+            case 2 -> new JobConstraints(team, null, null, false, true, true);
+            case 3 -> new JobConstraints(team, random.nextBoolean() ? "small" : "large", null, false, false, true);
+            case 4 -> new JobConstraints(team, null, null, false, false, false);
+            default -> new JobConstraints(team, null, null, false, false, true);
         };
     }
 
     /** Submits a job, again until it is answered. {@code form} as on the wire. */
     void submit(String form, int tasks, double seconds) {
-        submit(form, tasks, seconds, wishes(form));
+        submit(form, tasks, seconds, constraints(form));
     }
 
-    void submit(String form, int tasks, double seconds, Wishes wishes) {
+    void submit(String form, int tasks, double seconds, JobConstraints constraints) {
         String id = "wk-" + (1 + submitted.size());
-        submitted.put(id, deployment.describe(id, form, tasks, 2.0, seconds, wishes));
+        submitted.put(id, deployment.describe(id, form, tasks, 2.0, seconds, constraints));
         checker.submits(id, tasks, form.equals("daemon"));
         checker.describes(deployment.described(id));
         if (form.equals("daemon")) {
@@ -243,14 +243,14 @@
     /** Work for far more than the limits of all teams, long and short, replicas and gangs among it. */
     void fill() {
         for (String team : TEAMS) {
-            Wishes wishes = new Wishes(team, null, null, false, false, true);
-            submit("batch", 12, 200, wishes);
-            submit("batch", 6, 20 + random.nextInt(60), wishes);
-            submit("daemon", 3, 0, wishes);
-            submit("batch", 8, 3, wishes);
+            JobConstraints constraints = new JobConstraints(team, null, null, false, false, true);
+            submit("batch", 12, 200, constraints);
+            submit("batch", 6, 20 + random.nextInt(60), constraints);
+            submit("daemon", 3, 0, constraints);
+            submit("batch", 8, 3, constraints);
             // One of its tasks has always just ended: what is cancelled is at the same time to be written for that.
             apart.add("wk-" + (1 + submitted.size()));
-            submit("batch", 10, 1, wishes);
+            submit("batch", 10, 1, constraints);
         }
     }
 
--- a/src/test/java/io/micatide/rehearsal/UnequalTasksTest.java
+++ b/src/test/java/io/micatide/rehearsal/UnequalTasksTest.java
@@ -14,12 +14,12 @@
     void endsAllTheSame(int tasks, int estimate, int others, int seconds) {
         TakeOverDay day = TakeOverDay.tight(83, 3, 0);
         day.time.run(3 * Micros.SECOND);
-        Wishes wishes = new Wishes("green", null, null, false, false, true);
+        JobConstraints constraints = new JobConstraints("green", null, null, false, false, true);
         if (others > 0) {
-            day.users.submit("batch", others, 200, wishes);
+            day.users.submit("batch", others, 200, constraints);
         }
         day.users.apart.add("wk-" + (others > 0 ? 2 : 1));
-        day.users.submit("batch", tasks, estimate, wishes);
+        day.users.submit("batch", tasks, estimate, constraints);
         day.time.run(seconds * Micros.SECOND);
         assertEquals(0, day.checker.running(), day.checker.starts() + " starts of " + (tasks + others) + " tasks");
     }
--- a/src/test/java/io/micatide/standby/SuccessionTest.java
+++ b/src/test/java/io/micatide/standby/SuccessionTest.java
@@ -69,7 +69,7 @@
                 case "heirs" -> succession.told(List.of(part[1].split("\\+")), now);
                 case "copy" -> succession.copyIs(true);
                 case "word" ->
-                    succession.word(Integer.parseInt(part[1]), Warmth.valueOf(part[2]), part.length > 3, now);
+                    succession.word(Integer.parseInt(part[1]), StandbyReadiness.valueOf(part[2]), part.length > 3, now);
                 case "led" -> succession.led();
                 case "handed" -> succession.handedOver(now);
                 case "since" -> since = Long.parseLong(part[1]) * Micros.MILLISECOND;
@@ -150,7 +150,10 @@
                     .indexOf(part[0]);
             boolean served = !part[1].equals("-");
             appointed.heard(
-                    sibling, part[1].equals("null") || !served ? null : Warmth.valueOf(part[1]), served, SECOND);
+                    sibling,
+                    part[1].equals("null") || !served ? null : StandbyReadiness.valueOf(part[1]),
+                    served,
+                    SECOND);
         }
         assertEquals(heirs, String.join(" ", appointed.appoint(2 * SECOND)));
     }
@@ -160,12 +163,12 @@
     void anHeirIsKept() {
         Heirs heirs = new Heirs(settings(300, "b n-1", "b n-3", "a n-4"));
         heirs.begin(0);
-        heirs.heard(2, Warmth.SEASONED, true, 2 * SECOND);
-        heirs.heard(0, Warmth.WARM, true, 2 * SECOND);
+        heirs.heard(2, StandbyReadiness.SEASONED, true, 2 * SECOND);
+        heirs.heard(0, StandbyReadiness.WARM, true, 2 * SECOND);
         assertEquals(List.of("n-1", "n-4"), heirs.appoint(2 * SECOND));
-        heirs.heard(0, Warmth.WARM, true, 6 * SECOND);
-        heirs.heard(1, Warmth.SEASONED, true, 6 * SECOND);
-        heirs.heard(2, Warmth.WARM, true, 4 * SECOND);
+        heirs.heard(0, StandbyReadiness.WARM, true, 6 * SECOND);
+        heirs.heard(1, StandbyReadiness.SEASONED, true, 6 * SECOND);
+        heirs.heard(2, StandbyReadiness.WARM, true, 4 * SECOND);
         assertEquals(List.of("n-1", "n-4"), heirs.appoint(6 * SECOND));
         assertEquals(List.of("n-1", "n-3"), heirs.appoint(8 * SECOND));
         assertEquals(0, heirs.first(8 * SECOND));
--- a/src/test/java/io/micatide/wire/StoredTextTest.java
+++ b/src/test/java/io/micatide/wire/StoredTextTest.java
@@ -16,7 +16,7 @@
 import io.micatide.core.Settings;
 import io.micatide.core.Testimony;
 import io.micatide.core.Transaction;
-import io.micatide.standby.Warmth;
+import io.micatide.standby.StandbyReadiness;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -180,10 +180,10 @@
         PeerCodec.News news = PeerCodec.news(json(text));
         assertEquals(List.of("berth-2"), news.heirs());
         assertEquals(text, new String(PeerCodec.news(news), StandardCharsets.UTF_8).replace('"', '\''));
-        PeerCodec.Answer answer = new PeerCodec.Answer(41, -1, 3, true, Warmth.WARM);
+        PeerCodec.Answer answer = new PeerCodec.Answer(41, -1, 3, true, StandbyReadiness.WARM);
         assertEquals(answer, PeerCodec.answer(PeerCodec.answer(answer)));
         assertNull(PeerCodec.answer(json("{'token':41,'strayedUs':-1,'standby':'HOT'}"))
-                .warmth());
+                .readiness());
         assertEquals(77, PeerCodec.handedRevision(PeerCodec.handOver(41, 77)));
     }
 
