The index of room keeps bits and not trees: a controller's heap is 64 MB

Cause: 128 kinds of tasks that fit 2,800 empty machines would have taken some 23 MB of tree entries (worked out, not measured). Change: a bit for each machine's slot; slots are closed up when machines have come and gone. RoomIndexTest: 4,000 drawn changes, each answer as a walk's, and 300 kinds of tasks; PlannerReferenceTest, PlanCostTest and PlanPassTest pass.

--- a/src/main/java/io/micatide/core/Fleet.java
+++ b/src/main/java/io/micatide/core/Fleet.java
@@ -10,7 +10,6 @@
 final class Fleet {
     private final Map<String, Machine> machines = new LinkedHashMap<>();
     private final RoomIndex roomIndex = new RoomIndex(machines.values());
-    private long lastNumber;
     private Map<String, MachineType> types = new LinkedHashMap<>();
     /** Machines whose deletion was answered: nothing can be on them, whatever a lagging list says. */
     private final Map<String, Long> gone = new HashMap<>();
@@ -24,7 +23,14 @@
     }
 
     Machine obtain(String name, long nowMicros) {
-        return machines.computeIfAbsent(name, k -> new Machine(k, nowMicros, ++lastNumber, roomIndex));
+        Machine known = machines.get(name);
+        if (known != null) {
+            return known;
+        }
+        Machine machine = new Machine(name, nowMicros, roomIndex);
+        machines.put(name, machine);
+        roomIndex.added(machine);
+        return machine;
     }
 
     /** Which of the machines have room for what. */
--- a/src/main/java/io/micatide/core/Machine.java
+++ b/src/main/java/io/micatide/core/Machine.java
@@ -10,8 +10,8 @@
 /** What is known of one machine. */
 final class Machine {
     final String name;
-    /** Rises with each machine that becomes known. */
-    final long number;
+    /** Its place in the index of room, which is the index's to change. */
+    int slot;
 
     private RoomIndex index;
     /** What could be freed on it, and at what loss. */
@@ -74,14 +74,13 @@
     final Map<String, Double> images = new LinkedHashMap<>(8, 0.75f, true);
 
     Machine(String name, long nowMicros) {
-        this(name, nowMicros, 0, null);
+        this(name, nowMicros, null);
     }
 
     /** @param index is told of what changes its room; null for none */
-    Machine(String name, long nowMicros, long number, RoomIndex index) {
+    Machine(String name, long nowMicros, RoomIndex index) {
         this.name = name;
         this.knownSinceMicros = nowMicros;
-        this.number = number;
         this.index = index;
     }
 
--- a/src/main/java/io/micatide/core/RoomIndex.java
+++ b/src/main/java/io/micatide/core/RoomIndex.java
@@ -1,6 +1,7 @@
 package io.micatide.core;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.Collection;
 import java.util.EnumMap;
 import java.util.HashMap;
@@ -8,9 +9,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.NavigableMap;
 import java.util.Set;
-import java.util.TreeMap;
 
 /**
  * Which machines have room for a task, kept by the events that change it instead of by a walk over all machines.
@@ -25,16 +24,21 @@
     /** Demands that are tracked at most; with more kinds of tasks the one that was asked for longest ago is walked for anew. */
     private static final int MOST_DEMANDS = 128;
 
+    private static final int FEWEST_SLOTS = 64;
     private static final long FORGOTTEN_MICROS = 60 * Micros.SECOND;
 
     private final Collection<Machine> all;
     private final Map<RoomDemand, Tracked> demands = new HashMap<>();
     private final Set<Machine> changed = new LinkedHashSet<>();
+    /** Machines in the order in which they became known; null where one is gone. */
+    private Machine[] slots = new Machine[FEWEST_SLOTS];
+
+    private int next;
     private long looks;
 
-    /** The machines that fit a demand, in the order in which they became known. */
+    /** The slots of machines that fit a demand. */
     private static final class Tracked {
-        final NavigableMap<Long, Machine> fitting = new TreeMap<>();
+        final BitSet fitting = new BitSet();
         long askedMicros;
     }
 
@@ -43,6 +47,31 @@
         this.all = all;
     }
 
+    /** A machine has become known, after all others that are. */
+    void added(Machine machine) {
+        if (next == slots.length) {
+            makeRoom();
+        }
+        machine.slot = next;
+        slots[next++] = machine;
+        changed.add(machine);
+    }
+
+    /** Machines come and go all the time: slots that are free are closed up before there are more. */
+    private void makeRoom() {
+        Machine[] former = slots;
+        int end = next;
+        slots = new Machine[Math.max(FEWEST_SLOTS, 2 * all.size())];
+        next = 0;
+        for (int i = 0; i < end; i++) {
+            if (former[i] != null) {
+                former[i].slot = next;
+                slots[next++] = former[i];
+            }
+        }
+        demands.clear();
+    }
+
     /** Something on the machine that counts as room has changed: a placement, a stop, its size or a job's priority. */
     void changed(Machine machine) {
         changed.add(machine);
@@ -50,8 +79,9 @@
 
     void removed(Machine machine) {
         changed.remove(machine);
+        slots[machine.slot] = null;
         for (Tracked each : demands.values()) {
-            each.fitting.remove(machine.number);
+            each.fitting.clear(machine.slot);
         }
     }
 
@@ -64,7 +94,15 @@
         }
         tracked.askedMicros = nowMicros;
         assert isExact(demand, tracked) : demand + " differs from a walk over all machines";
-        return new ArrayList<>(tracked.fitting.values());
+        return machines(tracked);
+    }
+
+    private List<Machine> machines(Tracked tracked) {
+        List<Machine> machines = new ArrayList<>(tracked.fitting.cardinality());
+        for (int slot = tracked.fitting.nextSetBit(0); slot >= 0; slot = tracked.fitting.nextSetBit(slot + 1)) {
+            machines.add(slots[slot]);
+        }
+        return machines;
     }
 
     /** How many machines were looked at, to keep the index and in its answers. */
@@ -81,7 +119,7 @@
         for (Machine machine : all) {
             looks++;
             if (fits(demand, machine)) {
-                tracked.fitting.put(machine.number, machine);
+                tracked.fitting.set(machine.slot);
             }
         }
         demands.put(demand, tracked);
@@ -111,11 +149,8 @@
         demands.forEach((demand, tracked) -> {
             Resources room = rooms.computeIfAbsent(demand.source(), k -> new EnumMap<>(Priority.class))
                     .computeIfAbsent(demand.priority(), priority -> room(machine, demand.source(), priority));
-            if (machine.size() != null && demand.each().fitsIn(room)) {
-                tracked.fitting.put(machine.number, machine);
-            } else {
-                tracked.fitting.remove(machine.number);
-            }
+            tracked.fitting.set(
+                    machine.slot, machine.size() != null && demand.each().fitsIn(room));
         });
     }
 
@@ -161,6 +196,6 @@
                 walked.add(machine);
             }
         }
-        return walked.equals(new ArrayList<>(tracked.fitting.values()));
+        return walked.equals(machines(tracked));
     }
 }
--- /dev/null
+++ b/src/test/java/io/micatide/core/RoomIndexTest.java
@@ -0,0 +1,73 @@
+package io.micatide.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+/** The index holds, whatever comes, goes and changes, the machines that a walk would find, in the same order. */
+class RoomIndexTest {
+    private static final MachineType TYPE = World.TYPE;
+
+    private final Fleet fleet = new Fleet();
+    private final Random random = new Random(5);
+    private int named;
+
+    private void change(int step) {
+        int what = random.nextInt(10);
+        if (what < 4 || fleet.machines().isEmpty()) {
+            Machine machine = fleet.obtain("i-" + named++, step);
+            fleet.describe(machine, TYPE.name(), "a", false);
+        } else if (what < 7) {
+            fleet.markGone(drawn().name, step);
+        } else if (drawn().placements.isEmpty()) {
+            Machine machine = drawn();
+            Job job = new Job(World.job("wk-" + step, JobKind.ARRAY, "blue", Priority.LOW, 1, 1), 1, 0, 0, 0);
+            machine.add(new Placement(job, 0, step, machine, Placement.Phase.HELD, step));
+        } else {
+            Machine machine = drawn();
+            List.copyOf(machine.placements).forEach(machine::remove);
+        }
+    }
+
+    private Machine drawn() {
+        List<Machine> all = new ArrayList<>(fleet.machines());
+        return all.get(random.nextInt(all.size()));
+    }
+
+    /** Hundreds of machines come and go, so that slots are closed up many times. */
+    @Test
+    void answersAsAWalkWould() {
+        fleet.setTypes(List.of(TYPE));
+        RoomDemand whole = RoomDemand.free(TYPE.size());
+        RoomDemand freed = new RoomDemand(TYPE.size(), RoomDemand.Source.LOWER_PRIORITY, Priority.HIGH);
+        for (int step = 0; step < 4_000; step++) {
+            change(step);
+            List<Machine> empty = fleet.machines().stream()
+                    .filter(machine -> machine.placements.isEmpty())
+                    .toList();
+            assertEquals(empty, fleet.roomIndex().machines(whole, step));
+            assertEquals(List.copyOf(fleet.machines()), fleet.roomIndex().machines(freed, step));
+        }
+    }
+
+    /** With more kinds of tasks than it keeps track of it forgets the one that was asked for longest ago, and is right all the same. */
+    @Test
+    void manyKindsOfTasks() {
+        fleet.setTypes(List.of(TYPE));
+        for (int step = 0; step < 60; step++) {
+            change(step);
+        }
+        for (int step = 100; step < 1_000; step++) {
+            Resources each = new Resources(1 + step % 300, 0, 1);
+            int expected = (int) fleet.machines().stream()
+                    .filter(machine -> each.fitsIn(machine.room()))
+                    .count();
+            assertEquals(
+                    expected,
+                    fleet.roomIndex().machines(RoomDemand.free(each), step).size());
+        }
+    }
+}
