--- a/src/main/java/io/micatide/core/Renter.java
+++ b/src/main/java/io/micatide/core/Renter.java
@@ -120,7 +120,7 @@
         Set<String> heard = quiet.isEmpty() || few ? Set.of() : zonesThatReport(nowMicros);
         for (Machine machine : quiet) {
             // Not for tasks of arrays alone: a machine that hangs is there again before another one has booted.
-            machine.deleting |= (few || machine.zone != null && heard.contains(machine.zone))
+            machine.deleting |= (few || (machine.zone != null && heard.contains(machine.zone)))
                     && (machine.holdsUp || hasReplica(machine));
         }
     }
@@ -209,7 +209,7 @@
     private boolean rentForStarving(long nowMicros) {
         boolean need = false;
         Map<JobShape, Boolean> served = new HashMap<>();
-        for (Planner.Queued queued : planner.order()) {
+        for (JobQueue.Queued queued : planner.order()) {
             Job job = queued.job();
             if (job.spec.kind() == JobKind.ARRAY
                     && job.live.isEmpty()
@@ -252,7 +252,7 @@
         Map<JobSpec, Integer> missing = new LinkedHashMap<>();
         Map<String, Resources> planned = new HashMap<>();
         Resources left = ordinary;
-        for (Planner.Queued queued : planner.order()) {
+        for (JobQueue.Queued queued : planner.order()) {
             JobSpec spec = queued.job().spec;
             if (spec.kind() == JobKind.ARRAY || queued.job().unsettled() || queued.job().suspect) {
                 continue;
@@ -299,7 +299,7 @@
 
     /** Work that ends wants as many processors as make it ready in time. */
     private boolean rentForArrays(Resources coming, long nowMicros) {
-        List<Deadlines.Entry> entries = planner.arrays(nowMicros);
+        List<Deadlines.Entry> entries = planner.queue().arrays(nowMicros);
         Map<String, Resources> perTeam = new HashMap<>();
         for (Deadlines.Entry entry : entries) {
             perTeam.merge(entry.job.spec.team(), entry.job.spec.each().times(entry.job.unfinished()), Resources::plus);
@@ -310,7 +310,7 @@
             long most = team == null || team.cpusMax() == 0 ? Long.MAX_VALUE : team.cpusMax();
             useful += Math.min(most, entry.getValue().cpus());
         }
-        double there = planner.arrayCpus(nowMicros) + coming.cpus();
+        double there = planner.queue().arrayCpus(nowMicros) + coming.cpus();
         double wanted = Deadlines.wanted(entries, FETCH_MICROS, LATE_MICROS, nowMicros);
         // More processors than tasks that may run at once are of no use.
         double missing = Math.min(wanted, useful) - there;
@@ -381,7 +381,7 @@
                     && !machine.deleting
                     && machine.placements.isEmpty()
                     && machine.idleSinceMicros >= 0
-                    && (nowMicros - machine.idleSinceMicros > tuning.idleMicros() || machine.draining && !need)
+                    && (nowMicros - machine.idleSinceMicros > tuning.idleMicros() || (machine.draining && !need))
                     && (!need || waiting.stream().noneMatch(shape -> mayUse(shape, machine, nowMicros)))) {
                 machine.deleting = true;
             }
@@ -520,7 +520,7 @@
             boolean neverThere = machine.lastAnsweredMicros < 0
                     && machine.bootStartedMicros < 0
                     && askedMicros - machine.knownSinceMicros > 2 * settings.listLagMicros() + 5 * Micros.SECOND;
-            if ((machine.listed && silent || neverThere) && !names.contains(machine.name)) {
+            if (((machine.listed && silent) || neverThere) && !names.contains(machine.name)) {
                 machine.deleting = true;
             }
         }
--- a/src/main/java/io/micatide/rehearsal/scale/ScaleResult.java
+++ b/src/main/java/io/micatide/rehearsal/scale/ScaleResult.java
@@ -1,5 +1,6 @@
 package io.micatide.rehearsal.scale;
 
+import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
@@ -12,6 +13,7 @@
  * @param seconds that were measured
  * @param busyShare of a core that this process itself took: at 1 and more its figures are its own limits
  * @param starts of tasks, while it was measured
+ * @param changes of keys in the state service, while it was measured
  * @param open jobs that were accepted and not over at the end
  * @param refused jobs that no controller accepted within a minute
  * @param leasesEnded workers whose lease ran out, over the whole run
@@ -25,6 +27,7 @@
         List<Controller> controllers,
         int workers,
         int starts,
+        long changes,
         int running,
         int submitted,
         int open,
@@ -53,8 +56,8 @@
 
     /** The mean of the controllers that do not lead; the leader itself where it is alone. */
     Controller following() {
-        List<Controller> others =
-                controllers.stream().filter(each -> each != leading()).toList();
+        List<Controller> others = new ArrayList<>(controllers);
+        others.remove(leader);
         if (others.isEmpty()) {
             return leading();
         }
