--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -18,6 +18,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -81,9 +82,17 @@
         return Double.parseDouble(matcher.group(1));
     }
 
+    /** Returns a free port below those that the system gives to outgoing connections, which could take it before the controller does. */
     private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
+        for (int attempt = 0; ; attempt++) {
+            int port = ThreadLocalRandom.current().nextInt(20_000, 30_000);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return socket.getLocalPort();
+            } catch (IOException e) {
+                if (attempt == 100) {
+                    throw e;
+                }
+            }
         }
     }
 
--- a/review/standins/Machine.java
+++ b/review/standins/Machine.java
@@ -58,6 +58,10 @@
     private long token;
     private long leaseFromNanos;
     private boolean changed;
+    /** While true, the machine hangs: nothing runs and nothing is sent; the lease runs on. */
+    volatile boolean hangs;
+    /** While true, the machine reaches no controller and none reaches it; its tasks run on. */
+    volatile boolean cut;
     private volatile boolean up;
     private volatile boolean ended;
     /** What this worker has met, for the checks of a case. */
@@ -111,7 +115,7 @@
 
     /** Lets time pass: images arrive, tasks complete, the lease expires. */
     private synchronized void advance() {
-        if (ended) {
+        if (ended || hangs) {
             return;
         }
         long now = System.nanoTime() / 1000;
@@ -182,6 +186,10 @@
             if (ended) {
                 return;
             }
+            if (hangs || cut) {
+                Thread.sleep(50);
+                continue;
+            }
             String body;
             long sentSession;
             long sentNanos;
@@ -194,7 +202,10 @@
             largestReportBytes = Math.max(largestReportBytes, body.length());
             lastSent = System.currentTimeMillis();
             HttpEndpoint.Message answer = client.send("POST", "/v1/report", body, RESPONSE_TIMEOUT_MILLIS);
-            int status = answer == null ? 0 : answer.status();
+            while (hangs) {
+                Thread.sleep(20);
+            }
+            int status = answer == null || cut || System.nanoTime() - sentNanos > 4_000_000_000L ? 0 : answer.status();
             if (status == 200) {
                 largestResponseBytes = Math.max(largestResponseBytes, answer.body().length);
                 apply(answer.text(), sentSession, sentNanos);
@@ -267,7 +278,14 @@
         execute(answer.path("calls"));
     }
 
-    private synchronized HttpEndpoint.Answer command(HttpEndpoint.Message request) {
+    private HttpEndpoint.Answer command(HttpEndpoint.Message request) throws InterruptedException {
+        while (hangs) {
+            Thread.sleep(20);
+        }
+        return cut ? null : answerCommand(request);
+    }
+
+    private synchronized HttpEndpoint.Answer answerCommand(HttpEndpoint.Message request) {
         if (ended || !up) {
             return null;
         }
--- a/review/standins/Sites.java
+++ b/review/standins/Sites.java
@@ -45,6 +45,52 @@
             max_connections = 700
             """;
 
+    /** As cascadia-rehab, with one of its six teams and the guest team. */
+    static final String CASCADIA_REHAB =
+            """
+            [deployment]
+            count = 3
+            zones = ["tacoma-rack", "bellingham-rack"]
+            clock_off_ms = 1000.0
+            [[deployment.teams]]
+            name = "feed-desk"
+            cpus = 88.0
+            cpus_max = 232.0
+            gpus = 0.0
+            gpus_max = 0.0
+            [[deployment.teams]]
+            name = "gait-lab"
+            cpus = 0.0
+            cpus_max = 0.0
+            gpus = 0.0
+            gpus_max = 0.0
+            [deployment.workers]
+            report_s = 1.5
+            lease_s = 10.0
+            gang_wait_s = 35.0
+            gang_peer_s = 8.0
+            cancel_s = 40.0
+            [deployment.state]
+            rps = 250.0
+            write_rps = 100.0
+            value_kb = 32.0
+            txn_ops = 32
+            [deployment.cloud]
+            rps = 5.0
+            list_lag_s = 8.0
+            [deployment.limits]
+            cores = 0.34
+            memory_mb = 205.0
+            max_connections = 700
+            """;
+
+    static StateService cascadiaRehabState() {
+        return new StateService(250, 100, 32, 32);
+    }
+
+    static final Cloud.Type CEDAR_NODE =
+            new Cloud.Type("cedar-node", 16, 64, 25, List.of("tacoma-rack", "bellingham-rack"), 24);
+
     static StateService corrmhorLiveState() {
         return new StateService(80, 30, 16, 16);
     }
--- a/review/standins/StateService.java
+++ b/review/standins/StateService.java
@@ -45,6 +45,10 @@
     /** The address of one controller's way to the service. */
     final class Front {
         volatile Mode mode = Mode.SERVES;
+        /** Share of the transactions that get no answer: carried out at once, or 2 to 12 s later. */
+        volatile double lostAnswers;
+        volatile double lateWrites;
+        private final java.util.Random random = new java.util.Random();
         final int port;
 
         Front() throws IOException {
@@ -66,7 +70,20 @@
                 return mode == Mode.REFUSES ? HttpEndpoint.Answer.json(503, "{\"error\":\"trouble\"}") : null;
             }
             Thread.sleep(2);
-            return serve(request);
+            if (request.path().equals("/txn") && random.nextDouble() < lateWrites) {
+                HttpEndpoint.daemon(() -> {
+                    Thread.sleep(2000 + random.nextInt(10_000));
+                    serve(request);
+                });
+                Thread.sleep(20_000);
+                return null;
+            }
+            HttpEndpoint.Answer answer = serve(request);
+            if (request.path().equals("/txn") && random.nextDouble() < lostAnswers) {
+                Thread.sleep(20_000);
+                return null;
+            }
+            return answer;
         }
     }
 
@@ -100,7 +117,13 @@
         leases.values().forEach(lease -> lease[1] = System.nanoTime());
     }
 
+    /** While true, an outage: no lease ends. */
+    volatile boolean frozen;
+
     private synchronized void expireLeases() {
+        if (frozen) {
+            return;
+        }
         long now = System.nanoTime();
         for (Long id : List.copyOf(leases.keySet())) {
             long[] lease = leases.get(id);
