--- a/review/standins/Cloud.java
+++ b/review/standins/Cloud.java
@@ -10,7 +10,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-/** The cloud: offers machine types, rents machines while it has capacity, and ends them. Its list shows the present. */
+/** The cloud: offers machine types, rents machines while it has capacity, and ends them. */
 final class Cloud {
     private static final ObjectMapper JSON = new ObjectMapper();
 
@@ -23,11 +23,59 @@
     private final Deployment deployment;
     private int lastNumber;
     final int port;
+    /** How the interface answers: SERVES, REFUSES with 503, or SILENT: carried out without an answer. */
+    volatile StateService.Mode mode = StateService.Mode.SERVES;
+    /** Longest lag of the list in seconds; each list is of a moment drawn within it. */
+    volatile double listLagS;
+    private final java.util.ArrayDeque<Object[]> lists = new java.util.ArrayDeque<>();
+    private final java.util.Random random = new java.util.Random();
 
     Cloud(Deployment deployment, List<Type> offered) throws IOException {
         this.deployment = deployment;
         offered.forEach(type -> types.put(type.name(), type));
-        port = HttpEndpoint.serve(this::handle);
+        port = HttpEndpoint.serve(this::answer);
+        HttpEndpoint.daemon(() -> {
+            while (true) {
+                synchronized (this) {
+                    lists.addLast(new Object[] {System.nanoTime(), list()});
+                    if (lists.size() > 200) {
+                        lists.removeFirst();
+                    }
+                }
+                Thread.sleep(200);
+            }
+        });
+    }
+
+    private HttpEndpoint.Answer answer(HttpEndpoint.Message request) throws Exception {
+        if (mode == StateService.Mode.REFUSES) {
+            return HttpEndpoint.Answer.json(503, "{\"error\":\"trouble\"}");
+        }
+        HttpEndpoint.Answer answer = handle(request);
+        if (mode == StateService.Mode.SILENT) {
+            Thread.sleep(8000);
+            return null;
+        }
+        return answer;
+    }
+
+    private synchronized String laggingList() {
+        long atNanos = System.nanoTime() - (long) (random.nextDouble() * listLagS * 1e9);
+        String result = lists.isEmpty() ? list() : (String) lists.peekFirst()[1];
+        for (Object[] each : lists) {
+            if ((long) each[0] <= atNanos) {
+                result = (String) each[1];
+            }
+        }
+        return listLagS == 0 ? list() : result;
+    }
+
+    /** Takes a machine back without a notice. */
+    synchronized void take(Machine machine) {
+        if (machines.remove(machine.name) != null) {
+            deployment.record("cloud: " + machine.name + " taken back");
+            machine.end();
+        }
     }
 
     synchronized Machine addMachine(Type type, String zone, boolean spot, double bootS) throws IOException {
@@ -64,7 +112,7 @@
             return rent(body);
         }
         if (path.startsWith("/machines?")) {
-            return HttpEndpoint.Answer.json(200, list());
+            return HttpEndpoint.Answer.json(200, laggingList());
         }
         return HttpEndpoint.Answer.json(400, "{}");
     }
--- a/review/standins/Machine.java
+++ b/review/standins/Machine.java
@@ -115,7 +115,7 @@
 
     /** Lets time pass: images arrive, tasks complete, the lease expires. */
     private synchronized void advance() {
-        if (ended || hangs) {
+        if (ended) {
             return;
         }
         long now = System.nanoTime() / 1000;
@@ -136,6 +136,9 @@
             changed = true;
             return;
         }
+        if (hangs) {
+            return;
+        }
         for (Task task : tasks.values()) {
             if (task.state.equals("pulling") && images.getOrDefault(task.job.path("kit").asText(), Long.MAX_VALUE) <= now) {
                 if (completed.contains(task.leg)) {
@@ -378,6 +381,17 @@
         return free;
     }
 
+    /** Returns the tasks that have their image and have not exited. */
+    synchronized List<String> legsRunning() {
+        List<String> legs = new ArrayList<>();
+        for (Task task : tasks.values()) {
+            if (task.state.equals("running")) {
+                legs.add(task.leg);
+            }
+        }
+        return legs;
+    }
+
     synchronized List<String> legsOn() {
         List<String> legs = new ArrayList<>();
         for (Iterator<Task> all = tasks.values().iterator(); all.hasNext(); ) {
