--- a/review/3/ManyDependencies.java
+++ b/review/1/ManyDependencies.java
@@ -35,7 +35,7 @@
         deployment.awaitHealthy(20);
         Thread.sleep(1500);
         int accepted = submitAll(deployment, 1, JOBS, false);
-        deployment.record("accepted " + accepted + " jobs");
+        deployment.record("accepted " + accepted + " jobs; " + tasksOnMachines(deployment) + " tasks on machines");
         int dependent = submitAll(deployment, 1 + JOBS, DEPENDENT_JOBS, trouble);
         deployment.record("accepted " + dependent + " jobs of the second wave");
         if (accepted < JOBS) {
@@ -44,6 +44,10 @@
         return watch(deployment);
     }
 
+    private static int tasksOnMachines(Deployment deployment) {
+        return deployment.cloud.machines().stream().mapToInt(machine -> machine.legsOn().size()).sum();
+    }
+
     private static String id(int number) {
         return String.format("wk-%06d", number);
     }
@@ -103,7 +107,8 @@
             Thread.sleep(100);
         }
         deployment.record("ends of controllers by themselves: " + deployment.ownExits + "; leader record: "
-                + deployment.state.read("leader") + "; " + deployment.running(id(1)) + " task of " + id(1) + " on a machine");
+                + deployment.state.read("leader") + "; " + tasksOnMachines(deployment) + " tasks on machines; "
+                + deployment.completedTasks() + " tasks completed");
         if (!deployment.ownExits.isEmpty()) {
             deployment.violation("controllers ended by themselves " + deployment.ownExits.size() + " times");
             return 1;
--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -37,13 +37,13 @@
     private final List<Process> processes = new ArrayList<>();
     private final List<Integer> userPorts = new ArrayList<>();
     private final List<Integer> peerPorts = new ArrayList<>();
+    private final List<List<ServerSocket>> reservations = new ArrayList<>();
     final List<StateService.Front> fronts = new ArrayList<>();
     private final Map<String, JsonNode> jobs = new ConcurrentHashMap<>();
     /** Machines on which each task is, as the workers see it. */
     private final Map<String, Set<String>> machinesOfTask = new ConcurrentHashMap<>();
     private final Map<String, Integer> starts = new ConcurrentHashMap<>();
     private final Map<String, Set<String>> completedTasks = new ConcurrentHashMap<>();
-    private final Map<String, List<Long>> startTimes = new ConcurrentHashMap<>();
     final List<String> violations = new ArrayList<>();
     final List<Integer> ownExits = new ArrayList<>();
     private final Set<Process> ended = new HashSet<>();
@@ -67,8 +67,9 @@
         this.leaseS = number("lease_s");
         for (int i = 0; i < controllers; i++) {
             processes.add(null);
-            userPorts.add(freePort());
-            peerPorts.add(freePort());
+            reservations.add(new ArrayList<>());
+            userPorts.add(reservePort(i));
+            peerPorts.add(reservePort(i));
             fronts.add(state.new Front());
         }
         Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses));
@@ -82,12 +83,16 @@
         return Double.parseDouble(matcher.group(1));
     }
 
-    /** Returns a free port below those that the system gives to outgoing connections, which could take it before the controller does. */
-    private static int freePort() throws IOException {
+    /**
+     * Reserves a free port below those that the system gives to outgoing connections. The reservation ends when the controller is started,
+     * so that nothing else takes the port before.
+     */
+    private int reservePort(int controller) throws IOException {
         for (int attempt = 0; ; attempt++) {
             int port = ThreadLocalRandom.current().nextInt(20_000, 30_000);
-            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
-                return socket.getLocalPort();
+            try {
+                reservations.get(controller).add(new ServerSocket(port, 1, InetAddress.getLoopbackAddress()));
+                return port;
             } catch (IOException e) {
                 if (attempt == 100) {
                     throw e;
@@ -160,6 +165,9 @@
         ProcessBuilder builder = new ProcessBuilder(command).directory(root.toFile());
         builder.environment().put("LOG_LEVEL", "info");
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log)).redirectError(ProcessBuilder.Redirect.appendTo(log));
+        for (ServerSocket reservation : reservations.get(controller)) {
+            reservation.close();
+        }
         Process process = builder.start();
         processes.set(controller, process);
         record(label(controller) + ": started as process " + process.pid());
@@ -329,7 +337,6 @@
 
     void taskStarted(String leg, String machine, long attempt) {
         starts.merge(leg.substring(0, leg.lastIndexOf('/')), 1, Integer::sum);
-        startTimes.computeIfAbsent(leg, k -> java.util.Collections.synchronizedList(new ArrayList<>())).add(System.nanoTime());
     }
 
     void taskOnMachine(String leg, String machine, long attempt) {
@@ -355,6 +362,10 @@
         return completedTasks.getOrDefault(job, Set.of()).size();
     }
 
+    int completedTasks() {
+        return completedTasks.values().stream().mapToInt(Set::size).sum();
+    }
+
     int starts(String job) {
         return starts.getOrDefault(job, 0);
     }
