--- a/review/1/ManyDependencies.java
+++ b/review/1/ManyDependencies.java
@@ -9,7 +9,7 @@
 /** Two waves of one-task jobs; each job of the second wave needs all of the first. No controller may end by itself. */
 public final class ManyDependencies {
     private static final int JOBS = 800;
-    private static final int DEPENDENT_JOBS = 700;
+    private static final int DEPENDENT_JOBS = 900;
     private static final double PER_SECOND = 25;
     private static final int SUBMITTERS = 5;
     private static final int LAST_SECOND = 112;
