Bound the memory of accepted jobs, and keep a dependency as two references

Evidence: class histograms during a run show one hash map node and one string for each of 390,000 dependencies, and nothing else that grows.

Change: job ids are shared and the dependency graph counts (DependencyGraph, SharedIds). JobMemoryLimit refuses what does not fit into 0.4 of the heap with 429 and Retry-After before it is written; an accepted job is kept whatever happens, and can end, since it names only jobs accepted before it. Each team has a guaranteed part. The estimate is made of the records alone, so that a job fits on whichever controller leads next.

Related paths: responses with changes of more than 2 MiB lead to a read of all records instead of none ever again, and are decoded one by one; bodies of pending requests, run time estimates by job class and images of machines are bounded; cancelled jobs without a ledger, edges of cancelled jobs and progress of finished jobs are released; demands are computed at a pace.

--- a/src/main/java/io/micatide/controller/Controller.java
+++ b/src/main/java/io/micatide/controller/Controller.java
@@ -54,7 +54,12 @@
         StoreClient store = new StoreClient(settings, connector, executor::now);
         CloudClient cloud = new CloudClient(settings, connector, executor::now);
         this.users = new UsersActor(
-                executor, settings, store, cloud, tuning.apiDescriptionServed() ? new ApiDescription() : null);
+                executor,
+                settings,
+                store,
+                cloud,
+                tuning.apiDescriptionServed() ? new ApiDescription() : null,
+                components.jobMemoryBytes());
         this.leader = new LeaderActor(
                 new ControllerServices(settings, tuning, executor, store, cloud, connector), users, components);
     }
--- a/src/main/java/io/micatide/controller/ControllerComponents.java
+++ b/src/main/java/io/micatide/controller/ControllerComponents.java
@@ -1,6 +1,7 @@
 package io.micatide.controller;
 
 import io.micatide.archive.Archiver;
+import io.micatide.jobs.JobMemoryLimit;
 import io.micatide.rollout.Capabilities;
 import io.micatide.standby.KeyspaceReplica;
 
@@ -10,9 +11,10 @@
  * @param archivers creates the archiver of finished jobs
  * @param replicas creates the standby's replicas of the leader's records
  * @param capabilities the features that this version can read and write
+ * @param jobMemoryBytes limit of the estimated heap that the accepted jobs may take, in bytes
  */
 public record ControllerComponents(
-        Archiver.Factory archivers, KeyspaceReplica.Factory replicas, Capabilities capabilities) {
+        Archiver.Factory archivers, KeyspaceReplica.Factory replicas, Capabilities capabilities, long jobMemoryBytes) {
 
     /**
      * Returns the components of a deployed controller.
@@ -30,6 +32,10 @@
      * @return the standard components except for the archiver
      */
     public static ControllerComponents withArchiver(Archiver.Factory archivers) {
-        return new ControllerComponents(archivers, KeyspaceReplica::new, Capabilities.ALL);
+        return new ControllerComponents(
+                archivers,
+                KeyspaceReplica::new,
+                Capabilities.ALL,
+                JobMemoryLimit.maxBytesInHeap(Runtime.getRuntime().maxMemory()));
     }
 }
--- a/src/main/java/io/micatide/controller/JobCacheRefresher.java
+++ b/src/main/java/io/micatide/controller/JobCacheRefresher.java
@@ -36,6 +36,7 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(UsersActor.class);
     private static final long VERIFICATION_RETRY_MICROS = Micros.SECOND;
+    private static final long MAX_AGE_FOR_SUBMISSIONS_MICROS = Micros.SECOND;
     /** Maximum number of finished jobs that one search for archivable jobs returns. */
     private static final int MAX_ARCHIVABLE_JOBS = 5_000;
 
@@ -130,6 +131,16 @@
         refresh();
     }
 
+    /**
+     * Reads the changes if the last read was sent long ago, although no request waits for them: the memory limit of submissions counts the
+     * jobs that other controllers accept.
+     */
+    void refreshIfOutdated() {
+        if (owner.now() - lastRefreshMicros > MAX_AGE_FOR_SUBMISSIONS_MICROS) {
+            refreshRequested();
+        }
+    }
+
     /** Runs a scheduled read of the changes. */
     void refreshDue() {
         isRefreshScheduled = false;
@@ -170,7 +181,11 @@
                 isLoaded = true;
                 jobCache.finishFullRead();
                 verifyRecords();
-                LOG.info("job records loaded, {} jobs open", jobCache.openJobs().size());
+                LOG.info(
+                        "job records loaded, {} jobs open, some {} KB with {} dependencies",
+                        jobCache.openJobs().size(),
+                        jobCache.memoryUsage().totalBytes() >> 10,
+                        jobCache.dependencyEdges());
                 refresh();
             }
         } catch (MalformedException e) {
@@ -286,7 +301,9 @@
             } catch (MalformedException e) {
                 LOG.error("malformed changes of job records: {}", e.getMessage());
             }
-        } else if (reply.status() == 410) {
+        } else if (reply.status() == 410 || reply.isTooLarge()) {
+            // Page by page, all records can be read in little memory.
+            LOG.warn("changes of job records cannot be read ({}): reading all records", reply.status());
             isLoaded = false;
             owner.tell(new UsersActor.LoadJobs());
         }
--- a/src/main/java/io/micatide/controller/StandbyActor.java
+++ b/src/main/java/io/micatide/controller/StandbyActor.java
@@ -303,7 +303,7 @@
      * @return whether the store answered, which may have made the replica invalid
      */
     private boolean applyChanges(KeyspaceReplica replica, Reply reply) {
-        if (reply.status() == GONE) {
+        if (reply.status() == GONE || reply.isTooLarge()) {
             replica.changesCompacted();
             return true;
         }
--- a/src/main/java/io/micatide/controller/Submissions.java
+++ b/src/main/java/io/micatide/controller/Submissions.java
@@ -4,8 +4,10 @@
 import io.micatide.jobs.DependencyAdmission;
 import io.micatide.jobs.JobAdmission;
 import io.micatide.jobs.JobCache;
+import io.micatide.jobs.JobMemoryLimit;
 import io.micatide.model.JobSpec;
 import io.micatide.model.JobState;
+import io.micatide.model.Micros;
 import io.micatide.model.Settings;
 import io.micatide.net.Reply;
 import io.micatide.net.Request;
@@ -52,6 +54,9 @@
     private static final byte[] UPGRADING =
             Json.error("awaits", "awaits: not yet, a controller may still be of a version that does not know it");
     private static final int UPGRADING_RETRY_S = 2;
+    private static final byte[] JOB_MEMORY_FULL = Json.error(null, "no room for the job until others have ended");
+    private static final int JOB_MEMORY_FULL_RETRY_S = 5;
+    private static final long MEMORY_FULL_LOG_INTERVAL_MICROS = 10 * Micros.SECOND;
 
     private final UsersActor owner;
     private final Settings settings;
@@ -59,6 +64,8 @@
     private final ArchiveReader archiveReader;
     private final JobCache jobCache;
     private final JobCacheRefresher refresher;
+    private final JobMemoryLimit memoryLimit;
+    private long lastMemoryFullLogMicros = Long.MIN_VALUE / 2;
 
     Submissions(
             UsersActor owner,
@@ -66,13 +73,15 @@
             StoreClient store,
             ArchiveReader archiveReader,
             JobCache jobCache,
-            JobCacheRefresher refresher) {
+            JobCacheRefresher refresher,
+            JobMemoryLimit memoryLimit) {
         this.owner = owner;
         this.settings = settings;
         this.store = store;
         this.archiveReader = archiveReader;
         this.jobCache = jobCache;
         this.refresher = refresher;
+        this.memoryLimit = memoryLimit;
     }
 
     /** Handles a request to submit a job. */
@@ -98,16 +107,16 @@
         try {
             spec = JobCodec.spec(body);
         } catch (MalformedException e) {
-            refuse(request, id, 400, Json.error(e.field(), e.getMessage()));
+            refuse(request, id, 400, 0, Json.error(e.field(), e.getMessage()));
             return;
         }
         if (owner.machineTypes().isEmpty()) {
-            refuse(request, id, 503, Json.error(null, "the machine types are not known yet"));
+            refuse(request, id, 503, 1, Json.error(null, "the machine types are not known yet"));
             return;
         }
         String refusal = JobAdmission.refusalReason(spec, settings.teams(), settings.zones(), owner.machineTypes());
         if (refusal != null) {
-            refuse(request, id, 422, Json.error(null, refusal));
+            refuse(request, id, 422, 0, Json.error(null, refusal));
             return;
         }
         // The job cache may be outdated, and may be refreshed during the search of the archive. The write is therefore
@@ -207,24 +216,46 @@
         Optional<List<Transaction.Write>> writes =
                 JobRecordSplitter.split(id, jobRecord, settings.maxWritableValueBytes());
         if (writes.isEmpty()) {
-            refuse(request, id, 400, Json.error("body", "body: is too long to be kept"));
+            refuse(request, id, 400, 0, Json.error("body", "body: is too long to be kept"));
         } else if (writes.get().size() > settings.maxTransactionWrites()) {
-            refuse(request, id, 400, Json.error("awaits", "awaits: more names than can be kept with the job"));
+            refuse(request, id, 400, 0, Json.error("awaits", "awaits: more names than can be kept with the job"));
+        } else if (!memoryLimit.admits(id, jobRecord)) {
+            logMemoryFull(submission.spec());
+            refuse(request, id, 429, JOB_MEMORY_FULL_RETRY_S, JOB_MEMORY_FULL);
         } else {
+            memoryLimit.reserve(id, jobRecord);
+            if (memoryLimit.requiresCurrentUsage()) {
+                refresher.refreshIfOutdated();
+            }
             store.transaction(
                     new Transaction(conditions, writes.get()),
                     owner.onReply(r -> new UsersActor.SubmissionWritten(r, submission, jobRecord)));
         }
     }
 
+    private void logMemoryFull(JobSpec spec) {
+        long now = owner.now();
+        if (now - lastMemoryFullLogMicros >= MEMORY_FULL_LOG_INTERVAL_MICROS) {
+            lastMemoryFullLogMicros = now;
+            LOG.warn(
+                    "no memory for {} of team {}: jobs take some {} of {} KB, {} of them those of the team; {} dependencies",
+                    spec.id(),
+                    spec.team(),
+                    jobCache.memoryUsage().totalBytes() >> 10,
+                    memoryLimit.maxBytes() >> 10,
+                    jobCache.memoryUsage().bytesOf(spec.team()) >> 10,
+                    jobCache.dependencyEdges());
+        }
+    }
+
     /** Answers with the given error, or with 200 if a refreshed lookup shows that the job was accepted before. */
-    private void refuse(Request request, String id, int status, byte[] json) {
+    private void refuse(Request request, String id, int status, int retryAfterSeconds, byte[] json) {
         refresher.afterRefresh(
                 request,
                 () -> owner.locate(request, id, 0, new KnownJobReply(owner, request, id) {
                     @Override
                     public void notFound() {
-                        request.answer(status, json, status == 503 ? 1 : 0);
+                        request.answer(status, json, retryAfterSeconds);
                     }
                 }));
     }
@@ -234,6 +265,7 @@
         String id = message.submission().spec().id();
         Request request = message.submission().request();
         Reply reply = message.reply();
+        memoryLimit.release(id, message.jobRecord());
         if (reply.ok()) {
             try {
                 refresher.apply(id, message.jobRecord(), StoreCodec.revision(reply.body()));
--- a/src/main/java/io/micatide/controller/UsersActor.java
+++ b/src/main/java/io/micatide/controller/UsersActor.java
@@ -1,6 +1,7 @@
 package io.micatide.controller;
 
 import io.micatide.jobs.JobCache;
+import io.micatide.jobs.JobMemoryLimit;
 import io.micatide.model.CancellationDigest;
 import io.micatide.model.JobProgress;
 import io.micatide.model.JobState;
@@ -146,6 +147,9 @@
     /** Number of retries of a request that met a change of the archive, before it is answered 503. */
     static final int MAX_RETRIES = 4;
 
+    /** Number of jobs that are not known as open whose progress is kept. */
+    private static final int MAX_UNKNOWN_PROGRESS = 1_000;
+
     static final byte[] UNAVAILABLE = Json.error(null, "the state service does not answer");
     private static final byte[] INCOMPATIBLE_STORE =
             Json.error(null, "this version does not know what is stored; another controller answers");
@@ -161,6 +165,7 @@
     private final StoreClient store;
     private final CloudClient cloud;
     private final JobCache jobCache = new JobCache();
+    private final PendingRequests pendingRequests = new PendingRequests();
     private Map<String, JobProgress> progress = new HashMap<>();
     private List<MachineType> machineTypes = List.of();
     private final ApiDescription description;
@@ -172,13 +177,19 @@
     private boolean isShuttingDown;
     private boolean isStoreIncompatible;
 
-    /** @param description description of the user API that is served with it, null to serve none */
+    /**
+     * Creates the actor.
+     *
+     * @param description description of the user API that is served with it, null to serve none
+     * @param jobMemoryBytes limit of the estimated heap that the accepted jobs may take, in bytes
+     */
     UsersActor(
             ActorExecutor executor,
             Settings settings,
             StoreClient store,
             CloudClient cloud,
-            ApiDescription description) {
+            ApiDescription description,
+            long jobMemoryBytes) {
         super(executor);
         this.label = settings.label();
         this.startedMicros = now();
@@ -187,7 +198,15 @@
         this.description = description;
         this.archiveReader = new ArchiveReader(executor, store);
         this.refresher = new JobCacheRefresher(this, settings, store, archiveReader, jobCache);
-        this.submissions = new Submissions(this, settings, store, archiveReader, jobCache, refresher);
+        this.submissions = new Submissions(
+                this,
+                settings,
+                store,
+                archiveReader,
+                jobCache,
+                refresher,
+                new JobMemoryLimit(
+                        jobCache.memoryUsage(), jobMemoryBytes, settings.teams().keySet()));
         this.cancellations = new Cancellations(this, settings, store, jobCache, refresher);
     }
 
@@ -229,6 +248,7 @@
                 progress = new HashMap<>();
             }
             m.jobs().forEach(job -> progress.put(job.id(), job));
+            forgetUnknownProgress();
         } else if (message instanceof SubscribeLeader m) {
             refresher.subscribeLeader(m.leader());
         } else if (message instanceof UnsubscribeLeader) {
@@ -304,6 +324,15 @@
         return machineTypes;
     }
 
+    /** Removes progress that was reported after the job's end, once there is much of it. */
+    private void forgetUnknownProgress() {
+        if (progress.size() > 2 * jobCache.openJobs().size() + MAX_UNKNOWN_PROGRESS) {
+            progress.keySet()
+                    .removeIf(
+                            id -> jobCache.get(id) == null || jobCache.state(id).isFinal());
+        }
+    }
+
     /** Removes the progress of a job that is finished or archived. */
     void forgetProgress(String id) {
         progress.remove(id);
@@ -332,7 +361,12 @@
 
     // ---- routing of requests
 
-    private void handleRequest(Request request) {
+    private void handleRequest(Request received) {
+        Request request = pendingRequests.admit(received);
+        if (request == null) {
+            received.answer(429, TOO_MANY_REQUESTS, 1);
+            return;
+        }
         if (isShuttingDown) {
             request.answerAndClose(503, SHUTTING_DOWN, 1);
             return;
--- a/src/main/java/io/micatide/jobs/JobCache.java
+++ b/src/main/java/io/micatide/jobs/JobCache.java
@@ -54,6 +54,10 @@
     private final Map<String, Entry> finishedJobs = new LinkedHashMap<>();
 
     private final DependencyGraph dependencies = new DependencyGraph();
+    /** The ids of jobs and of their dependencies, of which each job keeps the same instance. */
+    private final SharedIds sharedIds = new SharedIds();
+
+    private final JobMemoryUsage memoryUsage = new JobMemoryUsage();
     /** Job records that were read before all their records of further dependencies; empty between two reads. */
     private final Map<String, Entry> incompleteEntries = new HashMap<>();
     /** Further dependencies by job and number of their record, kept until the job's record and all of them are read. */
@@ -143,6 +147,16 @@
         return entries.get(id);
     }
 
+    /** Returns the estimated heap that the jobs of this cache take. */
+    public JobMemoryUsage memoryUsage() {
+        return memoryUsage;
+    }
+
+    /** Returns the number of edges of the dependency graph. */
+    public int dependencyEdges() {
+        return dependencies.edges();
+    }
+
     public Collection<Entry> openJobs() {
         return openJobs.values();
     }
@@ -246,7 +260,7 @@
         if (entries.containsKey(id)) {
             return List.of();
         }
-        furtherDependencies.computeIfAbsent(id, k -> new TreeMap<>()).put(piece, names);
+        furtherDependencies.computeIfAbsent(id, k -> new TreeMap<>()).put(piece, sharedIds.share(names));
         Entry entry = incompleteEntries.get(id);
         return entry == null ? List.of() : apply(id, entry.record(), entry.version());
     }
@@ -254,7 +268,10 @@
     /** Returns a job's record with all its dependencies, or null while records of further dependencies are missing. */
     private StoredRecord.JobRecord withAllDependencies(String id, StoredRecord.JobRecord stored, long version) {
         if (stored.furtherDependencyRecords() == 0 || stored.state().isFinal()) {
-            return stored;
+            return stored.spec() == null || stored.spec().dependencies().isEmpty()
+                    ? stored
+                    : stored.withDependencies(
+                            sharedIds.share(stored.spec().dependencies()), stored.furtherDependencyRecords());
         }
         Map<Integer, List<String>> further = furtherDependencies.getOrDefault(id, Map.of());
         if (further.size() < stored.furtherDependencyRecords()) {
@@ -263,7 +280,7 @@
         }
         List<String> all = new ArrayList<>(stored.spec().dependencies());
         further.values().forEach(all::addAll);
-        return stored.withDependencies(all, 0);
+        return stored.withDependencies(sharedIds.share(all), 0);
     }
 
     /**
@@ -299,7 +316,8 @@
                 && version > (archiveManifest.sinceVersion() == 0 ? archiveVersion : archiveManifest.sinceVersion());
     }
 
-    private List<String> applyVerified(String id, StoredRecord.JobRecord stored, long version) {
+    private List<String> applyVerified(String readId, StoredRecord.JobRecord stored, long version) {
+        String id = sharedIds.share(readId);
         Entry known = entries.get(id);
         StoredRecord.JobRecord completeRecord = withAllDependencies(id, stored, version);
         if (completeRecord == null) {
@@ -311,6 +329,10 @@
         unverifiedEntries.remove(id);
         Entry entry = new Entry(id, completeRecord, version);
         entries.put(id, entry);
+        if (known != null) {
+            memoryUsage.remove(id, known.record());
+        }
+        memoryUsage.add(id, completeRecord);
         List<String> changed = new ArrayList<>(List.of(id));
         if (completeRecord.state().isFinal()) {
             if (completeRecord.state() == JobState.CANCELLED) {
@@ -342,6 +364,8 @@
         Entry entry = entries.get(id);
         if (entry != null && entry.version() <= version) {
             entries.remove(id);
+            memoryUsage.remove(id, entry.record());
+            sharedIds.dropUnused(entries.keySet());
             openJobs.remove(id);
             finishedJobs.remove(id);
             dependencies.jobFinished(id);
--- a/src/main/java/io/micatide/net/HttpClient.java
+++ b/src/main/java/io/micatide/net/HttpClient.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
@@ -34,7 +35,9 @@
  * from its event loop only.
  */
 public final class HttpClient implements Http {
-    private static final int MAX_RESPONSE_BYTES = 8 << 20;
+    /** Lists come in pages of at most 512 KiB; only changes of the store can be more. */
+    private static final int MAX_RESPONSE_BYTES = 2 << 20;
+
     private static final int MAX_QUEUED_CALLS = 200;
     private static final byte[] NO_BODY = new byte[0];
 
@@ -161,11 +164,7 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline()
-                                .addLast(
-                                        new HttpClientCodec(),
-                                        new HttpObjectAggregator(MAX_RESPONSE_BYTES),
-                                        connection);
+                        channel.pipeline().addLast(new HttpClientCodec(), new Aggregator(connection), connection);
                     }
                 })
                 .connect(address);
@@ -184,6 +183,22 @@
         });
     }
 
+    /** Assembles a whole response. Reports one with too large a body as such, and closes the connection. */
+    private static final class Aggregator extends HttpObjectAggregator {
+        private final Connection connection;
+
+        Aggregator(Connection connection) {
+            super(MAX_RESPONSE_BYTES);
+            this.connection = connection;
+        }
+
+        @Override
+        protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
+            connection.finishCall(Reply.TOO_LARGE);
+            context.close();
+        }
+    }
+
     /** One connection of the pool. */
     private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
         private Channel channel;
@@ -220,30 +235,31 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-            Call answered = call;
-            call = null;
             boolean keep = HttpUtil.isKeepAlive(response);
             Reply reply = new Reply(response.status().code(), ByteBufUtil.getBytes(response.content()), true);
             if (!keep) {
                 context.close();
             }
-            if (answered != null) {
-                finish(answered, reply);
-            }
+            finishCall(reply);
             if (keep && channel.isActive() && call == null) {
                 startNextOrBecomeIdle();
             }
         }
 
+        /** Ends the request in flight, if there is one. */
+        private void finishCall(Reply reply) {
+            Call finished = call;
+            call = null;
+            if (finished != null) {
+                finish(finished, reply);
+            }
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             connections--;
             idle.remove(this);
-            if (call != null) {
-                Call lost = call;
-                call = null;
-                finish(lost, Reply.UNANSWERED);
-            }
+            finishCall(Reply.UNANSWERED);
             if (!queue.isEmpty() && connections < maxConnections) {
                 connect();
             }
--- a/src/main/java/io/micatide/protocol/Json.java
+++ b/src/main/java/io/micatide/protocol/Json.java
@@ -2,8 +2,11 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -44,6 +47,44 @@
         }
     }
 
+    /** Receives one element of a list. */
+    @FunctionalInterface
+    interface ElementReader {
+        void read(JsonNode element) throws MalformedException;
+    }
+
+    /**
+     * Parses a JSON object except for one list, whose elements are parsed one by one, so that the trees of a long list are not in memory
+     * together.
+     *
+     * @param body the object; empty input is malformed
+     * @param list field with the list; a missing list, or a value that is not a list, has no elements
+     * @param reader receives each element
+     * @return the object without the list
+     */
+    static JsonNode treeWithoutList(byte[] body, String list, ElementReader reader) throws MalformedException {
+        ObjectNode object = MAPPER.createObjectNode();
+        try (JsonParser parser = FACTORY.createParser(body)) {
+            if (parser.nextToken() != JsonToken.START_OBJECT) {
+                throw new MalformedException("body", "is not an object");
+            }
+            while (parser.nextToken() == JsonToken.FIELD_NAME) {
+                String field = parser.currentName();
+                boolean isList = parser.nextToken() == JsonToken.START_ARRAY && field.equals(list);
+                if (!isList) {
+                    object.set(field, MAPPER.<JsonNode>readTree(parser));
+                    continue;
+                }
+                while (parser.nextToken() != JsonToken.END_ARRAY) {
+                    reader.read(MAPPER.<JsonNode>readTree(parser));
+                }
+            }
+            return object;
+        } catch (IOException e) {
+            throw new MalformedException("body", "is not JSON");
+        }
+    }
+
     /**
      * Encodes an error.
      *
--- a/src/main/java/io/micatide/protocol/StoreCodec.java
+++ b/src/main/java/io/micatide/protocol/StoreCodec.java
@@ -135,17 +135,15 @@
      * @throws MalformedException if a key or its value does not have the form that micatide writes
      */
     public static Items page(byte[] body) throws MalformedException {
-        JsonNode tree = Json.tree(body);
-        JsonFields in = new JsonFields(tree, "");
         List<Item> items = new ArrayList<>();
-        for (JsonNode entry : tree.path("items")) {
+        JsonNode tree = Json.treeWithoutList(body, "items", entry -> {
             String key = entry.path(KEY).asText();
             items.add(new Item(
                     key,
                     StoredRecordCodec.read(key, entry.get(VALUE)),
                     entry.path(VERSION).asLong()));
-        }
-        return new Items(items, tree.path("truncated").asBoolean(), revision(in));
+        });
+        return new Items(items, tree.path("truncated").asBoolean(), revision(new JsonFields(tree, "")));
     }
 
     /**
@@ -154,18 +152,16 @@
      * @throws MalformedException if a key or its value does not have the form that micatide writes
      */
     public static Items changes(byte[] body) throws MalformedException {
-        JsonNode tree = Json.tree(body);
-        JsonFields in = new JsonFields(tree, "");
         List<Item> items = new ArrayList<>();
-        for (JsonNode entry : tree.path("events")) {
+        JsonNode tree = Json.treeWithoutList(body, "events", entry -> {
             boolean put = entry.hasNonNull(PUT);
             String key = entry.path(put ? PUT : DELETE).asText();
             items.add(new Item(
                     key,
                     put ? StoredRecordCodec.read(key, entry.get(VALUE)) : null,
                     entry.path(VERSION).asLong()));
-        }
-        return new Items(items, false, revision(in));
+        });
+        return new Items(items, false, revision(new JsonFields(tree, "")));
     }
 
     /** Encodes the request for a lease. */
--- a/src/main/java/io/micatide/scheduler/DagInheritance.java
+++ b/src/main/java/io/micatide/scheduler/DagInheritance.java
@@ -21,6 +21,10 @@
     private static final long DEPENDENT_START_DELAY_MICROS = 4 * Micros.SECOND;
     /** Interval at which demands are computed again without a change of the jobs, because estimates of run times change. */
     private static final long REFRESH_MICROS = 5 * Micros.SECOND;
+    /** Number of dependencies that are visited as often as jobs change. */
+    private static final long MAX_UNPACED_DEPENDENCIES = 10_000;
+    /** Pause after a refresh for each further dependency that it visited, so that a large graph takes a small share of the time. */
+    private static final long PAUSE_PER_DEPENDENCY_MICROS = 2;
 
     /** A job that waits for its dependencies; {@code version} is that of its record, the deadline is on the steady clock. */
     private record WaitingJob(JobSpec spec, long version, long deadlineMicros) {}
@@ -31,6 +35,9 @@
 
         /** Returns the higher priority and the earlier due time of both. */
         Demand mergedWith(Demand other) {
+            if (!other.priority.isAbove(priority) && neededByMicros <= other.neededByMicros) {
+                return this;
+            }
             return new Demand(
                     priority.isAbove(other.priority) ? priority : other.priority,
                     Math.min(neededByMicros, other.neededByMicros));
@@ -46,6 +53,8 @@
     private boolean openJobAdded;
 
     private long refreshedMicros = Long.MIN_VALUE / 2;
+    /** Number of dependencies visited at the last refresh. */
+    private long visitedDependencies;
 
     DagInheritance(JobLedgers ledgers, RuntimeEstimator runtimeEstimator) {
         this.ledgers = ledgers;
@@ -73,11 +82,20 @@
         openJobAdded |= waitingJobs.remove(id) != null;
     }
 
+    /** Returns the time between two refreshes after the number of dependencies that the last one visited. */
+    private long pauseMicros() {
+        long pacedDependencies = Math.max(0, visitedDependencies - MAX_UNPACED_DEPENDENCIES);
+        return Math.min(REFRESH_MICROS, pacedDependencies * PAUSE_PER_DEPENDENCY_MICROS);
+    }
+
     /** Sets the inherited demands of the open jobs, after a change and every few seconds. Takes time linear in the edges. */
     void refresh(long nowMicros) {
-        if (!openJobAdded && (waitingJobs.isEmpty() || nowMicros - refreshedMicros < REFRESH_MICROS)) {
+        long sinceRefreshMicros = nowMicros - refreshedMicros;
+        if (sinceRefreshMicros < pauseMicros()
+                || (!openJobAdded && (waitingJobs.isEmpty() || sinceRefreshMicros < REFRESH_MICROS))) {
             return;
         }
+        visitedDependencies = 0;
         openJobAdded = false;
         refreshedMicros = nowMicros;
         jobsWithDemands.forEach(job -> job.inheritFromDependents(false, Priority.LOW, Long.MAX_VALUE));
@@ -95,6 +113,7 @@
                             - runtimeEstimator.slowestMicros(waitingJob.spec())
                             - DEPENDENT_START_DELAY_MICROS;
             Demand dependencyDemand = new Demand(ownDemand.priority(), dependencyDueMicros);
+            visitedDependencies += waitingJob.spec().dependencies().size();
             for (String dependency : waitingJob.spec().dependencies()) {
                 demands.merge(dependency, dependencyDemand, Demand::mergedWith);
             }
--- a/src/main/java/io/micatide/scheduler/FailoverRecovery.java
+++ b/src/main/java/io/micatide/scheduler/FailoverRecovery.java
@@ -1,5 +1,6 @@
 package io.micatide.scheduler;
 
+import io.micatide.jobs.JobMemoryUsage;
 import io.micatide.model.Hint;
 import io.micatide.model.MachineType;
 import io.micatide.model.TermAnnouncement;
@@ -18,6 +19,9 @@
  * ledgers stop naming it on behalf of the previous leader, and tasks of these jobs that no heartbeat listed may be started on other machines.
  */
 final class FailoverRecovery {
+    /** A larger record of a cancelled job is reduced to the fields that placement needs. */
+    private static final int MAX_KEPT_RECORD_BYTES = 4_096;
+
     private final Fleet fleet;
     private final JobLedgers ledgers;
     private final PlacementTable placements;
@@ -46,9 +50,20 @@
         return hasFoundLedgers;
     }
 
-    /** Keeps the record of a job that was cancelled before this term and whose tasks may still run. */
+    /**
+     * Keeps what is needed of a job that was cancelled before this term and whose tasks may still run. It is kept for the whole term, in which
+     * the job itself may be archived.
+     */
     void jobCancelledBeforeTerm(String id, StoredRecord.JobRecord record) {
-        cancelledBeforeTerm.put(id, record);
+        cancelledBeforeTerm.put(
+                id,
+                JobMemoryUsage.estimateBytes(id, record) <= MAX_KEPT_RECORD_BYTES
+                        ? record
+                        : new StoredRecord.JobRecord(
+                                record.state(),
+                                record.spec().withPlacementFieldsOnly(),
+                                record.submittedWall(),
+                                record.taskCount()));
     }
 
     /**
--- a/src/main/java/io/micatide/scheduler/Machine.java
+++ b/src/main/java/io/micatide/scheduler/Machine.java
@@ -16,6 +16,11 @@
 
 /** State of one machine as the leader knows it. Mutable; owned by {@link Fleet}. */
 final class Machine {
+    /** Users name the images; without a size, any number of them fits into the cache. */
+    private static final int MAX_IMAGES = 256;
+    /** Length of the names of all images together, in characters. */
+    private static final int MAX_IMAGE_NAME_CHARS = 16_384;
+
     final String name;
     /** Slot of the machine in the {@link FreeCapacityIndex}; changed only by the index. */
     int indexSlot;
@@ -196,20 +201,26 @@
         return capacity.cpus() - replicaCpus;
     }
 
-    /** Marks the image as used now and evicts the least recently used images, never the given one, while the cache exceeds {@code cacheGb}. */
+    /** Marks the image as used now and evicts the least recently used images, never the given one, while they exceed {@code cacheGb} or a limit. */
     void touchImage(String image, double sizeGb, double cacheGb) {
         images.put(image, sizeGb);
         double total = 0;
         for (double imageGb : images.values()) {
             total += imageGb;
         }
+        int nameChars = 0;
+        for (String name : images.keySet()) {
+            nameChars += name.length();
+        }
         var oldest = images.entrySet().iterator();
-        while (total > cacheGb && oldest.hasNext()) {
+        while ((total > cacheGb || images.size() > MAX_IMAGES || nameChars > MAX_IMAGE_NAME_CHARS)
+                && oldest.hasNext()) {
             var entry = oldest.next();
             if (entry.getKey().equals(image)) {
                 break;
             }
             total -= entry.getValue();
+            nameChars -= entry.getKey().length();
             oldest.remove();
         }
     }
--- a/src/main/java/io/micatide/scheduler/OpenJobs.java
+++ b/src/main/java/io/micatide/scheduler/OpenJobs.java
@@ -1,7 +1,5 @@
 package io.micatide.scheduler;
 
-import com.google.common.collect.HashMultiset;
-import com.google.common.collect.Multiset;
 import io.micatide.model.JobSpec;
 import java.util.Collection;
 import java.util.LinkedHashMap;
@@ -13,7 +11,7 @@
     private final Map<String, Job> jobs = new LinkedHashMap<>();
     private final Map<String, Job> dirtyJobs = new LinkedHashMap<>();
     /** Number of jobs of each class that this leader has seen, open or not. */
-    private final Multiset<String> jobsSeenOfClass = HashMultiset.create();
+    private final RecentJobClasses<Integer> jobsSeenOfClass = new RecentJobClasses<>();
 
     Collection<Job> all() {
         return jobs.values();
@@ -29,7 +27,7 @@
     }
 
     int seenOfClass(String jobClass) {
-        return jobsSeenOfClass.count(jobClass);
+        return jobsSeenOfClass.getOrDefault(jobClass, 0);
     }
 
     /**
@@ -43,22 +41,17 @@
      */
     Job add(JobSpec spec, long version, long submittedWall, long submittedMicros, long readyMicros) {
         Job job = new Job(spec, version, submittedWall, submittedMicros, readyMicros);
-        jobsSeenOfClass.add(spec.jobClass());
+        jobsSeenOfClass.put(spec.jobClass(), seenOfClass(spec.jobClass()) + 1);
         jobs.put(spec.id(), job);
         return job;
     }
 
-    /** Removes a job whose stored record is final; no further write is composed for it. */
+    /** Removes a job whose stored record is final, or of which nothing is left to be written; no further write is composed for it. */
     void remove(Job job) {
         jobs.remove(job.id());
         dirtyJobs.remove(job.id());
     }
 
-    /** Removes a cancelled job that has no ledger, so that nothing of it is left to be written. */
-    void removeWithoutLedger(Job job) {
-        jobs.remove(job.id());
-    }
-
     /** Marks the job as having something to be written. */
     void markDirty(Job job, long nowMicros) {
         if (job.dirtySinceMicros < 0) {
--- a/src/main/java/io/micatide/scheduler/RuntimeEstimator.java
+++ b/src/main/java/io/micatide/scheduler/RuntimeEstimator.java
@@ -4,9 +4,8 @@
 import io.micatide.model.JobSpec;
 import io.micatide.model.Micros;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
 
 /**
  * Estimates how long tasks run. Learns per job class a factor on the owners' estimates, since these are often wrong by half, and on some days
@@ -26,21 +25,24 @@
     private static final Factor DEFAULT_FACTOR = new Factor(1, DEFAULT_SPREAD);
 
     /** Factors by job class. */
-    private final Map<String, Factor> factors = new HashMap<>();
+    private final RecentJobClasses<Factor> factors = new RecentJobClasses<>();
 
-    /** Returns hints about the job classes for which a factor is known. */
+    /** Returns hints about the job classes for which a factor is known, in the order of their names. */
     List<Hint> hints() {
         List<Hint> result = new ArrayList<>();
         factors.forEach((name, factor) -> result.add(
                 new Hint.JobClassHint(name, Hints.roundToStep(factor.mean()), Hints.roundToStep(factor.spread()))));
+        result.sort(Comparator.comparing(Hint::name));
         return result;
     }
 
     /** Applies the hint of a previous leader about a job class, unless a factor is known for the class already. */
     void hintReceived(Hint.JobClassHint hint) {
-        factors.putIfAbsent(
-                hint.name(),
-                new Factor(Math.max(0.1, Math.min(10, hint.factor())), Math.max(0, Math.min(10, hint.spread()))));
+        if (!factors.contains(hint.name())) {
+            factors.put(
+                    hint.name(),
+                    new Factor(Math.max(0.1, Math.min(10, hint.factor())), Math.max(0, Math.min(10, hint.spread()))));
+        }
     }
 
     /** Adds the run time of a completed task to its job and to the factor of its job class. */
--- a/src/main/java/io/micatide/scheduler/WriteBatchPlanner.java
+++ b/src/main/java/io/micatide/scheduler/WriteBatchPlanner.java
@@ -117,7 +117,7 @@
             return;
         }
         if (job.cancelled && pages.isEmpty()) {
-            jobs.removeWithoutLedger(job);
+            jobs.remove(job);
             return;
         }
         batch.addJobEnd(
--- a/src/main/java/io/micatide/simulation/SimulatedCluster.java
+++ b/src/main/java/io/micatide/simulation/SimulatedCluster.java
@@ -3,6 +3,7 @@
 import io.micatide.archive.Archiver;
 import io.micatide.controller.Controller;
 import io.micatide.controller.ControllerComponents;
+import io.micatide.jobs.JobMemoryLimit;
 import io.micatide.model.JobSpec;
 import io.micatide.model.MachineType;
 import io.micatide.model.Micros;
@@ -39,6 +40,7 @@
     static final String CLOUD = "cloud";
     static final String CONTROLLER_PREFIX = "c";
     static final String PEER_PREFIX = "p";
+    private static final long CONTROLLER_HEAP_BYTES = 64L << 20;
 
     /** How a controller is made: what differs from one rehearsal to another. */
     public interface ClusterConfiguration {
@@ -56,6 +58,11 @@
             return Capabilities.ALL;
         }
 
+        /** The heap that the accepted jobs may take on a controller, in bytes. */
+        default long jobMemoryBytes(int controller) {
+            return JobMemoryLimit.maxBytesInHeap(CONTROLLER_HEAP_BYTES);
+        }
+
         /** How long a task runs. */
         default long runtimeMicros(String job, int index, long estimateMicros) {
             return estimateMicros;
@@ -146,7 +153,10 @@
                 process,
                 (endpoint, most) -> configuration.link(number, endpoint, faults.link(number, endpoint, process)),
                 new ControllerComponents(
-                        Archiver::new, configuration::keyspaceReplica, configuration.capabilities(number)));
+                        Archiver::new,
+                        configuration::keyspaceReplica,
+                        configuration.capabilities(number),
+                        configuration.jobMemoryBytes(number)));
         controllers.set(number, controller);
         network.listen(controllerEndpoint(number), process, controller::handleRequest);
         network.listen(peerEndpoint(number), process, controller::handlePeerRequest);
--- a/src/test/java/io/micatide/simulation/FailoverScenario.java
+++ b/src/test/java/io/micatide/simulation/FailoverScenario.java
@@ -333,10 +333,19 @@
                 ? http
                 : new FormerVersionReader(http);
         return endpoint.equals("state")
-                ? new DelayedChanges(to, () -> lateRowsMicros[number], () -> cluster.process(number))
+                ? new DelayedChanges(
+                        new LimitedResponses(to, () -> maxResponseBytes, () -> tooLargeResponses++),
+                        () -> lateRowsMicros[number],
+                        () -> cluster.process(number))
                 : to;
     }
 
+    /** What a controller takes of one answer of the state service. */
+    int maxResponseBytes = Integer.MAX_VALUE;
+
+    /** Number of answers that were larger. */
+    int tooLargeResponses;
+
     /** How much later than it was made this controller hears an answer about changed jobs. */
     final long[] lateRowsMicros;
 
--- /dev/null
+++ b/src/test/java/io/micatide/simulation/JobMemoryTest.java
@@ -0,0 +1,179 @@
+package io.micatide.simulation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.micatide.model.Micros;
+import io.micatide.net.Request;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** More jobs than fit into the heap of a controller: what does not fit is refused at once, and what was accepted is kept and run. */
+class JobMemoryTest {
+    private static final int JOBS = 900;
+    private static final int DEPENDENT_JOBS = 2_000;
+    private static final int SUBMITTED_PER_SECOND = 20;
+    private static final String BODY = """
+            {"nameId":"%s","roster":"class","crew":"%s","form":"batch","rank":"normal","legs":1,"cpus":2.0,"cards":0.0,"memGb":1.0,\
+            "kit":"img","sizeGb":1.0,"builds":null,"ground":null,"samePlace":false,"scatter":false,"loaners":true,"runtimeS":%d,\
+            "halftimeS":0.0,"stowS":0.0,"whistleS":null,"awaits":[%s]}""";
+
+    /** A submission that keeps its answer. */
+    private static final class Submission implements Request {
+        private final String id;
+        private final byte[] body;
+        private int status;
+        private int retryAfterSeconds;
+
+        Submission(String id, String body) {
+            this.id = id;
+            this.body = body.getBytes(StandardCharsets.UTF_8);
+        }
+
+        @Override
+        public String method() {
+            return "POST";
+        }
+
+        @Override
+        public String path() {
+            return "/v1/jobs";
+        }
+
+        @Override
+        public byte[] body() {
+            return body;
+        }
+
+        @Override
+        public void answer(int newStatus, byte[] json, int newRetryAfterSeconds) {
+            status = newStatus;
+            retryAfterSeconds = newRetryAfterSeconds;
+        }
+
+        @Override
+        public void answerAndClose(int newStatus, byte[] json, int newRetryAfterSeconds) {
+            answer(newStatus, json, newRetryAfterSeconds);
+        }
+
+        boolean isAccepted() {
+            return status == 200 || status == 201;
+        }
+    }
+
+    private final FailoverScenario day = FailoverScenario.atQuota(1, 3, 0);
+    private int submitted;
+
+    private Submission submit(String team, int seconds, String names) {
+        String id = "wk-m" + submitted;
+        String body = BODY.formatted(id, team, seconds, names);
+        Submission submission = new Submission(id, body);
+        day.cluster.uploadDescription(id, submission.body);
+        day.checker.jobSubmitted(id, 1, false);
+        day.checker.jobDescribed(day.cluster.jobSpec(id));
+        send(submission);
+        day.time.run(Micros.SECOND / SUBMITTED_PER_SECOND);
+        return submission;
+    }
+
+    private void send(Submission submission) {
+        int controller = submitted++ % day.controllers;
+        day.cluster
+                .process(controller)
+                .execute(() -> day.cluster.controller(controller).handleRequest(submission));
+    }
+
+    /** Guards against controllers that accept jobs until their heap is full, and end again after each start. */
+    @Test
+    void whatDoesNotFitIsRefusedAtOnce() {
+        day.time.run(5 * Micros.SECOND);
+        StringBuilder names = new StringBuilder();
+        for (int i = 0; i < JOBS; i++) {
+            Submission job = submit("blue", 600, "");
+            assertTrue(job.isAccepted(), job.id + ": " + job.status);
+            names.append(i == 0 ? "\"" : ",\"").append(job.id).append('"');
+        }
+        List<Submission> accepted = new ArrayList<>();
+        Submission refused = null;
+        for (int i = 0; i < DEPENDENT_JOBS && refused == null; i++) {
+            Submission job = submit("blue", 1, names.toString());
+            if (job.isAccepted()) {
+                accepted.add(job);
+            } else {
+                refused = job;
+            }
+        }
+        assertTrue(refused != null, accepted.size() + " jobs that need " + JOBS + " others each were accepted");
+        day.time.run(Micros.SECOND);
+        assertEquals(429, refused.status);
+        assertTrue(refused.retryAfterSeconds > 0);
+        assertTrue(submit("red", 1, "").isAccepted(), "another team has room");
+        List<String> toEnd =
+                new ArrayList<>(accepted.stream().map(job -> job.id).toList());
+        day.cluster.faults.crashForSeconds(day.cluster.leader(), 2);
+        day.time.run(20 * Micros.SECOND);
+        assertEquals(429, submitAgain(refused).status, "a new leader has no more room");
+        for (int i = 0; i < JOBS; i++) {
+            cancel("wk-m" + i);
+        }
+        day.time.run(60 * Micros.SECOND);
+        toEnd.forEach(id -> assertEquals("withdrawn", standing(id), id));
+        assertEquals(201, submitAgain(refused).status, "room again");
+        assertEquals(List.of(), day.checker.violations());
+    }
+
+    /** Repeats a submission while the answer is 503, as users do. */
+    private Submission submitAgain(Submission refused) {
+        Submission again = null;
+        for (int tries = 0; tries < 10 && (again == null || again.status == 503); tries++) {
+            again = new Submission(refused.id, new String(refused.body, StandardCharsets.UTF_8));
+            send(again);
+            day.time.run(5 * Micros.SECOND);
+        }
+        return again;
+    }
+
+    /** Guards against a controller that was away while more changed than it takes in one answer: it read no changes any more. */
+    @Test
+    void aControllerThatWasAwayReadsAllRecordsAgain() {
+        day.maxResponseBytes = 64 << 10;
+        day.time.run(5 * Micros.SECOND);
+        Submission first = submit("blue", 600, "");
+        int away = (day.cluster.leader() + 1) % day.controllers;
+        day.cluster.faults.partitionController(away, new FaultInjector.Links(true, true, true), 30);
+        List<Submission> meanwhile = new ArrayList<>();
+        while (meanwhile.size() < 200) {
+            Submission job = submit("blue", 1, '"' + first.id + '"');
+            if (job.isAccepted()) {
+                meanwhile.add(job);
+            }
+        }
+        day.time.run(40 * Micros.SECOND);
+        assertEquals("queued", standing(away, meanwhile.get(199).id));
+        assertTrue(day.tooLargeResponses > 0);
+        assertEquals(List.of(), day.checker.violations());
+    }
+
+    private void cancel(String id) {
+        day.users.cancel(id);
+        day.time.run(Micros.SECOND / SUBMITTED_PER_SECOND);
+    }
+
+    private String standing(String id) {
+        return standing(0, id);
+    }
+
+    private String standing(int controller, String id) {
+        String[] word = {""};
+        day.cluster
+                .toController(controller)
+                .get(
+                        "/v1/jobs/" + id,
+                        2 * Micros.SECOND,
+                        reply -> word[0] = new String(reply.body(), StandardCharsets.UTF_8));
+        day.time.run(Micros.SECOND);
+        return word[0].replaceAll(".*\"standing\":\"(\\w+)\".*", "$1");
+    }
+}
