End every exclusion of machines, so that no job waits beside one that has room

Cause: a machine stayed in the job's set of failed machines until the job succeeded there, which the set prevented, and the requests for machines took it for usable. Evidence: the leader's line says waiting=1 usable=1 suspect=0; it has excluded=N since.

Why this suffices: each exclusion ends by itself, with or without another machine or leader.

The same on related paths: the quarantine of a machine that cannot be returned, since a replica is on it, ends after a minute; long tasks make a machine slow for one minute, not for as long as they run; a quarantined job gets a machine when it was not tried for a minute.

--- a/src/main/java/io/micatide/scheduler/FailureAttribution.java
+++ b/src/main/java/io/micatide/scheduler/FailureAttribution.java
@@ -32,6 +32,8 @@
     private static final int FAILURES_TO_QUARANTINE_MACHINE = 3;
     /** Number of failed jobs without any success after which a machine is quarantined: that all of these jobs are faulty is unlikely. */
     private static final int UNATTRIBUTED_JOBS_TO_QUARANTINE_MACHINE = 4;
+    /** Time after which a quarantined machine that is still there may be used again: jobs may be able to use no other one. */
+    private static final long QUARANTINE_MICROS = 60 * Micros.SECOND;
 
     /** Number of machines on which a job without any success has to fail before the job is quarantined. */
     private static final int MACHINES_TO_QUARANTINE_JOB = 2;
@@ -80,10 +82,14 @@
         }
     }
 
-    /** Returns whether the run time of the task indicates the speed of its machine. It does not for an adopted task, whose start is unknown. */
+    /**
+     * Returns whether the run time of the task indicates the speed of its machine. It does not for an adopted task, whose start is unknown. A task
+     * counts for one verdict only: otherwise long tasks would exclude the machine until they end, also if jobs can use no other one.
+     */
     private static boolean isPaceSample(Placement placement) {
         return placement.job.spec.kind() == JobKind.ARRAY
                 && placement.runningSinceMicros >= 0
+                && placement.runningSinceMicros > placement.machine.foundSlowMicros
                 && !placement.wasAdopted
                 && placement.job.completedTasks >= MIN_TASKS_FOR_PACE;
     }
@@ -103,7 +109,10 @@
      * like those: healthy machines were deleted because the first tasks of two faulty jobs happened to run on them.
      */
     void taskFailed(Machine machine, Job job, Iterable<Machine> machines, long nowMicros) {
-        job.failedMachines.add(machine.name);
+        if (job.hasSucceeded()) {
+            job.failedMachines.removeOld(nowMicros);
+        }
+        job.failedMachines.add(machine.name, nowMicros);
         if (job.hasSucceeded()) {
             machine.failedJobs.add(job.id());
             machine.failureCount++;
@@ -112,9 +121,31 @@
         } else {
             machine.unattributedJobs.add(job.id());
         }
-        machine.quarantined |= machine.failedJobs.size() >= JOBS_TO_QUARANTINE_MACHINE
+        if (machine.failedJobs.size() >= JOBS_TO_QUARANTINE_MACHINE
                 || machine.failureCount >= FAILURES_TO_QUARANTINE_MACHINE
-                || machine.unattributedJobs.size() >= UNATTRIBUTED_JOBS_TO_QUARANTINE_MACHINE;
+                || machine.unattributedJobs.size() >= UNATTRIBUTED_JOBS_TO_QUARANTINE_MACHINE) {
+            machine.quarantine(nowMicros);
+        }
+    }
+
+    /**
+     * Ends the quarantine of machines that could not be deleted meanwhile, since replicas or long tasks are on them, and returns these machines. The
+     * next failure of a job that succeeds elsewhere begins another quarantine.
+     */
+    static List<Machine> endQuarantines(Iterable<Machine> machines, long nowMicros) {
+        List<Machine> ended = new ArrayList<>();
+        for (Machine machine : machines) {
+            if (machine.quarantined
+                    && !machine.deletionRequested
+                    && nowMicros - machine.quarantinedSinceMicros >= QUARANTINE_MICROS) {
+                machine.quarantined = false;
+                machine.failedJobs.clear();
+                machine.unattributedJobs.clear();
+                machine.failureCount = FAILURES_TO_QUARANTINE_MACHINE - 1;
+                ended.add(machine);
+            }
+        }
+        return ended;
     }
 
     private static void quarantine(Job job, Iterable<Machine> machines, long nowMicros) {
@@ -162,6 +193,7 @@
                     found.add(machine);
                 }
                 machine.slowUntilMicros = nowMicros + SLOW_DURATION_MICROS;
+                machine.foundSlowMicros = nowMicros;
                 machine.paceSamples = 0;
                 machine.paceLogSum = 0;
             }
--- a/src/main/java/io/micatide/scheduler/FleetForecast.java
+++ b/src/main/java/io/micatide/scheduler/FleetForecast.java
@@ -71,10 +71,14 @@
                 && machine.isResponsive(nowMicros, settings);
     }
 
-    /** Returns whether jobs of this class could run on any machine if it had enough free capacity. */
-    boolean isAnyMachineUsable(EquivalenceClass equivalenceClass, long nowMicros) {
+    /**
+     * Returns whether jobs of this class could run on any machine if it had enough free capacity.
+     *
+     * @param failedMachines machines that do not count while they are excluded
+     */
+    boolean isAnyMachineUsable(EquivalenceClass equivalenceClass, FailedMachines failedMachines, long nowMicros) {
         for (Machine machine : fleet.machines()) {
-            if (isUsable(equivalenceClass, machine, nowMicros)) {
+            if (!failedMachines.isExcluded(machine.name, nowMicros) && isUsable(equivalenceClass, machine, nowMicros)) {
                 return true;
             }
         }
--- a/src/main/java/io/micatide/scheduler/Hints.java
+++ b/src/main/java/io/micatide/scheduler/Hints.java
@@ -169,6 +169,8 @@
         if (hint.slow()) {
             machine.slowUntilMicros = nowMicros + SLOW_DURATION_MICROS;
         }
-        machine.quarantined |= hint.quarantined();
+        if (hint.quarantined()) {
+            machine.quarantine(nowMicros);
+        }
     }
 }
--- a/src/main/java/io/micatide/scheduler/Job.java
+++ b/src/main/java/io/micatide/scheduler/Job.java
@@ -74,8 +74,8 @@
     boolean quarantined;
     /** Number of failed probes since the job was quarantined; the pause between probes grows with it. */
     int failedProbes;
-    /** Machines on which a task of the job failed and none succeeded since; the job is not placed there. */
-    final Set<String> failedMachines = new HashSet<>();
+    /** Machines on which a task of the job failed and none succeeded since; the job is not placed there for a while. */
+    final FailedMachines failedMachines = new FailedMachines();
 
     /** Time of the first start of a task in this term, or -1. */
     long firstStartMicros = -1;
--- a/src/main/java/io/micatide/scheduler/Machine.java
+++ b/src/main/java/io/micatide/scheduler/Machine.java
@@ -65,6 +65,9 @@
 
     long bootStartedMicros = -1;
     boolean quarantined;
+    /** Time of the latest failure that began or confirmed the quarantine. */
+    long quarantinedSinceMicros = -1;
+
     long idleSinceMicros = -1;
     /** Jobs that succeed on other machines and failed on this one since the last success on it. */
     final Set<String> failedJobs = new HashSet<>();
@@ -80,6 +83,8 @@
     double paceLogSum;
     /** Time until which the machine counts as slower than others, or -1. */
     long slowUntilMicros = -1;
+    /** Time at which the machine was last found to be slow in this term, or -1. */
+    long foundSlowMicros = -1;
 
     final List<Placement> placements = new ArrayList<>();
     Resources used = Resources.NONE;
@@ -137,6 +142,12 @@
         capacityChanged();
     }
 
+    /** Excludes the machine from placement, since jobs failed on it. It is deleted once it is idle. */
+    void quarantine(long nowMicros) {
+        quarantined = true;
+        quarantinedSinceMicros = nowMicros;
+    }
+
     boolean isResponsive(long nowMicros, Settings settings) {
         return lastHeartbeatMicros >= 0
                 && nowMicros - lastHeartbeatMicros < 2 * settings.heartbeatIntervalMicros() + Micros.SECOND;
--- a/src/main/java/io/micatide/scheduler/MachineSelection.java
+++ b/src/main/java/io/micatide/scheduler/MachineSelection.java
@@ -93,7 +93,7 @@
     static boolean isFeasible(Job job, Machine machine, long nowMicros) {
         JobSpec spec = job.spec;
         return spec.allowsMachine(machine.type, machine.zone, machine.isSpot)
-                && !job.failedMachines.contains(machine.name)
+                && !job.failedMachines.isExcluded(machine.name, nowMicros)
                 && (spec.kind() == JobKind.SERVICE || machine.slowUntilMicros < nowMicros);
     }
 
--- a/src/main/java/io/micatide/scheduler/ScaleOut.java
+++ b/src/main/java/io/micatide/scheduler/ScaleOut.java
@@ -23,6 +23,10 @@
     private static final long LATE_JOB_TARGET_MICROS = 60 * Micros.SECOND;
     /** Time after which machines are requested for an array by itself if none of its tasks runs and no machine is usable for it. */
     private static final long STARVATION_MICROS = 20 * Micros.SECOND;
+    /** Time after the latest attempt of a quarantined job after which machines are requested for it as for any other. */
+    private static final long QUARANTINED_STARVATION_MICROS = 60 * Micros.SECOND;
+
+    private static final FailedMachines NO_FAILURES = new FailedMachines();
 
     private final Settings settings;
     private final PlacementPlanner planner;
@@ -41,7 +45,7 @@
         FleetForecast.ExpectedCapacity expected = forecast.expectedCapacity(nowMicros);
         boolean isMissing = requestForServicesAndGangs(expected.onDemand(), nowMicros);
         isMissing |= requestForFiniteJobs(expected.total(), nowMicros);
-        isMissing |= requestForStarvingArrays(nowMicros);
+        isMissing |= requestForStarvingJobs(nowMicros);
         return isMissing;
     }
 
@@ -54,7 +58,9 @@
         for (JobQueue.QueuedJob queued : planner.order()) {
             Job job = queued.job();
             JobSpec spec = job.spec;
-            if (spec.kind() == JobKind.ARRAY || job.hasUnreconciledMachines() || job.quarantined) {
+            if (spec.kind() == JobKind.ARRAY
+                    || job.hasUnreconciledMachines()
+                    || (job.quarantined && !isStarving(job, nowMicros))) {
                 continue;
             }
             // Tasks that the team's limit keeps from running need no machine. Otherwise a machine is rented for them,
@@ -123,20 +129,18 @@
     }
 
     /**
-     * Requests machines for arrays that no machine is usable for; returns whether there are any.
+     * Requests machines for jobs that no machine is usable for, which are arrays and quarantined jobs; returns whether there are any.
      *
      * <p>For arrays in general, machines are requested by the CPUs of all of them and to suit the largest. An array that is restricted to a zone, a
      * type or on-demand machines may be able to use none of these machines. Without this method it waits as long as there is a larger job or
      * idle machines elsewhere, also when the last machine in its zone was lost.
      */
-    private boolean requestForStarvingArrays(long nowMicros) {
+    private boolean requestForStarvingJobs(long nowMicros) {
         boolean isMissing = false;
         Map<EquivalenceClass, Boolean> hasUsableMachine = new HashMap<>();
         for (JobQueue.QueuedJob queued : planner.order()) {
             JobSpec spec = queued.job().spec;
-            if (isStarving(queued.job(), nowMicros)
-                    && !hasUsableMachine.computeIfAbsent(
-                            EquivalenceClass.of(spec), key -> forecast.isAnyMachineUsable(key, nowMicros))) {
+            if (isStarving(queued.job(), nowMicros) && !hasUsableMachine(queued.job(), hasUsableMachine, nowMicros)) {
                 int tasks = planner.tasksWithinLimit(queued.job(), queued.pendingTasks(), Resources.NONE);
                 if (tasks > 0) {
                     isMissing = true;
@@ -147,13 +151,28 @@
         return isMissing;
     }
 
-    /** Returns whether none of the array's tasks has been running for a while although they could start. */
+    /**
+     * Returns whether any machine is usable for the job. Machines from which the job is excluded after a failure are not, so that it is tried
+     * elsewhere before it is tried there again. Those of a quarantined job are, since it most likely fails wherever it runs.
+     *
+     * @param hasUsableMachine results for the classes of jobs without an exclusion, added to
+     */
+    private boolean hasUsableMachine(Job job, Map<EquivalenceClass, Boolean> hasUsableMachine, long nowMicros) {
+        EquivalenceClass equivalenceClass = EquivalenceClass.of(job.spec);
+        if (!job.quarantined && job.failedMachines.excludesAny(nowMicros)) {
+            return forecast.isAnyMachineUsable(equivalenceClass, job.failedMachines, nowMicros);
+        }
+        return hasUsableMachine.computeIfAbsent(
+                equivalenceClass, key -> forecast.isAnyMachineUsable(key, NO_FAILURES, nowMicros));
+    }
+
+    /** Returns whether none of the tasks of an array, or of a quarantined job, has been running for a while although they could start. */
     private boolean isStarving(Job job, long nowMicros) {
-        return job.spec.kind() == JobKind.ARRAY
+        long starvationMicros = job.quarantined ? QUARANTINED_STARVATION_MICROS : STARVATION_MICROS;
+        return (job.spec.kind() == JobKind.ARRAY || job.quarantined)
                 && job.liveAttempts.isEmpty()
-                && !job.quarantined
                 && planner.isStartable(job, nowMicros)
-                && nowMicros - Math.max(job.readyMicros, job.lastStartMicros) > STARVATION_MICROS;
+                && nowMicros - Math.max(job.readyMicros, job.lastStartMicros) > starvationMicros;
     }
 
     /** Requests machines for tasks: for arrays rounded down, since the rest can wait; for gangs rounded up, since they need all at once. */
--- a/src/main/java/io/micatide/scheduler/Scheduler.java
+++ b/src/main/java/io/micatide/scheduler/Scheduler.java
@@ -186,6 +186,7 @@
         components.evictions.expireLeases(nowMicros);
         components.evictions.stopBrokenGangs(nowMicros);
         components.evictions.evictFromSlowMachines(nowMicros);
+        components.taskOutcomes.endQuarantines(nowMicros);
         components.dagInheritance.refresh(nowMicros);
         components.evictions.removeFromFullLedgers(nowMicros);
         if (mayPlaceTasks(nowMicros)) {
--- a/src/main/java/io/micatide/scheduler/TaskOutcomes.java
+++ b/src/main/java/io/micatide/scheduler/TaskOutcomes.java
@@ -130,6 +130,13 @@
         }
     }
 
+    /** Ends the quarantine of machines that could not be deleted within its time. */
+    void endQuarantines(long nowMicros) {
+        for (Machine machine : FailureAttribution.endQuarantines(fleet.machines(), nowMicros)) {
+            notices.add(machine.name + " is no longer quarantined: it could not be deleted meanwhile");
+        }
+    }
+
     /** Returns log lines on the jobs and machines that were quarantined since the last call, as a list that the caller may change. */
     List<String> takeNotices() {
         List<String> lines = new ArrayList<>(notices);
--- a/src/main/java/io/micatide/scheduler/TermSummary.java
+++ b/src/main/java/io/micatide/scheduler/TermSummary.java
@@ -21,6 +21,7 @@
     private int pendingTasks;
     private int unreconciledJobs;
     private int quarantinedJobs;
+    private int jobsExcludedFromMachines;
     private int fullLedgers;
 
     TermSummary(Fleet fleet, JobLedgers ledgers, Settings settings, long nowMicros) {
@@ -31,6 +32,7 @@
         }
         for (Job job : ledgers.jobs()) {
             count(job);
+            jobsExcludedFromMachines += job.failedMachines.excludesAny(nowMicros) ? 1 : 0;
         }
     }
 
@@ -79,6 +81,6 @@
                 + " cut=" + planner.truncatedPlans() + " evicted=" + planner.evictionCounts() + " slow="
                 + slowMachinesFound
                 + " suspect=" + quarantinedJobs + " full=" + fullLedgers + " bookings="
-                + provisioningRequests.requests.size();
+                + provisioningRequests.requests.size() + " excluded=" + jobsExcludedFromMachines;
     }
 }
--- a/src/test/java/io/micatide/scheduler/ReferencePlacementPlanner.java
+++ b/src/test/java/io/micatide/scheduler/ReferencePlacementPlanner.java
@@ -425,7 +425,7 @@
     private static boolean isSuitable(Job job, Machine machine, long nowMicros) {
         JobSpec spec = job.spec;
         return spec.allowsMachine(machine.type, machine.zone, machine.isSpot)
-                && !job.failedMachines.contains(machine.name)
+                && !job.failedMachines.isExcluded(machine.name, nowMicros)
                 && (spec.kind() == JobKind.SERVICE || machine.slowUntilMicros < nowMicros);
     }
 
--- a/src/test/java/io/micatide/scheduler/SchedulerHarness.java
+++ b/src/test/java/io/micatide/scheduler/SchedulerHarness.java
@@ -106,6 +106,9 @@
     /** Factor by which a boot takes longer than the machine type states. */
     int bootTimeFactor = 1;
 
+    /** Number of machines, deleted ones included, up to which the cloud has more. */
+    int maxWorkers = 40;
+
     /** Number of machines that the cloud was asked to delete, except for delayed deletions. */
     int machinesDeleted;
 
@@ -721,7 +724,7 @@
                 return;
             }
             List<String> names = new ArrayList<>();
-            for (int i = 0; i < rent.count() && workers.size() < 40; i++) {
+            for (int i = 0; i < rent.count() && workers.size() < maxWorkers; i++) {
                 names.add(boot(rent.zone(), rent.spot(), now + bootTimeFactor * TYPE.bootMicros()).name);
             }
             if (random.nextDouble() < lostAnswerProbability) {
