Release the body of a request that is never answered after a minute

Cause: an actor logs an exception of a handler and goes on, so that a request may stay without an answer. Its body counted against the limit of pending requests for good; after some of them the controller would have answered 429 to every submission.

Change: a request counts for 60 s at most, after which no user waits.

--- a/src/main/java/io/micatide/controller/UsersActor.java
+++ b/src/main/java/io/micatide/controller/UsersActor.java
@@ -362,7 +362,7 @@
     // ---- routing of requests
 
     private void handleRequest(Request received) {
-        Request request = pendingRequests.admit(received);
+        Request request = pendingRequests.admit(received, now());
         if (request == null) {
             received.answer(429, TOO_MANY_REQUESTS, 1);
             return;
