Split machine types and record verification off the users' actor; names of four fields

KnownMachineTypes and RecordVerification were parts of UsersActor and JobCacheRefresher. Fields that shared a name with a method have one of their own.

--- a/src/main/java/io/micatide/controller/ArchiveReader.java
+++ b/src/main/java/io/micatide/controller/ArchiveReader.java
@@ -183,9 +183,9 @@
             }
             return;
         } catch (MalformedException e) {
-            damagedSegments(key, key + ": " + e.getMessage());
+            reportDamagedSegment(key, key + ": " + e.getMessage());
         } catch (DamagedSegmentException e) {
-            damagedSegments(key, e.getMessage());
+            reportDamagedSegment(key, e.getMessage());
         }
         if (key.equals(filterSegmentInFlight)) {
             filterSegmentInFlight = null;
@@ -221,7 +221,7 @@
     }
 
     /** Drops the filter of the segment's run and logs the damage once per segment. */
-    private void damagedSegments(String key, String reason) {
+    private void reportDamagedSegment(String key, String reason) {
         filters.segmentUnreadable(key);
         if (damagedSegments.add(key)) {
             log.error("damaged segment of the archive, jobs in it are answered 503: {}", reason);
--- a/src/main/java/io/micatide/controller/JobCacheRefresher.java
+++ b/src/main/java/io/micatide/controller/JobCacheRefresher.java
@@ -16,7 +16,6 @@
 import io.micatide.store.StoredRecord;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import org.slf4j.Logger;
@@ -35,7 +34,6 @@
     private record WaitingRequest(Request request, Runnable continuation) {}
 
     private static final Logger LOG = LoggerFactory.getLogger(UsersActor.class);
-    private static final long VERIFICATION_RETRY_MICROS = Micros.SECOND;
     private static final long MAX_AGE_FOR_SUBMISSIONS_MICROS = Micros.SECOND;
     /** Maximum number of finished jobs that one search for archivable jobs returns. */
     private static final int MAX_ARCHIVABLE_JOBS = 5_000;
@@ -50,7 +48,7 @@
     private final long refreshIntervalMicros;
     private final List<WaitingRequest> requestsAwaitingNextRead = new ArrayList<>();
     private List<WaitingRequest> requestsAwaitingReadInFlight = List.of();
-    private final Set<String> verificationsInFlight = new HashSet<>();
+    private final RecordVerification verification;
     /** Receives feature stages, completed reads and cancellations, whether it leads or not. */
     private LeaderActor leaderActor;
 
@@ -65,7 +63,7 @@
     private boolean isRefreshInFlight;
     private boolean isRefreshScheduled;
     /** Whether a standby on this controller awaits a read of the changes. */
-    private boolean refreshRequested;
+    private boolean isRefreshRequested;
 
     /** Time at which the last read of the changes was sent. */
     private long lastRefreshMicros;
@@ -76,12 +74,18 @@
         this.store = store;
         this.archiveReader = archiveReader;
         this.jobCache = jobCache;
+        this.verification = new RecordVerification(owner, archiveReader, jobCache, this::jobsChanged);
         // All controllers together use about a third of the store's request rate for these reads.
         this.refreshIntervalMicros = Math.max(
                 50 * Micros.MILLISECOND,
                 (settings.peers().size() + 1) * Micros.ofSeconds(3 / settings.storeRequestsPerSecond()));
     }
 
+    /** Returns the search of the archive for records that a previous version wrote. */
+    RecordVerification verification() {
+        return verification;
+    }
+
     /** Returns whether the full read of the job records is complete. */
     boolean isLoaded() {
         return isLoaded;
@@ -127,7 +131,7 @@
 
     /** Reads the changes for a standby on this controller, also if no user request waits for them. */
     void refreshRequested() {
-        refreshRequested = true;
+        isRefreshRequested = true;
         refresh();
     }
 
@@ -180,7 +184,7 @@
             } else {
                 isLoaded = true;
                 jobCache.finishFullRead();
-                verifyRecords();
+                verification.verifyRecords();
                 LOG.info(
                         "job records loaded, {} jobs open, some {} KB with {} dependencies",
                         jobCache.openJobs().size(),
@@ -258,7 +262,7 @@
     void refresh() {
         if (!isLoaded
                 || isRefreshInFlight
-                || (requestsAwaitingNextRead.isEmpty() && subscribedLeader == null && !refreshRequested)) {
+                || (requestsAwaitingNextRead.isEmpty() && subscribedLeader == null && !isRefreshRequested)) {
             return;
         }
         long now = owner.now();
@@ -275,7 +279,7 @@
         }
         lastRefreshMicros = now;
         isRefreshInFlight = true;
-        refreshRequested = false;
+        isRefreshRequested = false;
         requestsAwaitingReadInFlight = new ArrayList<>(requestsAwaitingNextRead);
         requestsAwaitingNextRead.clear();
         store.changes(StoreKeys.JOBS, jobCache.revision(), owner.onReply(r -> new UsersActor.ChangesRead(r, now)));
@@ -296,7 +300,7 @@
                         .sorted(Comparator.comparingLong(StoreCodec.Item::version))
                         .forEach(this::apply);
                 jobCache.advanceTo(changes.revision());
-                verifyRecords();
+                verification.verifyRecords();
                 isFresh = true;
             } catch (MalformedException e) {
                 LOG.error("malformed changes of job records: {}", e.getMessage());
@@ -343,32 +347,6 @@
         refresh();
     }
 
-    /**
-     * Searches the archive for jobs whose records were written by a previous version. These jobs may have been archived long ago, so they are
-     * neither reported nor started before the result is known.
-     */
-    void verifyRecords() {
-        for (JobCache.Entry entry : jobCache.unverifiedEntries()) {
-            if (verificationsInFlight.add(entry.id())) {
-                archiveReader.tell(new ArchiveReader.FindJob(
-                        entry.id(), result -> owner.tell(new UsersActor.RecordVerified(entry.id(), result))));
-            }
-        }
-    }
-
-    /** Handles the result of a search by {@link #verifyRecords}, or schedules another one. */
-    void recordVerified(UsersActor.RecordVerified message) {
-        verificationsInFlight.remove(message.id());
-        if (message.result() instanceof ArchiveReader.Archived) {
-            LOG.warn("{} has a row again although it is archived: a former version wrote it; it will go", message.id());
-            jobCache.markStale(message.id());
-        } else if (message.result() instanceof ArchiveReader.NotArchived) {
-            jobsChanged(jobCache.markVerified(message.id()));
-        } else {
-            owner.tellLater(new UsersActor.VerificationDue(), VERIFICATION_RETRY_MICROS);
-        }
-    }
-
     /** Sends the term with the given token the finished jobs that no open job depends on, and the stale records of archived jobs. */
     void findArchivableJobs(long fencingToken) {
         if (subscribedLeader == null
--- a/src/main/java/io/micatide/controller/UsersActor.java
+++ b/src/main/java/io/micatide/controller/UsersActor.java
@@ -6,21 +6,16 @@
 import io.micatide.model.JobProgress;
 import io.micatide.model.JobState;
 import io.micatide.model.MachineType;
-import io.micatide.model.Micros;
 import io.micatide.model.Settings;
 import io.micatide.net.CloudClient;
 import io.micatide.net.Reply;
 import io.micatide.net.Request;
 import io.micatide.net.StoreClient;
 import io.micatide.protocol.ApiDescription;
-import io.micatide.protocol.CloudCodec;
 import io.micatide.protocol.JobCodec;
 import io.micatide.protocol.JobCodec.PublicState;
 import io.micatide.protocol.Json;
-import io.micatide.protocol.MalformedException;
-import io.micatide.protocol.StoreCodec;
 import io.micatide.store.JobOutcome;
-import io.micatide.store.StoreKeys;
 import io.micatide.store.StoredRecord;
 import java.util.HashMap;
 import java.util.List;
@@ -163,17 +158,15 @@
     private final String label;
     private final long startedMicros;
     private final StoreClient store;
-    private final CloudClient cloud;
     private final JobCache jobCache = new JobCache();
     private final PendingRequests pendingRequests = new PendingRequests();
     private Map<String, JobProgress> progress = new HashMap<>();
-    private List<MachineType> machineTypes = List.of();
     private final ApiDescription description;
+    private final KnownMachineTypes machineTypes;
     private final ArchiveReader archiveReader;
     private final JobCacheRefresher refresher;
     private final Submissions submissions;
     private final Cancellations cancellations;
-    private boolean wereMachineTypesRequested;
     private boolean isShuttingDown;
     private boolean isStoreIncompatible;
 
@@ -194,8 +187,8 @@
         this.label = settings.label();
         this.startedMicros = now();
         this.store = store;
-        this.cloud = cloud;
         this.description = description;
+        this.machineTypes = new KnownMachineTypes(this, store, cloud);
         this.archiveReader = new ArchiveReader(executor, store);
         this.refresher = new JobCacheRefresher(this, settings, store, archiveReader, jobCache);
         this.submissions = new Submissions(
@@ -229,16 +222,12 @@
         } else if (message instanceof FindArchivableJobs m) {
             refresher.findArchivableJobs(m.fencingToken());
         } else if (message instanceof RecordVerified m) {
-            refresher.recordVerified(m);
+            refresher.verification().recordVerified(m);
         } else if (message instanceof VerificationDue) {
-            refresher.verifyRecords();
+            refresher.verification().verifyRecords();
         } else if (message instanceof LoadJobs) {
             refresher.readPage(null);
-            if (!wereMachineTypesRequested) {
-                // Only once: the request repeats itself until the types are known.
-                wereMachineTypesRequested = true;
-                store.read(StoreKeys.MACHINE_TYPES, onReply(StoredMachineTypesRead::new));
-            }
+            machineTypes.request();
         } else if (message instanceof JobPageRead m) {
             refresher.pageRead(m);
         } else if (message instanceof JobPageDue m) {
@@ -271,47 +260,12 @@
         } else if (message instanceof LayoutMarked m) {
             refresher.layoutMarked(m.version(), m.layout());
         } else if (message instanceof MachineTypesChanged m) {
-            machineTypes = m.types();
+            machineTypes.changed(m.types());
         } else if (message instanceof StoredMachineTypesRead m) {
-            storedMachineTypesRead(m.reply());
+            machineTypes.storedTypesRead(m.reply());
         } else if (message instanceof CloudMachineTypesRead m) {
-            cloudMachineTypesRead(m.reply());
-        }
-    }
-
-    // ---- machine types
-
-    private void storedMachineTypesRead(Reply reply) {
-        if (!machineTypes.isEmpty()) {
-            return;
-        }
-        if (reply.ok()) {
-            try {
-                machineTypes = ((StoredRecord.MachineTypes)
-                                StoreCodec.item(reply.body()).record())
-                        .types();
-                return;
-            } catch (MalformedException e) {
-                log.error("malformed machine types in the store: {}", e.getMessage());
-            }
-        }
-        cloud.types(onReply(CloudMachineTypesRead::new));
-    }
-
-    private void cloudMachineTypesRead(Reply reply) {
-        if (!machineTypes.isEmpty()) {
-            return;
-        }
-        if (reply.ok()) {
-            try {
-                machineTypes = CloudCodec.types(reply.body());
-                return;
-            } catch (MalformedException e) {
-                log.error("malformed machine types from the cloud provider: {}", e.getMessage());
-            }
+            machineTypes.cloudTypesRead(m.reply());
         }
-        // A reply of status 0 makes the handler request the types from the cloud provider again.
-        tellLater(new StoredMachineTypesRead(new Reply(0, new byte[0], false)), 2 * Micros.SECOND);
     }
 
     // ---- shared with the parts of this actor
@@ -321,7 +275,7 @@
     }
 
     List<MachineType> machineTypes() {
-        return machineTypes;
+        return machineTypes.types();
     }
 
     /** Removes progress that was reported after the job's end, once there is much of it. */
@@ -385,7 +339,7 @@
                 request.answer(405, WRONG_METHOD);
             } else if (store.connectivity().isOnlyControllerPartitioned(now())) {
                 request.answer(503, UNAVAILABLE, 1);
-            } else if (refresher.isLoaded() && !machineTypes.isEmpty()) {
+            } else if (refresher.isLoaded() && !machineTypes.types().isEmpty()) {
                 request.answer(200, "{\"status\":\"ok\"}".getBytes(java.nio.charset.StandardCharsets.US_ASCII));
             } else {
                 request.answer(503, STARTING, 1);
--- a/src/main/java/io/micatide/jobs/DependencyGraph.java
+++ b/src/main/java/io/micatide/jobs/DependencyGraph.java
@@ -32,7 +32,7 @@
     /** Number of these entries that belong to jobs that no longer wait. */
     private int obsoleteEdges;
     /** Jobs that are open according to their own record, but have a cancelled dependency, directly or through other jobs. */
-    private final Set<String> isCancelledByDependency = new HashSet<>();
+    private final Set<String> cancelledByDependency = new HashSet<>();
     /** Wall-clock time at which the latest finished dependency of an open job was done, in microseconds. */
     private final Map<String, Long> readyWall = new HashMap<>();
 
@@ -48,7 +48,7 @@
     }
 
     boolean isCancelledByDependency(String id) {
-        return isCancelledByDependency.contains(id);
+        return cancelledByDependency.contains(id);
     }
 
     /** Returns the later one of a job's submission and the end of its latest finished dependency, in wall-clock microseconds. */
@@ -65,9 +65,9 @@
         Set<String> unfinished = new HashSet<>();
         for (String dependency : dependencies) {
             StoredRecord.JobRecord finalRecord = finalRecords.of(dependency);
-            if (isCancelledByDependency.contains(dependency)
+            if (cancelledByDependency.contains(dependency)
                     || (finalRecord != null && finalRecord.state() == JobState.CANCELLED)) {
-                isCancelledByDependency.add(id);
+                cancelledByDependency.add(id);
                 return jobCancelled(id);
             }
             if (finalRecord == null) {
@@ -123,7 +123,7 @@
                     obsoleteEdges--;
                 } else {
                     obsoleteEdges += unfinished - 1;
-                    if (isCancelledByDependency.add(dependent)) {
+                    if (cancelledByDependency.add(dependent)) {
                         cancelled.add(dependent);
                         pending.add(dependent);
                     }
@@ -146,7 +146,7 @@
     /** Removes the state of a job whose own record is final or deleted, but keeps its dependents. */
     void jobFinished(String id) {
         Integer unfinished = unfinishedDependencies.remove(id);
-        isCancelledByDependency.remove(id);
+        cancelledByDependency.remove(id);
         readyWall.remove(id);
         if (unfinished != null) {
             obsoleteEdges += unfinished;
--- a/src/main/java/io/micatide/scheduler/DagInheritance.java
+++ b/src/main/java/io/micatide/scheduler/DagInheritance.java
@@ -50,7 +50,7 @@
     /** Open jobs that inherited a demand at the last refresh. */
     private final List<Job> jobsWithDemands = new ArrayList<>();
     /** Whether an open or waiting job was added, or a waiting one removed, since the last refresh. */
-    private boolean openJobAdded;
+    private boolean hasNewJobs;
 
     private long refreshedMicros = Long.MIN_VALUE / 2;
     /** Number of dependencies visited at the last refresh. */
@@ -69,17 +69,17 @@
     void addWaitingJob(JobSpec spec, long version, long submittedMicros) {
         long deadlineMicros = spec.deadlineMicros() < 0 ? Long.MAX_VALUE : submittedMicros + spec.deadlineMicros();
         waitingJobs.put(spec.id(), new WaitingJob(spec, version, deadlineMicros));
-        openJobAdded = true;
+        hasNewJobs = true;
     }
 
     /** Records that an open job was added, from which waiting jobs may require something. */
     void openJobAdded() {
-        openJobAdded |= !waitingJobs.isEmpty();
+        hasNewJobs |= !waitingJobs.isEmpty();
     }
 
     /** Removes a job that is ready, done or cancelled; does nothing for a job that does not wait. */
     void removeWaitingJob(String id) {
-        openJobAdded |= waitingJobs.remove(id) != null;
+        hasNewJobs |= waitingJobs.remove(id) != null;
     }
 
     /** Returns the time between two refreshes after the number of dependencies that the last one visited. */
@@ -92,11 +92,11 @@
     void refresh(long nowMicros) {
         long sinceRefreshMicros = nowMicros - refreshedMicros;
         if (sinceRefreshMicros < pauseMicros()
-                || (!openJobAdded && (waitingJobs.isEmpty() || sinceRefreshMicros < REFRESH_MICROS))) {
+                || (!hasNewJobs && (waitingJobs.isEmpty() || sinceRefreshMicros < REFRESH_MICROS))) {
             return;
         }
         visitedDependencies = 0;
-        openJobAdded = false;
+        hasNewJobs = false;
         refreshedMicros = nowMicros;
         jobsWithDemands.forEach(job -> job.inheritFromDependents(false, Priority.LOW, Long.MAX_VALUE));
         jobsWithDemands.clear();
