Read the changes after each 256 KB of accepted jobs, also without a request that waits for them

Cause: a controller that only accepts jobs read no changes until somebody asked for a job.

Change: the estimate of the jobs that a controller wrote itself decides when it reads the changes; the former rule by age and share of the limit goes. JobMemoryTest holds the sum of all accepted jobs against the limit with five controllers.

--- a/src/main/java/io/micatide/controller/JobCacheRefresher.java
+++ b/src/main/java/io/micatide/controller/JobCacheRefresher.java
@@ -34,7 +34,8 @@
     private record WaitingRequest(Request request, Runnable continuation) {}
 
     private static final Logger LOG = LoggerFactory.getLogger(UsersActor.class);
-    private static final long MAX_AGE_FOR_SUBMISSIONS_MICROS = Micros.SECOND;
+    /** With seven controllers that accept jobs alike, the changes between two reads stay below the largest response. */
+    private static final long MAX_WRITTEN_BYTES_BETWEEN_READS = 256 << 10;
     /** Maximum number of finished jobs that one search for archivable jobs returns. */
     private static final int MAX_ARCHIVABLE_JOBS = 5_000;
 
@@ -65,6 +66,9 @@
     /** Whether a standby on this controller awaits a read of the changes. */
     private boolean isRefreshRequested;
 
+    /** Estimated memory of the jobs that this controller wrote since it sent the last read of the changes. */
+    private long writtenBytes;
+
     /** Time at which the last read of the changes was sent. */
     private long lastRefreshMicros;
 
@@ -136,11 +140,14 @@
     }
 
     /**
-     * Reads the changes if the last read was sent long ago, although no request waits for them: the memory limit of submissions counts the
-     * jobs that other controllers accept.
+     * Records that this controller writes a job. Reads the changes after many of them, although no request waits for them: the memory limit counts
+     * the jobs that other controllers accept, and more changes than fit into one response are read with all other records.
+     *
+     * @param estimatedBytes estimated memory of the job
      */
-    void refreshIfOutdated() {
-        if (owner.now() - lastRefreshMicros > MAX_AGE_FOR_SUBMISSIONS_MICROS) {
+    void jobWritten(long estimatedBytes) {
+        writtenBytes += estimatedBytes;
+        if (writtenBytes > MAX_WRITTEN_BYTES_BETWEEN_READS) {
             refreshRequested();
         }
     }
@@ -280,6 +287,7 @@
         lastRefreshMicros = now;
         isRefreshInFlight = true;
         isRefreshRequested = false;
+        writtenBytes = 0;
         requestsAwaitingReadInFlight = new ArrayList<>(requestsAwaitingNextRead);
         requestsAwaitingNextRead.clear();
         store.changes(StoreKeys.JOBS, jobCache.revision(), owner.onReply(r -> new UsersActor.ChangesRead(r, now)));
--- a/src/main/java/io/micatide/controller/Submissions.java
+++ b/src/main/java/io/micatide/controller/Submissions.java
@@ -5,6 +5,7 @@
 import io.micatide.jobs.JobAdmission;
 import io.micatide.jobs.JobCache;
 import io.micatide.jobs.JobMemoryLimit;
+import io.micatide.jobs.JobMemoryUsage;
 import io.micatide.model.JobSpec;
 import io.micatide.model.JobState;
 import io.micatide.model.Micros;
@@ -224,9 +225,7 @@
             refuse(request, id, 429, JOB_MEMORY_FULL_RETRY_S, JOB_MEMORY_FULL);
         } else {
             memoryLimit.reserve(id, jobRecord);
-            if (memoryLimit.requiresCurrentUsage()) {
-                refresher.refreshIfOutdated();
-            }
+            refresher.jobWritten(JobMemoryUsage.estimateBytes(id, jobRecord));
             store.transaction(
                     new Transaction(conditions, writes.get()),
                     owner.onReply(r -> new UsersActor.SubmissionWritten(r, submission, jobRecord)));
--- a/src/main/java/io/micatide/jobs/JobMemoryLimit.java
+++ b/src/main/java/io/micatide/jobs/JobMemoryLimit.java
@@ -15,8 +15,6 @@
     private static final double HEAP_SHARE = 0.4;
     /** Share of the limit that is guaranteed to the teams. */
     private static final double GUARANTEED_SHARE = 0.25;
-    /** Share of the limit up to which each of seven controllers may accept jobs without knowing of those of the others. */
-    private static final double CURRENT_USAGE_SHARE = 0.125;
 
     private final JobMemoryUsage knownJobs;
     /** The jobs whose write is in flight. */
@@ -78,11 +76,6 @@
         return free;
     }
 
-    /** Returns whether so much is in use that jobs which other controllers accepted meanwhile matter. */
-    public boolean requiresCurrentUsage() {
-        return usedBytes() > CURRENT_USAGE_SHARE * maxBytes;
-    }
-
     /** Counts a job whose write is in flight until {@link #release}. */
     public void reserve(String id, StoredRecord.JobRecord jobRecord) {
         reservations.add(id, jobRecord);
