--- a/src/main/java/io/micatide/cli/RateLimitedCalls.java
+++ b/src/main/java/io/micatide/cli/RateLimitedCalls.java
@@ -17,6 +17,8 @@
     private static final long REQUEST_TIMEOUT_MICROS = 10 * Micros.SECOND;
 
     private static final long RETRY_DELAY_MILLIS = 500;
+    /** The changes since the first page of a prefix are read in one response. */
+    private static final int MAX_RESPONSE_BYTES = 8 << 20;
 
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final HttpClient http;
@@ -26,7 +28,7 @@
     private long nextCallNanos = System.nanoTime();
 
     RateLimitedCalls(String endpoint, double callsPerSecond) {
-        this.http = new HttpClient(group.next(), endpoint, 1);
+        this.http = new HttpClient(group.next(), endpoint, 1, MAX_RESPONSE_BYTES);
         this.intervalNanos = (long) (1e9 / callsPerSecond);
     }
 
--- a/src/main/java/io/micatide/net/HttpClient.java
+++ b/src/main/java/io/micatide/net/HttpClient.java
@@ -36,7 +36,7 @@
  */
 public final class HttpClient implements Http {
     /** Lists come in pages of at most 512 KiB; only changes of the store can be more. */
-    private static final int MAX_RESPONSE_BYTES = 2 << 20;
+    private static final int DEFAULT_MAX_RESPONSE_BYTES = 2 << 20;
 
     private static final int MAX_QUEUED_CALLS = 200;
     private static final byte[] NO_BODY = new byte[0];
@@ -45,6 +45,7 @@
     private final String host;
     private final InetSocketAddress address;
     private final int maxConnections;
+    private final int maxResponseBytes;
     /** Open connections without a request in flight; the one used last is used first. */
     private final Deque<Connection> idle = new ArrayDeque<>();
     /** Requests that wait for a connection, oldest first. */
@@ -60,12 +61,25 @@
      * @param maxConnections largest number of simultaneous connections
      */
     public HttpClient(EventLoop loop, String endpoint, int maxConnections) {
+        this(loop, endpoint, maxConnections, DEFAULT_MAX_RESPONSE_BYTES);
+    }
+
+    /**
+     * Creates a client without connections.
+     *
+     * @param loop the event loop on which it is used and calls back
+     * @param endpoint host and port, separated by a colon
+     * @param maxConnections largest number of simultaneous connections
+     * @param maxResponseBytes largest body of a response; a larger one ends the request with {@link Reply#TOO_LARGE}
+     */
+    public HttpClient(EventLoop loop, String endpoint, int maxConnections, int maxResponseBytes) {
         int colon = endpoint.lastIndexOf(':');
         this.loop = loop;
         this.host = endpoint;
         this.address =
                 new InetSocketAddress(endpoint.substring(0, colon), Integer.parseInt(endpoint.substring(colon + 1)));
         this.maxConnections = maxConnections;
+        this.maxResponseBytes = maxResponseBytes;
     }
 
     /** A request and its callback. */
@@ -164,7 +178,11 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new HttpClientCodec(), new Aggregator(connection), connection);
+                        channel.pipeline()
+                                .addLast(
+                                        new HttpClientCodec(),
+                                        new Aggregator(connection, maxResponseBytes),
+                                        connection);
                     }
                 })
                 .connect(address);
@@ -187,8 +205,8 @@
     private static final class Aggregator extends HttpObjectAggregator {
         private final Connection connection;
 
-        Aggregator(Connection connection) {
-            super(MAX_RESPONSE_BYTES);
+        Aggregator(Connection connection, int maxResponseBytes) {
+            super(maxResponseBytes);
             this.connection = connection;
         }
 
--- a/src/main/java/io/micatide/scheduler/FailureAttribution.java
+++ b/src/main/java/io/micatide/scheduler/FailureAttribution.java
@@ -37,7 +37,7 @@
 
     /** Number of machines on which a job without any success has to fail before the job is quarantined. */
     private static final int MACHINES_TO_QUARANTINE_JOB = 2;
-    /** A probe task is placed on a machine on which the job has not failed yet, until it has failed on this many. */
+    /** Number of machines on which a quarantined job has failed after which probes may be placed on any of them at once. */
     private static final int MACHINES_TO_PROBE = 6;
 
     /** Pause before the first probe of a quarantined job; it doubles with each failed probe. */
