--- a/src/test/java/io/micatide/simulation/JobMemoryTest.java
+++ b/src/test/java/io/micatide/simulation/JobMemoryTest.java
@@ -7,7 +7,7 @@
 import io.micatide.jobs.JobMemoryUsage;
 import io.micatide.model.JobState;
 import io.micatide.model.Micros;
-import io.micatide.net.Request;
+import io.micatide.net.RecordedRequest;
 import io.micatide.store.StoredRecord;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -25,46 +25,9 @@
             "kit":"img","sizeGb":1.0,"builds":null,"ground":null,"samePlace":false,"scatter":false,"loaners":true,"runtimeS":%d,\
             "halftimeS":0.0,"stowS":0.0,"whistleS":null,"awaits":[%s]}""";
 
-    /** A submission that keeps its answer. */
-    private static final class Submission implements Request {
-        private final String id;
-        private final byte[] body;
-        private int status;
-        private int retryAfterSeconds;
-
-        Submission(String id, String body) {
-            this.id = id;
-            this.body = body.getBytes(StandardCharsets.UTF_8);
-        }
-
-        @Override
-        public String method() {
-            return "POST";
-        }
-
-        @Override
-        public String path() {
-            return "/v1/jobs";
-        }
-
-        @Override
-        public byte[] body() {
-            return body;
-        }
-
-        @Override
-        public void answer(int newStatus, byte[] json, int newRetryAfterSeconds) {
-            status = newStatus;
-            retryAfterSeconds = newRetryAfterSeconds;
-        }
-
-        @Override
-        public void answerAndClose(int newStatus, byte[] json, int newRetryAfterSeconds) {
-            answer(newStatus, json, newRetryAfterSeconds);
-        }
-
+    private record Submission(String id, RecordedRequest request) {
         boolean isAccepted() {
-            return status == 200 || status == 201;
+            return request.status() == 200 || request.status() == 201;
         }
     }
 
@@ -74,8 +37,8 @@
     private Submission submit(String team, int seconds, String names) {
         String id = "wk-m" + submitted;
         String body = BODY.formatted(id, team, seconds, names);
-        Submission submission = new Submission(id, body);
-        day.cluster.uploadDescription(id, submission.body);
+        Submission submission = new Submission(id, new RecordedRequest(body.getBytes(StandardCharsets.UTF_8)));
+        day.cluster.uploadDescription(id, submission.request.body());
         day.checker.jobSubmitted(id, 1, false);
         day.checker.jobDescribed(day.cluster.jobSpec(id));
         send(submission);
@@ -87,7 +50,7 @@
         int controller = submitted++ % day.controllers;
         day.cluster
                 .process(controller)
-                .execute(() -> day.cluster.controller(controller).handleRequest(submission));
+                .execute(() -> day.cluster.controller(controller).handleRequest(submission.request));
     }
 
     /** Guards against controllers that accept jobs until their heap is full, and end again after each start. */
@@ -97,7 +60,7 @@
         StringBuilder names = new StringBuilder();
         for (int i = 0; i < JOBS; i++) {
             Submission job = submit("blue", 600, "");
-            assertTrue(job.isAccepted(), job.id + ": " + job.status);
+            assertTrue(job.isAccepted(), job.id + ": " + job.request.status());
             names.append(i == 0 ? "\"" : ",\"").append(job.id).append('"');
         }
         List<Submission> accepted = new ArrayList<>();
@@ -112,8 +75,8 @@
         }
         assertTrue(refused != null, accepted.size() + " jobs that need " + JOBS + " others each were accepted");
         day.time.run(Micros.SECOND);
-        assertEquals(429, refused.status);
-        assertTrue(refused.retryAfterSeconds > 0);
+        assertEquals(429, refused.request.status());
+        assertTrue(refused.request.retryAfterSeconds() > 0);
         assertTrue(submit("red", 1, "").isAccepted(), "another team has room");
         long keptBytes = 0;
         for (int number = 0; number < JOBS + accepted.size(); number++) {
@@ -127,21 +90,21 @@
                 new ArrayList<>(accepted.stream().map(job -> job.id).toList());
         day.cluster.faults.crashForSeconds(day.cluster.leader(), 2);
         day.time.run(20 * Micros.SECOND);
-        assertEquals(429, submitAgain(refused).status, "a new leader has no more room");
+        assertEquals(429, submitAgain(refused).request.status(), "a new leader has no more room");
         for (int i = 0; i < JOBS; i++) {
             cancel("wk-m" + i);
         }
         day.time.run(60 * Micros.SECOND);
         toEnd.forEach(id -> assertEquals("withdrawn", standing(id), id));
-        assertEquals(201, submitAgain(refused).status, "room again");
+        assertEquals(201, submitAgain(refused).request.status(), "room again");
         assertEquals(List.of(), day.checker.violations());
     }
 
     /** Repeats a submission while the answer is 503, as users do. */
     private Submission submitAgain(Submission refused) {
         Submission again = null;
-        for (int tries = 0; tries < 10 && (again == null || again.status == 503); tries++) {
-            again = new Submission(refused.id, new String(refused.body, StandardCharsets.UTF_8));
+        for (int tries = 0; tries < 10 && (again == null || again.request.status() == 503); tries++) {
+            again = new Submission(refused.id, new RecordedRequest(refused.request.body()));
             send(again);
             day.time.run(5 * Micros.SECOND);
         }
