--- a/src/test/java/io/micatide/simulation/JobMemoryTest.java
+++ b/src/test/java/io/micatide/simulation/JobMemoryTest.java
@@ -19,6 +19,8 @@
     private static final int JOBS = 900;
     private static final int DEPENDENT_JOBS = 2_000;
     private static final int SUBMITTED_PER_SECOND = 20;
+    private static final int LARGE_JOBS = 60;
+    private static final int LARGE_IMAGE_CHARS = 15_000;
     private static final long HEAP_BYTES = 64L << 20;
     private static final String BODY = """
             {"nameId":"%s","roster":"class","crew":"%s","form":"batch","rank":"normal","legs":1,"cpus":2.0,"cards":0.0,"memGb":1.0,\
@@ -111,6 +113,42 @@
         return again;
     }
 
+    /** Guards against controllers that do not know what others accepted, since nobody asked them for a job meanwhile. */
+    @Test
+    void aControllerThatOnlyAcceptsJobsCountsThoseOfOthers() {
+        day.time.run(20 * Micros.SECOND);
+        int leader = day.cluster.leader();
+        int idle = 0;
+        while (idle == leader || day.cluster.controller(idle).isDesignatedStandby()) {
+            idle++;
+        }
+        // Its first submission would otherwise meet a manifest of the archive that it does not know, and read the
+        // changes.
+        standing(idle, "wk-unknown");
+        int filled = 0;
+        while (submitLarge(leader).isAccepted()) {
+            filled++;
+        }
+        int acceptedByIdle = 0;
+        for (int i = 0; i < LARGE_JOBS; i++) {
+            acceptedByIdle += submitLarge(idle).isAccepted() ? 1 : 0;
+        }
+        assertTrue(filled > 10 * LARGE_JOBS, filled + " jobs were accepted by the leader");
+        assertTrue(acceptedByIdle < LARGE_JOBS / 4, acceptedByIdle + " more jobs were accepted by another controller");
+    }
+
+    private Submission submitLarge(int controller) {
+        String id = "wk-l" + submitted++;
+        String body = BODY.formatted(id, "blue", 600, "").replace("\"img\"", '"' + "i".repeat(LARGE_IMAGE_CHARS) + '"');
+        Submission submission = new Submission(id, new RecordedRequest(body.getBytes(StandardCharsets.UTF_8)));
+        day.cluster.uploadDescription(id, submission.request.body());
+        day.cluster
+                .process(controller)
+                .execute(() -> day.cluster.controller(controller).handleRequest(submission.request));
+        day.time.run(Micros.SECOND / SUBMITTED_PER_SECOND);
+        return submission;
+    }
+
     /** Guards against a controller that was away while more changed than it takes in one answer: it read no changes any more. */
     @Test
     void aControllerThatWasAwayReadsAllRecordsAgain() {
