Results don't depend on the processor: StrictMath where Math may differ

Hints.roundToStep used Math.exp, whose last digit may differ between processors (it is specified within 1 ulp only), and its result is sent in hints as a double. A rule in ArchitectureTest forbids those methods of Math; it failed before the change and named the six calls.

x86-64 was not run for this change; StrictMath is specified to give the same bits there.

--- a/src/main/java/io/micatide/scheduler/FailureAttribution.java
+++ b/src/main/java/io/micatide/scheduler/FailureAttribution.java
@@ -78,7 +78,7 @@
     void recordPace(Machine machine, Placement placement, long nowMicros) {
         if (isPaceSample(placement)) {
             machine.paceSamples++;
-            machine.paceLogSum += Math.log(runtimeRatio(placement, nowMicros));
+            machine.paceLogSum += StrictMath.log(runtimeRatio(placement, nowMicros));
         }
     }
 
@@ -184,11 +184,11 @@
                     double ratio = runtimeRatio(placement, nowMicros);
                     if (ratio > 1) {
                         tasks++;
-                        sum += Math.log(ratio);
+                        sum += StrictMath.log(ratio);
                     }
                 }
             }
-            if (tasks >= MIN_TASKS_FOR_PACE && sum > tasks * Math.log(SLOW_RATIO)) {
+            if (tasks >= MIN_TASKS_FOR_PACE && sum > tasks * StrictMath.log(SLOW_RATIO)) {
                 if (machine.slowUntilMicros < nowMicros) {
                     found.add(machine);
                 }
--- a/src/main/java/io/micatide/scheduler/Hints.java
+++ b/src/main/java/io/micatide/scheduler/Hints.java
@@ -93,7 +93,7 @@
 
     /** Rounds a value to the nearest step, which is about a twentieth of the value; returns 0 for values that are not positive. */
     static double roundToStep(double value) {
-        return value <= 0 ? 0 : Math.exp(Math.round(Math.log(value) * STEPS_PER_E_FOLD) / STEPS_PER_E_FOLD);
+        return value <= 0 ? 0 : StrictMath.exp(Math.round(StrictMath.log(value) * STEPS_PER_E_FOLD) / STEPS_PER_E_FOLD);
     }
 
     /**
--- a/src/main/java/io/micatide/simulation/scale/ScaleUsers.java
+++ b/src/main/java/io/micatide/simulation/scale/ScaleUsers.java
@@ -185,7 +185,7 @@
         if (!submitting) {
             return;
         }
-        double seconds = -Math.log(1 - random.nextDouble()) / plan.jobsPerSecond();
+        double seconds = -StrictMath.log(1 - random.nextDouble()) / plan.jobsPerSecond();
         loop.executeLater(
                 () -> {
                     if (submitting) {
--- a/src/test/java/io/micatide/ArchitectureTest.java
+++ b/src/test/java/io/micatide/ArchitectureTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.tngtech.archunit.core.domain.Dependency;
+import com.tngtech.archunit.core.domain.JavaAccess;
 import com.tngtech.archunit.core.domain.JavaClass;
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
@@ -75,6 +76,11 @@
                             "controller",
                             "simulation")));
 
+    /** The methods of {@link Math} whose last digit may differ between processors; those of {@link StrictMath} don't. */
+    private static final Set<String> INEXACT = Set.of(
+            "sin", "cos", "tan", "asin", "acos", "atan", "atan2", "sinh", "cosh", "tanh", "exp", "expm1", "log",
+            "log10", "log1p", "pow", "cbrt", "hypot");
+
     private static String packageOf(JavaClass each) {
         String below = each.getPackageName().substring(ROOT.length());
         int dot = below.indexOf('.');
@@ -131,4 +137,18 @@
         }
         assertTrue(forbidden.isEmpty(), () -> String.join("\n", forbidden));
     }
+
+    @Test
+    @DisplayName("results don't depend on the processor")
+    void resultsAreTheSameOnEveryProcessor() {
+        List<String> forbidden = new ArrayList<>();
+        for (JavaClass each : CLASSES) {
+            for (JavaAccess<?> access : each.getAccessesFromSelf()) {
+                if (access.getTargetOwner().isEquivalentTo(Math.class) && INEXACT.contains(access.getName())) {
+                    forbidden.add(access.getDescription());
+                }
+            }
+        }
+        assertTrue(forbidden.isEmpty(), () -> String.join("\n", forbidden));
+    }
 }
