--- a/review/stand-ins-2/review2/World.java
+++ b/review/stand-ins-2/review2/World.java
@@ -8,6 +8,7 @@
 import io.micatide.net.Http;
 import io.micatide.net.HttpClient;
 import io.micatide.net.HttpServer;
+import io.micatide.net.Reply;
 import io.micatide.net.Request;
 import io.micatide.protocol.CloudSideCodec;
 import io.micatide.protocol.MalformedException;
@@ -40,6 +41,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 
 /**
@@ -101,6 +104,7 @@
     private final Map<String, Channel> listeners = new ConcurrentHashMap<>();
     private final Map<String, JobSpec> specs = new ConcurrentHashMap<>();
     private GangRendezvous gangs;
+    private final AtomicInteger malformedReports = new AtomicInteger();
     private int lastAddress;
     private final java.net.http.HttpClient users = java.net.http.HttpClient.newBuilder()
             .version(java.net.http.HttpClient.Version.HTTP_1_1)
@@ -327,7 +331,38 @@
 
     /** What a worker reaches a controller by. */
     protected Http link(SimulatedCloud.RentedMachine machine, int controller, Http http) {
-        return http;
+        return new Http() {
+            @Override
+            public void get(String path, long timeoutMicros, Consumer<Reply> callback) {
+                http.get(path, timeoutMicros, callback);
+            }
+
+            @Override
+            public void post(String path, byte[] body, long timeoutMicros, Consumer<Reply> callback) {
+                http.post(path, body, timeoutMicros, reply -> {
+                    if (reply.status() == 400 && malformedReports.incrementAndGet() <= 12) {
+                        note("report of " + machine.name() + ", " + body.length + " bytes, at " + label(controller)
+                                + ": 400 " + new String(reply.body(), StandardCharsets.UTF_8));
+                    }
+                    callback.accept(reply);
+                });
+            }
+
+            @Override
+            public void delete(String path, long timeoutMicros, Consumer<Reply> callback) {
+                http.delete(path, timeoutMicros, callback);
+            }
+
+            @Override
+            public void close() {
+                http.close();
+            }
+        };
+    }
+
+    /** How many reports of workers were answered 400. */
+    public int malformedReports() {
+        return malformedReports.get();
     }
 
     private void gone(String machine) {
