--- a/review/stand-ins-2/review2/Tasks.java
+++ b/review/stand-ins-2/review2/Tasks.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 
 /** What is on the machines, as their workers see it. Thread-safe. */
 final class Tasks implements SimulatedWorker.Witness {
@@ -41,6 +42,13 @@
         leasesExpired++;
     }
 
+    /** How many tasks there are on machines now, of all jobs, by their job. */
+    synchronized Map<String, Integer> running() {
+        Map<String, Integer> sizes = new TreeMap<>();
+        onMachine.forEach((job, of) -> sizes.put(job, of.size()));
+        return sizes;
+    }
+
     /** How many tasks of the job are on machines now. */
     synchronized int running(String job) {
         return onMachine.getOrDefault(job, Set.of()).size();
--- a/review/stand-ins-2/review2/World.java
+++ b/review/stand-ins-2/review2/World.java
@@ -42,6 +42,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 
@@ -105,6 +106,9 @@
     private final Map<String, JobSpec> specs = new ConcurrentHashMap<>();
     private GangRendezvous gangs;
     private final AtomicInteger malformedReports = new AtomicInteger();
+    /** When the cloud takes machines back, by their names. */
+    private final Map<String, Double> recalls = new ConcurrentHashMap<>();
+    private volatile BiConsumer<SimulatedCloud.RentedMachine, String> answeredReports = (machine, answer) -> {};
     private int lastAddress;
     private final java.net.http.HttpClient users = java.net.http.HttpClient.newBuilder()
             .version(java.net.http.HttpClient.Version.HTTP_1_1)
@@ -312,6 +316,11 @@
         workerLoop.execute(() -> cloud.addUnrentedMachine(type, zone, false));
     }
 
+    /** A machine that the cloud may take back. */
+    public void addSpotMachine(MachineType type, String zone) {
+        workerLoop.execute(() -> cloud.addUnrentedMachine(type, zone, true));
+    }
+
     private void up(SimulatedCloud.RentedMachine machine) {
         Map<String, Http> known = new LinkedHashMap<>();
         for (int i = 0; i < plan.controllers; i++) {
@@ -338,8 +347,13 @@
             }
 
             @Override
-            public void post(String path, byte[] body, long timeoutMicros, Consumer<Reply> callback) {
+            public void post(String path, byte[] report, long timeoutMicros, Consumer<Reply> callback) {
+                Double recall = recalls.get(machine.name());
+                byte[] body = recall == null ? report : withRecall(report, recall - seconds());
                 http.post(path, body, timeoutMicros, reply -> {
+                    if (reply.ok()) {
+                        answeredReports.accept(machine, new String(reply.body(), StandardCharsets.UTF_8));
+                    }
                     if (reply.status() == 400 && malformedReports.incrementAndGet() <= 12) {
                         note("report of " + machine.name() + ", " + body.length + " bytes, at " + label(controller)
                                 + ": 400 " + new String(reply.body(), StandardCharsets.UTF_8));
@@ -360,6 +374,49 @@
         };
     }
 
+    private static byte[] withRecall(byte[] report, double inSeconds) {
+        String text = new String(report, StandardCharsets.UTF_8);
+        return String.format(Locale.ROOT, "{\"recallS\":%.1f,%s", Math.max(0, inSeconds), text.substring(1))
+                .getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** Is told the answers of controllers to reports, on the workers' thread. */
+    public void onAnswer(BiConsumer<SimulatedCloud.RentedMachine, String> told) {
+        answeredReports = told;
+    }
+
+    /** The worker reports from now on that the cloud takes its machine back after so many seconds, and then the cloud does. */
+    public void takeBack(String machine, double afterSeconds) {
+        note("notice: " + machine + " is taken back in " + afterSeconds + " s");
+        recalls.put(machine, seconds() + afterSeconds);
+        workerTime.executeLater(() -> cloud.handle(deletion(machine)), (long) (afterSeconds * 1e6));
+    }
+
+    private static Request deletion(String machine) {
+        return new Request() {
+            @Override
+            public String method() {
+                return "POST";
+            }
+
+            @Override
+            public String path() {
+                return "/machines/delete";
+            }
+
+            @Override
+            public byte[] body() {
+                return ("{\"berths\":[\"" + machine + "\"]}").getBytes(StandardCharsets.UTF_8);
+            }
+
+            @Override
+            public void answer(int status, byte[] json, int retryAfterSeconds) {}
+
+            @Override
+            public void answerAndClose(int status, byte[] json, int retryAfterSeconds) {}
+        };
+    }
+
     /** How many reports of workers were answered 400. */
     public int malformedReports() {
         return malformedReports.get();
