--- a/review/stand-ins-2/review2/World.java
+++ b/review/stand-ins-2/review2/World.java
@@ -106,6 +106,8 @@
     private final Map<String, JobSpec> specs = new ConcurrentHashMap<>();
     private GangRendezvous gangs;
     private final AtomicInteger malformedReports = new AtomicInteger();
+    /** When the machines last sent a report, by their names. */
+    private final Map<String, Double> lastReports = new ConcurrentHashMap<>();
     /** When the cloud takes machines back, by their names. */
     private final Map<String, Double> recalls = new ConcurrentHashMap<>();
     private volatile BiConsumer<SimulatedCloud.RentedMachine, String> answeredReports = (machine, answer) -> {};
@@ -350,6 +352,7 @@
             public void post(String path, byte[] report, long timeoutMicros, Consumer<Reply> callback) {
                 Double recall = recalls.get(machine.name());
                 byte[] body = recall == null ? report : withRecall(report, recall - seconds());
+                lastReports.put(machine.name(), seconds());
                 http.post(path, body, timeoutMicros, reply -> {
                     if (reply.ok()) {
                         answeredReports.accept(machine, new String(reply.body(), StandardCharsets.UTF_8));
@@ -392,6 +395,17 @@
         workerTime.executeLater(() -> cloud.handle(deletion(machine)), (long) (afterSeconds * 1e6));
     }
 
+    /** When the machine last sent a report. */
+    public double lastReport(String machine) {
+        return lastReports.getOrDefault(machine, 0.0);
+    }
+
+    /** The cloud takes the machine back without a notice. */
+    public void takeBackSilently(String machine) {
+        note("taken without a notice: " + machine);
+        workerLoop.execute(() -> cloud.handle(deletion(machine)));
+    }
+
     private static Request deletion(String machine) {
         return new Request() {
             @Override
