A large job no longer stops the leader: no step grows with tasks times tasks

What callers saw: a gang of 11,000 tasks with scatter was accepted, then the controller that led answered nobody for minutes, lost its lease, and the next one hung in the same way.

Cause: for each task that is placed, each candidate machine was ranked anew, and its zone rule counted all tasks placed so far: tasks x tasks x machines / 2 steps in one turn of the actor that also renews the lease. The same held for services, for the victims of preemption (all placements of a machine sorted for each task), for the refill of a machine (the queue from its first job for each task), for stops of a gang (all its tasks for each of its tasks on a machine that is drained), and for the search of the next task (from bit 0).

Change: a job counts its live attempts by zone. Candidates are ranked once (RankedMachines, a tournament tree), and only the machine that changed is ranked again; the decisions are the same (PlacementReferenceTest). For a job of many hundred tasks, preemption selects victims for several tasks at once. A plan places at most 20,000 tasks a core and goes on in the next tick, except for gangs. A gang that is being stopped is not stopped again for each of its tasks.

--- a/src/main/java/io/micatide/scheduler/ArrayPlacement.java
+++ b/src/main/java/io/micatide/scheduler/ArrayPlacement.java
@@ -19,6 +19,7 @@
     private final TeamQuota quota;
     private final MachineSelection selection;
     private final UnschedulableClasses unschedulable;
+    private final PlanningPass pass;
     private final Set<Machine> machinesWithCapacity = new HashSet<>();
     /** Machines on which a task was placed since the last turn of an array and that were full afterwards. */
     private final Set<Machine> filledMachines = new HashSet<>();
@@ -28,6 +29,7 @@
         this.quota = context.quota();
         this.selection = context.selection();
         this.unschedulable = context.unschedulable();
+        this.pass = context.pass();
     }
 
     /** Begins a plan. */
@@ -93,14 +95,14 @@
     }
 
     /**
-     * Places tasks on the machine while they fit; returns false once the job may place no more tasks on any machine.
+     * Places tasks on the machine while they fit; returns false once the job may place no more tasks on any machine in this plan.
      */
     private boolean fill(Job job, Machine machine, long nowMicros) {
         Resources request = job.spec.taskResources();
         while (request.fitsIn(machine.freeCapacity())
                 && MachineSelection.zoneAllows(job, machine)
                 && scheduler.mayRecordMachine(job, machine, nowMicros)) {
-            if (job.placeableCount() == 0 || !quota.allowsTask(job)) {
+            if (job.placeableCount() == 0 || !quota.allowsTask(job) || pass.hasPlacedMaxTasks()) {
                 return false;
             }
             scheduler.placeTask(job, job.nextPendingTask(), machine, nowMicros);
--- a/src/main/java/io/micatide/scheduler/ArrayPreemption.java
+++ b/src/main/java/io/micatide/scheduler/ArrayPreemption.java
@@ -2,6 +2,7 @@
 
 import io.micatide.model.Micros;
 import io.micatide.model.Priority;
+import io.micatide.model.Resources;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -51,31 +52,51 @@
     private void place(JobQueue.QueuedJob queued, long nowMicros) {
         List<Option> options = rankedOptions(queued, nowMicros);
         int remaining = maxTasksAtOnce(queued.job(), nowMicros);
+        int perMachine = Preemption.tasksPerEviction(remaining, options.size());
         int placed;
         do {
-            placed = placeOncePerMachine(queued, options, remaining, nowMicros);
+            placed = placeOnEachMachine(queued, options, perMachine, remaining, nowMicros);
             remaining -= placed;
         } while (placed > 0 && remaining > 0);
     }
 
-    /** Places at most {@code limit} tasks, at most one on each machine; returns how many it placed. */
-    private int placeOncePerMachine(JobQueue.QueuedJob queued, List<Option> options, int limit, long nowMicros) {
-        Job job = queued.job();
+    /** Places at most {@code limit} tasks, at most {@code perMachine} on each machine; returns how many it placed. */
+    private int placeOnEachMachine(
+            JobQueue.QueuedJob queued, List<Option> options, int perMachine, int limit, long nowMicros) {
         int placed = 0;
         for (Option option : options) {
-            if (placed == limit || job.pendingCount() == 0 || !context.quota().allowsTask(job)) {
+            int tasks = context.quota()
+                    .tasksWithinLimit(queued.job(), Math.min(perMachine, limit - placed), Resources.NONE);
+            if (tasks == 0 || !mayPlaceTask(queued.job())) {
                 break;
             }
-            Machine machine = option.machine();
-            if (MachineSelection.zoneAllows(job, machine)
-                    && context.preemptionExecutor().freeCapacity(job, machine, scope(queued), nowMicros)) {
-                context.scheduler().placeTask(job, job.nextPendingTask(), machine, nowMicros);
-                placed++;
-            }
+            placed += preemptAndPlace(queued, option.machine(), tasks, nowMicros);
         }
         return placed;
     }
 
+    /** Frees capacity for up to {@code limit} tasks and places them; returns how many it placed. */
+    private int preemptAndPlace(JobQueue.QueuedJob queued, Machine machine, int limit, long nowMicros) {
+        Job job = queued.job();
+        if (!MachineSelection.zoneAllows(job, machine)
+                || !context.preemptionExecutor().freeCapacity(job, machine, scope(queued), limit, nowMicros)) {
+            return 0;
+        }
+        long fitting = Math.min(limit, Preemption.tasksFittingAfterStops(job, machine));
+        int placed = 0;
+        while (placed < fitting && mayPlaceTask(job) && MachineSelection.zoneAllows(job, machine)) {
+            context.scheduler().placeTask(job, job.nextPendingTask(), machine, nowMicros);
+            placed++;
+        }
+        return placed;
+    }
+
+    private boolean mayPlaceTask(Job job) {
+        return job.pendingCount() > 0
+                && context.quota().allowsTask(job)
+                && !context.pass().hasPlacedMaxTasks();
+    }
+
     private List<Option> rankedOptions(JobQueue.QueuedJob queued, long nowMicros) {
         Job job = queued.job();
         Preemption.Scope scope = scope(queued);
--- a/src/main/java/io/micatide/scheduler/DeadMachineDetector.java
+++ b/src/main/java/io/micatide/scheduler/DeadMachineDetector.java
@@ -2,7 +2,6 @@
 
 import com.google.common.collect.HashMultiset;
 import com.google.common.collect.Multiset;
-import io.micatide.model.JobKind;
 import io.micatide.model.MachineType;
 import io.micatide.model.Micros;
 import io.micatide.model.Settings;
@@ -144,7 +143,7 @@
         boolean areFew = survey.areFewUnresponsive();
         Set<String> reachableZones = areFew ? Set.of() : reachableZones(nowMicros);
         for (Machine machine : survey.unresponsive) {
-            boolean isLeaderReachable = areFew || (machine.zone != null && reachableZones.contains(machine.zone));
+            boolean isLeaderReachable = areFew || (machine.zone() != null && reachableZones.contains(machine.zone()));
             // Array tasks alone don't justify a deletion: a machine that hangs recovers before a replacement
             // has booted.
             if (isLeaderReachable && (machine.isAwaitedAfterFailover || hasReplica(machine))) {
@@ -164,10 +163,12 @@
         Multiset<String> reporting = HashMultiset.create();
         for (Machine machine : fleet.machines()) {
             boolean hasReported = machine.lastHeartbeatMicros >= 0;
-            if (machine.zone != null && !machine.deletionRequested && (hasReported || machine.isAwaitedAfterFailover)) {
-                known.add(machine.zone);
+            if (machine.zone() != null
+                    && !machine.deletionRequested
+                    && (hasReported || machine.isAwaitedAfterFailover)) {
+                known.add(machine.zone());
                 if (hasReported && nowMicros - machine.lastHeartbeatMicros < unresponsiveAfterMicros() / 2) {
-                    reporting.add(machine.zone);
+                    reporting.add(machine.zone());
                 }
             }
         }
@@ -181,11 +182,6 @@
     }
 
     private static boolean hasReplica(Machine machine) {
-        for (Placement placement : machine.placements) {
-            if (placement.job.spec.kind() == JobKind.SERVICE) {
-                return true;
-            }
-        }
-        return false;
+        return machine.replicaCount() > 0;
     }
 }
--- a/src/main/java/io/micatide/scheduler/EquivalenceClass.java
+++ b/src/main/java/io/micatide/scheduler/EquivalenceClass.java
@@ -21,7 +21,7 @@
 
     /** Returns whether jobs of this class may use the machine, regardless of its capacity. */
     boolean allowsMachine(Machine machine) {
-        return allowsMachine(machine.type, machine.zone, machine.isSpot);
+        return allowsMachine(machine.type, machine.zone(), machine.isSpot);
     }
 
     /**
--- a/src/main/java/io/micatide/scheduler/Fleet.java
+++ b/src/main/java/io/micatide/scheduler/Fleet.java
@@ -68,7 +68,7 @@
         }
         machineTypes = byName;
         for (Machine machine : machines.values()) {
-            updateTypeAndZone(machine, machine.type, machine.zone, machine.isSpot);
+            updateTypeAndZone(machine, machine.type, machine.zone(), machine.isSpot);
         }
     }
 
@@ -90,7 +90,7 @@
     /** Sets type, zone and pricing of the machine, and its capacity: null if {@code type} is null or not listed by the cloud. */
     void updateTypeAndZone(Machine machine, String type, String zone, boolean spot) {
         machine.type = type;
-        machine.zone = zone;
+        machine.setZone(zone);
         machine.isSpot = spot;
         MachineType known = type == null ? null : machineTypes.get(type);
         machine.resize(known == null ? null : known.resources());
--- a/src/main/java/io/micatide/scheduler/GangPlacement.java
+++ b/src/main/java/io/micatide/scheduler/GangPlacement.java
@@ -52,9 +52,9 @@
             return;
         }
         if (job.spec.singleZone()) {
-            candidates.removeIf(machine -> !machine.zone.equals(zone));
+            candidates.removeIf(machine -> !machine.zone().equals(zone));
         }
-        placeAllOrNone(job, missing, candidates, source, nowMicros);
+        placeAllOrNone(new JobCandidates(job, candidates), missing, source, nowMicros);
     }
 
     /** Returns whether the gang lost a task, or has started and still has live attempts that must end first. */
@@ -72,23 +72,24 @@
                 && !fits(job.spec, missing, zoneThatFits(missing, maxTasksPerZone), maxTasksPerZone);
     }
 
-    private void placeAllOrNone(
-            Job job, int missing, List<Machine> candidates, CapacityRequest.Source source, long nowMicros) {
-        for (int i = 0; i < missing; i++) {
+    private void placeAllOrNone(JobCandidates candidates, int missing, CapacityRequest.Source source, long nowMicros) {
+        Job job = candidates.job();
+        for (int remaining = missing; remaining > 0; remaining--) {
             int index = job.nextPendingTask();
-            Machine machine = index < 0 ? null : findMachine(job, candidates, source, nowMicros);
-            if (machine == null) {
+            int position = index < 0 ? -1 : findMachine(candidates, remaining, source, nowMicros);
+            if (position < 0) {
                 removeUnsentPlacements(job);
                 return;
             }
-            scheduler.placeTask(job, index, machine, nowMicros);
+            scheduler.placeTask(job, index, candidates.machine(position), nowMicros);
+            candidates.machineChanged(position);
         }
     }
 
-    private Machine findMachine(Job job, List<Machine> candidates, CapacityRequest.Source source, long nowMicros) {
+    private int findMachine(JobCandidates candidates, int remaining, CapacityRequest.Source source, long nowMicros) {
         return source == CapacityRequest.Source.FREE
-                ? MachineSelection.bestFitting(job, candidates)
-                : singleTasks.findOrPreempt(job, candidates, nowMicros);
+                ? candidates.bestFitting()
+                : singleTasks.findOrPreempt(candidates, remaining, nowMicros);
     }
 
     private void removeUnsentPlacements(Job job) {
@@ -107,7 +108,7 @@
             long tasks = source == CapacityRequest.Source.FREE
                     ? job.spec.taskResources().timesFittingIn(machine.freeCapacity())
                     : preemption.tasksFittingAfterPreemption(job, machine);
-            tasksPerZone.merge(machine.zone, tasks, Long::sum);
+            tasksPerZone.merge(machine.zone(), tasks, Long::sum);
         }
         return tasksPerZone;
     }
@@ -123,7 +124,7 @@
     }
 
     private static String zoneOfLiveAttempts(Job job) {
-        return job.liveAttempts.values().iterator().next().get(0).machine.zone;
+        return job.liveAttempts.values().iterator().next().get(0).machine.zone();
     }
 
     /**
--- a/src/main/java/io/micatide/scheduler/HeartbeatReconciler.java
+++ b/src/main/java/io/micatide/scheduler/HeartbeatReconciler.java
@@ -88,7 +88,7 @@
     private void reconcileLiveTask(
             Machine machine, TaskStatus status, long sequence, List<Command> commands, long nowMicros) {
         Job job = ledgers.get(status.job());
-        Placement placement = machine.placementOf(status);
+        Placement placement = machine.placementOf(status, job);
         if (job == null && placement == null) {
             job = recovery.addCancelledBeforeTerm(status.job(), nowMicros);
         }
--- a/src/main/java/io/micatide/scheduler/Job.java
+++ b/src/main/java/io/micatide/scheduler/Job.java
@@ -39,11 +39,16 @@
     /** Tasks that are finished or have a live attempt; its first clear bit is the next task to place. */
     private final BitSet finishedOrLiveTasks = new BitSet();
 
+    /** All tasks with a lower index are finished or live, so that the search for the next task does not begin at 0. */
+    private int pendingTasksFrom;
+
     private int finishedCount;
     /** Number of unfinished tasks with a live attempt. */
     private int liveUnfinishedCount;
     /** Machines with live attempts, each counted once per attempt. */
     final Multiset<String> liveMachines = HashMultiset.create();
+    /** Zones of the live attempts, each counted once per attempt; null for a zone that is not known. */
+    private final Multiset<String> liveZones = HashMultiset.create();
     /** Finished tasks that the stored ledger holds. Workers may forget only these. */
     final BitSet recordedTasks = new BitSet();
     /** Tasks that were stopped once because their machine seemed slow; they are not stopped for this reason again. */
@@ -215,8 +220,24 @@
 
     /** Returns the index of the next task that may be placed, or -1. */
     int nextPendingTask() {
-        int index = finishedOrLiveTasks.nextClearBit(0);
-        return index < spec.taskCount() ? index : -1;
+        pendingTasksFrom = finishedOrLiveTasks.nextClearBit(pendingTasksFrom);
+        return pendingTasksFrom < spec.taskCount() ? pendingTasksFrom : -1;
+    }
+
+    /** Returns the number of live attempts in the zone; 0 if the zone is null. */
+    int liveAttemptsInZone(String zone) {
+        return zone == null ? 0 : liveZones.count(zone);
+    }
+
+    /** Returns the number of live attempts in all zones. */
+    int liveAttemptCount() {
+        return liveZones.size();
+    }
+
+    /** Records that the machine of a live attempt reported another zone. */
+    void zoneChanged(String previousZone, String newZone) {
+        liveZones.remove(previousZone);
+        liveZones.add(newZone);
     }
 
     void add(Placement placement) {
@@ -227,16 +248,19 @@
         placements.add(placement);
         finishedOrLiveTasks.set(placement.taskIndex);
         liveMachines.add(placement.machine.name);
+        liveZones.add(placement.machine.zone());
     }
 
     void remove(Placement placement) {
         List<Placement> placements = liveAttempts.get(placement.taskIndex);
         if (placements != null && placements.remove(placement)) {
             liveMachines.remove(placement.machine.name);
+            liveZones.remove(placement.machine.zone());
             if (placements.isEmpty()) {
                 liveAttempts.remove(placement.taskIndex);
                 if (!finishedTasks.get(placement.taskIndex)) {
                     finishedOrLiveTasks.clear(placement.taskIndex);
+                    pendingTasksFrom = Math.min(pendingTasksFrom, placement.taskIndex);
                     liveUnfinishedCount--;
                 }
             }
--- a/src/main/java/io/micatide/scheduler/Machine.java
+++ b/src/main/java/io/micatide/scheduler/Machine.java
@@ -2,7 +2,6 @@
 
 import io.micatide.model.Heartbeat;
 import io.micatide.model.JobKind;
-import io.micatide.model.JobSpec;
 import io.micatide.model.Micros;
 import io.micatide.model.Resources;
 import io.micatide.model.Settings;
@@ -12,6 +11,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 
 /** State of one machine as the leader knows it. Mutable; owned by {@link Fleet}. */
@@ -31,7 +31,7 @@
 
     String address;
     String type;
-    String zone;
+    private String zone;
     boolean isSpot;
     private Resources capacity;
     long incarnation;
@@ -88,8 +88,10 @@
 
     final List<Placement> placements = new ArrayList<>();
     Resources used = Resources.NONE;
-    /** CPUs used by service replicas, in thousandths; part of {@link #used}. */
-    private long replicaCpus;
+    /** Resources used by service replicas; part of {@link #used}. */
+    private Resources usedByReplicas = Resources.NONE;
+
+    private int replicaCount;
 
     private Resources freeCapacity = Resources.NONE;
     /** Sizes of the cached images in GB by image name, least recently used first. */
@@ -126,6 +128,21 @@
         return freeCapacity;
     }
 
+    /** Returns the zone of the machine, or null until it is known. */
+    String zone() {
+        return zone;
+    }
+
+    /** Sets the zone of the machine, and updates the jobs of its placements. */
+    void setZone(String newZone) {
+        if (!Objects.equals(zone, newZone)) {
+            for (Placement placement : placements) {
+                placement.job.zoneChanged(zone, newZone);
+            }
+            zone = newZone;
+        }
+    }
+
     /** Returns the capacity of the machine, or null until its machine type is known. */
     Resources capacity() {
         return capacity;
@@ -172,10 +189,16 @@
         lastHeartbeatMicros = nowMicros;
     }
 
-    /** Returns the placement that a task status in a heartbeat of the machine refers to, or null if there is none. */
-    Placement placementOf(TaskStatus status) {
-        for (Placement placement : placements) {
-            if (placement.matches(status)) {
+    /**
+     * Returns the placement that a task status in a heartbeat of the machine refers to, or null if there is none.
+     *
+     * @param job the open job of the task, or null if it has finished
+     */
+    Placement placementOf(TaskStatus status, Job job) {
+        List<Placement> attempts =
+                job == null ? placements : job.liveAttempts.getOrDefault(status.taskIndex(), List.of());
+        for (Placement placement : attempts) {
+            if (placement.machine == this && placement.matches(status)) {
                 return placement;
             }
         }
@@ -191,25 +214,40 @@
     void add(Placement placement) {
         placements.add(placement);
         setUsed(used.plus(placement.job.spec.taskResources()));
-        replicaCpus += replicaCpus(placement);
+        if (isReplica(placement)) {
+            replicaCount++;
+            usedByReplicas = usedByReplicas.plus(placement.job.spec.taskResources());
+        }
         idleSinceMicros = -1;
     }
 
     void remove(Placement placement) {
         if (placements.remove(placement)) {
             setUsed(used.minus(placement.job.spec.taskResources()));
-            replicaCpus -= replicaCpus(placement);
+            if (isReplica(placement)) {
+                replicaCount--;
+                usedByReplicas = usedByReplicas.minus(placement.job.spec.taskResources());
+            }
         }
     }
 
-    private static long replicaCpus(Placement placement) {
-        JobSpec spec = placement.job.spec;
-        return spec.kind() == JobKind.SERVICE ? spec.taskResources().cpus() : 0;
+    private static boolean isReplica(Placement placement) {
+        return placement.job.spec.kind() == JobKind.SERVICE;
+    }
+
+    /** Returns the number of service replicas on the machine. */
+    int replicaCount() {
+        return replicaCount;
+    }
+
+    /** Returns the resources that service replicas use on the machine. */
+    Resources usedByReplicas() {
+        return usedByReplicas;
     }
 
     /** Returns the CPUs, in thousandths, that service replicas leave to array and gang tasks. Requires a known capacity. */
     long cpusNotUsedByReplicas() {
-        return capacity.cpus() - replicaCpus;
+        return capacity.cpus() - usedByReplicas.cpus();
     }
 
     /** Marks the image as used now and evicts the least recently used images, never the given one, while they exceed {@code cacheGb} or a limit. */
--- a/src/main/java/io/micatide/scheduler/MachineRefill.java
+++ b/src/main/java/io/micatide/scheduler/MachineRefill.java
@@ -3,6 +3,7 @@
 import io.micatide.model.JobKind;
 import io.micatide.model.Micros;
 import io.micatide.model.Settings;
+import java.util.List;
 
 /**
  * Gives newly freed capacity of one machine to the next jobs in the queue, so that their tasks are sent in the response
@@ -37,28 +38,37 @@
         if (queue.isEmpty() || !queue.mayFitIn(machine)) {
             return;
         }
-        Job job = nextJob(queue, machine, nowMicros);
-        while (job != null) {
+        // A job that may not be placed on the machine may not be placed there later in this call either.
+        int first = firstPlaceable(queue.jobs(), 0, machine, nowMicros);
+        while (first < queue.jobs().size()) {
+            Job job = firstWithImage(queue.jobs(), first, machine, nowMicros);
             scheduler.placeTask(job, job.nextPendingTask(), machine, nowMicros);
-            job = nextJob(queue, machine, nowMicros);
+            first = firstPlaceable(queue.jobs(), first, machine, nowMicros);
         }
     }
 
-    /** Returns the next job to get capacity on this machine, or null. */
-    private Job nextJob(QueueSnapshot queue, Machine machine, long nowMicros) {
-        JobQueue.QueuedJob first = null;
-        for (JobQueue.QueuedJob queued : queue.jobs()) {
-            if (first != null && !mayPrecede(queued, first)) {
+    /** Returns the position of the first job from the given one on that may be placed on the machine, or the size of the queue. */
+    private int firstPlaceable(List<JobQueue.QueuedJob> jobs, int from, Machine machine, long nowMicros) {
+        int position = from;
+        while (position < jobs.size() && !mayPlace(jobs.get(position).job(), machine, nowMicros)) {
+            position++;
+        }
+        return position;
+    }
+
+    /** Returns the first job, or a later one that may precede it since its image is on the machine. */
+    private Job firstWithImage(List<JobQueue.QueuedJob> jobs, int first, Machine machine, long nowMicros) {
+        for (int position = first; position < jobs.size(); position++) {
+            JobQueue.QueuedJob queued = jobs.get(position);
+            if (position > first && !mayPrecede(queued, jobs.get(first))) {
                 break;
             }
-            if (mayPlace(queued.job(), machine, nowMicros)) {
-                first = first == null ? queued : first;
-                if (MachineSelection.hasOrFetchesImage(machine, queued.job())) {
-                    return queued.job();
-                }
+            if (MachineSelection.hasOrFetchesImage(machine, queued.job())
+                    && mayPlace(queued.job(), machine, nowMicros)) {
+                return queued.job();
             }
         }
-        return first == null ? null : first.job();
+        return jobs.get(first).job();
     }
 
     /** Returns whether a later job may precede the first one if its image is on the machine. */
--- a/src/main/java/io/micatide/scheduler/MachineSelection.java
+++ b/src/main/java/io/micatide/scheduler/MachineSelection.java
@@ -4,7 +4,6 @@
 import io.micatide.model.JobSpec;
 import io.micatide.model.MachineType;
 import io.micatide.model.Micros;
-import io.micatide.model.Resources;
 import io.micatide.model.Settings;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -92,7 +91,7 @@
      */
     static boolean isFeasible(Job job, Machine machine, long nowMicros) {
         JobSpec spec = job.spec;
-        return spec.allowsMachine(machine.type, machine.zone, machine.isSpot)
+        return spec.allowsMachine(machine.type, machine.zone(), machine.isSpot)
                 && !job.failedMachines.isExcluded(machine.name, nowMicros)
                 && (spec.kind() == JobKind.SERVICE || machine.slowUntilMicros < nowMicros);
     }
@@ -117,53 +116,10 @@
 
     /** Returns whether the job's zone rules allow one more of its tasks on the machine. */
     static boolean zoneAllows(Job job, Machine machine) {
-        if (!job.spec.singleZone() && !job.spec.spreadOverZones()) {
-            return true;
-        }
-        int tasksInZone = 0;
-        for (List<Placement> attempts : job.liveAttempts.values()) {
-            for (Placement placement : attempts) {
-                if (isInZone(placement.machine, machine.zone)) {
-                    tasksInZone++;
-                } else if (job.spec.singleZone()) {
-                    return false;
-                }
-            }
+        int tasksInZone = job.liveAttemptsInZone(machine.zone());
+        if (job.spec.singleZone() && tasksInZone < job.liveAttemptCount()) {
+            return false;
         }
         return tasksInZone < job.spec.maxTasksPerZone();
     }
-
-    private static boolean isInZone(Machine machine, String zone) {
-        return machine.zone != null && machine.zone.equals(zone);
-    }
-
-    /**
-     * Returns the best machine by the rule of the design: a machine with free capacity that has the image, else the
-     * machine with the most free capacity.
-     *
-     * @return null if none of the candidates has free capacity for one of the job's tasks
-     */
-    static Machine bestFitting(Job job, List<Machine> candidates) {
-        Resources request = job.spec.taskResources();
-        Machine best = null;
-        boolean bestHasImage = false;
-        for (Machine machine : candidates) {
-            if (request.fitsIn(machine.freeCapacity()) && zoneAllows(job, machine)) {
-                boolean hasImage = hasImage(machine, job);
-                if (best == null || ranksBefore(machine, hasImage, best, bestHasImage)) {
-                    best = machine;
-                    bestHasImage = hasImage;
-                }
-            }
-        }
-        return best;
-    }
-
-    private static boolean ranksBefore(Machine machine, boolean hasImage, Machine best, boolean bestHasImage) {
-        if (hasImage != bestHasImage) {
-            return hasImage;
-        }
-        Comparator<Machine> order = hasImage ? LEAST_FREE_CAPACITY_FIRST : MOST_FREE_CAPACITY_FIRST;
-        return order.compare(machine, best) < 0;
-    }
 }
--- a/src/main/java/io/micatide/scheduler/OfferSelection.java
+++ b/src/main/java/io/micatide/scheduler/OfferSelection.java
@@ -79,7 +79,7 @@
     private Map<String, Integer> machinesPerZone() {
         Map<String, Integer> machinesPerZone = new HashMap<>();
         for (Machine machine : fleet.machines()) {
-            machinesPerZone.merge(String.valueOf(machine.zone), 1, Integer::sum);
+            machinesPerZone.merge(String.valueOf(machine.zone()), 1, Integer::sum);
         }
         return machinesPerZone;
     }
--- a/src/main/java/io/micatide/scheduler/PlacementPlanner.java
+++ b/src/main/java/io/micatide/scheduler/PlacementPlanner.java
@@ -51,7 +51,7 @@
         Preemption preemption = new Preemption(settings, scheduler::teamUsage);
         this.preemptionExecutor = new PreemptionExecutor(scheduler, selection, preemption);
         PlanningContext context =
-                new PlanningContext(scheduler, quota, selection, preemption, preemptionExecutor, unschedulable);
+                new PlanningContext(scheduler, quota, selection, preemption, preemptionExecutor, unschedulable, pass);
         SingleTaskSelection singleTasks = new SingleTaskSelection(context);
         this.gangs = new GangPlacement(context, singleTasks);
         this.replicas = new ReplicaPlacement(context, singleTasks);
@@ -87,12 +87,23 @@
                     return;
                 }
                 placeJob(queued, nowMicros);
-                pass.markVisited(queued.job());
+                if (!mayHaveMoreTasks(queued.job())) {
+                    pass.markVisited(queued.job());
+                }
+                if (pass.hasPlacedMaxTasks()) {
+                    pass.truncatePlan();
+                    return;
+                }
             }
         }
         pass.completePass();
     }
 
+    /** Returns whether the placement of the job's tasks was interrupted, which is never done to a gang. */
+    private boolean mayHaveMoreTasks(Job job) {
+        return pass.hasPlacedMaxTasks() && job.spec.kind() != JobKind.GANG && job.placeableCount() > 0;
+    }
+
     private void placeJob(JobQueue.QueuedJob queued, long nowMicros) {
         boolean mayPreempt = preemptionPolicy.mayPreempt(queued, nowMicros);
         switch (queued.job().spec.kind()) {
@@ -120,6 +131,7 @@
     /** Records that a task was placed on the machine. */
     @Override
     public void taskPlaced(Machine machine) {
+        pass.taskPlaced();
         arrays.taskPlaced(lastQueue, machine);
         unschedulable.usageChanged();
     }
--- a/src/main/java/io/micatide/scheduler/PlacementTable.java
+++ b/src/main/java/io/micatide/scheduler/PlacementTable.java
@@ -110,11 +110,15 @@
      * {@inheritDoc}
      *
      * <p>The tasks of a gang save a checkpoint only together, so all of them must receive their stop within the time that they wait for their peers;
-     * this time is added to the grace period.
+     * this time is added to the grace period. Further calls for tasks of a gang that is being stopped change nothing: many of them may be on the
+     * machine that is drained.
      */
     @Override
     public void stopWithCheckpoint(Placement placement, long nowMicros) {
         Job job = placement.job;
+        if (job.spec.kind() == JobKind.GANG && job.gangAttemptEnded && placement.isStopping()) {
+            return;
+        }
         long graceMicros = Micros.longestWithDrift(job.spec.saveMicros()) + Micros.SECOND;
         if (job.spec.kind() == JobKind.GANG) {
             removeOrStopAll(job, graceMicros + gangPeerTimeoutMicros, nowMicros);
--- a/src/main/java/io/micatide/scheduler/PlanningContext.java
+++ b/src/main/java/io/micatide/scheduler/PlanningContext.java
@@ -9,6 +9,7 @@
  * @param preemption which work may be preempted and how much work that loses
  * @param preemptionExecutor carries out preemption
  * @param unschedulable classes of jobs that were found not to fit in the current plan
+ * @param pass limits what one plan may do
  */
 record PlanningContext(
         PlacementActions scheduler,
@@ -16,4 +17,5 @@
         MachineSelection selection,
         Preemption preemption,
         PreemptionExecutor preemptionExecutor,
-        UnschedulableClasses unschedulable) {}
+        UnschedulableClasses unschedulable,
+        PlanningPass pass) {}
--- a/src/main/java/io/micatide/scheduler/PlanningPass.java
+++ b/src/main/java/io/micatide/scheduler/PlanningPass.java
@@ -7,9 +7,10 @@
  * One pass over the queued jobs, which may take several plans. A plan that has examined as many machines as its share
  * of a core allows is truncated. The next tick continues with the jobs not visited yet, in the queue order of that
  * time; a job that arrives in between and ranks before the others is placed first. Without truncation a plan took
- * seconds, the leader lost its lease, and all workers had to wait.
+ * seconds, the leader lost its lease, and all workers had to wait. For the same reason a plan places no more tasks than its
+ * share of a core allows; a job that has more of them goes on in the next tick.
  *
- * <p>Invariant: each plan visits at least one job, and each job is visited once in a pass.
+ * <p>Invariant: each plan visits at least one job, and each job is visited once in a pass, in one plan or in several.
  */
 final class PlanningPass {
     /**
@@ -19,17 +20,23 @@
      */
     static final long MACHINES_EXAMINED_PER_CORE = 60_000;
 
+    /** Tasks that a plan may place for each core of the controller. The tasks of a gang are placed together nevertheless. */
+    static final long TASKS_PLACED_PER_CORE = 20_000;
+
     private final long maxMachinesExamined;
+    private final long maxTasksPlaced;
     /** Jobs visited by this pass, in this plan or an earlier one. */
     private final Set<Job> visited = new HashSet<>();
 
     private long examinedAtBegin;
+    private long tasksPlaced;
     private boolean isFirstJob;
     private int truncations;
 
     /** @param cores the controller's share of CPU cores; may be less than one */
     PlanningPass(double cores) {
         this.maxMachinesExamined = Math.max(1, Math.round(cores * MACHINES_EXAMINED_PER_CORE));
+        this.maxTasksPlaced = Math.max(1, Math.round(cores * TASKS_PLACED_PER_CORE));
     }
 
     /**
@@ -39,6 +46,7 @@
      */
     void beginPlan(long machinesExamined) {
         examinedAtBegin = machinesExamined;
+        tasksPlaced = 0;
         isFirstJob = true;
     }
 
@@ -56,6 +64,16 @@
         return !isFirstJob && machinesExamined - examinedAtBegin > maxMachinesExamined;
     }
 
+    /** Records that a task was placed. */
+    void taskPlaced() {
+        tasksPlaced++;
+    }
+
+    /** Returns whether this plan has placed as many tasks as it may. */
+    boolean hasPlacedMaxTasks() {
+        return tasksPlaced >= maxTasksPlaced;
+    }
+
     /** Marks the job as visited in this pass. */
     void markVisited(Job job) {
         isFirstJob = false;
--- a/src/main/java/io/micatide/scheduler/Preemption.java
+++ b/src/main/java/io/micatide/scheduler/Preemption.java
@@ -25,6 +25,10 @@
 final class Preemption {
     /** The lost work where preemption frees too little capacity. */
     static final long IMPOSSIBLE = Long.MAX_VALUE;
+    /** Number of evictions after which all tasks of a large job should be placed, if there are fewer machines. */
+    private static final int EVICTIONS_PER_JOB = 256;
+    /** Number of evictions on each machine after which all tasks of a large job should be placed. */
+    private static final int EVICTIONS_PER_MACHINE = 4;
 
     /**
      * Orders placements by how much work stopping them loses: unsent placements first, then the most recently created.
@@ -123,10 +127,25 @@
     }
 
     private long computeLostWork(Job job, Machine machine, Scope scope, long nowMicros) {
-        List<Placement> victims = selectVictims(job, machine, scope);
+        List<Placement> victims = selectVictims(job, machine, scope, 1);
         return victims == null ? IMPOSSIBLE : lostWork(victims, nowMicros);
     }
 
+    /** Returns how many tasks of the job fit on the machine once all that was told to end immediately has ended. */
+    static long tasksFittingAfterStops(Job job, Machine machine) {
+        Resources available = machine.freeCapacity();
+        for (Placement placement : machine.placements) {
+            if (isEndingImmediately(placement)) {
+                available = available.plus(placement.job.spec.taskResources());
+            }
+        }
+        return job.spec.taskResources().timesFittingIn(available);
+    }
+
+    private static boolean isEndingImmediately(Placement placement) {
+        return placement.isStopping() && placement.stopGraceMicros == 0;
+    }
+
     /** Returns how many tasks of a gang fit on the machine if everything is preempted that may be preempted for it. */
     long tasksFittingAfterPreemption(Job job, Machine machine) {
         if (hasArraysOfSamePriority(job, machine)) {
@@ -164,7 +183,7 @@
 
     private Estimate computeEstimate(Job job, Machine machine) {
         long tasks = countTasks(job, machine);
-        List<Placement> victims = selectVictims(job, machine, Scope.LOWER_PRIORITY);
+        List<Placement> victims = selectVictims(job, machine, Scope.LOWER_PRIORITY, 1);
         if (victims == null) {
             return new Estimate(false, 0, 0, tasks);
         }
@@ -198,15 +217,16 @@
      * free.
      *
      * @param scope which work may be preempted
-     * @return victims in the order of least lost work, only until the task fits; empty if there is enough free capacity
-     *     already; null if preempting everything would not be enough
+     * @param tasks number of tasks of the job that should fit
+     * @return victims in the order of least lost work, only until the tasks fit, or as many of them as can; empty if there
+     *     is enough free capacity already; null if preempting everything would not be enough for one task
      */
-    List<Placement> selectVictims(Job job, Machine machine, Scope scope) {
-        Resources request = job.spec.taskResources();
+    List<Placement> selectVictims(Job job, Machine machine, Scope scope, int tasks) {
+        Resources request = job.spec.taskResources().times(tasks);
         Resources available = machine.freeCapacity();
         List<Placement> preemptible = new ArrayList<>();
         for (Placement placement : machine.placements) {
-            if (placement.isStopping() && placement.stopGraceMicros == 0) {
+            if (isEndingImmediately(placement)) {
                 // This capacity is being freed for tasks that have been placed here since. Unless it counts as
                 // available, each further task would preempt more work than needed.
                 available = available.plus(placement.job.spec.taskResources());
@@ -214,6 +234,9 @@
                 preemptible.add(placement);
             }
         }
+        if (request.fitsIn(available)) {
+            return List.of();
+        }
         preemptible.sort(LEAST_LOST_WORK_FIRST);
         List<Placement> victims = new ArrayList<>();
         Map<String, Resources> freedByTeam = new HashMap<>();
@@ -227,7 +250,23 @@
                 freedByTeam.merge(placement.job.spec.team(), placement.job.spec.taskResources(), Resources::plus);
             }
         }
-        return request.fitsIn(available) ? victims : null;
+        if (request.fitsIn(available)) {
+            return victims;
+        }
+        int fitting = (int) job.spec.taskResources().timesFittingIn(available);
+        // With fewer tasks, fewer victims are needed, which are the first of these.
+        return fitting == 0 ? null : selectVictims(job, machine, scope, fitting);
+    }
+
+    /**
+     * Returns for how many tasks capacity is freed on a machine at once. Selecting victims takes time for all that runs on
+     * the machine, so for a job with many times more tasks than machines it isn't repeated for each task.
+     *
+     * @param missing number of tasks to be placed
+     * @param machines number of machines on which they may be placed
+     */
+    static int tasksPerEviction(int missing, int machines) {
+        return Math.max(1, missing / Math.max(EVICTIONS_PER_JOB, EVICTIONS_PER_MACHINE * machines));
     }
 
     /**
--- a/src/main/java/io/micatide/scheduler/PreemptionExecutor.java
+++ b/src/main/java/io/micatide/scheduler/PreemptionExecutor.java
@@ -25,6 +25,8 @@
     private final Preemption preemption;
     private int evictionsForServices;
     private int evictionsForOtherJobs;
+    /** Evictions of attempts that were never sent, which change the usage of their teams at once. */
+    private int unsentEvictions;
 
     PreemptionExecutor(PlacementActions scheduler, MachineSelection selection, Preemption preemption) {
         this.scheduler = scheduler;
@@ -38,13 +40,14 @@
     }
 
     /**
-     * Frees capacity for one task of the job on the machine.
+     * Frees capacity on the machine for up to as many tasks of the job as requested.
      *
      * @param scope which work may be preempted
-     * @return whether the machine has the capacity now
+     * @param tasks number of tasks; if fewer fit, capacity is freed for those
+     * @return whether the machine has the capacity for at least one task now
      */
-    boolean freeCapacity(Job job, Machine machine, Preemption.Scope scope, long nowMicros) {
-        List<Placement> victims = preemption.selectVictims(job, machine, scope);
+    boolean freeCapacity(Job job, Machine machine, Preemption.Scope scope, int tasks, long nowMicros) {
+        List<Placement> victims = preemption.selectVictims(job, machine, scope, tasks);
         if (victims == null) {
             return false;
         }
@@ -52,6 +55,15 @@
         return true;
     }
 
+    /** Frees capacity on a candidate by preempting work of lower and of the same priority. */
+    void freeCapacity(JobCandidates candidates, int position, int tasks, long nowMicros) {
+        int removedBefore = unsentEvictions;
+        freeCapacity(candidates.job(), candidates.machine(position), Preemption.Scope.SAME_PRIORITY, tasks, nowMicros);
+        if (unsentEvictions > removedBefore) {
+            candidates.teamUsageChanged();
+        }
+    }
+
     private void evict(Job job, List<Placement> victims, long nowMicros) {
         if (job.spec.kind() == JobKind.SERVICE) {
             evictionsForServices += victims.size();
@@ -60,6 +72,7 @@
         }
         for (Placement victim : victims) {
             if (victim.isUnsent()) {
+                unsentEvictions++;
                 scheduler.remove(victim);
             } else {
                 scheduler.stop(victim, 0, nowMicros);
@@ -78,7 +91,7 @@
             return;
         }
         for (Machine machine : selection.candidates(job, CapacityRequest.Source.CHECKPOINTABLE, nowMicros)) {
-            if (zone == null || zone.equals(machine.zone)) {
+            if (zone == null || zone.equals(machine.zone())) {
                 List<Placement> victims = checkpointableVictims(job, machine);
                 if (!victims.isEmpty()) {
                     checkpointAndStop(job, victims, nowMicros);
--- a/src/main/java/io/micatide/scheduler/ReplicaPlacement.java
+++ b/src/main/java/io/micatide/scheduler/ReplicaPlacement.java
@@ -3,7 +3,6 @@
 import io.micatide.model.JobKind;
 import io.micatide.model.Micros;
 import io.micatide.model.Resources;
-import java.util.List;
 
 /**
  * Places the replicas of services. Replicas are colocated on few machines: they run for minutes, and replicas spread
@@ -29,6 +28,7 @@
     private final Preemption preemption;
     private final PreemptionExecutor preemptionExecutor;
     private final SingleTaskSelection singleTasks;
+    private final PlanningPass pass;
     private int maxReplicasPerMachine = MIN_LIMIT_PER_MACHINE;
 
     ReplicaPlacement(PlanningContext context, SingleTaskSelection singleTasks) {
@@ -38,6 +38,7 @@
         this.preemption = context.preemption();
         this.preemptionExecutor = context.preemptionExecutor();
         this.singleTasks = singleTasks;
+        this.pass = context.pass();
     }
 
     /** Begins a plan: computes the limit of replicas per machine from the current number of replicas. */
@@ -57,61 +58,60 @@
         if (!mayPlaceReplica(job)) {
             return;
         }
-        List<Machine> candidates = selection.candidates(job, CapacityRequest.Source.SAME_PRIORITY, nowMicros);
+        JobCandidates candidates =
+                new JobCandidates(job, selection.candidates(job, CapacityRequest.Source.SAME_PRIORITY, nowMicros));
         for (int missing = queued.pendingTasks(); missing > 0 && mayPlaceReplica(job); missing--) {
-            Machine machine = findMachine(job, candidates, nowMicros);
-            if (machine == null) {
+            int position = findMachine(candidates, missing, nowMicros);
+            if (position < 0) {
                 return;
             }
-            scheduler.placeTask(job, job.nextPendingTask(), machine, nowMicros);
+            scheduler.placeTask(job, job.nextPendingTask(), candidates.machine(position), nowMicros);
+            candidates.machineChanged(position);
         }
     }
 
     private boolean mayPlaceReplica(Job job) {
-        return job.placeableCount() > 0 && quota.allowsTask(job);
+        return job.placeableCount() > 0 && quota.allowsTask(job) && !pass.hasPlacedMaxTasks();
     }
 
-    private Machine findMachine(Job job, List<Machine> candidates, long nowMicros) {
-        Machine machine = findMachineWithReplicas(job, candidates, nowMicros);
-        return machine != null ? machine : singleTasks.findOrPreempt(job, candidates, nowMicros);
+    private int findMachine(JobCandidates candidates, int missing, long nowMicros) {
+        int position = findMachineWithReplicas(candidates, missing, nowMicros);
+        return position >= 0 ? position : singleTasks.findOrPreempt(candidates, missing, nowMicros);
     }
 
     /**
-     * Returns the machine with the image and the highest colocation score, or null; preempts finite work there if
-     * needed.
+     * Returns the position of the machine with the image and the highest colocation score, or -1; preempts finite work there
+     * if needed.
      */
-    private Machine findMachineWithReplicas(Job job, List<Machine> candidates, long nowMicros) {
-        Machine best = null;
-        long bestScore = 0;
-        for (Machine machine : candidates) {
-            if (MachineSelection.hasImage(machine, job) && MachineSelection.zoneAllows(job, machine)) {
-                long score = colocationScore(job, machine);
-                if (score > bestScore && (fits(job, machine) || isCheapToPreempt(job, machine, nowMicros))) {
-                    best = machine;
-                    bestScore = score;
-                }
-            }
-        }
-        if (best != null && !fits(job, best)) {
-            preemptionExecutor.freeCapacity(job, best, Preemption.Scope.SAME_PRIORITY, nowMicros);
+    private int findMachineWithReplicas(JobCandidates candidates, int missing, long nowMicros) {
+        Job job = candidates.job();
+        int best = candidates.bestColocation(machine -> colocationRank(job, machine, nowMicros));
+        if (best >= 0 && !fits(job, candidates.machine(best))) {
+            int tasks = Preemption.tasksPerEviction(missing, candidates.size());
+            preemptionExecutor.freeCapacity(candidates, best, tasks, nowMicros);
         }
         return best;
     }
 
+    /** Returns a lower rank the higher the colocation score of the machine is. */
+    private long colocationRank(Job job, Machine machine, long nowMicros) {
+        if (!MachineSelection.hasImage(machine, job)) {
+            return RankedMachines.EXCLUDED;
+        }
+        long score = colocationScore(job, machine);
+        return score > 0 && (fits(job, machine) || isCheapToPreempt(job, machine, nowMicros))
+                ? -score
+                : RankedMachines.EXCLUDED;
+    }
+
     /**
      * Returns the score of colocating a replica with those on the machine; 0 if it has none, too many or too little
      * capacity.
      */
     private long colocationScore(Job job, Machine machine) {
         Resources request = job.spec.taskResources();
-        Resources usedByReplicas = Resources.NONE;
-        int replicas = 0;
-        for (Placement placement : machine.placements) {
-            if (placement.job.spec.kind() == JobKind.SERVICE) {
-                usedByReplicas = usedByReplicas.plus(placement.job.spec.taskResources());
-                replicas++;
-            }
-        }
+        Resources usedByReplicas = machine.usedByReplicas();
+        int replicas = machine.replicaCount();
         if (replicas == 0
                 || replicas >= maxReplicasPerMachine
                 || !request.plus(usedByReplicas).fitsIn(machine.capacity())) {
--- a/src/main/java/io/micatide/scheduler/SingleTaskSelection.java
+++ b/src/main/java/io/micatide/scheduler/SingleTaskSelection.java
@@ -1,13 +1,13 @@
 package io.micatide.scheduler;
 
 import io.micatide.model.JobKind;
+import io.micatide.model.JobSpec;
 import io.micatide.model.Micros;
-import java.util.List;
 
 /**
  * Finds the machine for one task of a gang or a service, and frees capacity there if the job may preempt.
  *
- * <p>Invariant: a returned machine has capacity for the task immediately.
+ * <p>Invariant: the machine at a returned position has capacity for the task immediately.
  */
 final class SingleTaskSelection {
     /** If fetching the image takes longer than this, other work is preempted on a machine that has the image. */
@@ -24,22 +24,26 @@
     }
 
     /**
-     * Returns the best machine with free capacity, else the machine on which preemption loses the least work.
+     * Returns the position of the best machine with free capacity, else of the machine on which preemption loses the least
+     * work.
      *
-     * @return null if there is none; work with checkpoints has then been requested to save and end
+     * @param missing number of tasks of the job that are still to be placed, this one included
+     * @return -1 if there is none; work with checkpoints has then been requested to save and end
      */
-    Machine findOrPreempt(Job job, List<Machine> candidates, long nowMicros) {
-        Machine fitting = MachineSelection.bestFitting(job, candidates);
-        if (fitting != null && !needsLongFetch(job, fitting)) {
+    int findOrPreempt(JobCandidates candidates, int missing, long nowMicros) {
+        Job job = candidates.job();
+        int fitting = candidates.bestFitting();
+        if (fitting >= 0 && !needsLongFetch(job, candidates.machine(fitting))) {
             return fitting;
         }
-        Machine cheapest = cheapestToPreempt(job, candidates, fitting != null, nowMicros);
-        if (cheapest != null) {
-            preemptionExecutor.freeCapacity(job, cheapest, Preemption.Scope.SAME_PRIORITY, nowMicros);
+        int cheapest = candidates.leastLoss(fitting >= 0, machine -> lossMicros(job, machine, nowMicros));
+        if (cheapest >= 0) {
+            int tasks = Preemption.tasksPerEviction(missing, candidates.size());
+            preemptionExecutor.freeCapacity(candidates, cheapest, tasks, nowMicros);
             return cheapest;
         }
-        if (fitting == null) {
-            preemptionExecutor.requestCheckpoints(job, requiredZone(job, candidates), nowMicros);
+        if (fitting < 0) {
+            preemptionExecutor.requestCheckpoints(job, requiredZone(candidates), nowMicros);
         }
         return fitting;
     }
@@ -48,33 +52,19 @@
         return !MachineSelection.hasImage(machine, job) && selection.fetchMicros(machine, job) > LONG_FETCH_MICROS;
     }
 
-    /**
-     * Returns the machine on which preemption loses the least, including the time to fetch the image; null if there is
-     * none.
-     *
-     * @param needsImage whether only machines with the image are considered
-     */
-    private Machine cheapestToPreempt(Job job, List<Machine> candidates, boolean needsImage, long nowMicros) {
-        Machine cheapest = null;
-        long leastLossMicros = Preemption.IMPOSSIBLE;
-        for (Machine machine : candidates) {
-            boolean hasImage = MachineSelection.hasImage(machine, job);
-            if ((hasImage || !needsImage) && MachineSelection.zoneAllows(job, machine)) {
-                long lossMicros = preemption.lostWork(job, machine, Preemption.Scope.SAME_PRIORITY, nowMicros);
-                if (lossMicros != Preemption.IMPOSSIBLE && !hasImage) {
-                    lossMicros += selection.fetchMicros(machine, job);
-                }
-                if (lossMicros < leastLossMicros) {
-                    leastLossMicros = lossMicros;
-                    cheapest = machine;
-                }
-            }
-        }
-        return cheapest;
+    /** Returns the work that preemption loses on the machine, plus the time to fetch the image. */
+    private long lossMicros(Job job, Machine machine, long nowMicros) {
+        long lossMicros = preemption.lostWork(job, machine, Preemption.Scope.SAME_PRIORITY, nowMicros);
+        return lossMicros == Preemption.IMPOSSIBLE || MachineSelection.hasImage(machine, job)
+                ? lossMicros
+                : lossMicros + selection.fetchMicros(machine, job);
     }
 
     /** Returns the zone of the candidates if all tasks of the gang have to be in one zone, else null. */
-    private static String requiredZone(Job job, List<Machine> candidates) {
-        return job.spec.kind() == JobKind.GANG && job.spec.singleZone() ? candidates.get(0).zone : null;
+    private static String requiredZone(JobCandidates candidates) {
+        JobSpec spec = candidates.job().spec;
+        return spec.kind() == JobKind.GANG && spec.singleZone()
+                ? candidates.machine(0).zone()
+                : null;
     }
 }
--- a/src/main/java/io/micatide/scheduler/TaskOutcomes.java
+++ b/src/main/java/io/micatide/scheduler/TaskOutcomes.java
@@ -38,7 +38,7 @@
      * @param commands commands for the machine, to which a reap is added if the worker may discard the task
      */
     void taskExited(Machine machine, Job job, TaskStatus status, List<Command> commands, long nowMicros) {
-        Placement placement = machine.placementOf(status);
+        Placement placement = machine.placementOf(status, job);
         if (hasCompleted(job, status)) {
             if (!job.finishedTasks.get(status.taskIndex())) {
                 taskCompleted(machine, job, status.taskIndex(), placement, nowMicros);
--- a/src/test/java/io/micatide/scheduler/MachineSelectionTest.java
+++ b/src/test/java/io/micatide/scheduler/MachineSelectionTest.java
@@ -26,6 +26,12 @@
         return machine;
     }
 
+    private Machine bestFitting(List<Machine> machines) {
+        JobCandidates candidates = new JobCandidates(job, machines);
+        int position = candidates.bestFitting();
+        return position < 0 ? null : candidates.machine(position);
+    }
+
     @Test
     void imagePrecedesFreeCapacity() {
         Machine full = machine("full", 1, true);
@@ -33,18 +39,18 @@
         Machine small = machine("small", 4, false);
         Machine withImage = machine("with-image", 8, true);
         Machine fuller = machine("fuller", 2, true);
-        assertEquals(fuller, MachineSelection.bestFitting(job, List.of(full, large, withImage, fuller)));
-        assertEquals(withImage, MachineSelection.bestFitting(job, List.of(withImage, full, large)));
-        assertEquals(large, MachineSelection.bestFitting(job, List.of(small, full, large)));
-        assertEquals(null, MachineSelection.bestFitting(job, List.of(full)));
+        assertEquals(fuller, bestFitting(List.of(full, large, withImage, fuller)));
+        assertEquals(withImage, bestFitting(List.of(withImage, full, large)));
+        assertEquals(large, bestFitting(List.of(small, full, large)));
+        assertEquals(null, bestFitting(List.of(full)));
     }
 
     @Test
     void equalMachinesRankInListOrder() {
         Machine first = machine("first", 8, false);
         Machine second = machine("second", 8, false);
-        assertEquals(first, MachineSelection.bestFitting(job, List.of(first, second)));
-        assertEquals(second, MachineSelection.bestFitting(job, List.of(second, first)));
+        assertEquals(first, bestFitting(List.of(first, second)));
+        assertEquals(second, bestFitting(List.of(second, first)));
     }
 
     @Test
@@ -52,6 +58,6 @@
         Machine onDemand = machine("on-demand", 2, true);
         Machine spot = machine("spot", 16, true);
         spot.isSpot = true;
-        assertEquals(spot, MachineSelection.bestFitting(job, List.of(onDemand, spot)));
+        assertEquals(spot, bestFitting(List.of(onDemand, spot)));
     }
 }
--- a/src/test/java/io/micatide/scheduler/ReferencePlacementPlanner.java
+++ b/src/test/java/io/micatide/scheduler/ReferencePlacementPlanner.java
@@ -424,7 +424,7 @@
 
     private static boolean isSuitable(Job job, Machine machine, long nowMicros) {
         JobSpec spec = job.spec;
-        return spec.allowsMachine(machine.type, machine.zone, machine.isSpot)
+        return spec.allowsMachine(machine.type, machine.zone(), machine.isSpot)
                 && !job.failedMachines.isExcluded(machine.name, nowMicros)
                 && (spec.kind() == JobKind.SERVICE || machine.slowUntilMicros < nowMicros);
     }
@@ -689,13 +689,13 @@
                     }
                 }
             }
-            perZone.merge(machine.zone, spec.taskResources().timesFittingIn(freeCapacity), Long::sum);
+            perZone.merge(machine.zone(), spec.taskResources().timesFittingIn(freeCapacity), Long::sum);
         }
         List<Machine> candidates = machines;
         if (spec.singleZone()) {
             String zone = job.liveAttempts.isEmpty()
                     ? null
-                    : job.liveAttempts.values().iterator().next().get(0).machine.zone;
+                    : job.liveAttempts.values().iterator().next().get(0).machine.zone();
             for (Map.Entry<String, Long> entry : perZone.entrySet()) {
                 if (zone == null && entry.getValue() >= missing) {
                     zone = entry.getKey();
@@ -703,7 +703,7 @@
             }
             String chosen = zone;
             candidates = machines.stream()
-                    .filter(machine -> machine.zone.equals(chosen))
+                    .filter(machine -> machine.zone().equals(chosen))
                     .toList();
             if (chosen == null || perZone.getOrDefault(chosen, 0L) < missing) {
                 return;
@@ -829,7 +829,8 @@
         int inZone = 0;
         for (List<Placement> list : job.liveAttempts.values()) {
             for (Placement placement : list) {
-                if (placement.machine.zone == null || !placement.machine.zone.equals(machine.zone)) {
+                if (placement.machine.zone() == null
+                        || !placement.machine.zone().equals(machine.zone())) {
                     if (job.spec.singleZone()) {
                         return false;
                     }
--- a/src/test/java/io/micatide/scheduler/SchedulerHarness.java
+++ b/src/test/java/io/micatide/scheduler/SchedulerHarness.java
@@ -643,7 +643,8 @@
         }
     }
 
-    private void executeWriteBatch() {
+    /** Applies the next transaction of the leader, if there is one. */
+    void executeWriteBatch() {
         Transaction transaction = leader.nextWriteBatch(now, now);
         if (transaction == null) {
             return;
