Placed tasks are bounded by the heap of a controller and by their workers' heartbeats

Cause: a task was placed wherever its resources fit. Nothing counted what a placed task takes on the leader (some 200 bytes, measured by the test) nor in the heartbeats of its machine, until it is reaped. The limit on accepted jobs counts a byte a task.

Change, in three bounds that keep no job waiting: - Jobs are admitted with the placements that they need at once: all tasks of a gang or service, one of an array. What does not fit is answered 429 before it is stored, as before. - ArrayTaskLimit: the further tasks of arrays may take 0.15 of the heap (some 50,000 tasks with -Xmx64m), each array at most half of what is left, and always one task. - HeartbeatSpace: a machine gets as many tasks as its worker can list when all have exited, with exited ones counted until they are reaped. An array takes half of what is left on a machine and leaves a reserve, gangs and services leave a part. More machines are rented accordingly. Besides, an answer with many commands has several lines, so that none exceeds 64 KiB, and a task with one attempt has a smaller list.

--- a/src/main/java/io/micatide/controller/LeaderActor.java
+++ b/src/main/java/io/micatide/controller/LeaderActor.java
@@ -47,7 +47,8 @@
                 services.store(),
                 this);
         this.collaborators = collaborators(services, users, components, peers);
-        this.termFactory = new LeaderTermFactory(this, services, users, archiver, collaborators);
+        this.termFactory =
+                new LeaderTermFactory(this, services, users, archiver, collaborators, components.maxArrayTasks());
         this.heartbeatHandler = new HeartbeatHandler(this, settings.label(), collaborators);
         this.transfer = new LeadershipTransfer(this, services, users, collaborators);
         this.peerExchange = new PeerExchange(this, services.store(), users, collaborators, transfer);
--- a/src/main/java/io/micatide/controller/LeaderTermFactory.java
+++ b/src/main/java/io/micatide/controller/LeaderTermFactory.java
@@ -9,18 +9,21 @@
     private final UsersActor users;
     private final ArchiverActor archiver;
     private final LeaderCollaborators collaborators;
+    private final long maxArrayTasks;
 
     LeaderTermFactory(
             LeaderActor owner,
             ControllerServices services,
             UsersActor users,
             ArchiverActor archiver,
-            LeaderCollaborators collaborators) {
+            LeaderCollaborators collaborators,
+            long maxArrayTasks) {
         this.owner = owner;
         this.services = services;
         this.users = users;
         this.archiver = archiver;
         this.collaborators = collaborators;
+        this.maxArrayTasks = maxArrayTasks;
     }
 
     /**
@@ -29,7 +32,7 @@
      * @param fencingToken the revision of the transaction that wrote the leader record
      */
     LeaderTerm create(long fencingToken, long now) {
-        Scheduler scheduler = new Scheduler(services.settings(), services.tuning(), fencingToken, now);
+        Scheduler scheduler = new Scheduler(services.settings(), services.tuning(), maxArrayTasks, fencingToken, now);
         scheduler.leaseHeldUntil(collaborators.election().leaseHeldUntilMicros());
         return new LeaderTerm(owner, users, scheduler, components(scheduler, now));
     }
--- a/src/main/java/io/micatide/jobs/JobMemoryUsage.java
+++ b/src/main/java/io/micatide/jobs/JobMemoryUsage.java
@@ -1,5 +1,6 @@
 package io.micatide.jobs;
 
+import io.micatide.model.JobKind;
 import io.micatide.model.JobSpec;
 import io.micatide.store.StoredRecord;
 import java.util.HashMap;
@@ -18,6 +19,8 @@
     private static final int DEPENDENCY_BYTES = 16;
     /** Bits of a task in the sets of finished, live and recorded tasks. */
     private static final int TASK_BYTES = 1;
+    /** Objects of a task from its placement until it has ended: its placement, and the entries of its job and machine. */
+    public static final int PLACED_TASK_BYTES = 192;
     /** Headers of a string and of its bytes, and the reference to it. */
     private static final int TEXT_BYTES = 48;
 
@@ -40,6 +43,7 @@
                 + textBytes(spec.image())
                 + (spec.zone() == null ? 0 : textBytes(spec.zone()))
                 + (long) TASK_BYTES * spec.taskCount()
+                + (long) PLACED_TASK_BYTES * minTasksAtOnce(spec)
                 + (long) DEPENDENCY_BYTES * spec.dependencies().size();
         for (String type : spec.machineTypes()) {
             bytes += textBytes(type);
@@ -47,6 +51,11 @@
         return bytes;
     }
 
+    /** Returns how many tasks must be placed at once if any is: all of a gang or service, one of an array. */
+    private static int minTasksAtOnce(JobSpec spec) {
+        return spec.kind() == JobKind.ARRAY ? 1 : spec.taskCount();
+    }
+
     private static long textBytes(String text) {
         return TEXT_BYTES + (long) Character.BYTES * text.length();
     }
--- a/src/main/java/io/micatide/protocol/WorkerCodec.java
+++ b/src/main/java/io/micatide/protocol/WorkerCodec.java
@@ -14,6 +14,9 @@
 
 /** Decodes heartbeats of workers and encodes the answers. Heartbeats are most of the traffic, so they are parsed as a stream, without a tree. */
 public final class WorkerCodec {
+    /** Keeps a line of an answer below the 64 KiB that the protocol allows, with the longest ids as well. */
+    private static final int MAX_COMMANDS_IN_LINE = 256;
+
     private WorkerCodec() {}
 
     public static Heartbeat heartbeat(byte[] body) throws MalformedException {
@@ -144,7 +147,12 @@
             out.writeStartObject();
             out.writeNumberField("armband", fencingToken);
             out.writeArrayFieldStart("calls");
+            int inLine = 0;
             for (Command command : commands) {
+                if (++inLine > MAX_COMMANDS_IN_LINE) {
+                    out.writeRaw('\n');
+                    inLine = 1;
+                }
                 out.writeStartObject();
                 out.writeStringField("call", wireName(command));
                 out.writeStringField("leg", command.job() + "/" + command.taskIndex());
--- a/src/main/java/io/micatide/scheduler/ArrayPlacement.java
+++ b/src/main/java/io/micatide/scheduler/ArrayPlacement.java
@@ -100,7 +100,7 @@
     private boolean fill(Job job, Machine machine, long nowMicros) {
         Resources request = job.spec.taskResources();
         while (request.fitsIn(machine.freeCapacity())
-                && MachineSelection.zoneAllows(job, machine)
+                && MachineSelection.allowsTask(job, machine)
                 && scheduler.mayRecordMachine(job, machine, nowMicros)) {
             if (job.placeableCount() == 0 || !quota.allowsTask(job) || pass.hasPlacedMaxTasks()) {
                 return false;
--- a/src/main/java/io/micatide/scheduler/ArrayPreemption.java
+++ b/src/main/java/io/micatide/scheduler/ArrayPreemption.java
@@ -78,13 +78,13 @@
     /** Frees capacity for up to {@code limit} tasks and places them; returns how many it placed. */
     private int preemptAndPlace(JobQueue.QueuedJob queued, Machine machine, int limit, long nowMicros) {
         Job job = queued.job();
-        if (!MachineSelection.zoneAllows(job, machine)
+        if (!MachineSelection.allowsTask(job, machine)
                 || !context.preemptionExecutor().freeCapacity(job, machine, scope(queued), limit, nowMicros)) {
             return 0;
         }
         long fitting = Math.min(limit, Preemption.tasksFittingAfterStops(job, machine));
         int placed = 0;
-        while (placed < fitting && mayPlaceTask(job) && MachineSelection.zoneAllows(job, machine)) {
+        while (placed < fitting && mayPlaceTask(job) && MachineSelection.allowsTask(job, machine)) {
             context.scheduler().placeTask(job, job.nextPendingTask(), machine, nowMicros);
             placed++;
         }
--- a/src/main/java/io/micatide/scheduler/GangPlacement.java
+++ b/src/main/java/io/micatide/scheduler/GangPlacement.java
@@ -42,9 +42,10 @@
         }
         List<Machine> feasible = selection.feasibleMachines(job, source, nowMicros);
         List<Machine> candidates = selection.recordableMachines(job, feasible, nowMicros);
-        Map<String, Long> tasksPerZone = tasksFittingPerZone(job, candidates, source);
+        ZoneCapacity capacity = zoneCapacity(job, candidates, source);
+        Map<String, Long> tasksPerZone = capacity.tasksPerZone();
         // The result applies to other jobs of the class only if it does not depend on this job's ledger and failures.
-        if (candidates.size() == feasible.size() && job.failedMachines.isEmpty()) {
+        if (candidates.size() == feasible.size() && job.failedMachines.isEmpty() && !capacity.isLimitedByHeartbeats()) {
             unschedulable.recordTasksFittingPerZone(job, source, tasksPerZone);
         }
         String zone = job.liveAttempts.isEmpty() ? zoneThatFits(missing, tasksPerZone) : zoneOfLiveAttempts(job);
@@ -102,15 +103,31 @@
         }
     }
 
-    private Map<String, Long> tasksFittingPerZone(Job job, List<Machine> machines, CapacityRequest.Source source) {
+    /**
+     * How many tasks of a gang fit.
+     *
+     * @param tasksPerZone number of tasks by zone
+     * @param isLimitedByHeartbeats whether a machine has capacity for more tasks than its heartbeat has space for, which
+     *     depends on the job
+     */
+    private record ZoneCapacity(Map<String, Long> tasksPerZone, boolean isLimitedByHeartbeats) {}
+
+    private ZoneCapacity zoneCapacity(Job job, List<Machine> machines, CapacityRequest.Source source) {
         Map<String, Long> tasksPerZone = new HashMap<>();
+        boolean isLimitedByHeartbeats = false;
         for (Machine machine : machines) {
-            long tasks = source == CapacityRequest.Source.FREE
-                    ? job.spec.taskResources().timesFittingIn(machine.freeCapacity())
-                    : preemption.tasksFittingAfterPreemption(job, machine);
-            tasksPerZone.merge(machine.zone(), tasks, Long::sum);
+            long fitting = tasksFitting(job, machine, source);
+            long listable = HeartbeatSpace.maxTasks(job, machine);
+            isLimitedByHeartbeats |= listable < fitting;
+            tasksPerZone.merge(machine.zone(), Math.min(fitting, listable), Long::sum);
         }
-        return tasksPerZone;
+        return new ZoneCapacity(tasksPerZone, isLimitedByHeartbeats);
+    }
+
+    private long tasksFitting(Job job, Machine machine, CapacityRequest.Source source) {
+        return source == CapacityRequest.Source.FREE
+                ? job.spec.taskResources().timesFittingIn(machine.freeCapacity())
+                : preemption.tasksFittingAfterPreemption(job, machine);
     }
 
     /** Returns a zone with capacity for the given number of tasks, or null. */
--- a/src/main/java/io/micatide/scheduler/HeartbeatReconciler.java
+++ b/src/main/java/io/micatide/scheduler/HeartbeatReconciler.java
@@ -75,17 +75,19 @@
     }
 
     private void reconcileTasks(Machine machine, Heartbeat heartbeat, List<Command> commands, long nowMicros) {
+        int bytesWithoutPlacement = 0;
         for (TaskStatus status : heartbeat.tasks()) {
-            if (status.state() == TaskState.EXITED) {
-                taskOutcomes.taskExited(machine, ledgers.get(status.job()), status, commands, nowMicros);
-            } else {
-                reconcileLiveTask(machine, status, heartbeat.sequence(), commands, nowMicros);
-            }
+            boolean keepsEntry = status.state() == TaskState.EXITED
+                    ? !taskOutcomes.taskExited(machine, ledgers.get(status.job()), status, commands, nowMicros)
+                    : !reconcileLiveTask(machine, status, heartbeat.sequence(), commands, nowMicros);
+            bytesWithoutPlacement += keepsEntry ? HeartbeatSpace.bytesOf(status) : 0;
         }
+        machine.setOtherHeartbeatBytes(bytesWithoutPlacement);
         removeLost(machine, heartbeat.sequence());
     }
 
-    private void reconcileLiveTask(
+    /** Returns whether the task has a placement. */
+    private boolean reconcileLiveTask(
             Machine machine, TaskStatus status, long sequence, List<Command> commands, long nowMicros) {
         Job job = ledgers.get(status.job());
         Placement placement = machine.placementOf(status, job);
@@ -103,6 +105,7 @@
         if (placement != null) {
             placement.lastListedSequence = sequence;
         }
+        return placement != null;
     }
 
     /** Adds a placement for a listed task that this leader did not start or had regarded as lost. */
--- a/src/main/java/io/micatide/scheduler/Job.java
+++ b/src/main/java/io/micatide/scheduler/Job.java
@@ -20,6 +20,8 @@
  */
 final class Job {
     final JobSpec spec;
+    /** Upper bound for the bytes that one task takes in a heartbeat of its machine. */
+    final int heartbeatBytesPerTask;
     /** Time of day of the submission, in microseconds. */
     final long submittedWall;
     /** Submission time on the steady clock: when this leader first read the job, minus its age by the time of day. */
@@ -126,6 +128,7 @@
         this.readyMicros = readyMicros;
         this.priority = spec.priority();
         this.spec = spec;
+        this.heartbeatBytesPerTask = HeartbeatSpace.bytesPerTask(spec);
         this.version = version;
         this.submittedWall = submittedWall;
         this.submittedMicros = submittedMicros;
@@ -241,11 +244,15 @@
     }
 
     void add(Placement placement) {
-        List<Placement> placements = liveAttempts.computeIfAbsent(placement.taskIndex, k -> new ArrayList<>(1));
-        if (placements.isEmpty() && !finishedTasks.get(placement.taskIndex)) {
+        // Most tasks have one attempt, and an immutable list of one takes half of the memory of another list.
+        List<Placement> others = liveAttempts.putIfAbsent(placement.taskIndex, List.of(placement));
+        if (others != null) {
+            List<Placement> placements = new ArrayList<>(others);
+            placements.add(placement);
+            liveAttempts.put(placement.taskIndex, placements);
+        } else if (!finishedTasks.get(placement.taskIndex)) {
             liveUnfinishedCount++;
         }
-        placements.add(placement);
         finishedOrLiveTasks.set(placement.taskIndex);
         liveMachines.add(placement.machine.name);
         liveZones.add(placement.machine.zone());
@@ -253,10 +260,12 @@
 
     void remove(Placement placement) {
         List<Placement> placements = liveAttempts.get(placement.taskIndex);
-        if (placements != null && placements.remove(placement)) {
+        if (placements != null && placements.contains(placement)) {
             liveMachines.remove(placement.machine.name);
             liveZones.remove(placement.machine.zone());
-            if (placements.isEmpty()) {
+            if (placements.size() > 1) {
+                placements.remove(placement);
+            } else {
                 liveAttempts.remove(placement.taskIndex);
                 if (!finishedTasks.get(placement.taskIndex)) {
                     finishedOrLiveTasks.clear(placement.taskIndex);
--- a/src/main/java/io/micatide/scheduler/JobCandidates.java
+++ b/src/main/java/io/micatide/scheduler/JobCandidates.java
@@ -112,7 +112,7 @@
     }
 
     private boolean allowsTask(Machine machine) {
-        return MachineSelection.zoneAllows(job, machine);
+        return MachineSelection.allowsTask(job, machine);
     }
 
     /** Ranks a machine again, on which a task was placed or work was preempted. */
--- a/src/main/java/io/micatide/scheduler/Machine.java
+++ b/src/main/java/io/micatide/scheduler/Machine.java
@@ -92,6 +92,10 @@
     private Resources usedByReplicas = Resources.NONE;
 
     private int replicaCount;
+    /** Bytes that the placements take in the machine's heartbeat at most. */
+    private int placementHeartbeatBytes;
+    /** Bytes of the entries in the newest heartbeat that have no placement and are not being reaped. */
+    private int otherHeartbeatBytes;
 
     private Resources freeCapacity = Resources.NONE;
     /** Sizes of the cached images in GB by image name, least recently used first. */
@@ -214,6 +218,7 @@
     void add(Placement placement) {
         placements.add(placement);
         setUsed(used.plus(placement.job.spec.taskResources()));
+        placementHeartbeatBytes += placement.job.heartbeatBytesPerTask;
         if (isReplica(placement)) {
             replicaCount++;
             usedByReplicas = usedByReplicas.plus(placement.job.spec.taskResources());
@@ -224,6 +229,7 @@
     void remove(Placement placement) {
         if (placements.remove(placement)) {
             setUsed(used.minus(placement.job.spec.taskResources()));
+            placementHeartbeatBytes -= placement.job.heartbeatBytesPerTask;
             if (isReplica(placement)) {
                 replicaCount--;
                 usedByReplicas = usedByReplicas.minus(placement.job.spec.taskResources());
@@ -235,6 +241,16 @@
         return placement.job.spec.kind() == JobKind.SERVICE;
     }
 
+    /** Returns how many bytes of further tasks the machine's heartbeat has space for. */
+    int freeHeartbeatBytes() {
+        return HeartbeatSpace.TOTAL_BYTES - placementHeartbeatBytes - otherHeartbeatBytes;
+    }
+
+    /** Sets the bytes of the entries in the newest heartbeat that have no placement and stay in the next one. */
+    void setOtherHeartbeatBytes(int bytes) {
+        otherHeartbeatBytes = bytes;
+    }
+
     /** Returns the number of service replicas on the machine. */
     int replicaCount() {
         return replicaCount;
--- a/src/main/java/io/micatide/scheduler/MachineRefill.java
+++ b/src/main/java/io/micatide/scheduler/MachineRefill.java
@@ -83,7 +83,7 @@
                 && MachineSelection.isFeasible(job, machine, nowMicros)
                 && quota.allowsTask(job)
                 && mayRecord(job, machine, nowMicros)
-                && MachineSelection.zoneAllows(job, machine);
+                && MachineSelection.allowsTask(job, machine);
     }
 
     private static boolean mayUseFreeCapacity(Job job, Machine machine) {
--- a/src/main/java/io/micatide/scheduler/MachineSelection.java
+++ b/src/main/java/io/micatide/scheduler/MachineSelection.java
@@ -114,8 +114,12 @@
                 : Micros.ofSeconds(job.spec.imageGb() / type.fetchGbPerSecond());
     }
 
-    /** Returns whether the job's zone rules allow one more of its tasks on the machine. */
-    static boolean zoneAllows(Job job, Machine machine) {
+    /** Returns whether zone rules and the size of heartbeats allow one more of the job's tasks on the machine. */
+    static boolean allowsTask(Job job, Machine machine) {
+        return zoneAllows(job, machine) && HeartbeatSpace.allowsTask(job, machine);
+    }
+
+    private static boolean zoneAllows(Job job, Machine machine) {
         int tasksInZone = job.liveAttemptsInZone(machine.zone());
         if (job.spec.singleZone() && tasksInZone < job.liveAttemptCount()) {
             return false;
--- a/src/main/java/io/micatide/scheduler/OfferSelection.java
+++ b/src/main/java/io/micatide/scheduler/OfferSelection.java
@@ -48,7 +48,9 @@
         Map<String, Integer> machinesPerZone = machinesPerZone();
         PricedOffer cheapest = null;
         for (MachineType type : fleet.machineTypes().values()) {
-            long tasksPerMachine = equivalenceClass.taskResources().timesFittingIn(type.resources());
+            long tasksPerMachine = Math.min(
+                    equivalenceClass.taskResources().timesFittingIn(type.resources()),
+                    HeartbeatSpace.usualTasksPerMachine());
             if (tasksPerMachine == 0) {
                 continue;
             }
--- a/src/main/java/io/micatide/scheduler/PlacementActions.java
+++ b/src/main/java/io/micatide/scheduler/PlacementActions.java
@@ -16,6 +16,9 @@
      */
     boolean mayRecordMachine(Job job, Machine machine, long nowMicros);
 
+    /** Returns whether the leader has memory for one more placed task of the job. */
+    boolean hasMemoryForTask(Job job);
+
     /**
      * Places a task on the machine. The start is sent once the ledger of the job names the machine.
      *
--- a/src/main/java/io/micatide/scheduler/PlacementTable.java
+++ b/src/main/java/io/micatide/scheduler/PlacementTable.java
@@ -21,14 +21,16 @@
 
     private final long fencingToken;
     private final JobLedgers ledgers;
+    private final ArrayTaskLimit arrayTaskLimit;
     private final long gangPeerTimeoutMicros;
     private final Map<String, Resources> teamUsage = new HashMap<>();
     private PlacementListener listener;
     private long attemptCounter;
 
-    PlacementTable(Settings settings, long fencingToken, JobLedgers ledgers) {
+    PlacementTable(Settings settings, long fencingToken, JobLedgers ledgers, ArrayTaskLimit arrayTaskLimit) {
         this.fencingToken = fencingToken;
         this.ledgers = ledgers;
+        this.arrayTaskLimit = arrayTaskLimit;
         this.gangPeerTimeoutMicros = settings.gangPeerTimeoutMicros();
     }
 
@@ -42,15 +44,25 @@
         placement.machine.add(placement);
         placement.job.add(placement);
         teamUsage.merge(placement.job.spec.team(), placement.job.spec.taskResources(), Resources::plus);
+        if (isArray(placement.job)) {
+            arrayTaskLimit.taskPlaced();
+        }
         listener.taskPlaced(placement.machine);
     }
 
+    private static boolean isArray(Job job) {
+        return job.spec.kind() == JobKind.ARRAY;
+    }
+
     @Override
     public void remove(Placement placement) {
         placement.machine.remove(placement);
         placement.job.remove(placement);
         teamUsage.merge(
                 placement.job.spec.team(), Resources.NONE.minus(placement.job.spec.taskResources()), Resources::plus);
+        if (isArray(placement.job)) {
+            arrayTaskLimit.taskRemoved();
+        }
         listener.capacityFreed();
         if (placement.job.liveAttempts.isEmpty()) {
             placement.job.gangStarted = false;
@@ -156,6 +168,11 @@
         return ledgers.mayRecordMachine(job, machine, nowMicros);
     }
 
+    @Override
+    public boolean hasMemoryForTask(Job job) {
+        return !isArray(job) || arrayTaskLimit.allowsTask(job);
+    }
+
     @Override
     public Resources teamUsage(String team) {
         return teamUsage.getOrDefault(team, Resources.NONE);
--- a/src/main/java/io/micatide/scheduler/Scheduler.java
+++ b/src/main/java/io/micatide/scheduler/Scheduler.java
@@ -35,20 +35,23 @@
      *
      * @param settings settings of the deployment
      * @param tuning settings that the operator may change
+     * @param maxArrayTasks number of tasks of arrays that may be placed at once, see {@link ArrayTaskLimit}
      * @param fencingToken fencing token of the term
      * @param nowMicros time of the claim
      */
-    public Scheduler(Settings settings, Tuning tuning, long fencingToken, long nowMicros) {
-        this(settings, tuning, fencingToken, nowMicros, PlacementPlanner::new);
+    public Scheduler(Settings settings, Tuning tuning, long maxArrayTasks, long fencingToken, long nowMicros) {
+        this(settings, tuning, maxArrayTasks, fencingToken, nowMicros, PlacementPlanner::new);
     }
 
     Scheduler(
             Settings settings,
             Tuning tuning,
+            long maxArrayTasks,
             long fencingToken,
             long nowMicros,
             SchedulerComponents.PlannerFactory plannerFactory) {
-        this.components = new SchedulerComponents(settings, tuning, fencingToken, nowMicros, plannerFactory);
+        this.components = new SchedulerComponents(
+                settings, tuning, ArrayTaskLimit.of(maxArrayTasks), fencingToken, nowMicros, plannerFactory);
     }
 
     /**
--- a/src/main/java/io/micatide/scheduler/SchedulerComponents.java
+++ b/src/main/java/io/micatide/scheduler/SchedulerComponents.java
@@ -50,12 +50,17 @@
     }
 
     SchedulerComponents(
-            Settings settings, Tuning tuning, long fencingToken, long nowMicros, PlannerFactory plannerFactory) {
+            Settings settings,
+            Tuning tuning,
+            ArrayTaskLimit arrayTaskLimit,
+            long fencingToken,
+            long nowMicros,
+            PlannerFactory plannerFactory) {
         this.settings = settings;
         this.fencingToken = fencingToken;
         this.termStartMicros = nowMicros;
         this.ledgers = new JobLedgers(settings, fencingToken);
-        this.placements = new PlacementTable(settings, fencingToken, ledgers);
+        this.placements = new PlacementTable(settings, fencingToken, ledgers, arrayTaskLimit);
         this.planner = plannerFactory.create(placements, settings, fleet, ledgers, runtimeEstimator);
         placements.setListener(planner);
         this.dagInheritance = new DagInheritance(ledgers, runtimeEstimator);
--- a/src/main/java/io/micatide/scheduler/TaskOutcomes.java
+++ b/src/main/java/io/micatide/scheduler/TaskOutcomes.java
@@ -36,25 +36,26 @@
      *
      * @param job job of the task, or null if the job has finished
      * @param commands commands for the machine, to which a reap is added if the worker may discard the task
+     * @return whether a reap was added
      */
-    void taskExited(Machine machine, Job job, TaskStatus status, List<Command> commands, long nowMicros) {
+    boolean taskExited(Machine machine, Job job, TaskStatus status, List<Command> commands, long nowMicros) {
         Placement placement = machine.placementOf(status, job);
+        boolean mayReap = true;
         if (hasCompleted(job, status)) {
             if (!job.finishedTasks.get(status.taskIndex())) {
                 taskCompleted(machine, job, status.taskIndex(), placement, nowMicros);
             }
-            if (job.recordedTasks.get(status.taskIndex())) {
-                commands.add(reapCommand(status));
-            }
-        } else {
-            if (placement != null && job != null) {
-                taskFailed(machine, job, status.cause(), nowMicros);
-            }
+            mayReap = job.recordedTasks.get(status.taskIndex());
+        } else if (placement != null && job != null) {
+            taskFailed(machine, job, status.cause(), nowMicros);
+        }
+        if (mayReap) {
             commands.add(reapCommand(status));
         }
         if (placement != null) {
             removeExited(placement, status.cause());
         }
+        return mayReap;
     }
 
     private static boolean hasCompleted(Job job, TaskStatus status) {
--- a/src/main/java/io/micatide/scheduler/TeamQuota.java
+++ b/src/main/java/io/micatide/scheduler/TeamQuota.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 
 /**
- * Enforces the limits of the teams.
+ * Enforces the limits of the teams, and that of all arrays together.
  *
  * <p>Invariant: a placement allowed by this class keeps its team within its limit, including all tasks that may still
  * run on machines that have not yet been reconciled by this leader.
@@ -37,9 +37,9 @@
         unreconciledUsage = usage;
     }
 
-    /** Returns whether the limit of the job's team allows one more of its tasks. */
+    /** Returns whether the limit of the job's team and that of arrays allow one more of its tasks. */
     boolean allowsTask(Job job) {
-        return allows(job, job.spec.taskResources());
+        return scheduler.hasMemoryForTask(job) && allows(job, job.spec.taskResources());
     }
 
     /** Returns whether the limit of the job's team allows the given number of additional tasks at once. */
--- a/src/main/java/io/micatide/simulation/SimulatedCluster.java
+++ b/src/main/java/io/micatide/simulation/SimulatedCluster.java
@@ -14,6 +14,7 @@
 import io.micatide.protocol.MalformedException;
 import io.micatide.protocol.StoreCodec;
 import io.micatide.rollout.Capabilities;
+import io.micatide.scheduler.ArrayTaskLimit;
 import io.micatide.standby.KeyspaceReplica;
 import io.micatide.store.StoreKeys;
 import io.micatide.store.StoredRecord;
@@ -156,7 +157,8 @@
                         Archiver::new,
                         configuration::keyspaceReplica,
                         configuration.capabilities(number),
-                        configuration.jobMemoryBytes(number)));
+                        configuration.jobMemoryBytes(number),
+                        ArrayTaskLimit.maxTasksInHeap(CONTROLLER_HEAP_BYTES)));
         controllers.set(number, controller);
         network.listen(controllerEndpoint(number), process, controller::handleRequest);
         network.listen(peerEndpoint(number), process, controller::handlePeerRequest);
--- a/src/test/java/io/micatide/jobs/DependencyMemoryTest.java
+++ b/src/test/java/io/micatide/jobs/DependencyMemoryTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.micatide.HeapUse;
 import io.micatide.model.JobState;
 import io.micatide.protocol.MalformedException;
 import io.micatide.protocol.StoreCodec;
@@ -43,13 +44,6 @@
         }
     }
 
-    private static long usedHeap() {
-        for (int i = 0; i < 3; i++) {
-            System.gc();
-        }
-        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
-    }
-
     /** Guards against heaps filled by jobs that name many others: each name was kept three times, as a string of its own. */
     @Test
     void aDependencyTakesNoMoreThanReferences() throws MalformedException {
@@ -57,11 +51,11 @@
         for (int number = 0; number < JOBS; number++) {
             read(jobCache, number, 0);
         }
-        long before = usedHeap();
+        long before = HeapUse.liveBytes();
         for (int number = JOBS; number < JOBS + DEPENDENT_JOBS; number++) {
             read(jobCache, number, JOBS);
         }
-        long bytesPerDependency = (usedHeap() - before) / (JOBS * DEPENDENT_JOBS);
+        long bytesPerDependency = (HeapUse.liveBytes() - before) / (JOBS * DEPENDENT_JOBS);
         assertEquals(JOBS + DEPENDENT_JOBS, jobCache.openJobs().size());
         assertTrue(bytesPerDependency <= MAX_BYTES_PER_DEPENDENCY, bytesPerDependency + " bytes a dependency");
     }
@@ -70,11 +64,11 @@
     @Test
     void theEstimateCoversTheHeapThatIsTaken() throws MalformedException {
         JobCache jobCache = new JobCache();
-        long before = usedHeap();
+        long before = HeapUse.liveBytes();
         for (int number = 0; number < JOBS + DEPENDENT_JOBS; number++) {
             read(jobCache, number, number < JOBS ? 0 : JOBS);
         }
-        long taken = usedHeap() - before;
+        long taken = HeapUse.liveBytes() - before;
         long estimated = jobCache.memoryUsage().totalBytes();
         assertTrue(taken <= estimated, taken + " bytes are taken and " + estimated + " estimated");
         assertEquals(estimated, jobCache.memoryUsage().bytesOf("blue"));
--- a/src/test/java/io/micatide/scheduler/CancelledJobQuotaTest.java
+++ b/src/test/java/io/micatide/scheduler/CancelledJobQuotaTest.java
@@ -31,7 +31,7 @@
     private static final long TOKEN = 50;
 
     private final Settings settings = new SchedulerHarness(1, 0).settings;
-    private final Scheduler leader = new Scheduler(settings, Tuning.defaults(settings), TOKEN, 0);
+    private final Scheduler leader = new Scheduler(settings, Tuning.defaults(settings), Long.MAX_VALUE, TOKEN, 0);
     private long now;
     private long revision = TOKEN;
     private long sequence;
--- a/src/test/java/io/micatide/scheduler/LargeJobTest.java
+++ b/src/test/java/io/micatide/scheduler/LargeJobTest.java
@@ -19,7 +19,7 @@
  * large job: no step may grow with the tasks times the tasks, or with the tasks times the machines.
  */
 class LargeJobTest {
-    private static final int MACHINES = 40;
+    private static final int MACHINES = 60;
     private static final int TASKS = 12_000;
     private static final int SECONDS = 12;
 
--- a/src/test/java/io/micatide/scheduler/SchedulerHarness.java
+++ b/src/test/java/io/micatide/scheduler/SchedulerHarness.java
@@ -83,6 +83,9 @@
     /** Time at which the cloud will reclaim each spot machine that has a notice, by machine name. */
     final Map<String, Long> spotNoticeEndsMicros = new HashMap<>();
 
+    /** Number of tasks of arrays that each new leader may have placed at once. */
+    long maxArrayTasks = Long.MAX_VALUE;
+
     Scheduler leader;
     long fencingToken;
     /** Number of the interaction at which the leader is killed; -1 if it is never killed. */
@@ -476,7 +479,7 @@
     void startLeader() {
         fencingToken = ++revision;
         put(StoreKeys.LEADER, new StoredRecord.Leader("c0"), fencingToken);
-        leader = new Scheduler(settings, Tuning.defaults(settings), fencingToken, now, plannerFactory);
+        leader = new Scheduler(settings, Tuning.defaults(settings), maxArrayTasks, fencingToken, now, plannerFactory);
         leader.hintsReceived(hints, false, now);
         leadersStarted++;
         leader.machineTypesChanged(List.of(TYPE), now);
--- a/src/test/java/io/micatide/scheduler/UnschedulableClassesTest.java
+++ b/src/test/java/io/micatide/scheduler/UnschedulableClassesTest.java
@@ -33,6 +33,7 @@
         new Scheduler(
                 settings,
                 Tuning.defaults(settings),
+                Long.MAX_VALUE,
                 TOKEN,
                 0,
                 (actions, schedulerSettings, fleet, ledgers, runtimes) -> {
