--- a/src/main/java/io/micatide/scheduler/ReplicaPlacement.java
+++ b/src/main/java/io/micatide/scheduler/ReplicaPlacement.java
@@ -60,9 +60,9 @@
         }
         JobCandidates candidates =
                 new JobCandidates(job, selection.candidates(job, CapacityRequest.Source.SAME_PRIORITY, nowMicros));
-        int allowed = quota.tasksWithinLimit(job, queued.pendingTasks(), Resources.NONE);
-        for (int missing = allowed; missing > 0 && mayPlaceReplica(job); missing--) {
-            int position = findMachine(candidates, missing, nowMicros);
+        for (int missing = queued.pendingTasks(); missing > 0 && mayPlaceReplica(job); missing--) {
+            int allowed = quota.tasksWithinLimit(job, missing, Resources.NONE);
+            int position = findMachine(candidates, allowed, nowMicros);
             if (position < 0) {
                 return;
             }
@@ -75,20 +75,20 @@
         return job.placeableCount() > 0 && quota.allowsTask(job) && !pass.hasPlacedMaxTasks();
     }
 
-    private int findMachine(JobCandidates candidates, int missing, long nowMicros) {
-        int position = findMachineWithReplicas(candidates, missing, nowMicros);
-        return position >= 0 ? position : singleTasks.findOrPreempt(candidates, missing, nowMicros);
+    private int findMachine(JobCandidates candidates, int allowed, long nowMicros) {
+        int position = findMachineWithReplicas(candidates, allowed, nowMicros);
+        return position >= 0 ? position : singleTasks.findOrPreempt(candidates, allowed, nowMicros);
     }
 
     /**
      * Returns the position of the machine with the image and the highest colocation score, or -1; preempts finite work there
      * if needed.
      */
-    private int findMachineWithReplicas(JobCandidates candidates, int missing, long nowMicros) {
+    private int findMachineWithReplicas(JobCandidates candidates, int allowed, long nowMicros) {
         Job job = candidates.job();
         int best = candidates.bestColocation(machine -> colocationRank(job, machine, nowMicros));
         if (best >= 0 && !fits(job, candidates.machine(best))) {
-            int tasks = Preemption.tasksPerEviction(missing, candidates.size());
+            int tasks = Preemption.tasksPerEviction(allowed, candidates.size());
             preemptionExecutor.freeCapacity(candidates, best, tasks, nowMicros);
         }
         return best;
--- a/src/test/java/io/micatide/simulation/LateCopiesTest.java
+++ b/src/test/java/io/micatide/simulation/LateCopiesTest.java
@@ -120,7 +120,17 @@
         }
         assertEquals(List.of(), failed);
         assertTrue(starts > 20 * DAYS, starts + " starts");
-        Set<String> kinds = Set.of("/v1/report", COMMANDS, "/txn", "/store", "/grants", "/machines", "/v1/jobs");
+        Set<String> kinds = Set.of(
+                "/v1/report",
+                COMMANDS,
+                "/txn",
+                "/store",
+                "/grants",
+                "/machines",
+                "/v1/jobs",
+                "/hints",
+                "/withdrawn",
+                "/news");
         assertTrue(copiesByPath.keySet().containsAll(kinds), copiesByPath.toString());
     }
 
