A submission is refused for memory only by what is stored, not by what was last read

What callers saw: after all jobs had been cancelled and archived, a submission still got 429 from a controller that nobody had asked meanwhile, and the next one from another such controller, although the memory for jobs was free (JobMemoryTest: 10 to 50 s after the last row was gone).

Cause: the limit was checked against the controller's copy of the jobs, which an idle controller reads again only when it is asked. The refusal read the changes, but then answered what had been decided before.

Change: when there seems to be no memory, the changes are read and the limit is checked again. If the job fits then, it is submitted once more from the beginning, as after a conflict.

--- a/src/main/java/io/micatide/controller/Submissions.java
+++ b/src/main/java/io/micatide/controller/Submissions.java
@@ -221,8 +221,7 @@
         } else if (writes.get().size() > settings.maxTransactionWrites()) {
             refuse(request, id, 400, 0, Json.error("awaits", "awaits: more names than can be kept with the job"));
         } else if (!memoryLimit.admits(id, jobRecord)) {
-            logMemoryFull(submission.spec());
-            refuse(request, id, 429, JOB_MEMORY_FULL_RETRY_S, JOB_MEMORY_FULL);
+            refresher.afterRefresh(request, () -> memoryChecked(submission, jobRecord));
         } else {
             memoryLimit.reserve(id, jobRecord);
             refresher.jobWritten(JobMemoryUsage.estimateBytes(id, jobRecord));
@@ -232,6 +231,21 @@
         }
     }
 
+    /**
+     * Submits the job once more if there is memory for it by a read that began after the request arrived, otherwise refuses it. A
+     * controller that nobody asked for a while does not know that other jobs have ended.
+     */
+    private void memoryChecked(Submission submission, StoredRecord.JobRecord jobRecord) {
+        Request request = submission.request();
+        String id = submission.spec().id();
+        if (jobCache.get(id) != null || memoryLimit.admits(id, jobRecord)) {
+            retry(submission);
+        } else {
+            logMemoryFull(submission.spec());
+            answerUnlessAccepted(request, id, 429, JOB_MEMORY_FULL_RETRY_S, JOB_MEMORY_FULL);
+        }
+    }
+
     private void logMemoryFull(JobSpec spec) {
         long now = owner.now();
         if (now - lastMemoryFullLogMicros >= MEMORY_FULL_LOG_INTERVAL_MICROS) {
@@ -249,14 +263,16 @@
 
     /** Answers with the given error, or with 200 if a refreshed lookup shows that the job was accepted before. */
     private void refuse(Request request, String id, int status, int retryAfterSeconds, byte[] json) {
-        refresher.afterRefresh(
-                request,
-                () -> owner.locate(request, id, 0, new KnownJobReply(owner, request, id) {
-                    @Override
-                    public void notFound() {
-                        request.answer(status, json, retryAfterSeconds);
-                    }
-                }));
+        refresher.afterRefresh(request, () -> answerUnlessAccepted(request, id, status, retryAfterSeconds, json));
+    }
+
+    private void answerUnlessAccepted(Request request, String id, int status, int retryAfterSeconds, byte[] json) {
+        owner.locate(request, id, 0, new KnownJobReply(owner, request, id) {
+            @Override
+            public void notFound() {
+                request.answer(status, json, retryAfterSeconds);
+            }
+        });
     }
 
     /** Handles the store's answer to the transaction that writes a job. */
--- a/src/test/java/io/micatide/simulation/JobMemoryTest.java
+++ b/src/test/java/io/micatide/simulation/JobMemoryTest.java
@@ -100,6 +100,12 @@
         toEnd.forEach(id -> assertEquals("withdrawn", standing(id), id));
         assertEquals(201, submitAgain(refused).request.status(), "room again");
         assertEquals(List.of(), day.checker.violations());
+        // A controller that nobody asked meanwhile decides by what is stored, not by what it has last read.
+        for (int controller = 0; controller < day.controllers; controller++) {
+            Submission later = submitLarge(controller);
+            day.time.run(5 * Micros.SECOND);
+            assertTrue(later.isAccepted(), "room again at c" + controller + ": " + later.request.status());
+        }
     }
 
     /** Repeats a submission while the answer is 503, as users do. */
