The largest gang is admitted whatever the number of teams; a large gang that fails is not retried at once

A placed task is estimated at 180 bytes in place of 192, which the test of the heap still bounds: with 192 a gang of 100,000 tasks, the protocol's most, exceeded the part of the limit that is not guaranteed to teams and got 429 even from an idle controller with 47 teams.

A gang of more than 1,000 missing tasks that was placed and had to be undone, since the last tasks did not fit after all, waits a second before it is tried again, so that undoing it does not take each tick. LargeJobTest has a case for a gang that is undone before it was sent.

--- a/src/main/java/io/micatide/jobs/JobMemoryUsage.java
+++ b/src/main/java/io/micatide/jobs/JobMemoryUsage.java
@@ -20,7 +20,7 @@
     /** Bits of a task in the sets of finished, live and recorded tasks. */
     private static final int TASK_BYTES = 1;
     /** Objects of a task from its placement until it has ended: its placement, and the entries of its job and machine. */
-    public static final int PLACED_TASK_BYTES = 192;
+    public static final int PLACED_TASK_BYTES = 180;
     /** Headers of a string and of its bytes, and the reference to it. */
     private static final int TEXT_BYTES = 48;
 
--- a/src/main/java/io/micatide/scheduler/GangPlacement.java
+++ b/src/main/java/io/micatide/scheduler/GangPlacement.java
@@ -1,6 +1,7 @@
 package io.micatide.scheduler;
 
 import io.micatide.model.JobSpec;
+import io.micatide.model.Micros;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,6 +13,11 @@
  * occupy its machines without making progress.
  */
 final class GangPlacement {
+    /** A gang with more missing tasks than this is not tried again at once after it was found not to fit after all. */
+    private static final int LARGE_GANG_TASKS = 1_000;
+
+    private static final long LARGE_GANG_BACKOFF_MICROS = Micros.SECOND;
+
     private final PlacementActions scheduler;
     private final TeamQuota quota;
     private final MachineSelection selection;
@@ -80,6 +86,9 @@
             int position = index < 0 ? -1 : findMachine(candidates, remaining, source, nowMicros);
             if (position < 0) {
                 removeUnsentPlacements(job);
+                if (missing > LARGE_GANG_TASKS) {
+                    job.backoffUntilMicros = nowMicros + LARGE_GANG_BACKOFF_MICROS;
+                }
                 return;
             }
             scheduler.placeTask(job, index, candidates.machine(position), nowMicros);
--- a/src/test/java/io/micatide/scheduler/LargeJobTest.java
+++ b/src/test/java/io/micatide/scheduler/LargeJobTest.java
@@ -98,6 +98,17 @@
         assertEquals(high.taskCount(), workers.liveTasks("wk-high"));
     }
 
+    /** A gang that was placed and not sent yet is removed as a whole. */
+    @Test
+    void undoingALargeGangTakesLessThanALease() {
+        harness.submit(spec("wk-large", JobKind.GANG, Priority.NORMAL, ZoneRule.SPREAD, 0));
+        workers.run(SchedulerHarness.STEP_MICROS);
+        workers.timed(() -> harness.cancel("wk-large"));
+        workers.run(2 * Micros.SECOND);
+        assertNoStepTookALease();
+        assertEquals(0, workers.liveTasks());
+    }
+
     /** The tasks of a gang save together, so that a notice to a machine with many of its tasks stops all of them once. */
     @Test
     void drainingMachinesOfALargeGangTakesLessThanALease() {
--- a/src/test/java/io/micatide/scheduler/ManySmallTasksTest.java
+++ b/src/test/java/io/micatide/scheduler/ManySmallTasksTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.micatide.HeapUse;
+import io.micatide.jobs.JobMemoryLimit;
 import io.micatide.jobs.JobMemoryUsage;
 import io.micatide.model.JobKind;
 import io.micatide.model.JobSpec;
@@ -11,7 +12,11 @@
 import io.micatide.model.Micros;
 import io.micatide.model.Priority;
 import io.micatide.model.Resources;
+import io.micatide.store.StoredRecord;
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -163,6 +168,18 @@
         assertMessagesAreWithinLimits();
     }
 
+    /** A gang of the largest size is admitted on a controller without other jobs, however many teams share it. */
+    @Test
+    void largestGangIsAdmitted() {
+        long heapBytes = 61L << 20;
+        Set<String> teams =
+                IntStream.range(0, 47).mapToObj(number -> "team" + number).collect(Collectors.toSet());
+        JobMemoryLimit limit =
+                new JobMemoryLimit(new JobMemoryUsage(), JobMemoryLimit.maxBytesInHeap(heapBytes), teams);
+        JobSpec gang = smallTasks("wk-gang", JobKind.GANG, MAX_TASKS);
+        assertTrue(limit.admits("wk-gang", new StoredRecord.JobRecord(JobState.OPEN, gang, 0, 1)));
+    }
+
     /** The estimate by which jobs are admitted and arrays are bounded holds for what a placed task takes on the heap. */
     @Test
     void placedTasksTakeNoMoreMemoryThanEstimated() {
--- a/src/test/java/io/micatide/scheduler/ManyTaskWorkers.java
+++ b/src/test/java/io/micatide/scheduler/ManyTaskWorkers.java
@@ -115,7 +115,8 @@
         }
     }
 
-    private void timed(Runnable leaderStep) {
+    /** Runs a step of the leader and measures how long it takes. */
+    void timed(Runnable leaderStep) {
         long startedNanos = System.nanoTime();
         leaderStep.run();
         longestLeaderStepMicros =
